--- a/src/main/java/oxbowproxy/Balancer.java
+++ b/src/main/java/rowanplank/Balancer.java
@@ -1,9 +1,9 @@
-package oxbowproxy;
+package rowanplank;
 
 import java.util.*;
 import java.util.stream.*;
-import oxbowproxy.BalancerApi.*;
-import oxbowproxy.NodeState.*;
+import rowanplank.BalancerApi.*;
+import rowanplank.NodeState.*;
 
 /**
  * Every decision of one proxy node. The interface (settings, events, actions) is in {@code BalancerApi.java}.
--- a/src/main/java/oxbowproxy/BalancerApi.java
+++ b/src/main/java/rowanplank/BalancerApi.java
@@ -1,4 +1,4 @@
-package oxbowproxy;
+package rowanplank;
 
 import java.util.List;
 
--- a/src/main/java/oxbowproxy/NodeState.java
+++ b/src/main/java/rowanplank/NodeState.java
@@ -1,10 +1,10 @@
-package oxbowproxy;
+package rowanplank;
 
 import java.util.ArrayList;
 import java.util.List;
-import oxbowproxy.BalancerApi.Request;
-import oxbowproxy.BalancerApi.RequestClass;
-import oxbowproxy.BalancerApi.Server;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.BalancerApi.Server;
 
 /** What a {@link Balancer} remembers of servers and requests: plain records of fact, no decisions. */
 final class NodeState {
--- a/src/main/java/oxbowproxy/simhost/EventReader.java
+++ b/src/main/java/rowanplank/simhost/EventReader.java
@@ -1,15 +1,15 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.Request;
-import oxbowproxy.BalancerApi.Server;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.Server;
 
 /** A cursor over the event records of one batch. */
 final class EventReader {
--- a/src/main/java/oxbowproxy/simhost/MalformedFrameException.java
+++ b/src/main/java/rowanplank/simhost/MalformedFrameException.java
@@ -1,4 +1,4 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 /** The input is not what the wire allows; nothing after it can be trusted. */
 final class MalformedFrameException extends RuntimeException {
--- a/src/main/java/oxbowproxy/simhost/ReplyWriter.java
+++ b/src/main/java/rowanplank/simhost/ReplyWriter.java
@@ -1,4 +1,4 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import oxbowproxy.BalancerApi.Actions;
+import rowanplank.BalancerApi.Actions;
 
 /** Writes actions as records of one reply. */
 final class ReplyWriter implements Actions {
--- a/src/main/java/oxbowproxy/simhost/SettingsReader.java
+++ b/src/main/java/rowanplank/simhost/SettingsReader.java
@@ -1,4 +1,4 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 import com.grack.nanojson.JsonArray;
 import com.grack.nanojson.JsonObject;
@@ -6,13 +6,13 @@
 import com.grack.nanojson.JsonParserException;
 import java.util.ArrayList;
 import java.util.List;
-import oxbowproxy.BalancerApi.Effect;
-import oxbowproxy.BalancerApi.Group;
-import oxbowproxy.BalancerApi.Limits;
-import oxbowproxy.BalancerApi.RequestClass;
-import oxbowproxy.BalancerApi.Rules;
-import oxbowproxy.BalancerApi.Settings;
-import oxbowproxy.BalancerApi.Tenant;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.Group;
+import rowanplank.BalancerApi.Limits;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.BalancerApi.Rules;
+import rowanplank.BalancerApi.Settings;
+import rowanplank.BalancerApi.Tenant;
 
 /** Reads an instance's settings from their JSON text; unknown keys are skipped. */
 final class SettingsReader {
--- a/src/main/java/oxbowproxy/simhost/Simhost.java
+++ b/src/main/java/rowanplank/simhost/Simhost.java
@@ -1,4 +1,4 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,9 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import oxbowproxy.Balancer;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Server;
+import rowanplank.Balancer;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Server;
 
 /** Hosts balancer instances on the simulator's wire: reads batches of events, writes one reply to each. */
 public final class Simhost {
@@ -24,7 +24,7 @@
         try {
             new Simhost().run(System.in, System.out);
         } catch (MalformedFrameException e) {
-            System.err.println("oxbowproxy simhost: " + e.getMessage());
+            System.err.println("rowanplank simhost: " + e.getMessage());
             System.exit(2);
         }
     }
--- a/src/test/java/oxbowproxy/BalancerTest.java
+++ b/src/test/java/rowanplank/BalancerTest.java
@@ -1,4 +1,4 @@
-package oxbowproxy;
+package rowanplank;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,16 +10,16 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import oxbowproxy.BalancerApi.Effect;
-import oxbowproxy.BalancerApi.Group;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.Limits;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.Request;
-import oxbowproxy.BalancerApi.Server;
-import oxbowproxy.BalancerApi.Settings;
-import oxbowproxy.BalancerApi.Tenant;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.Group;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.Limits;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.Server;
+import rowanplank.BalancerApi.Settings;
+import rowanplank.BalancerApi.Tenant;
 
 class BalancerTest {
     private static final int CLASS = 0;
--- a/src/test/java/oxbowproxy/EmbeddingExample.java
+++ b/src/test/java/rowanplank/EmbeddingExample.java
@@ -1,19 +1,19 @@
-package oxbowproxy;
+package rowanplank;
 
 import java.util.ArrayList;
 import java.util.List;
-import oxbowproxy.BalancerApi.Actions;
-import oxbowproxy.BalancerApi.Effect;
-import oxbowproxy.BalancerApi.Group;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.Limits;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.Request;
-import oxbowproxy.BalancerApi.RequestClass;
-import oxbowproxy.BalancerApi.Rules;
-import oxbowproxy.BalancerApi.Server;
-import oxbowproxy.BalancerApi.Settings;
+import rowanplank.BalancerApi.Actions;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.Group;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.Limits;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.BalancerApi.Rules;
+import rowanplank.BalancerApi.Server;
+import rowanplank.BalancerApi.Settings;
 
 /** The example of the README, compiled and run by the tests. */
 final class EmbeddingExample {
--- a/src/test/java/oxbowproxy/Harness.java
+++ b/src/test/java/rowanplank/Harness.java
@@ -1,4 +1,4 @@
-package oxbowproxy;
+package rowanplank;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,18 +12,18 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import oxbowproxy.BalancerApi.Actions;
-import oxbowproxy.BalancerApi.Effect;
-import oxbowproxy.BalancerApi.Group;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.Limits;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.Request;
-import oxbowproxy.BalancerApi.RequestClass;
-import oxbowproxy.BalancerApi.Rules;
-import oxbowproxy.BalancerApi.Server;
-import oxbowproxy.BalancerApi.Settings;
+import rowanplank.BalancerApi.Actions;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.Group;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.Limits;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.BalancerApi.Rules;
+import rowanplank.BalancerApi.Server;
+import rowanplank.BalancerApi.Settings;
 
 /** Drives one balancer by hand and checks the four rules after every action. */
 final class Harness implements Actions {
--- a/src/test/java/oxbowproxy/NetworkTest.java
+++ b/src/test/java/rowanplank/NetworkTest.java
@@ -1,4 +1,4 @@
-package oxbowproxy;
+package rowanplank;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import oxbowproxy.Balancer.Network;
-import oxbowproxy.NodeState.Neuron;
+import rowanplank.Balancer.Network;
+import rowanplank.NodeState.Neuron;
 
 class NetworkTest {
     /** The fixed point of q = (1/4 + q/2) / (1 + q/2), which equal weights give. */
--- a/src/test/java/oxbowproxy/RandomRunTest.java
+++ b/src/test/java/rowanplank/RandomRunTest.java
@@ -1,4 +1,4 @@
-package oxbowproxy;
+package rowanplank;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,15 +8,15 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import oxbowproxy.BalancerApi.Effect;
-import oxbowproxy.BalancerApi.Group;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.Limits;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.RequestClass;
-import oxbowproxy.BalancerApi.Server;
-import oxbowproxy.BalancerApi.Settings;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.Group;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.Limits;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.BalancerApi.Server;
+import rowanplank.BalancerApi.Settings;
 
 /** Legal events in random order; {@link Harness} checks the rules after every action. */
 class RandomRunTest {
--- a/src/test/java/oxbowproxy/simhost/SimhostTest.java
+++ b/src/test/java/rowanplank/simhost/SimhostTest.java
@@ -1,4 +1,4 @@
-package oxbowproxy.simhost;
+package rowanplank.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -11,10 +11,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import org.junit.jupiter.api.Test;
-import oxbowproxy.BalancerApi.Lifecycle;
-import oxbowproxy.BalancerApi.ListKind;
-import oxbowproxy.BalancerApi.Outcome;
-import oxbowproxy.BalancerApi.Server;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Server;
 
 class SimhostTest {
     private static final String CLOCK = "00000000206ec040";
