--- /dev/null
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -0,0 +1,84 @@
+package rowanplank.config;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.ParseException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import rowanplank.discovery.HostList;
+
+/**
+ * What a node is told at its start.
+ *
+ * @param sockets how many file descriptors its process may hold
+ * @param known the upstream group as this node last had it; may be old
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        HostList known, SiteSettings site) {
+
+    /** @throws ConfigException with one line that says what is missing or wrong */
+    public static NodeConfig read(Map<String, String> environment) {
+        String file = environment.get("EDGE_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigException("EDGE_CONFIG is not set: it names the configuration file");
+        }
+        try {
+            return read(environment, JsonFields.object(Json.parse(Files.readString(Path.of(file))), "the document"));
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("EDGE_CONFIG: can't read " + file + ": " + e);
+        } catch (ParseException e) {
+            throw new ConfigException("EDGE_CONFIG: " + file + " is no JSON: " + e.getMessage());
+        } catch (ConfigException e) {
+            throw new ConfigException("EDGE_CONFIG: " + file + ": " + e.getMessage());
+        }
+    }
+
+    /** The variables go before the file, which holds the same. */
+    private static NodeConfig read(Map<String, String> environment, JsonObject o) {
+        SiteSettings site = SettingsReader.read(JsonFields.object(o, "settings"));
+        if (site.classNames().stream().anyMatch(String::isEmpty)) {
+            throw new ConfigException("missing: classes[].name");
+        }
+        return new NodeConfig(told(environment, "EDGE_NAME", o, "name"),
+                address(told(environment, "EDGE_LISTEN", o, "listen")),
+                address(told(environment, "EDGE_DISCOVERY", o, "discovery")), seed(JsonFields.string(o, "seed", "0")),
+                JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
+                o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
+                site);
+    }
+
+    private static String told(Map<String, String> environment, String variable, JsonObject o, String key) {
+        String value = environment.get(variable);
+        return value != null && !value.isEmpty() ? value : JsonFields.string(o, key);
+    }
+
+    /** A numeric address and a port: there is no DNS. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, colon).replaceAll("[\\[\\]]", "");
+            if (!host.matches("[0-9.]+|[0-9a-fA-F:.]*:[0-9a-fA-F:.]*")) {
+                throw new IllegalArgumentException("not numeric");
+            }
+            InetSocketAddress address = new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+            if (!address.isUnresolved()) {
+                return address;
+            }
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            // told below
+        }
+        throw new ConfigException("no address and port: " + text);
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed is no hexadecimal number: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/config/SiteSettings.java
@@ -0,0 +1,22 @@
+package rowanplank.config;
+
+import java.time.Duration;
+import java.util.List;
+import rowanplank.BalancerApi.Settings;
+
+/**
+ * The settings of a site: those of the decision module, and what only the node around it needs.
+ *
+ * @param classNames names of the classes, in the order of the module's
+ * @param zones zone names; their places are the module's zones
+ * @param connIdle when page servers close an idle connection at the latest
+ * @param connectTimeout how long a connection may take to open
+ * @param answerSlack how long after its deadline a request's answer is still in time
+ */
+public record SiteSettings(Settings module, List<String> classNames, List<String> zones, Duration connIdle,
+        Duration connectTimeout, Duration answerSlack) {
+    public SiteSettings {
+        classNames = List.copyOf(classNames);
+        zones = List.copyOf(zones);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -0,0 +1,260 @@
+package rowanplank.decision;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import rowanplank.Balancer;
+import rowanplank.BalancerApi.Actions;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Request;
+import rowanplank.BalancerApi.Server;
+import rowanplank.config.SiteSettings;
+import rowanplank.exchange.Answer;
+import rowanplank.exchange.Exchange;
+import rowanplank.exchange.Exchanges;
+import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.TrySender;
+import rowanplank.net.Clock;
+import rowanplank.net.Counters;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.EventLoop;
+import rowanplank.net.RateLimitedLog;
+
+/**
+ * Drives the decision module: tells it what happens, in order and never from within one of its own actions, and
+ * carries out what it asks for. Everything here runs on the event loop's thread.
+ */
+public final class Decisions implements Exchanges, Exchange.Listener {
+    /** A request that the module knows of. */
+    private static final class Entry {
+        final Exchange exchange;
+        EventLoop.Timer guard;
+        int sends;
+
+        Entry(Exchange exchange) {
+            this.exchange = exchange;
+        }
+    }
+
+    private final SiteSettings site;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Counters counters;
+    private final RateLimitedLog log;
+    private final Balancer balancer;
+    private final Map<Long, Entry> entries = new HashMap<>();
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private boolean delivering;
+    private TrySender sender;
+    private long requests;
+
+    public Decisions(SiteSettings site, long seed, EventLoop loop, Clock clock, Counters counters, RateLimitedLog log) {
+        this.site = site;
+        this.loop = loop;
+        this.clock = clock;
+        this.counters = counters;
+        this.log = log;
+        balancer = new Balancer(site.module(), seed, new ModuleActions());
+    }
+
+    /** To be called once, before the first request. */
+    public void sendThrough(TrySender sender) {
+        this.sender = sender;
+    }
+
+    /** Tells the module of the peers. */
+    public void servers(ListKind kind, List<Server> servers) {
+        deliver(() -> balancer.onServers(nowMs(), kind, servers));
+    }
+
+    @Override
+    public Exchange open(RequestContext context, Exchange.Client client) {
+        long number = ++requests;
+        Exchange exchange = new Exchange(number, context, client, this);
+        Entry entry = new Entry(exchange);
+        entries.put(number, entry);
+        counters.add(Count.REQUESTS_TAKEN);
+        entry.guard = loop.schedule(untilOverdue(context), () -> overdue(entry));
+        deliver(() -> balancer.onRequest(nowMs(), new Request(number, context.classIndex(), 0, 0,
+                Clock.millis(context.deadline()), 0, context.repeat())));
+        return exchange;
+    }
+
+    private Duration untilOverdue(RequestContext context) {
+        return Duration.between(clock.now(), context.deadline()).plus(site.answerSlack().dividedBy(2));
+    }
+
+    /** Guards the deadline should the module let it pass: an answer is owed whatever it does. */
+    private void overdue(Entry entry) {
+        if (!entry.exchange.ended()) {
+            counters.add(Count.ANSWERS_OVERDUE);
+            log.warn("request " + entry.exchange.context().id() + " was left unanswered by the module");
+            abandon(entry, new Answer.Failed());
+        }
+    }
+
+    /** Ends all that is open, for a node that must stop now. */
+    public void rejectAll() {
+        new ArrayList<>(entries.values()).forEach(e -> abandon(e, new Answer.Rejected(Duration.ZERO)));
+    }
+
+    private void abandon(Entry entry, Answer answer) {
+        long number = entry.exchange.number();
+        if (conclude(entry, answer)) {
+            deliver(() -> balancer.onDeparture(nowMs(), number));
+        }
+    }
+
+    public int openCount() {
+        return entries.size();
+    }
+
+    @Override
+    public void tryEnded(Exchange.Try attempt, Outcome outcome, byte[] body) {
+        counters.add(Count.valueOf("TRIES_" + outcome));
+        double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
+        deliver(() -> {
+            Exchange exchange = attempt.exchange();
+            Entry entry = entries.get(exchange.number());
+            if (entry == null) {
+                return;
+            }
+            if (outcome == Outcome.OK) {
+                conclude(entry, new Answer.Served(body));
+            }
+            balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), outcome, latency, exchange.ended());
+            forget(entry);
+        });
+    }
+
+    @Override
+    public void departed(Exchange exchange) {
+        counters.add(Count.CLIENTS_DEPARTED);
+        deliver(() -> {
+            balancer.onDeparture(nowMs(), exchange.number());
+            Entry entry = entries.get(exchange.number());
+            if (entry != null) {
+                forget(entry);
+            }
+        });
+    }
+
+    private boolean conclude(Entry entry, Answer answer) {
+        boolean first = entry.exchange.answer(answer);
+        if (first) {
+            counters.add(answer instanceof Answer.Served ? Count.ANSWERS_SERVED
+                    : answer instanceof Answer.Rejected ? Count.ANSWERS_REJECTED : Count.ANSWERS_FAILED);
+        }
+        forget(entry);
+        return first;
+    }
+
+    private void forget(Entry entry) {
+        if (entry.exchange.ended()) {
+            entry.guard.cancel();
+            if (entry.exchange.outstanding() == null) {
+                entries.remove(entry.exchange.number());
+            }
+        }
+    }
+
+    private double nowMs() {
+        return Clock.millis(clock.now());
+    }
+
+    /** Events that come up while the module is at work, from its own actions above all, wait until it is done. */
+    private void deliver(Runnable event) {
+        events.add(event);
+        if (delivering) {
+            return;
+        }
+        delivering = true;
+        try {
+            for (Runnable next; (next = events.poll()) != null;) {
+                try {
+                    next.run();
+                } catch (RuntimeException e) {
+                    counters.add(Count.INTERNAL_FAILURES);
+                    log.warn("the decision module failed", e);
+                }
+            }
+        } finally {
+            delivering = false;
+        }
+    }
+
+    private final class ModuleActions implements Actions {
+        @Override
+        public void send(long request, long server, double timeoutMs) {
+            Entry entry = entries.get(request);
+            if (entry == null) {
+                return;
+            }
+            int number = entry.sends++;
+            Instant now = clock.now();
+            Exchange.Try attempt = number >= site.module().limits().maxAttempts() ? null
+                    : entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs)));
+            if (attempt == null) {
+                deliver(() -> balancer.onOutcome(nowMs(), request, number, Outcome.MOOT, 0, entry.exchange.ended()));
+                return;
+            }
+            counters.add(Count.TRIES_SENT);
+            sender.send(attempt);
+        }
+
+        @Override
+        public void refuse(long request, double retryAfterMs) {
+            Duration retryAfter = Clock.span(Math.min(retryAfterMs, site.module().limits().maxRetryAfterMs()));
+            answer(request, new Answer.Rejected(retryAfter));
+        }
+
+        @Override
+        public void fail(long request) {
+            answer(request, new Answer.Failed());
+        }
+
+        private void answer(long request, Answer answer) {
+            Entry entry = entries.get(request);
+            if (entry != null) {
+                conclude(entry, answer);
+            }
+        }
+
+        @Override
+        public void cancel(long request, int number) {
+            Entry entry = entries.get(request);
+            Exchange.Try attempt = entry == null ? null : entry.exchange.outstanding();
+            if (attempt != null && attempt.number() == number) {
+                sender.cancel(attempt);
+            }
+        }
+
+        @Override
+        public void timer(double delayMs, long token) {
+            loop.schedule(Clock.span(delayMs), () -> deliver(() -> balancer.onTimer(nowMs(), token)));
+        }
+
+        @Override
+        public void watchServers() {
+            // the node watches discovery from its start on, at every site
+        }
+
+        @Override
+        public void closeIdle(long server) {
+            if (sender != null) {
+                sender.closeIdle(server);
+            }
+        }
+
+        @Override
+        public void log(String line) {
+            log.info(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -0,0 +1,177 @@
+package rowanplank.discovery;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.config.ConfigException;
+import rowanplank.net.Counters;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.EventLoop;
+import rowanplank.net.LoopConnection;
+import rowanplank.net.Messages;
+import rowanplank.net.RateLimitedLog;
+import rowanplank.net.ResponseReader;
+
+/**
+ * Asks discovery for the whole list, then watches it for changes, one call at a time. A call that fails or stays
+ * silent is made again on a new connection; a malformed answer changes nothing, and the whole list is asked for anew.
+ */
+public final class DiscoveryWatch {
+    /** How long a watch waits for news. */
+    private static final Duration WAIT = Duration.ofSeconds(10);
+    /** Time beyond the wait in which an answer must come; then the call is given up. */
+    private static final Duration GRACE = Duration.ofMillis(1500);
+    /** Well within the 200 ms in which a next call still continues the last one. */
+    private static final Duration RETRY = Duration.ofMillis(50);
+    private static final Duration SLOWEST_RETRY = Duration.ofSeconds(1);
+    private static final int MOST_ANSWER_BYTES = 4 * Messages.MOST_BODY_BYTES;
+
+    private final InetSocketAddress address;
+    private final List<String> zones;
+    private final EventLoop loop;
+    private final Counters counters;
+    private final RateLimitedLog log;
+    private final Consumer<HostList> listener;
+    private Call call;
+    private Duration retry = RETRY;
+    private long revision = -1;
+
+    public DiscoveryWatch(InetSocketAddress address, List<String> zones, EventLoop loop, Counters counters,
+            RateLimitedLog log, Consumer<HostList> listener) {
+        this.address = address;
+        this.zones = zones;
+        this.loop = loop;
+        this.counters = counters;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    /** Begins to watch, on the loop's thread; never ends. */
+    public void start() {
+        loop.connect(address, new EventLoop.Connector() {
+            @Override
+            public Connection connected(EndPoint endPoint) {
+                call = new Call(endPoint);
+                return call;
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                again("can't connect to discovery: " + cause.getMessage());
+            }
+        });
+    }
+
+    private void again(String reason) {
+        counters.add(Count.DISCOVERY_FAILURES);
+        log.warn(reason);
+        loop.schedule(retry, this::start);
+        retry = retry.multipliedBy(2).compareTo(SLOWEST_RETRY) < 0 ? retry.multipliedBy(2) : SLOWEST_RETRY;
+    }
+
+    /** @return whether the answer could be used */
+    private boolean take(String text) {
+        HostList list;
+        try {
+            list = HostList.parse(text, zones);
+            if (revision < 0 && !list.complete()) {
+                throw new ConfigException("changes to a list that was never told");
+            }
+        } catch (ConfigException e) {
+            counters.add(Count.DISCOVERY_MALFORMED);
+            log.warn("malformed answer of discovery, the old list stands: " + e.getMessage());
+            revision = -1;
+            return false;
+        }
+        revision = list.revision();
+        retry = RETRY;
+        counters.add(Count.DISCOVERY_LISTS);
+        listener.accept(list);
+        return true;
+    }
+
+    /** A connection to discovery, with one call after the other on it. */
+    private final class Call extends LoopConnection {
+        private final ResponseReader reader = new ResponseReader(MOST_ANSWER_BYTES);
+        private EventLoop.Timer patience;
+        private String reason = "discovery closed the connection";
+
+        Call(EndPoint endPoint) {
+            super(endPoint, loop);
+        }
+
+        @Override
+        public void onOpen() {
+            super.onOpen();
+            ask();
+        }
+
+        private void ask() {
+            String target = "/discovery/hosts"
+                    + (revision < 0 ? "" : "?index=" + revision + "&wait=" + WAIT.toMillis());
+            patience = loop.schedule(revision < 0 ? GRACE : WAIT.plus(GRACE), () -> giveUp("discovery is silent"));
+            HttpFields.Mutable fields = HttpFields.build();
+            fields.put(HttpHeader.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+            write(() -> { }, Messages.request("GET", target, fields, new byte[0]));
+        }
+
+        private void giveUp(String why) {
+            reason = why;
+            close();
+        }
+
+        @Override
+        protected void onBytes(ByteBuffer bytes) {
+            while (bytes.hasRemaining()) {
+                switch (reader.read(bytes)) {
+                    case MORE -> {
+                        return;
+                    }
+                    case BROKEN -> {
+                        counters.add(Count.DISCOVERY_MALFORMED);
+                        giveUp("broken answer of discovery");
+                        return;
+                    }
+                    case WHOLE -> answered();
+                }
+                if (isOver()) {
+                    return;
+                }
+            }
+        }
+
+        private void answered() {
+            patience.cancel();
+            if (reader.status() != 200) {
+                giveUp("discovery answered " + reader.status());
+            } else if (!take(new String(reader.body(), StandardCharsets.UTF_8))) {
+                giveUp("asking discovery anew");
+            } else if (!reader.keepsConnection()) {
+                giveUp("discovery ends the connection");
+            } else {
+                reader.reset();
+                ask();
+            }
+        }
+
+        @Override
+        protected void onEnd() {
+            close();
+        }
+
+        @Override
+        protected void onOver() {
+            if (patience != null) {
+                patience.cancel();
+            }
+            again(reason);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/discovery/HostList.java
@@ -0,0 +1,77 @@
+package rowanplank.discovery;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.List;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.Server;
+import rowanplank.config.ConfigException;
+import rowanplank.config.JsonFields;
+import rowanplank.config.NodeConfig;
+
+/**
+ * One answer of discovery.
+ *
+ * @param complete whether these are all peers, or only those that changed
+ */
+public record HostList(long revision, boolean complete, List<Member> members) {
+    public static final HostList EMPTY = new HostList(0, true, List.of());
+    private static final double LEAST_SHARE = 0.01;
+
+    /** A peer, and where this node reaches it. */
+    public record Member(String name, InetSocketAddress address, Server server) { }
+
+    public HostList {
+        members = List.copyOf(members);
+    }
+
+    /** @throws ConfigException if the text is not what discovery may say */
+    public static HostList parse(String text, List<String> zones) {
+        try {
+            return read(JsonFields.object(Json.parse(text), "the answer"), zones);
+        } catch (ParseException e) {
+            throw new ConfigException("no JSON: " + e.getMessage());
+        }
+    }
+
+    public static HostList read(JsonObject o, List<String> zones) {
+        List<Member> members = new ArrayList<>();
+        for (JsonValue m : JsonFields.array(o, "members")) {
+            members.add(member(JsonFields.object(m, "members[]"), zones));
+        }
+        return new HostList((long) JsonFields.number(o, "revision", 0), JsonFields.flag(o, "complete"), members);
+    }
+
+    private static Member member(JsonObject m, List<String> zones) {
+        String name = JsonFields.string(m, "id");
+        Lifecycle lifecycle = switch (JsonFields.string(m, "phase")) {
+            case "ready" -> Lifecycle.READY;
+            case "draining" -> Lifecycle.DRAINING;
+            case "gone" -> Lifecycle.GONE;
+            default -> throw new ConfigException("unknown phase of " + name);
+        };
+        int zone = zones.indexOf(JsonFields.string(m, "locality", ""));
+        Server server = new Server(number(name), zone < 0 ? zones.size() : zone, JsonFields.integer(m, "cell", 0),
+                lifecycle, Math.max(LEAST_SHARE, JsonFields.number(m, "size", 1)),
+                JsonFields.number(m, "up_since_ms", 0));
+        return new Member(name, NodeConfig.address(JsonFields.string(m, "host_port")), server);
+    }
+
+    /** The module's number for a peer: made of the name alone, so that all nodes, and all lives of one, agree. */
+    static long number(String name) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
+            return ByteBuffer.wrap(digest).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // every Java platform has it
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -0,0 +1,140 @@
+package rowanplank.exchange;
+
+import java.time.Instant;
+import rowanplank.BalancerApi.Outcome;
+
+/**
+ * One request's life, and the only place where the client's side and the peers' side meet. It guards what must hold
+ * whatever either of them, or the decisions, do: exactly one final answer, one outstanding try at a time, and
+ * exactly one outcome for each try.
+ */
+public final class Exchange {
+    /** The client's side: it is handed the final answer. */
+    public interface Client {
+        void answer(Answer answer);
+    }
+
+    /** Who follows the request's life. */
+    public interface Listener {
+        /** @param body what the peer answered where the outcome is OK, else null */
+        void tryEnded(Try attempt, Outcome outcome, byte[] body);
+
+        /** The client has left; nothing is owed any more. */
+        void departed(Exchange exchange);
+    }
+
+    /** One attempt to have the request served by a peer. */
+    public final class Try {
+        private final int number;
+        private final long peer;
+        private final Instant started;
+        private final Instant until;
+        private boolean ended;
+
+        private Try(int number, long peer, Instant started, Instant until) {
+            this.number = number;
+            this.peer = peer;
+            this.started = started;
+            this.until = until;
+        }
+
+        /** Tells the outcome; only the first one counts, since a try may fail in more than one place. */
+        public void end(Outcome outcome, byte[] body) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            outstanding = null;
+            listener.tryEnded(this, outcome, body);
+        }
+
+        public boolean ended() {
+            return ended;
+        }
+
+        public Exchange exchange() {
+            return Exchange.this;
+        }
+
+        public int number() {
+            return number;
+        }
+
+        public long peer() {
+            return peer;
+        }
+
+        public Instant started() {
+            return started;
+        }
+
+        /** No answer is waited for beyond this, the time it takes to connect included. */
+        public Instant until() {
+            return until;
+        }
+    }
+
+    private final long number;
+    private final RequestContext context;
+    private final Client client;
+    private final Listener listener;
+    private Try outstanding;
+    private boolean ended;
+
+    /** @param number the request's number at this node, never used twice */
+    public Exchange(long number, RequestContext context, Client client, Listener listener) {
+        this.number = number;
+        this.context = context;
+        this.client = client;
+        this.listener = listener;
+    }
+
+    /**
+     * Begins a try.
+     *
+     * @param number which of the request's tries this is, from 0
+     * @return null if none may go out: the request has ended, or another try is still out
+     */
+    public Try begin(int number, long peer, Instant now, Instant until) {
+        if (ended || outstanding != null) {
+            return null;
+        }
+        Instant limit = until.isBefore(context.deadline()) ? until : context.deadline();
+        outstanding = new Try(number, peer, now, limit);
+        return outstanding;
+    }
+
+    /** @return whether this became the final answer: false if the request had ended before */
+    public boolean answer(Answer answer) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        client.answer(answer);
+        return true;
+    }
+
+    /** The client has gone away; no answer is given any more. */
+    public void depart() {
+        if (!ended) {
+            ended = true;
+            listener.departed(this);
+        }
+    }
+
+    public boolean ended() {
+        return ended;
+    }
+
+    public Try outstanding() {
+        return outstanding;
+    }
+
+    public long number() {
+        return number;
+    }
+
+    public RequestContext context() {
+        return context;
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/exchange/Exchanges.java
@@ -0,0 +1,11 @@
+package rowanplank.exchange;
+
+/** Where a front brings its requests: the same decisions and rules for each of them. */
+public interface Exchanges {
+    /**
+     * Takes a request. Its answer may come before this returns.
+     *
+     * @return the exchange, to be told when the client leaves
+     */
+    Exchange open(RequestContext context, Exchange.Client client);
+}
--- /dev/null
+++ b/src/main/java/rowanplank/intake/ClientConnection.java
@@ -0,0 +1,265 @@
+package rowanplank.intake;
+
+import java.math.BigDecimal;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.BalancerApi.Effect;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.exchange.Answer;
+import rowanplank.exchange.Exchange;
+import rowanplank.exchange.RequestContext;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.LoopConnection;
+import rowanplank.net.Messages;
+
+/** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
+final class ClientConnection extends LoopConnection {
+    private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)([mu])");
+    private static final Set<String> CHANGING = Set.of("POST", "PUT", "PATCH", "DELETE");
+    /** A request must come whole within this time of its first byte. */
+    private static final Duration SLOWEST_REQUEST = Duration.ofSeconds(10);
+    private static final Duration LONGEST_IDLE = Duration.ofSeconds(120);
+    /** How long a closed connection is read on, so that the answer is not lost to a reset. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+    /** What a client may send ahead while it waits for an answer. */
+    private static final int MOST_UNREAD = Messages.MOST_BODY_BYTES + Messages.MOST_HEADER_BYTES;
+    private static final byte[] NOTHING = {};
+
+    private enum State { READING, WAITING, WRITING, LINGERING }
+
+    private final Intake intake;
+    private final boolean room;
+    private final RequestReader reader = new RequestReader();
+    private ByteBuffer unread = ByteBuffer.wrap(NOTHING);
+    private State state = State.READING;
+    private Exchange exchange;
+    private Instant since;
+    private boolean advancing;
+    private boolean continued;
+    private boolean lastOne;
+
+    /** @param room whether the node has room for this connection; else it is told so and closed */
+    ClientConnection(EndPoint endPoint, Intake intake, boolean room) {
+        super(endPoint, intake.loop);
+        this.intake = intake;
+        this.room = room;
+        since = intake.clock.now();
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        if (!room) {
+            respondAndClose(503);
+        }
+    }
+
+    /** Whether nothing of a request has come: it may be closed with no loss. */
+    boolean isIdle() {
+        return state == State.READING && !reader.begun();
+    }
+
+    Instant lastActive() {
+        return since;
+    }
+
+    /** Guards against clients that stop in the middle of something and keep their socket. */
+    void review(Instant now) {
+        Duration in = Duration.between(since, now);
+        boolean begun = state == State.READING && reader.begun();
+        if (begun && in.compareTo(SLOWEST_REQUEST) > 0) {
+            respondAndClose(408);
+        } else if (isIdle() && (intake.closing() || in.compareTo(LONGEST_IDLE) > 0)
+                || state == State.LINGERING && in.compareTo(LINGER) > 0
+                || state == State.WRITING && in.compareTo(SLOWEST_REQUEST) > 0) {
+            close();
+        }
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer bytes) {
+        if (state == State.LINGERING || lastOne) {
+            return; // nothing more is answered here
+        }
+        if (unread.remaining() + bytes.remaining() > MOST_UNREAD + Messages.MOST_BODY_BYTES) {
+            close(); // sent ahead far more than a client has reason to
+            return;
+        }
+        ByteBuffer joined = ByteBuffer.allocate(unread.remaining() + bytes.remaining());
+        unread = joined.put(unread).put(bytes).flip();
+        advance();
+    }
+
+    /** Takes requests as long as each is answered at once; a loop, since a client may send many ahead. */
+    private void advance() {
+        if (advancing) {
+            return;
+        }
+        advancing = true;
+        try {
+            while (state == State.READING && unread.hasRemaining() && !isOver()) {
+                if (!reader.begun()) {
+                    since = intake.clock.now();
+                }
+                if (reader.read(unread)) {
+                    take();
+                } else if (reader.expectsContinue() && !continued) {
+                    continued = true;
+                    write(() -> { }, ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+                }
+            }
+        } finally {
+            advancing = false;
+        }
+    }
+
+    private void take() {
+        if (reader.error() != 0) {
+            intake.counters.add(Count.REQUESTS_MALFORMED);
+            respondAndClose(reader.error());
+            return;
+        }
+        String target;
+        String path;
+        try {
+            HttpURI uri = HttpURI.from(reader.target());
+            target = uri.getPathQuery();
+            path = uri.getPath();
+        } catch (RuntimeException e) {
+            target = null;
+            path = null;
+        }
+        if (path == null || !path.startsWith("/")) {
+            intake.counters.add(Count.REQUESTS_MALFORMED);
+            respondAndClose(400);
+        } else if (path.equals("/up")) {
+            own(intake.ready() ? 200 : 503, intake.ready() ? "ready\n" : "not ready\n");
+        } else if (path.equals("/metrics")) {
+            own(200, intake.counters.text());
+        } else {
+            request(target, path);
+        }
+    }
+
+    /** Answers a question about the node itself. */
+    private void own(int status, String text) {
+        boolean get = reader.method().equals("GET");
+        HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+        respond(get ? status : 405, get ? fields : fields.put(HttpHeader.ALLOW, "GET"),
+                get ? text.getBytes(StandardCharsets.UTF_8) : NOTHING);
+    }
+
+    private void request(String target, String path) {
+        int slash = path.indexOf('/', 1);
+        int index = intake.site.classNames().indexOf(path.substring(1, slash < 0 ? path.length() : slash));
+        if (index < 0) {
+            respond(404, HttpFields.build(), NOTHING);
+            return;
+        }
+        RequestClass type = intake.site.module().classes().get(index);
+        boolean repeatable = type.effect() == Effect.REPEATABLE;
+        if (repeatable ? !reader.method().equals("GET") : !CHANGING.contains(reader.method())) {
+            respond(405, HttpFields.build().put(HttpHeader.ALLOW, repeatable ? "GET" : "POST, PUT, PATCH, DELETE"), NOTHING);
+            return;
+        }
+        Duration longest = rowanplank.net.Clock.span(type.deadlineMs());
+        Duration wait = timeout(reader.field("X-Timeout"), longest);
+        String id = reader.field("X-Request-ID");
+        if (wait == null || id == null || id.isEmpty()) {
+            intake.counters.add(Count.REQUESTS_MALFORMED);
+            respond(400, HttpFields.build(), NOTHING);
+            return;
+        }
+        state = State.WAITING;
+        Instant now = intake.clock.now();
+        RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
+                now.plus(wait.compareTo(longest) < 0 ? wait : longest),
+                new RequestContext.Payload(reader.method(), target, reader.body()));
+        exchange = intake.exchanges.open(context, this::answer);
+    }
+
+    /** @return null if the text is no time-out */
+    static Duration timeout(String text, Duration otherwise) {
+        if (text == null) {
+            return otherwise;
+        }
+        Matcher m = TIMEOUT.matcher(text);
+        return m.matches() ? Duration.ofNanos(new BigDecimal(m.group(1))
+                .movePointRight(m.group(2).equals("m") ? 6 : 3).longValue()) : null;
+    }
+
+    private void answer(Answer answer) {
+        if (isOver()) {
+            return;
+        }
+        if (answer instanceof Answer.Served served) {
+            respond(200, HttpFields.build(), served.body());
+        } else if (answer instanceof Answer.Rejected rejected) {
+            HttpFields.Mutable fields = HttpFields.build();
+            if (!rejected.retryAfter().isZero()) {
+                fields.put(HttpHeader.RETRY_AFTER, seconds(rejected.retryAfter()));
+            }
+            respond(503, fields, NOTHING);
+        } else {
+            respond(502, HttpFields.build(), NOTHING);
+        }
+    }
+
+    private static String seconds(Duration span) {
+        return BigDecimal.valueOf(span.toMillis(), 3).stripTrailingZeros().toPlainString();
+    }
+
+    private void respondAndClose(int status) {
+        lastOne = true;
+        respond(status, HttpFields.build(), NOTHING);
+    }
+
+    private void respond(int status, HttpFields.Mutable fields, byte[] body) {
+        lastOne |= !reader.keepsConnection() || intake.closing();
+        if (lastOne) {
+            fields.put(HttpHeader.CONNECTION, "close");
+        }
+        state = State.WRITING;
+        since = intake.clock.now();
+        write(this::written, Messages.response(status, fields, body));
+    }
+
+    private void written() {
+        since = intake.clock.now();
+        if (lastOne || intake.closing()) {
+            state = State.LINGERING;
+            getEndPoint().shutdownOutput();
+            return;
+        }
+        reader.reset();
+        continued = false;
+        state = State.READING;
+        advance();
+    }
+
+    @Override
+    protected void onEnd() {
+        if (state != State.WRITING) {
+            close();
+        } else {
+            lastOne = true; // the answer is still written out; then nothing is left to do
+        }
+    }
+
+    @Override
+    protected void onOver() {
+        intake.over(this);
+        if (exchange != null) {
+            exchange.depart();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/intake/Intake.java
@@ -0,0 +1,116 @@
+package rowanplank.intake;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.config.SiteSettings;
+import rowanplank.exchange.Exchanges;
+import rowanplank.net.Clock;
+import rowanplank.net.Counters;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.EventLoop;
+
+/** Accepts clients and looks after their connections; never more of them than the node's sockets allow. */
+public final class Intake {
+    private static final int BACKLOG = 512;
+    private static final Duration SWEEP = Duration.ofMillis(250);
+
+    final SiteSettings site;
+    final Exchanges exchanges;
+    final EventLoop loop;
+    final Clock clock;
+    final Counters counters;
+    private final int mostConnections;
+    private final BooleanSupplier ready;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private ServerSocketChannel channel;
+    private Closeable acceptor;
+    private boolean closing;
+
+    /** @param ready whether the node can serve */
+    public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, EventLoop loop, Clock clock,
+            Counters counters, BooleanSupplier ready) {
+        this.site = site;
+        this.exchanges = exchanges;
+        this.mostConnections = mostConnections;
+        this.loop = loop;
+        this.clock = clock;
+        this.counters = counters;
+        this.ready = ready;
+    }
+
+    /** Begins to listen; to be called on the loop's thread. */
+    public void start(InetSocketAddress address) throws IOException {
+        channel = ServerSocketChannel.open();
+        channel.bind(address, BACKLOG);
+        acceptor = loop.listen(channel, this::accept);
+        sweep();
+    }
+
+    /** Where it listens: of use where the port was left to the system. */
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) channel.getLocalAddress();
+    }
+
+    private Connection accept(EndPoint endPoint) {
+        counters.add(Count.CLIENT_CONNECTIONS);
+        boolean room = connections.size() < mostConnections || closeLongestIdle();
+        if (!room) {
+            counters.add(Count.CLIENT_CONNECTIONS_TURNED_AWAY);
+        }
+        ClientConnection connection = new ClientConnection(endPoint, this, room);
+        connections.add(connection);
+        return connection;
+    }
+
+    private boolean closeLongestIdle() {
+        return connections.stream().filter(ClientConnection::isIdle)
+                .min(Comparator.comparing(ClientConnection::lastActive))
+                .map(c -> {
+                    c.close();
+                    return true;
+                }).orElse(false);
+    }
+
+    private void sweep() {
+        Instant now = clock.now();
+        List.copyOf(connections).forEach(c -> c.review(now));
+        loop.schedule(SWEEP, this::sweep);
+    }
+
+    boolean ready() {
+        return ready.getAsBoolean();
+    }
+
+    /** Whether connections are closed with their answers. */
+    boolean closing() {
+        return closing;
+    }
+
+    void over(ClientConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Takes no more connections, and closes those there are as soon as they owe nothing. */
+    public void close() throws IOException {
+        closing = true;
+        loop.acceptPending(channel);
+        acceptor.close();
+        channel.close();
+        List.copyOf(connections).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+    }
+
+    public int connectionCount() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/intake/RequestReader.java
@@ -0,0 +1,147 @@
+package rowanplank.intake;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
+import rowanplank.net.Messages;
+
+/** Puts an HTTP request together from the pieces in which it comes, or says why it can't be taken. */
+final class RequestReader {
+    private final HttpParser parser = new HttpParser(new Handler(), Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110);
+    private final HttpFields.Mutable fields = HttpFields.build();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private String method;
+    private String target;
+    private HttpVersion version;
+    private boolean begun;
+    private boolean whole;
+    private int error;
+
+    /**
+     * Reads on; what lies beyond the request's end stays in the buffer.
+     *
+     * @return whether there is something to answer: a whole request, or an error
+     */
+    boolean read(ByteBuffer bytes) {
+        while (!done() && bytes.hasRemaining()) {
+            int before = bytes.remaining();
+            begun = true;
+            parser.parseNext(bytes);
+            if (!done() && bytes.remaining() == before) {
+                error = HttpStatus.BAD_REQUEST_400; // guards against a parser that takes nothing more
+            }
+        }
+        return done();
+    }
+
+    private boolean done() {
+        return whole || error != 0;
+    }
+
+    /** Makes ready for the next request on the same connection. */
+    void reset() {
+        parser.reset();
+        fields.clear();
+        body.reset();
+        begun = false;
+        whole = false;
+    }
+
+    /** Whether part of a request has come. */
+    boolean begun() {
+        return begun;
+    }
+
+    /** The status that tells what is wrong with the request; 0 if nothing is. */
+    int error() {
+        return error;
+    }
+
+    String method() {
+        return method;
+    }
+
+    String target() {
+        return target;
+    }
+
+    byte[] body() {
+        return body.toByteArray();
+    }
+
+    String field(String name) {
+        return fields.get(name);
+    }
+
+    boolean keepsConnection() {
+        return error == 0 && version == HttpVersion.HTTP_1_1 && !fields.contains(HttpHeader.CONNECTION, "close");
+    }
+
+    /** Whether the client waits for leave to send the body. */
+    boolean expectsContinue() {
+        return !whole && error == 0 && parser.inContentState() && body.size() == 0
+                && fields.contains(HttpHeader.EXPECT, "100-continue");
+    }
+
+    private final class Handler implements HttpParser.RequestHandler {
+        @Override
+        public void startRequest(String method, String target, HttpVersion version) {
+            RequestReader.this.method = method;
+            RequestReader.this.target = target;
+            RequestReader.this.version = version;
+        }
+
+        @Override
+        public void parsedHeader(HttpField field) {
+            fields.add(field);
+        }
+
+        @Override
+        public boolean headerComplete() {
+            if (parser.getContentLength() > Messages.MOST_BODY_BYTES) {
+                error = HttpStatus.PAYLOAD_TOO_LARGE_413;
+            }
+            return error != 0;
+        }
+
+        @Override
+        public boolean content(ByteBuffer content) {
+            if (body.size() + content.remaining() > Messages.MOST_BODY_BYTES) {
+                error = HttpStatus.PAYLOAD_TOO_LARGE_413;
+                return true;
+            }
+            byte[] piece = new byte[content.remaining()];
+            content.get(piece);
+            body.writeBytes(piece);
+            return false;
+        }
+
+        @Override
+        public boolean contentComplete() {
+            return false;
+        }
+
+        @Override
+        public boolean messageComplete() {
+            whole = error == 0;
+            return true;
+        }
+
+        @Override
+        public void badMessage(HttpException failure) {
+            error = error == 0 ? failure.getCode() : error;
+        }
+
+        @Override
+        public void earlyEOF() {
+            error = HttpStatus.BAD_REQUEST_400;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -0,0 +1,91 @@
+package rowanplank.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/**
+ * A connection served by the event loop: reads whatever comes, writes one message at a time, and says once when it
+ * is over, whichever side ended it.
+ */
+public abstract class LoopConnection extends AbstractConnection {
+    /** All connections are read on one thread, and none keeps the buffer. */
+    private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1 << 16));
+
+    private final Callback fillable = Callback.from(Invocable.InvocationType.NON_BLOCKING,
+            this::onFillable, cause -> ended());
+    private boolean over;
+
+    protected LoopConnection(EndPoint endPoint, EventLoop loop) {
+        super(endPoint, loop);
+    }
+
+    /** Bytes have come; those left in the buffer are dropped. */
+    protected abstract void onBytes(ByteBuffer bytes);
+
+    /** The other side has ended its sending: nothing more comes. */
+    protected abstract void onEnd();
+
+    /** The connection is closed, by whichever side. Called once. */
+    protected abstract void onOver();
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        fillInterested(fillable);
+    }
+
+    @Override
+    public void onFillable() {
+        ByteBuffer buffer = READ.get();
+        try {
+            while (!over) {
+                buffer.clear().limit(0);
+                int read = getEndPoint().fill(buffer);
+                if (read < 0) {
+                    onEnd();
+                    return;
+                }
+                if (read == 0) {
+                    fillInterested(fillable);
+                    return;
+                }
+                onBytes(buffer);
+            }
+        } catch (IOException e) {
+            ended();
+        }
+    }
+
+    /** Writes a message whole; a failure to do so ends the connection. */
+    protected void write(Runnable written, ByteBuffer... message) {
+        getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, written,
+                cause -> ended()), message);
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        ended();
+    }
+
+    @Override
+    public void close() {
+        ended();
+    }
+
+    public boolean isOver() {
+        return over;
+    }
+
+    private void ended() {
+        if (!over) {
+            over = true;
+            getEndPoint().close();
+            onOver();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/node/Node.java
@@ -0,0 +1,145 @@
+package rowanplank.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.RequestClass;
+import rowanplank.config.NodeConfig;
+import rowanplank.decision.Decisions;
+import rowanplank.discovery.DiscoveryWatch;
+import rowanplank.discovery.HostList;
+import rowanplank.discovery.UpstreamGroup;
+import rowanplank.intake.Intake;
+import rowanplank.net.Clock;
+import rowanplank.net.Counters;
+import rowanplank.net.EventLoop;
+import rowanplank.net.RateLimitedLog;
+import rowanplank.peer.Peers;
+
+/** A node: puts its parts together, starts them, and stops them without losing what it has taken. */
+public final class Node {
+    /** Descriptors for all that is neither a client's nor a peer's connection. */
+    private static final int OTHER_SOCKETS = 64;
+    /** So long after it was told to stop, new connections may still come. */
+    private static final Duration STILL_ACCEPTING = Duration.ofMillis(500);
+    private static final Duration LONGEST_DEADLINE = Duration.ofSeconds(3);
+    /** Beyond the longest deadline: 0.7 s are granted before the node is killed. */
+    private static final Duration STOPS_WITHIN = Duration.ofMillis(400);
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
+    private static final Duration LOOK_AGAIN = Duration.ofMillis(10);
+    /** With only the list of its last life a node serves if discovery says nothing for so long. */
+    private static final Duration PATIENCE = Duration.ofSeconds(1);
+
+    private final NodeConfig config;
+    private final RateLimitedLog log = new RateLimitedLog();
+    private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final UpstreamGroup group = new UpstreamGroup();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final EventLoop loop;
+    private final Decisions decisions;
+    private final Peers peers;
+    private final Intake intake;
+    private final DiscoveryWatch watch;
+    private Instant started;
+    private boolean listed;
+    private boolean stopping;
+
+    public Node(NodeConfig config) {
+        this.config = config;
+        int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
+        loop = new EventLoop(config.site().connectTimeout(), log);
+        decisions = new Decisions(config.site(), config.seed(), loop, clock, counters, log);
+        peers = new Peers(group, config.site().connIdle(), sockets / 3, loop, clock, counters);
+        decisions.sendThrough(peers);
+        intake = new Intake(config.site(), decisions, sockets * 2 / 3, loop, clock, counters, this::ready);
+        watch = new DiscoveryWatch(config.discovery(), config.site().zones(), loop, counters, log,
+                list -> {
+                    listed = true;
+                    apply(list, list.complete() ? ListKind.FULL : ListKind.DELTA);
+                });
+    }
+
+    /** @throws IOException if the node can't listen at its address */
+    public void start() throws Exception {
+        WarmUp.run(config.site());
+        loop.start();
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                started = clock.now();
+                if (!config.known().members().isEmpty()) {
+                    apply(config.known(), ListKind.CACHED);
+                }
+                watch.start();
+                peers.start();
+                intake.start(config.listen());
+                done.complete(null);
+            } catch (IOException | RuntimeException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        try {
+            done.get();
+        } catch (ExecutionException e) {
+            throw new IOException("can't listen at " + config.listen() + ": " + e.getCause().getMessage(), e);
+        }
+        log.info(config.name() + " listens at " + config.listen());
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress address() throws IOException {
+        return intake.address();
+    }
+
+    private void apply(HostList list, ListKind kind) {
+        group.apply(list);
+        peers.groupChanged();
+        decisions.servers(kind, list.members().stream().map(HostList.Member::server).toList());
+    }
+
+    private boolean ready() {
+        boolean patient = Duration.between(started, clock.now()).compareTo(PATIENCE) < 0;
+        return !stopping && !group.members().isEmpty() && (listed || !patient);
+    }
+
+    /**
+     * Stops the node: serves on while the front may not yet know, then closes each connection with its answer.
+     * Returns when nothing is open, and in any case before the node would be killed.
+     */
+    public void stop() throws InterruptedException {
+        Duration longest = config.site().module().classes().stream().map(RequestClass::deadlineMs).map(Clock::span)
+                .max(Duration::compareTo).filter(d -> d.compareTo(LONGEST_DEADLINE) < 0).orElse(LONGEST_DEADLINE);
+        Duration all = longest.plus(STOPS_WITHIN);
+        loop.execute(() -> {
+            stopping = true;
+            loop.schedule(STILL_ACCEPTING, this::closeIntake);
+            loop.schedule(all.minus(LAST_ANSWERS), decisions::rejectAll);
+        });
+        boolean idle = stopped.await(all.toMillis(), TimeUnit.MILLISECONDS);
+        log.info(config.name() + (idle ? " stopped; " : " stopped with connections open; ") + counters.line());
+    }
+
+    private void closeIntake() {
+        try {
+            intake.close();
+        } catch (IOException e) {
+            log.warn("closing the listener", e);
+        }
+        awaitQuiet();
+    }
+
+    private void awaitQuiet() {
+        if (decisions.openCount() == 0 && intake.connectionCount() == 0) {
+            stopped.countDown();
+        } else {
+            loop.schedule(LOOK_AGAIN, this::awaitQuiet);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/peer/PeerConnection.java
@@ -0,0 +1,135 @@
+package rowanplank.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.exchange.RequestContext;
+import rowanplank.net.EventLoop;
+import rowanplank.net.LoopConnection;
+import rowanplank.net.Messages;
+import rowanplank.net.ResponseReader;
+
+/** One connection to a peer: carries one try at a time, and tells its outcome from what comes back. */
+final class PeerConnection extends LoopConnection {
+    private final ResponseReader reader = new ResponseReader(Messages.MOST_BODY_BYTES);
+    private final ByteBuffer probe = ByteBuffer.allocate(1);
+    private final Peers peers;
+    private final InetSocketAddress address;
+    private final Consumer<PeerConnection> opened;
+    private Peers.Sending sending;
+    private boolean written;
+    private boolean answered;
+    private Instant idleSince;
+
+    PeerConnection(EndPoint endPoint, EventLoop loop, Peers peers, InetSocketAddress address,
+            Consumer<PeerConnection> opened) {
+        super(endPoint, loop);
+        this.peers = peers;
+        this.address = address;
+        this.opened = opened;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        opened.accept(this);
+    }
+
+    void send(Peers.Sending next, Duration left) {
+        sending = next;
+        written = false;
+        answered = false;
+        reader.reset();
+        RequestContext context = next.attempt.exchange().context();
+        RequestContext.Payload payload = context.payload();
+        HttpFields.Mutable fields = HttpFields.build();
+        fields.put(HttpHeader.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+        fields.put("X-Request-ID", context.id());
+        fields.put("X-Timeout", Math.max(1, left.toNanos() / 1000) + "u");
+        write(() -> written = true, Messages.request(payload.method(), payload.target(), fields, payload.body()));
+    }
+
+    /** Whether the try's answer has come whole, so that the connection can be kept. */
+    boolean answered() {
+        return answered;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    void idleSince(Instant when) {
+        idleSince = when;
+    }
+
+    Duration idleFor(Instant now) {
+        return Duration.between(idleSince, now);
+    }
+
+    /** Guards against sending on a connection whose end has come in but was not yet read. */
+    boolean isUsable() {
+        try {
+            probe.clear().limit(0);
+            return !isOver() && getEndPoint().fill(probe) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer bytes) {
+        if (sending == null) {
+            close(); // an answer that nobody asked for
+            return;
+        }
+        switch (reader.read(bytes)) {
+            case MORE -> { }
+            case BROKEN -> finish(Outcome.ERROR, null, false);
+            case WHOLE -> {
+                boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
+                finish(outcome(), reader.status() == 200 ? reader.body() : null, reusable);
+            }
+        }
+    }
+
+    private Outcome outcome() {
+        int status = reader.status();
+        boolean neverRan = (status == 503 || status == 504) && "1".equals(reader.field("X-Not-Processed"));
+        return status == 200 ? Outcome.OK : neverRan ? Outcome.FULL : Outcome.ERROR;
+    }
+
+    /** The connection is free, or closed, before the outcome is told: what follows may want to use it. */
+    private void finish(Outcome outcome, byte[] body, boolean reusable) {
+        Peers.Sending done = sending;
+        sending = null;
+        answered = true;
+        if (reusable) {
+            peers.keep(this);
+        } else {
+            close();
+        }
+        done.end(outcome, body);
+    }
+
+    @Override
+    protected void onEnd() {
+        close();
+    }
+
+    @Override
+    protected void onOver() {
+        peers.over(this);
+        Peers.Sending lost = sending;
+        sending = null;
+        if (lost != null) {
+            lost.end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/peer/Peers.java
@@ -0,0 +1,221 @@
+package rowanplank.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.discovery.HostList.Member;
+import rowanplank.discovery.UpstreamGroup;
+import rowanplank.exchange.Exchange;
+import rowanplank.exchange.TrySender;
+import rowanplank.net.Clock;
+import rowanplank.net.Counters;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.EventLoop;
+
+/**
+ * The connections to peers and the tries that are out on them. A try waits for no other: it takes an idle connection
+ * or opens one. It is written once; nothing here sends it again.
+ */
+public final class Peers implements TrySender {
+    /** Idle connections are given up after this part of the time that peers keep them. */
+    private static final int IDLE_PART = 2;
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    private final UpstreamGroup group;
+    private final Duration connIdle;
+    private final int mostConnections;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Counters counters;
+    private final Map<Exchange.Try, Sending> out = new HashMap<>();
+    private final Map<InetSocketAddress, Deque<PeerConnection>> idle = new HashMap<>();
+    private int connections;
+
+    /** @param connIdle when peers close an idle connection at the latest */
+    public Peers(UpstreamGroup group, Duration connIdle, int mostConnections, EventLoop loop, Clock clock,
+            Counters counters) {
+        this.group = group;
+        this.connIdle = connIdle.dividedBy(IDLE_PART);
+        this.mostConnections = mostConnections;
+        this.loop = loop;
+        this.clock = clock;
+        this.counters = counters;
+    }
+
+    /** One try on its way: first with a connection that is being opened, then on a connection. */
+    final class Sending {
+        final Exchange.Try attempt;
+        private final Member member;
+        private EventLoop.Timer timer;
+        private EventLoop.Opening opening;
+        private PeerConnection connection;
+
+        Sending(Exchange.Try attempt, Member member) {
+            this.attempt = attempt;
+            this.member = member;
+        }
+
+        /** Ends the try. Unless its answer came whole its connection is closed first: the work may still be out. */
+        void end(Outcome outcome, byte[] body) {
+            if (out.remove(attempt) == null) {
+                return;
+            }
+            timer.cancel();
+            if (opening != null) {
+                opening.abandon();
+                opening = null;
+                connections--;
+            } else if (connection != null && !connection.answered()) {
+                connection.close();
+            }
+            attempt.end(outcome, body);
+        }
+
+        private void goOut(PeerConnection on) {
+            connection = on;
+            on.send(this, Duration.between(clock.now(), attempt.until()));
+        }
+
+        private void open() {
+            connections++;
+            counters.add(Count.PEER_CONNECTIONS);
+            opening = loop.connect(member.address(), new EventLoop.Connector() {
+                @Override
+                public Connection connected(EndPoint endPoint) {
+                    opening = null;
+                    return new PeerConnection(endPoint, loop, Peers.this, member.address(), Sending.this::goOut);
+                }
+
+                @Override
+                public void failed(Throwable cause) {
+                    end(Outcome.CONNECT_FAILED, null);
+                }
+            });
+        }
+    }
+
+    /** Begins to look after idle connections; to be called on the loop's thread. */
+    public void start() {
+        loop.schedule(SWEEP, () -> {
+            closeWhere(c -> c.idleFor(clock.now()).compareTo(connIdle) >= 0);
+            start();
+        });
+    }
+
+    @Override
+    public void send(Exchange.Try attempt) {
+        Member member = group.ready(attempt.peer());
+        Duration left = Duration.between(clock.now(), attempt.until());
+        if (member == null || left.isNegative() || left.isZero()) {
+            attempt.end(Outcome.MOOT, null);
+            return;
+        }
+        PeerConnection connection = takeIdle(member.address());
+        if (connection == null && connections >= mostConnections && !closeOneIdle()) {
+            attempt.end(Outcome.MOOT, null);
+            return;
+        }
+        Sending sending = new Sending(attempt, member);
+        out.put(attempt, sending);
+        sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+        if (connection != null) {
+            sending.goOut(connection);
+        } else {
+            sending.open();
+        }
+    }
+
+    @Override
+    public void cancel(Exchange.Try attempt) {
+        Sending sending = out.get(attempt);
+        if (sending != null) {
+            sending.end(Outcome.CANCELLED, null);
+        }
+    }
+
+    @Override
+    public void closeIdle(long peer) {
+        Member member = group.ready(peer);
+        if (member != null) {
+            closeWhere(c -> c.address().equals(member.address()));
+        }
+    }
+
+    /** The group has changed: drops what was kept for peers that take nothing new, or waits for a connection there. */
+    public void groupChanged() {
+        Set<InetSocketAddress> usable = new HashSet<>();
+        group.members().stream().filter(m -> group.ready(m.server().id()) != null).forEach(m -> usable.add(m.address()));
+        closeWhere(c -> !usable.contains(c.address()));
+        for (Sending s : List.copyOf(out.values())) {
+            Member now = group.ready(s.attempt.peer());
+            if (s.opening != null && (now == null || !now.address().equals(s.member.address()))) {
+                s.end(Outcome.MOOT, null);
+            }
+        }
+    }
+
+    /** The newest one first, so that those not needed grow old and are closed. */
+    private PeerConnection takeIdle(InetSocketAddress address) {
+        Deque<PeerConnection> kept = idle.get(address);
+        while (kept != null && !kept.isEmpty()) {
+            PeerConnection c = kept.pop();
+            if (c.idleFor(clock.now()).compareTo(connIdle) < 0 && c.isUsable()) {
+                return c;
+            }
+            c.close();
+        }
+        return null;
+    }
+
+    private boolean closeOneIdle() {
+        for (Deque<PeerConnection> kept : idle.values()) {
+            if (!kept.isEmpty()) {
+                kept.pollLast().close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private interface Which {
+        boolean test(PeerConnection connection);
+    }
+
+    private void closeWhere(Which which) {
+        for (Iterator<Deque<PeerConnection>> i = idle.values().iterator(); i.hasNext();) {
+            Deque<PeerConnection> kept = i.next();
+            for (PeerConnection c : List.copyOf(kept)) {
+                if (which.test(c)) {
+                    kept.remove(c);
+                    c.close();
+                }
+            }
+            if (kept.isEmpty()) {
+                i.remove();
+            }
+        }
+    }
+
+    void keep(PeerConnection connection) {
+        connection.idleSince(clock.now());
+        idle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>()).push(connection);
+    }
+
+    void over(PeerConnection connection) {
+        connections--;
+        Deque<PeerConnection> kept = idle.get(connection.address());
+        if (kept != null) {
+            kept.remove(connection);
+        }
+    }
+}
--- a/src/main/java/rowanplank/simhost/Simhost.java
+++ b/src/main/java/rowanplank/simhost/Simhost.java
@@ -11,6 +11,9 @@
 import rowanplank.Balancer;
 import rowanplank.BalancerApi.ListKind;
 import rowanplank.BalancerApi.Server;
+import rowanplank.BalancerApi.Settings;
+import rowanplank.config.ConfigException;
+import rowanplank.config.SettingsReader;
 
 /** Hosts balancer instances on the simulator's wire: reads batches of events, writes one reply to each. */
 public final class Simhost {
@@ -75,7 +78,7 @@
 
     private void deliver(double now, int id, EventReader e) {
         if (e.code() == EventReader.INIT) {
-            instances.put(id, new Balancer(SettingsReader.parse(e.settings()), e.seed(), reply));
+            instances.put(id, new Balancer(settings(e.settings()), e.seed(), reply));
             return;
         }
         if (e.code() == EventReader.STOP) {
@@ -99,6 +102,14 @@
         }
     }
 
+    private static Settings settings(String text) {
+        try {
+            return SettingsReader.parse(text).module();
+        } catch (ConfigException e) {
+            throw new MalformedFrameException(e.getMessage());
+        }
+    }
+
     private List<Server> servers(EventReader e) {
         if (e.listKind() == ListKind.FAILED) {
             return List.of();
