Pass end-to-end headers both ways, and advise refused clients when to come back

A reject carried no Retry-After although the site allows it: Balancer.answer gave zero. It now advises a quarter of the class's aim, no more than max_retry_after_ms, and nothing where the site forbids it. A list without revision, complete or members is malformed (it was read as an empty change to version 0). Other headers now pass in both directions but for those of one hop; writes on a connection wait for the one before.

--- a/src/main/java/rowanplank/Balancer.java
+++ b/src/main/java/rowanplank/Balancer.java
@@ -36,6 +36,8 @@
     private static final double LIMIT_CUT = 0.8;
     /** However slow the servers are, a request may wait this part of its aim for room. */
     private static final double HOLD_SHARE = 0.2;
+    /** A refused client is asked to stay away for this part of its aim. */
+    private static final double RETRY_AFTER_SHARE = 0.25;
     /** Worth of a client's repeat, as part of its aim has gone by, beside that of a late answer. */
     private static final double LEAST_REPEAT_WORTH = 0.1;
     /** Once a request was refused for want of room, ones of lower rank are refused at once for so long. */
@@ -468,8 +470,9 @@
         boolean mayHaveRun = r.firstMayHaveRun() != null;
         boolean harmless = !mayHaveRun || r.type.effect() == Effect.REPEATABLE
                 || r.type.effect() == Effect.BY_KEY && r.type.group() == Group.ALL;
-        // No advice to stay away: a repeat that comes at once may still be answered in time.
-        if (harmless) actions.refuse(r.request.id(), 0);
+        // Where clients heed it, they come back when room may have come up, and still in time for their aim.
+        double retryAfter = Math.min(settings.limits().maxRetryAfterMs(), RETRY_AFTER_SHARE * r.type.aimMs());
+        if (harmless) actions.refuse(r.request.id(), retryAfter);
         else actions.fail(r.request.id());
         end(r);
     }
--- a/src/main/java/rowanplank/discovery/HostList.java
+++ b/src/main/java/rowanplank/config/HostList.java
@@ -1,4 +1,4 @@
-package rowanplank.discovery;
+package rowanplank.config;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
@@ -13,9 +13,6 @@
 import java.util.List;
 import rowanplank.BalancerApi.Lifecycle;
 import rowanplank.BalancerApi.Server;
-import rowanplank.config.ConfigException;
-import rowanplank.config.JsonFields;
-import rowanplank.config.NodeConfig;
 
 /**
  * One answer of discovery.
@@ -47,6 +44,9 @@
         for (JsonValue m : JsonFields.array(o, "members")) {
             members.add(member(JsonFields.object(m, "members[]"), zones));
         }
+        if (o.get("revision") == null || o.get("complete") == null || o.get("members") == null) {
+            throw new ConfigException("a list needs revision, complete and members");
+        }
         return new HostList((long) JsonFields.number(o, "revision", 0), JsonFields.flag(o, "complete"), members);
     }
 
@@ -62,7 +62,7 @@
         Server server = new Server(number(name), zone < 0 ? zones.size() : zone, JsonFields.integer(m, "cell", 0),
                 lifecycle, Math.max(LEAST_SHARE, JsonFields.number(m, "size", 1)),
                 JsonFields.number(m, "up_since_ms", 0));
-        return new Member(name, NodeConfig.address(JsonFields.string(m, "host_port")), server);
+        return new Member(name, Addresses.parse(JsonFields.string(m, "host_port")), server);
     }
 
     /** The module's number for a peer: made of the name alone, so that all nodes, and all lives of one, agree. */
--- a/src/main/java/rowanplank/config/JsonFields.java
+++ b/src/main/java/rowanplank/config/JsonFields.java
@@ -23,7 +23,11 @@
 
     public static double number(JsonObject o, String key, double otherwise) {
         JsonValue v = o.get(key);
-        return absent(v) ? otherwise : require(v.isNumber(), key, "a number") ? v.asDouble() : 0;
+        if (absent(v)) {
+            return otherwise;
+        }
+        require(v.isNumber() && Double.isFinite(v.asDouble()), key, "a number");
+        return v.asDouble();
     }
 
     public static int integer(JsonObject o, String key, int otherwise) {
--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -9,7 +9,6 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Map;
-import rowanplank.discovery.HostList;
 
 /**
  * What a node is told at its start.
@@ -44,8 +43,9 @@
             throw new ConfigException("missing: classes[].name");
         }
         return new NodeConfig(told(environment, "EDGE_NAME", o, "name"),
-                address(told(environment, "EDGE_LISTEN", o, "listen")),
-                address(told(environment, "EDGE_DISCOVERY", o, "discovery")), seed(JsonFields.string(o, "seed", "0")),
+                Addresses.parse(told(environment, "EDGE_LISTEN", o, "listen")),
+                Addresses.parse(told(environment, "EDGE_DISCOVERY", o, "discovery")),
+                seed(JsonFields.string(o, "seed", "0")),
                 JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
                 o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
                 site);
@@ -56,24 +56,6 @@
         return value != null && !value.isEmpty() ? value : JsonFields.string(o, key);
     }
 
-    /** A numeric address and a port: there is no DNS. */
-    public static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            String host = text.substring(0, colon).replaceAll("[\\[\\]]", "");
-            if (!host.matches("[0-9.]+|[0-9a-fA-F:.]*:[0-9a-fA-F:.]*")) {
-                throw new IllegalArgumentException("not numeric");
-            }
-            InetSocketAddress address = new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
-            if (!address.isUnresolved()) {
-                return address;
-            }
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            // told below
-        }
-        throw new ConfigException("no address and port: " + text);
-    }
-
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -1,5 +1,12 @@
 package rowanplank.config;
 
+import static rowanplank.config.JsonFields.array;
+import static rowanplank.config.JsonFields.flag;
+import static rowanplank.config.JsonFields.integer;
+import static rowanplank.config.JsonFields.number;
+import static rowanplank.config.JsonFields.object;
+import static rowanplank.config.JsonFields.string;
+
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
@@ -22,7 +29,7 @@
     /** @throws ConfigException if the text is no JSON object or a setting is out of range */
     public static SiteSettings parse(String text) {
         try {
-            return read(JsonFields.object(Json.parse(text), "settings"));
+            return read(object(Json.parse(text), "settings"));
         } catch (ParseException e) {
             throw new ConfigException("unreadable settings: " + e.getMessage());
         }
@@ -39,55 +46,55 @@
     private static SiteSettings settings(JsonObject o) {
         List<RequestClass> classes = new ArrayList<>();
         List<String> names = new ArrayList<>();
-        for (JsonValue value : JsonFields.array(o, "classes")) {
-            JsonObject c = JsonFields.object(value, "classes[]");
-            names.add(JsonFields.string(c, "name", ""));
+        for (JsonValue value : array(o, "classes")) {
+            JsonObject c = object(value, "classes[]");
+            names.add(string(c, "name", ""));
             classes.add(requestClass(c));
         }
         List<Tenant> tenants = new ArrayList<>();
-        for (JsonValue t : JsonFields.array(o, "tenants")) {
-            tenants.add(new Tenant(JsonFields.number(JsonFields.object(t, "tenants[]"), "quota_per_s", 0)));
+        for (JsonValue t : array(o, "tenants")) {
+            tenants.add(new Tenant(number(object(t, "tenants[]"), "quota_per_s", 0)));
         }
         List<String> zones = new ArrayList<>();
-        for (JsonValue z : JsonFields.array(o, "zones")) {
+        for (JsonValue z : array(o, "zones")) {
             zones.add(z.isString() ? z.asString() : z.toString());
         }
-        JsonObject ceilings = JsonFields.object(o, "ceilings");
-        JsonObject rules = JsonFields.object(o, "rules");
-        Settings module = new Settings(JsonFields.integer(o, "balancers", 1), JsonFields.integer(o, "position", 0),
-                JsonFields.integer(o, "zone", 0), classes, tenants, JsonFields.number(o, "over_share_worth", 1), limits(ceilings),
-                rules(rules), "ask".equals(JsonFields.string(o, "membership_mode", "")),
-                JsonFields.flag(JsonFields.object(o, "specifics"), "warm_keys"), "work".equals(JsonFields.string(o, "counted_by", "")));
-        return new SiteSettings(module, names, zones, Clock.span(JsonFields.number(ceilings, "conn_idle_ms", 30_000)),
-                Clock.span(JsonFields.number(ceilings, "connect_timeout_ms", 1000)),
-                Clock.span(JsonFields.number(rules, "answer_slack_ms", 0)));
+        JsonObject ceilings = object(o, "ceilings");
+        JsonObject rules = object(o, "rules");
+        Settings module = new Settings(integer(o, "balancers", 1), integer(o, "position", 0),
+                integer(o, "zone", 0), classes, tenants, number(o, "over_share_worth", 1), limits(ceilings),
+                rules(rules), "ask".equals(string(o, "membership_mode", "")),
+                flag(object(o, "specifics"), "warm_keys"), "work".equals(string(o, "counted_by", "")));
+        return new SiteSettings(module, names, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
+                Clock.span(number(ceilings, "connect_timeout_ms", 1000)),
+                Clock.span(number(rules, "answer_slack_ms", 0)));
     }
 
     private static RequestClass requestClass(JsonObject c) {
-        Effect effect = switch (JsonFields.string(c, "effect", "once")) {
+        Effect effect = switch (string(c, "effect", "once")) {
             case "repeatable" -> Effect.REPEATABLE;
             case "by_key" -> Effect.BY_KEY;
             case "once" -> Effect.ONCE;
             default -> throw new IllegalArgumentException("setting out of range: classes[].effect");
         };
-        Group group = switch (JsonFields.string(c, "group", "all")) {
+        Group group = switch (string(c, "group", "all")) {
             case "all" -> Group.ALL;
             case "zone" -> Group.ZONE;
             case "cell" -> Group.CELL;
             default -> throw new IllegalArgumentException("setting out of range: classes[].group");
         };
-        return new RequestClass(JsonFields.number(c, "aim_ms", 0), JsonFields.number(c, "deadline_ms", 0), JsonFields.number(c, "worth", 1),
-                JsonFields.number(c, "late_worth", 0), effect, group, JsonFields.number(c, "window_ms", 0), JsonFields.flag(c, "streaming"));
+        return new RequestClass(number(c, "aim_ms", 0), number(c, "deadline_ms", 0), number(c, "worth", 1),
+                number(c, "late_worth", 0), effect, group, number(c, "window_ms", 0), flag(c, "streaming"));
     }
 
     /** Where clients are not told when to come back, the longest such advice is none. */
     private static Limits limits(JsonObject c) {
-        return new Limits(JsonFields.integer(c, "most_tries", 1), JsonFields.flag(c, "may_cancel"), JsonFields.flag(c, "second_copies"),
-                JsonFields.flag(c, "retry_after") ? JsonFields.number(c, "max_retry_after_ms", 0) : 0);
+        return new Limits(integer(c, "most_tries", 1), flag(c, "may_cancel"), flag(c, "second_copies"),
+                flag(c, "retry_after") ? number(c, "max_retry_after_ms", 0) : 0);
     }
 
     private static Rules rules(JsonObject r) {
-        return new Rules(JsonFields.number(r, "ask_within_ms", 10_000), JsonFields.number(r, "cold_from", 1),
-                JsonFields.number(r, "cold_ms", 0), JsonFields.number(r, "fall_multiple", 1));
+        return new Rules(number(r, "ask_within_ms", 10_000), number(r, "cold_from", 1),
+                number(r, "cold_ms", 0), number(r, "fall_multiple", 1));
     }
 }
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -116,7 +116,7 @@
     }
 
     @Override
-    public void tryEnded(Exchange.Try attempt, Outcome outcome, byte[] body) {
+    public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
         counters.add(Count.valueOf("TRIES_" + outcome));
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
@@ -126,7 +126,7 @@
                 return;
             }
             if (outcome == Outcome.OK) {
-                conclude(entry, new Answer.Served(body));
+                conclude(entry, served);
             }
             balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), outcome, latency, exchange.ended());
             forget(entry);
--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -10,7 +10,9 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
+import rowanplank.config.HostList;
 import rowanplank.net.Counters;
 import rowanplank.net.Counters.Count;
 import rowanplank.net.EventLoop;
@@ -118,7 +120,7 @@
                     + (revision < 0 ? "" : "?index=" + revision + "&wait=" + WAIT.toMillis());
             patience = loop.schedule(revision < 0 ? GRACE : WAIT.plus(GRACE), () -> giveUp("discovery is silent"));
             HttpFields.Mutable fields = HttpFields.build();
-            fields.put(HttpHeader.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+            fields.put(HttpHeader.HOST, Addresses.format(address));
             write(() -> { }, Messages.request("GET", target, fields, new byte[0]));
         }
 
--- a/src/main/java/rowanplank/discovery/UpstreamGroup.java
+++ b/src/main/java/rowanplank/discovery/UpstreamGroup.java
@@ -4,7 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.discovery.HostList.Member;
+import rowanplank.config.HostList;
+import rowanplank.config.HostList.Member;
 
 /** The peers as discovery has told them so far: lists replace it, changes are laid over it in their order. */
 public final class UpstreamGroup {
--- a/src/main/java/rowanplank/exchange/Answer.java
+++ b/src/main/java/rowanplank/exchange/Answer.java
@@ -1,11 +1,16 @@
 package rowanplank.exchange;
 
 import java.time.Duration;
+import java.util.List;
 
 /** The one final answer to a request. */
 public sealed interface Answer {
     /** A peer's answer, passed on without change. */
-    record Served(byte[] body) implements Answer { }
+    record Served(List<Header> headers, byte[] body) implements Answer {
+        public Served {
+            headers = List.copyOf(headers);
+        }
+    }
 
     /** A reject: not served, and asking again is harmless, best after this time (zero: no advice). */
     record Rejected(Duration retryAfter) implements Answer { }
--- a/src/main/java/rowanplank/exchange/Exchange.java
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -16,8 +16,8 @@
 
     /** Who follows the request's life. */
     public interface Listener {
-        /** @param body what the peer answered where the outcome is OK, else null */
-        void tryEnded(Try attempt, Outcome outcome, byte[] body);
+        /** @param served what the peer answered where the outcome is OK, else null */
+        void tryEnded(Try attempt, Outcome outcome, Answer.Served served);
 
         /** The client has left; nothing is owed any more. */
         void departed(Exchange exchange);
@@ -39,13 +39,13 @@
         }
 
         /** Tells the outcome; only the first one counts, since a try may fail in more than one place. */
-        public void end(Outcome outcome, byte[] body) {
+        public void end(Outcome outcome, Answer.Served served) {
             if (ended) {
                 return;
             }
             ended = true;
             outstanding = null;
-            listener.tryEnded(this, outcome, body);
+            listener.tryEnded(this, outcome, served);
         }
 
         public boolean ended() {
--- a/src/main/java/rowanplank/exchange/RequestContext.java
+++ b/src/main/java/rowanplank/exchange/RequestContext.java
@@ -1,6 +1,7 @@
 package rowanplank.exchange;
 
 import java.time.Instant;
+import java.util.List;
 
 /**
  * A client's request as the core knows it, whichever protocol it came by.
@@ -15,5 +16,9 @@
         Payload payload) {
 
     /** What a peer is to be sent; the core never looks inside. */
-    public record Payload(String method, String target, byte[] body) { }
+    public record Payload(String method, String target, List<Header> headers, byte[] body) {
+        public Payload {
+            headers = List.copyOf(headers);
+        }
+    }
 }
--- a/src/main/java/rowanplank/intake/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/ClientConnection.java
@@ -17,7 +17,9 @@
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.RequestContext;
+import rowanplank.net.Clock;
 import rowanplank.net.Counters.Count;
+import rowanplank.net.Headers;
 import rowanplank.net.LoopConnection;
 import rowanplank.net.Messages;
 
@@ -28,11 +30,14 @@
     /** A request must come whole within this time of its first byte. */
     private static final Duration SLOWEST_REQUEST = Duration.ofSeconds(10);
     private static final Duration LONGEST_IDLE = Duration.ofSeconds(120);
+    /** A connection so new may hold a request that is yet to be read. */
+    private static final Duration FRESH = Duration.ofMillis(100);
     /** How long a closed connection is read on, so that the answer is not lost to a reset. */
     private static final Duration LINGER = Duration.ofSeconds(1);
     /** What a client may send ahead while it waits for an answer. */
     private static final int MOST_UNREAD = Messages.MOST_BODY_BYTES + Messages.MOST_HEADER_BYTES;
     private static final byte[] NOTHING = {};
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private enum State { READING, WAITING, WRITING, LINGERING }
 
@@ -78,7 +83,7 @@
         boolean begun = state == State.READING && reader.begun();
         if (begun && in.compareTo(SLOWEST_REQUEST) > 0) {
             respondAndClose(408);
-        } else if (isIdle() && (intake.closing() || in.compareTo(LONGEST_IDLE) > 0)
+        } else if (isIdle() && (intake.closing() && in.compareTo(FRESH) > 0 || in.compareTo(LONGEST_IDLE) > 0)
                 || state == State.LINGERING && in.compareTo(LINGER) > 0
                 || state == State.WRITING && in.compareTo(SLOWEST_REQUEST) > 0) {
             close();
@@ -114,7 +119,7 @@
                     take();
                 } else if (reader.expectsContinue() && !continued) {
                     continued = true;
-                    write(() -> { }, ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+                    write(() -> { }, ByteBuffer.wrap(CONTINUE));
                 }
             }
         } finally {
@@ -168,10 +173,11 @@
         RequestClass type = intake.site.module().classes().get(index);
         boolean repeatable = type.effect() == Effect.REPEATABLE;
         if (repeatable ? !reader.method().equals("GET") : !CHANGING.contains(reader.method())) {
-            respond(405, HttpFields.build().put(HttpHeader.ALLOW, repeatable ? "GET" : "POST, PUT, PATCH, DELETE"), NOTHING);
+            String allowed = repeatable ? "GET" : "POST, PUT, PATCH, DELETE";
+            respond(405, HttpFields.build().put(HttpHeader.ALLOW, allowed), NOTHING);
             return;
         }
-        Duration longest = rowanplank.net.Clock.span(type.deadlineMs());
+        Duration longest = Clock.span(type.deadlineMs());
         Duration wait = timeout(reader.field("X-Timeout"), longest);
         String id = reader.field("X-Request-ID");
         if (wait == null || id == null || id.isEmpty()) {
@@ -183,7 +189,8 @@
         Instant now = intake.clock.now();
         RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
                 now.plus(wait.compareTo(longest) < 0 ? wait : longest),
-                new RequestContext.Payload(reader.method(), target, reader.body()));
+                new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields()),
+                        reader.body()));
         exchange = intake.exchanges.open(context, this::answer);
     }
 
@@ -202,7 +209,7 @@
             return;
         }
         if (answer instanceof Answer.Served served) {
-            respond(200, HttpFields.build(), served.body());
+            respond(200, Headers.fields(served.headers()), served.body());
         } else if (answer instanceof Answer.Rejected rejected) {
             HttpFields.Mutable fields = HttpFields.build();
             if (!rejected.retryAfter().isZero()) {
--- a/src/main/java/rowanplank/intake/RequestReader.java
+++ b/src/main/java/rowanplank/intake/RequestReader.java
@@ -76,6 +76,10 @@
         return body.toByteArray();
     }
 
+    HttpFields fields() {
+        return fields.asImmutable();
+    }
+
     String field(String name) {
         return fields.get(name);
     }
--- a/src/main/java/rowanplank/net/LoopConnection.java
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -13,11 +13,15 @@
  */
 public abstract class LoopConnection extends AbstractConnection {
     /** All connections are read on one thread, and none keeps the buffer. */
-    private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1 << 16));
+    private static final ThreadLocal<ByteBuffer> READ =
+            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1 << 16));
 
     private final Callback fillable = Callback.from(Invocable.InvocationType.NON_BLOCKING,
             this::onFillable, cause -> ended());
     private boolean over;
+    private boolean writing;
+    /** No side ever has more than one message waiting: an answer, after the leave to send a body. */
+    private Runnable next;
 
     protected LoopConnection(EndPoint endPoint, EventLoop loop) {
         super(endPoint, loop);
@@ -60,10 +64,22 @@
         }
     }
 
-    /** Writes a message whole; a failure to do so ends the connection. */
+    /** Writes a message whole, after the one before it; a failure to do so ends the connection. */
     protected void write(Runnable written, ByteBuffer... message) {
-        getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, written,
-                cause -> ended()), message);
+        if (writing) {
+            next = () -> write(written, message);
+            return;
+        }
+        writing = true;
+        getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, () -> {
+            writing = false;
+            written.run();
+            Runnable following = next;
+            next = null;
+            if (following != null) {
+                following.run();
+            }
+        }, cause -> ended()), message);
     }
 
     @Override
--- a/src/main/java/rowanplank/net/ResponseReader.java
+++ b/src/main/java/rowanplank/net/ResponseReader.java
@@ -61,6 +61,10 @@
         return body.toByteArray();
     }
 
+    public HttpFields fields() {
+        return fields.asImmutable();
+    }
+
     public String field(String name) {
         return fields.get(name);
     }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -13,7 +13,7 @@
 import rowanplank.config.NodeConfig;
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
-import rowanplank.discovery.HostList;
+import rowanplank.config.HostList;
 import rowanplank.discovery.UpstreamGroup;
 import rowanplank.intake.Intake;
 import rowanplank.net.Clock;
--- a/src/main/java/rowanplank/peer/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/PeerConnection.java
@@ -10,8 +10,11 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.BalancerApi.Outcome;
+import rowanplank.config.Addresses;
+import rowanplank.exchange.Answer;
 import rowanplank.exchange.RequestContext;
 import rowanplank.net.EventLoop;
+import rowanplank.net.Headers;
 import rowanplank.net.LoopConnection;
 import rowanplank.net.Messages;
 import rowanplank.net.ResponseReader;
@@ -49,8 +52,10 @@
         reader.reset();
         RequestContext context = next.attempt.exchange().context();
         RequestContext.Payload payload = context.payload();
-        HttpFields.Mutable fields = HttpFields.build();
-        fields.put(HttpHeader.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+        HttpFields.Mutable fields = Headers.fields(payload.headers());
+        if (!fields.contains(HttpHeader.HOST)) {
+            fields.put(HttpHeader.HOST, Addresses.format(address));
+        }
         fields.put("X-Request-ID", context.id());
         fields.put("X-Timeout", Math.max(1, left.toNanos() / 1000) + "u");
         write(() -> written = true, Messages.request(payload.method(), payload.target(), fields, payload.body()));
@@ -94,7 +99,9 @@
             case BROKEN -> finish(Outcome.ERROR, null, false);
             case WHOLE -> {
                 boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
-                finish(outcome(), reader.status() == 200 ? reader.body() : null, reusable);
+                Outcome outcome = outcome();
+                finish(outcome, outcome == Outcome.OK
+                        ? new Answer.Served(Headers.endToEnd(reader.fields()), reader.body()) : null, reusable);
             }
         }
     }
@@ -106,7 +113,7 @@
     }
 
     /** The connection is free, or closed, before the outcome is told: what follows may want to use it. */
-    private void finish(Outcome outcome, byte[] body, boolean reusable) {
+    private void finish(Outcome outcome, Answer.Served served, boolean reusable) {
         Peers.Sending done = sending;
         sending = null;
         answered = true;
@@ -115,7 +122,7 @@
         } else {
             close();
         }
-        done.end(outcome, body);
+        done.end(outcome, served);
     }
 
     @Override
--- a/src/main/java/rowanplank/peer/Peers.java
+++ b/src/main/java/rowanplank/peer/Peers.java
@@ -13,8 +13,9 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.BalancerApi.Outcome;
-import rowanplank.discovery.HostList.Member;
+import rowanplank.config.HostList.Member;
 import rowanplank.discovery.UpstreamGroup;
+import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.TrySender;
 import rowanplank.net.Clock;
@@ -66,7 +67,7 @@
         }
 
         /** Ends the try. Unless its answer came whole its connection is closed first: the work may still be out. */
-        void end(Outcome outcome, byte[] body) {
+        void end(Outcome outcome, Answer.Served served) {
             if (out.remove(attempt) == null) {
                 return;
             }
@@ -78,7 +79,7 @@
             } else if (connection != null && !connection.answered()) {
                 connection.close();
             }
-            attempt.end(outcome, body);
+            attempt.end(outcome, served);
         }
 
         private void goOut(PeerConnection on) {
@@ -154,7 +155,8 @@
     /** The group has changed: drops what was kept for peers that take nothing new, or waits for a connection there. */
     public void groupChanged() {
         Set<InetSocketAddress> usable = new HashSet<>();
-        group.members().stream().filter(m -> group.ready(m.server().id()) != null).forEach(m -> usable.add(m.address()));
+        group.members().stream().filter(m -> group.ready(m.server().id()) != null)
+                .forEach(m -> usable.add(m.address()));
         closeWhere(c -> !usable.contains(c.address()));
         for (Sending s : List.copyOf(out.values())) {
             Member now = group.ready(s.attempt.peer());
