Test the parsers with cuts and garbage, and the program over sockets

NodeTest starts the program and speaks to it: bytes pass unchanged, bad input, broken answers, drains, departures, a silent peer, SIGTERM, a bad configuration. Ephemeral loopback ports only.

--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -1,7 +1,6 @@
 package rowanplank.node;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +12,7 @@
 import rowanplank.config.NodeConfig;
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
+import rowanplank.config.Addresses;
 import rowanplank.config.HostList;
 import rowanplank.discovery.UpstreamGroup;
 import rowanplank.intake.Intake;
@@ -88,14 +88,9 @@
         try {
             done.get();
         } catch (ExecutionException e) {
-            throw new IOException("can't listen at " + config.listen() + ": " + e.getCause().getMessage(), e);
+            throw new IOException("can't listen at " + Addresses.format(config.listen()) + ": " + e.getCause().getMessage(), e);
         }
-        log.info(config.name() + " listens at " + config.listen());
-    }
-
-    /** Where clients connect. */
-    public InetSocketAddress address() throws IOException {
-        return intake.address();
+        log.info(config.name() + " listens at " + Addresses.format(intake.address()));
     }
 
     private void apply(HostList list, ListKind kind) {
@@ -119,6 +114,7 @@
         Duration all = longest.plus(STOPS_WITHIN);
         loop.execute(() -> {
             stopping = true;
+            log.info(config.name() + " was told to stop");
             loop.schedule(STILL_ACCEPTING, this::closeIntake);
             loop.schedule(all.minus(LAST_ANSWERS), decisions::rejectAll);
         });
--- a/src/test/java/rowanplank/BalancerTest.java
+++ b/src/test/java/rowanplank/BalancerTest.java
@@ -39,6 +39,7 @@
         Harness h = with(Harness.SAFE, 4);
         h.request(1, CLASS, h.now);
         assertEquals(List.of(1L), h.refused);
+        assertTrue(h.lastRetryAfter > 0, "a client that heeds it must be told when to come back");
         assertTrue(h.lastRetryAfter <= Harness.SAFE.aimMs() / 4, "a repeat must be able to come in time");
         assertTrue(h.sent.isEmpty());
     }
--- /dev/null
+++ b/src/test/java/rowanplank/exchange/ExchangeTest.java
@@ -0,0 +1,62 @@
+package rowanplank.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rowanplank.BalancerApi.Outcome;
+
+class ExchangeTest implements Exchange.Listener {
+    private static final Instant NOW = Instant.EPOCH;
+    private static final Instant DEADLINE = NOW.plusSeconds(1);
+
+    private final List<Object> seen = new ArrayList<>();
+    private final Exchange exchange = new Exchange(1,
+            new RequestContext("id", 0, false, NOW, DEADLINE,
+                    new RequestContext.Payload("GET", "/", List.of(), new byte[0])),
+            seen::add, this);
+
+    @Override
+    public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
+        seen.add(outcome);
+    }
+
+    @Override
+    public void departed(Exchange departed) {
+        seen.add("departed");
+    }
+
+    @Test
+    void thereIsOneFinalAnswer() {
+        assertTrue(exchange.answer(new Answer.Failed()));
+        assertFalse(exchange.answer(new Answer.Rejected(Duration.ZERO)));
+        exchange.depart();
+        assertEquals(List.of(new Answer.Failed()), seen);
+        assertNull(exchange.begin(0, 7, NOW, DEADLINE), "nothing is sent after the end");
+    }
+
+    @Test
+    void aClientThatLeftIsAnsweredNoMore() {
+        exchange.depart();
+        assertFalse(exchange.answer(new Answer.Failed()));
+        assertEquals(List.of("departed"), seen);
+    }
+
+    @Test
+    void oneTryIsOutAtATimeAndEachHasOneOutcome() {
+        Exchange.Try first = exchange.begin(0, 7, NOW, DEADLINE.plusSeconds(5));
+        assertEquals(DEADLINE, first.until(), "no try outlasts its request");
+        assertNull(exchange.begin(1, 8, NOW, DEADLINE));
+        first.end(Outcome.RESET, null);
+        first.end(Outcome.TIMEOUT, null);
+        assertEquals(List.of(Outcome.RESET), seen);
+        assertNotNull(exchange.begin(1, 8, NOW, DEADLINE));
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanplank/intake/RequestReaderTest.java
@@ -0,0 +1,109 @@
+package rowanplank.intake;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class RequestReaderTest {
+    private static final String CHUNKED = "POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n";
+    private static final String SIZED = "POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f\r\n"
+            + "Content-Length: 7\r\n\r\nabcdefg";
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static int error(String text) {
+        RequestReader reader = new RequestReader();
+        reader.read(ByteBuffer.wrap(bytes(text)));
+        return reader.error();
+    }
+
+    @Property(seed = "11")
+    void cutsAnywhereChangeNothing(@ForAll boolean chunked,
+            @ForAll @Size(max = 12) List<@IntRange(min = 1, max = 60) Integer> cuts) {
+        byte[] message = bytes(chunked ? CHUNKED : SIZED);
+        RequestReader reader = new RequestReader();
+        int from = 0;
+        for (int cut : cuts) {
+            int to = Math.min(from + cut, message.length);
+            assertEquals(to == message.length, reader.read(ByteBuffer.wrap(message, from, to - from)) || from == to);
+            from = to;
+        }
+        reader.read(ByteBuffer.wrap(message, from, message.length - from));
+        assertEquals(0, reader.error());
+        assertEquals("POST /a/b?c=%20d", reader.method() + " " + reader.target());
+        assertEquals("9b1f", reader.field("x-request-id"));
+        assertArrayEquals(bytes("abcdefg"), reader.body());
+    }
+
+    @Property(seed = "12")
+    void garbageIsReadToItsEndOrRefused(@ForAll @Size(min = 1, max = 300) byte[] garbage) {
+        RequestReader reader = new RequestReader();
+        ByteBuffer bytes = ByteBuffer.wrap(garbage);
+        boolean done = reader.read(bytes);
+        assertTrue(done || !bytes.hasRemaining());
+        assertTrue(reader.error() == 0 || reader.error() / 100 == 4 || reader.error() / 100 == 5);
+    }
+
+    @Property(seed = "13")
+    void garbageWithinAMessageNeverThrows(@ForAll @IntRange(max = 120) int at, @ForAll byte[] garbage) {
+        byte[] message = bytes(CHUNKED);
+        System.arraycopy(garbage, 0, message, at % message.length,
+                Math.min(garbage.length, message.length - at % message.length));
+        RequestReader reader = new RequestReader();
+        assertTrue(reader.read(ByteBuffer.wrap(message)) || reader.error() == 0);
+    }
+
+    @Example
+    void whatFollowsARequestIsLeftForTheNext() {
+        RequestReader reader = new RequestReader();
+        ByteBuffer two = ByteBuffer.wrap(bytes(SIZED + CHUNKED));
+        assertTrue(reader.read(two));
+        assertEquals(CHUNKED.length(), two.remaining());
+        reader.reset();
+        assertTrue(reader.read(two));
+        assertArrayEquals(bytes("abcdefg"), reader.body());
+        assertFalse(two.hasRemaining());
+    }
+
+    @Example
+    void ambiguousLengthsAreRefused() {
+        assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n"));
+        assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc"));
+        assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n"));
+    }
+
+    @Example
+    void whatIsTooLongIsRefusedWithItsOwnStatus() {
+        assertEquals(413, error("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 65537\r\n\r\n"));
+        assertEquals(413, error("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"
+                + "a".repeat(0x10001)));
+        assertEquals(431, error("GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + "a".repeat(9000) + "\r\n\r\n"));
+    }
+
+    @Example
+    void timeoutsAreReadInTheirUnits() {
+        Duration otherwise = Duration.ofSeconds(9);
+        assertEquals(Duration.ofMillis(480), ClientConnection.timeout("480m", otherwise));
+        assertEquals(Duration.ofNanos(1_500), ClientConnection.timeout("1.5u", otherwise));
+        assertEquals(otherwise, ClientConnection.timeout(null, otherwise));
+        for (String bad : List.of("", "480", "m", "-1m", "1e3m", "480s", "9999999999m")) {
+            assertNull(ClientConnection.timeout(bad, otherwise), bad);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -0,0 +1,309 @@
+package rowanplank.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program itself and speaks to it over sockets, with stubs for discovery and page servers. */
+@Timeout(60)
+class NodeTest {
+    private static final String SETTINGS = """
+            {"balancers": 1, "position": 0, "zone": 0, "zones": ["a"], "membership_mode": "push", "classes": [
+              {"name": "article", "aim_ms": 2000, "deadline_ms": 20000, "effect": "repeatable"},
+              {"name": "order", "aim_ms": 2000, "deadline_ms": 20000, "effect": "once"}],
+             "ceilings": {"most_tries": 6, "may_cancel": true, "conn_idle_ms": 30000, "connect_timeout_ms": 250,
+               "retry_after": true, "max_retry_after_ms": 2000},
+             "rules": {"answer_slack_ms": 20, "cold_from": 0.1, "cold_ms": 20000, "fall_multiple": 2.5}}""";
+    private static final Pattern LISTENS = Pattern.compile("listens at 127\\.0\\.0\\.1:(\\d+)");
+    private static final String ARTICLE = get("/article/7?x=%20y", "X-Timeout: 15000m\r\n");
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private StubSite site;
+    private Process node;
+    private BufferedReader log;
+    private int port;
+
+    @BeforeEach
+    void startSite() throws IOException {
+        site = new StubSite();
+        opened.add(site);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        if (node != null) {
+            node.destroyForcibly().waitFor();
+        }
+        for (AutoCloseable o : opened) {
+            o.close();
+        }
+    }
+
+    private static String get(String target, String headers) {
+        return "GET " + target + " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: 9b1f\r\n" + headers + "\r\n";
+    }
+
+    private StubSite.Peer peer(UnaryOperator<String> script) throws IOException {
+        StubSite.Peer peer = new StubSite.Peer(script);
+        opened.add(peer);
+        return peer;
+    }
+
+    private void start(String settings) throws IOException {
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"seed\":\"8c1f30d27a5be964\",\"limits\":"
+                + "{\"sockets\":1024},\"settings\":" + settings + "}");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "rowanplank.Main", "serve").redirectErrorStream(true);
+        builder.environment().putAll(java.util.Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0",
+                "EDGE_DISCOVERY", site.address(), "EDGE_CONFIG", config.toString()));
+        node = builder.start();
+        log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    /** Starts the node, reads where it listens, and waits until it says that it can serve. */
+    private void serve() throws Exception {
+        listen();
+        awaitStatus("/up", 200);
+    }
+
+    private void listen() throws IOException {
+        start(SETTINGS);
+        port = Integer.parseInt(awaitLog(LISTENS).group(1));
+    }
+
+    private Matcher awaitLog(Pattern pattern) throws IOException {
+        for (String line; (line = log.readLine()) != null;) {
+            Matcher m = pattern.matcher(line);
+            if (m.find()) {
+                return m;
+            }
+        }
+        throw new IOException("the node has ended");
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        opened.add(socket);
+        return socket;
+    }
+
+    private static String ask(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return StubSite.readMessage(socket.getInputStream());
+    }
+
+    private String ask(String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            return ask(socket, request);
+        }
+    }
+
+    private static int status(String answer) {
+        return Integer.parseInt(answer.substring(9, 12));
+    }
+
+    private void awaitStatus(String path, int status) throws Exception {
+        while (status(ask(get(path, ""))) != status) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void awaitCount(String counter, int least) throws Exception {
+        Pattern line = Pattern.compile("^rowanplank_" + counter + "_total (\\d+)$", Pattern.MULTILINE);
+        for (int count = -1; count < least; Thread.sleep(5)) {
+            Matcher m = line.matcher(ask(get("/metrics", "")));
+            assertTrue(m.find(), "no counter " + counter);
+            count = Integer.parseInt(m.group(1));
+        }
+    }
+
+    @Test
+    void aRequestAndItsAnswerPassUnchanged() throws Exception {
+        StubSite.Peer peer = peer(r -> StubSite.ok("page"));
+        site.list(peer.member("s-1", "ready"));
+        serve();
+        Socket client = connect();
+        for (int i = 0; i < 2; i++) {
+            String answer = ask(client, ARTICLE);
+            assertEquals(200, status(answer));
+            assertTrue(answer.endsWith("\r\n\r\npage") && answer.contains("Content-Type: text/plain"), answer);
+            String passed = peer.requests.take();
+            assertTrue(passed.startsWith("GET /article/7?x=%20y HTTP/1.1\r\n"), passed);
+            assertTrue(passed.contains("X-Request-ID: 9b1f\r\n"), passed);
+            assertTrue(passed.matches("(?s).*\r\nX-Timeout: \\d+u\r\n.*"), passed);
+        }
+        String order = "POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a2\r\nContent-Length: 5\r\n\r\n1 cow";
+        assertEquals(200, status(ask(client, order)));
+        assertTrue(peer.requests.take().endsWith("\r\n\r\n1 cow"));
+        awaitCount("peer_connections", 1);
+    }
+
+    @Test
+    void badInputIsRefusedWithItsStatusAndHarmsNoOther() throws Exception {
+        site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
+        serve();
+        assertEquals(404, status(ask(get("/video/7", ""))));
+        assertEquals(404, status(ask(get("/", ""))));
+        assertEquals(405, status(ask(get("/order", ""))));
+        assertEquals(405, status(ask(ARTICLE.replace("GET", "POST"))));
+        assertEquals(400, status(ask(get("/article", "X-Timeout: soon\r\n"))));
+        assertEquals(400, status(ask("GET /article HTTP/1.1\r\nHost: x\r\n\r\n")));
+        assertEquals(400, status(ask("no request at all\r\n\r\n")));
+        assertEquals(413, status(ask("POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n")));
+        assertEquals(431, status(ask(get("/article", "X-Long: " + "a".repeat(9000) + "\r\n"))));
+        Socket client = connect();
+        assertTrue(ask(client, "GET / HTTP/1.1\r\nbad header\r\n\r\n").contains("Connection: close"));
+        assertEquals(-1, client.getInputStream().read());
+        assertEquals(200, status(ask(ARTICLE)));
+    }
+
+    /** Guards against a stack that grows with each request that a client sends ahead. */
+    @Test
+    void manyRequestsSentAheadAreAnsweredInTurn() throws Exception {
+        site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
+        serve();
+        Socket client = connect();
+        String answer = ask(client, get("/up", "").repeat(500) + ARTICLE);
+        for (int i = 0; i < 500; i++) {
+            assertEquals(200, status(answer));
+            answer = StubSite.readMessage(client.getInputStream());
+        }
+        assertTrue(answer.endsWith("page"));
+    }
+
+    @Test
+    void aBrokenAnswerIsNeverServed() throws Exception {
+        for (String broken : List.of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf" + StubSite.CUT,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf" + StubSite.CUT,
+                "HTTP/1.1 200 OK\r\n\r\nall?" + StubSite.CUT,
+                "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", "nonsense\r\n\r\n", "")) {
+            int[] answers = {0};
+            site.list(peer(r -> broken.isEmpty() || answers[0]++ > 0 ? null : broken).member("s-1", "ready"));
+            serve();
+            String answer = ask(get("/article", "X-Timeout: 400m\r\n"));
+            assertEquals(503, status(answer), broken);
+            assertTrue(answer.contains("Retry-After: "), answer);
+            node.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void whatAPeerTurnedAwayGoesToAnother() throws Exception {
+        StubSite.Peer full = peer(r -> "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n");
+        StubSite.Peer other = peer(r -> StubSite.ok("page"));
+        site.list(full.member("s-1", "ready"), other.member("s-2", "ready"));
+        serve();
+        for (int i = 0; full.requests.isEmpty(); i++) {
+            assertEquals(200, status(ask(ARTICLE)));
+        }
+    }
+
+    @Test
+    void aDrainingPeerGetsNothingNewAndAMalformedListChangesNothing() throws Exception {
+        StubSite.Peer leaving = peer(r -> StubSite.ok("old"));
+        StubSite.Peer staying = peer(r -> StubSite.ok("new"));
+        site.list(leaving.member("s-1", "ready"));
+        serve();
+        assertTrue(ask(ARTICLE).endsWith("old"));
+        site.list(leaving.member("s-1", "draining"), staying.member("s-2", "ready"));
+        awaitCount("discovery_lists", 2);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(ask(ARTICLE).endsWith("new"));
+        }
+        assertNotNull(leaving.ended.poll(30, TimeUnit.SECONDS), "its idle connection is closed");
+        site.tell("{\"revision\":3,\"complete\":true,\"members\":[{}]}");
+        awaitCount("discovery_malformed", 1);
+        assertTrue(ask(ARTICLE).endsWith("new"));
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsTry() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        StubSite.Peer slow = peer(r -> await(never));
+        site.list(slow.member("s-1", "ready"));
+        serve();
+        try (Socket client = connect()) {
+            client.getOutputStream().write(ARTICLE.getBytes(StandardCharsets.ISO_8859_1));
+            assertNotNull(slow.requests.poll(30, TimeUnit.SECONDS));
+        }
+        awaitCount("tries_cancelled", 1);
+        awaitCount("clients_departed", 1);
+    }
+
+    @Test
+    void aSilentPeerDoesNotHoldTheFinalAnswer() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        site.list(peer(r -> await(never)).member("s-1", "ready"));
+        serve();
+        assertEquals(503, status(ask(get("/article", "X-Timeout: 300000u\r\n"))));
+    }
+
+    private static String await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return StubSite.ok("late page");
+    }
+
+    @Test
+    void aNodeToldToStopAnswersWhatItHasTaken() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        StubSite.Peer slow = peer(r -> await(answer));
+        site.list(slow.member("s-1", "ready"));
+        serve();
+        Socket client = connect();
+        client.getOutputStream().write(ARTICLE.getBytes(StandardCharsets.ISO_8859_1));
+        assertNotNull(slow.requests.poll(30, TimeUnit.SECONDS));
+        node.toHandle().destroy(); // SIGTERM, and the log stays open
+        awaitLog(Pattern.compile("n0 was told to stop"));
+        answer.countDown();
+        assertTrue(StubSite.readMessage(client.getInputStream()).endsWith("late page"));
+        assertTrue(node.waitFor(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aNodeWithoutAListIsNotUp() throws Exception {
+        listen();
+        assertEquals(503, status(ask(get("/up", ""))));
+        site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
+        awaitStatus("/up", 200);
+    }
+
+    @Test
+    void aBadConfigurationIsOneLineAndStatusTwo() throws Exception {
+        for (String bad : List.of("{}", "{\"classes\":[{\"name\":\"a\",\"aim_ms\":-1}]}", "{\"classes\":7}", "nonsense")) {
+            start(bad);
+            assertTrue(log.readLine().startsWith("rowanplank: EDGE_CONFIG: "));
+            assertNull(log.readLine());
+            assertEquals(2, node.waitFor());
+        }
+        assertFalse(node.isAlive());
+    }
+}
