--- a/src/main/java/rowanplank/intake/RequestReader.java
+++ b/src/main/java/rowanplank/intake/RequestReader.java
@@ -1,22 +1,20 @@
 package rowanplank.intake;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
+import rowanplank.net.MessageHandler;
 import rowanplank.net.Messages;
 
 /** Puts an HTTP request together from the pieces in which it comes, or says why it can't be taken. */
 final class RequestReader {
-    private final HttpParser parser = new HttpParser(new Handler(), Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110);
-    private final HttpFields.Mutable fields = HttpFields.build();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final Handler handler = new Handler();
+    private final HttpParser parser = new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110);
     private String method;
     private String target;
     private HttpVersion version;
@@ -48,8 +46,7 @@
     /** Makes ready for the next request on the same connection. */
     void reset() {
         parser.reset();
-        fields.clear();
-        body.reset();
+        handler.reset();
         begun = false;
         whole = false;
     }
@@ -73,28 +70,32 @@
     }
 
     byte[] body() {
-        return body.toByteArray();
+        return handler.body();
     }
 
     HttpFields fields() {
-        return fields.asImmutable();
+        return handler.fields();
     }
 
     String field(String name) {
-        return fields.get(name);
+        return handler.fields().get(name);
     }
 
     boolean keepsConnection() {
-        return error == 0 && version == HttpVersion.HTTP_1_1 && !fields.contains(HttpHeader.CONNECTION, "close");
+        return error == 0 && version == HttpVersion.HTTP_1_1 && !handler.fields().contains(HttpHeader.CONNECTION, "close");
     }
 
     /** Whether the client waits for leave to send the body. */
     boolean expectsContinue() {
-        return !whole && error == 0 && parser.inContentState() && body.size() == 0
-                && fields.contains(HttpHeader.EXPECT, "100-continue");
+        return !whole && error == 0 && parser.inContentState() && handler.body().length == 0
+                && handler.fields().contains(HttpHeader.EXPECT, "100-continue");
     }
 
-    private final class Handler implements HttpParser.RequestHandler {
+    private final class Handler extends MessageHandler implements HttpParser.RequestHandler {
+        Handler() {
+            super(Messages.MOST_BODY_BYTES);
+        }
+
         @Override
         public void startRequest(String method, String target, HttpVersion version) {
             RequestReader.this.method = method;
@@ -103,8 +104,8 @@
         }
 
         @Override
-        public void parsedHeader(HttpField field) {
-            fields.add(field);
+        protected void tooLong() {
+            error = HttpStatus.PAYLOAD_TOO_LARGE_413;
         }
 
         @Override
@@ -115,23 +116,6 @@
             return error != 0;
         }
 
-        @Override
-        public boolean content(ByteBuffer content) {
-            if (body.size() + content.remaining() > Messages.MOST_BODY_BYTES) {
-                error = HttpStatus.PAYLOAD_TOO_LARGE_413;
-                return true;
-            }
-            byte[] piece = new byte[content.remaining()];
-            content.get(piece);
-            body.writeBytes(piece);
-            return false;
-        }
-
-        @Override
-        public boolean contentComplete() {
-            return false;
-        }
-
         @Override
         public boolean messageComplete() {
             whole = error == 0;
--- a/src/main/java/rowanplank/net/ResponseReader.java
+++ b/src/main/java/rowanplank/net/ResponseReader.java
@@ -1,10 +1,8 @@
 package rowanplank.net;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
@@ -18,17 +16,17 @@
     /** How far an answer has come. */
     public enum Progress { MORE, WHOLE, BROKEN }
 
-    private final Handler handler = new Handler();
-    private final HttpParser parser = new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110);
-    private final HttpFields.Mutable fields = HttpFields.build();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final int mostBytes;
+    private final Handler handler;
+    private final HttpParser parser;
     private Progress progress = Progress.MORE;
     private HttpVersion version;
     private int status;
 
     public ResponseReader(int mostBytes) {
         this.mostBytes = mostBytes;
+        handler = new Handler();
+        parser = new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110);
     }
 
     /** Reads on; what lies beyond the answer's end stays in the buffer. */
@@ -48,8 +46,7 @@
     /** Makes ready for the next answer on the same connection. */
     public void reset() {
         parser.reset();
-        fields.clear();
-        body.reset();
+        handler.reset();
         progress = Progress.MORE;
     }
 
@@ -58,24 +55,28 @@
     }
 
     public byte[] body() {
-        return body.toByteArray();
+        return handler.body();
     }
 
     public HttpFields fields() {
-        return fields.asImmutable();
+        return handler.fields();
     }
 
     public String field(String name) {
-        return fields.get(name);
+        return handler.fields().get(name);
     }
 
     /** Whether the connection may carry another request. */
     public boolean keepsConnection() {
         return progress == Progress.WHOLE && version == HttpVersion.HTTP_1_1
-                && !fields.contains(HttpHeader.CONNECTION, "close");
+                && !handler.fields().contains(HttpHeader.CONNECTION, "close");
     }
 
-    private final class Handler implements HttpParser.ResponseHandler {
+    private final class Handler extends MessageHandler implements HttpParser.ResponseHandler {
+        Handler() {
+            super(mostBytes);
+        }
+
         @Override
         public void startResponse(HttpVersion version, int status, String reason) {
             ResponseReader.this.version = version;
@@ -83,13 +84,13 @@
         }
 
         @Override
-        public void parsedHeader(HttpField field) {
-            fields.add(field);
+        protected void tooLong() {
+            progress = Progress.BROKEN;
         }
 
         @Override
         public boolean headerComplete() {
-            boolean framed = fields.contains(HttpHeader.CONTENT_LENGTH) || parser.isChunking()
+            boolean framed = fields().contains(HttpHeader.CONTENT_LENGTH) || parser.isChunking()
                     || status / 100 == 1 || status == 204 || status == 304;
             if (!framed || parser.getContentLength() > mostBytes) {
                 progress = Progress.BROKEN;
@@ -97,23 +98,6 @@
             return !framed;
         }
 
-        @Override
-        public boolean content(ByteBuffer content) {
-            if (body.size() + content.remaining() > mostBytes) {
-                progress = Progress.BROKEN;
-                return true;
-            }
-            byte[] piece = new byte[content.remaining()];
-            content.get(piece);
-            body.writeBytes(piece);
-            return false;
-        }
-
-        @Override
-        public boolean contentComplete() {
-            return false;
-        }
-
         @Override
         public boolean messageComplete() {
             if (progress == Progress.MORE && status / 100 != 1) {
