Bound what all clients hold together, and look once more before closing a connection

Checked on paper against the 192 MB: 640 clients with 64 KiB bodies each could hold more than the heap, twice over, since each connection also kept its body's room after use (MessageHandler.reset). Now 8 MiB in all, beyond which large requests are told 503; a test with 200 unfinished bodies holds it. A connection that is closed as idle at the node's stop is read once more first. A failure within a connection's callback closes it and is logged.

--- a/src/main/java/rowanplank/intake/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/ClientConnection.java
@@ -34,6 +34,8 @@
     private static final Duration FRESH = Duration.ofMillis(100);
     /** How long a closed connection is read on, so that the answer is not lost to a reset. */
     private static final Duration LINGER = Duration.ofSeconds(1);
+    /** What a client may always send, however much the others have sent. */
+    private static final int LITTLE = Messages.MOST_HEADER_BYTES;
     /** What a client may send ahead while it waits for an answer. */
     private static final int MOST_UNREAD = Messages.MOST_BODY_BYTES + Messages.MOST_HEADER_BYTES;
     private static final byte[] NOTHING = {};
@@ -51,6 +53,7 @@
     private boolean advancing;
     private boolean continued;
     private boolean lastOne;
+    private int held;
 
     /** @param room whether the node has room for this connection; else it is told so and closed */
     ClientConnection(EndPoint endPoint, Intake intake, boolean room) {
@@ -77,6 +80,16 @@
         return since;
     }
 
+    /** Closes the connection if it owes nothing, also not for what has come in but was not yet read. */
+    void closeIfIdle() {
+        if (isIdle()) {
+            lastLook();
+        }
+        if (isIdle()) {
+            close();
+        }
+    }
+
     /** Guards against clients that stop in the middle of something and keep their socket. */
     void review(Instant now) {
         Duration in = Duration.between(since, now);
@@ -102,6 +115,14 @@
         ByteBuffer joined = ByteBuffer.allocate(unread.remaining() + bytes.remaining());
         unread = joined.put(unread).put(bytes).flip();
         advance();
+        int holds = isOver() ? 0 : unread.remaining() + reader.bodySize();
+        boolean room = intake.hold(holds - held);
+        held = holds;
+        if (!room && held > LITTLE && state == State.READING) {
+            intake.counters.add(Count.REQUESTS_TURNED_AWAY);
+            reader.turnAway();
+            respondAndClose(reader.error());
+        }
     }
 
     /** Takes requests as long as each is answered at once; a loop, since a client may send many ahead. */
@@ -185,6 +206,11 @@
             respond(400, HttpFields.build(), NOTHING);
             return;
         }
+        if (reader.bodySize() > LITTLE && !intake.hold(0)) {
+            intake.counters.add(Count.REQUESTS_TURNED_AWAY);
+            respond(503, HttpFields.build(), NOTHING);
+            return;
+        }
         state = State.WAITING;
         Instant now = intake.clock.now();
         RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
@@ -248,6 +274,8 @@
             return;
         }
         reader.reset();
+        intake.hold(unread.remaining() - held);
+        held = unread.remaining();
         continued = false;
         state = State.READING;
         advance();
@@ -265,6 +293,8 @@
     @Override
     protected void onOver() {
         intake.over(this);
+        intake.hold(-held);
+        held = 0;
         if (exchange != null) {
             exchange.depart();
         }
--- a/src/main/java/rowanplank/intake/Intake.java
+++ b/src/main/java/rowanplank/intake/Intake.java
@@ -23,6 +23,8 @@
 /** Accepts clients and looks after their connections; never more of them than the node's sockets allow. */
 public final class Intake {
     private static final int BACKLOG = 512;
+    /** What all clients' unfinished requests may take together, but for a little that each may always send. */
+    private static final long MOST_HELD = 8 << 20;
     private static final Duration SWEEP = Duration.ofMillis(250);
 
     final SiteSettings site;
@@ -36,6 +38,7 @@
     private ServerSocketChannel channel;
     private Closeable acceptor;
     private boolean closing;
+    private long held;
 
     /** @param ready whether the node can serve */
     public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, EventLoop loop, Clock clock,
@@ -92,6 +95,17 @@
         return ready.getAsBoolean();
     }
 
+    /**
+     * Guards the heap: all clients together may send large bodies faster than they are passed on.
+     *
+     * @param change by how much a connection now holds more or less
+     * @return whether a connection may hold more than a little
+     */
+    boolean hold(int change) {
+        held += change;
+        return held <= MOST_HELD;
+    }
+
     /** Whether connections are closed with their answers. */
     boolean closing() {
         return closing;
@@ -107,7 +121,7 @@
         loop.acceptPending(channel);
         acceptor.close();
         channel.close();
-        List.copyOf(connections).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
     public int connectionCount() {
--- a/src/main/java/rowanplank/intake/RequestReader.java
+++ b/src/main/java/rowanplank/intake/RequestReader.java
@@ -51,6 +51,15 @@
         whole = false;
     }
 
+    int bodySize() {
+        return handler.bodySize();
+    }
+
+    /** Gives the request up: there is no room for it now. */
+    void turnAway() {
+        error = HttpStatus.SERVICE_UNAVAILABLE_503;
+    }
+
     /** Whether part of a request has come. */
     boolean begun() {
         return begun;
@@ -87,7 +96,7 @@
 
     /** Whether the client waits for leave to send the body. */
     boolean expectsContinue() {
-        return !whole && error == 0 && parser.inContentState() && handler.body().length == 0
+        return !whole && error == 0 && parser.inContentState() && handler.bodySize() == 0
                 && handler.fields().contains(HttpHeader.EXPECT, "100-continue");
     }
 
--- a/src/main/java/rowanplank/net/EventLoop.java
+++ b/src/main/java/rowanplank/net/EventLoop.java
@@ -128,10 +128,14 @@
         try {
             task.run();
         } catch (RuntimeException | StackOverflowError e) {
-            log.warn("unexpected failure in the event loop", e);
+            report(e);
         }
     }
 
+    void report(Throwable failure) {
+        log.warn("unexpected failure in the event loop", failure);
+    }
+
     private void runDue() {
         for (Runnable task; (task = timers.poll()) != null;) {
             guarded(task);
--- a/src/main/java/rowanplank/net/LoopConnection.java
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -18,6 +18,7 @@
 
     private final Callback fillable = Callback.from(Invocable.InvocationType.NON_BLOCKING,
             this::onFillable, cause -> ended());
+    private final EventLoop loop;
     private boolean over;
     private boolean writing;
     /** No side ever has more than one message waiting: an answer, after the leave to send a body. */
@@ -25,6 +26,7 @@
 
     protected LoopConnection(EndPoint endPoint, EventLoop loop) {
         super(endPoint, loop);
+        this.loop = loop;
     }
 
     /** Bytes have come; those left in the buffer are dropped. */
@@ -61,9 +63,32 @@
             }
         } catch (IOException e) {
             ended();
+        } catch (RuntimeException e) {
+            failed(e);
         }
     }
 
+    /** Reads what has come but was not yet seen, so that a connection is not closed over it. */
+    protected void lastLook() {
+        ByteBuffer buffer = READ.get();
+        buffer.clear().limit(0);
+        try {
+            if (!over && getEndPoint().fill(buffer) > 0) {
+                onBytes(buffer);
+            }
+        } catch (IOException e) {
+            ended();
+        } catch (RuntimeException e) {
+            failed(e);
+        }
+    }
+
+    /** Guards against a connection that is left half done: it would keep its socket for ever. */
+    private void failed(RuntimeException cause) {
+        loop.report(cause);
+        ended();
+    }
+
     /** Writes a message whole, after the one before it; a failure to do so ends the connection. */
     protected void write(Runnable written, ByteBuffer... message) {
         if (writing) {
@@ -73,11 +98,15 @@
         writing = true;
         getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, () -> {
             writing = false;
-            written.run();
-            Runnable following = next;
-            next = null;
-            if (following != null) {
-                following.run();
+            try {
+                written.run();
+                Runnable following = next;
+                next = null;
+                if (following != null) {
+                    following.run();
+                }
+            } catch (RuntimeException e) {
+                failed(e);
             }
         }, cause -> ended()), message);
     }
--- a/src/main/java/rowanplank/net/MessageHandler.java
+++ b/src/main/java/rowanplank/net/MessageHandler.java
@@ -9,7 +9,7 @@
 /** Gathers a message's headers and its body, up to a bound, as Jetty's parser finds them. */
 public abstract class MessageHandler implements HttpParser.HttpHandler {
     private final HttpFields.Mutable fields = HttpFields.build();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private final int mostBytes;
 
     protected MessageHandler(int mostBytes) {
@@ -27,9 +27,15 @@
         return body.toByteArray();
     }
 
+    /** How much of the body has come. */
+    public int bodySize() {
+        return body.size();
+    }
+
+    /** Keeps no room for a next body: connections are many, and most of them idle. */
     public void reset() {
         fields.clear();
-        body.reset();
+        body = new ByteArrayOutputStream(0);
     }
 
     @Override
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -182,6 +182,20 @@
         assertEquals(200, status(ask(ARTICLE)));
     }
 
+    /** Guards the heap: many clients with large bodies under way must not end the node. */
+    @Test
+    void unfinishedBodiesAreTurnedAwayBeforeTheyFillTheHeap() throws Exception {
+        site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
+        serve();
+        String unfinished = "POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nContent-Length: 65536\r\n\r\n"
+                + "x".repeat(65000);
+        for (int i = 0; i < 200; i++) {
+            connect().getOutputStream().write(unfinished.getBytes(StandardCharsets.ISO_8859_1));
+        }
+        awaitCount("requests_turned_away", 200 - (8 << 20) / 65000);
+        assertEquals(200, status(ask(ARTICLE)));
+    }
+
     /** Guards against a stack that grows with each request that a client sends ahead. */
     @Test
     void manyRequestsSentAheadAreAnsweredInTurn() throws Exception {
