--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -41,7 +41,6 @@
     private final Counters counters;
     private final RateLimitedLog log;
     private final Consumer<HostList> listener;
-    private Call call;
     private Duration retry = RETRY;
     private long revision = -1;
 
@@ -60,8 +59,7 @@
         loop.connect(address, new EventLoop.Connector() {
             @Override
             public Connection connected(EndPoint endPoint) {
-                call = new Call(endPoint);
-                return call;
+                return new Call(endPoint);
             }
 
             @Override
--- a/src/main/java/rowanplank/net/EventLoop.java
+++ b/src/main/java/rowanplank/net/EventLoop.java
@@ -50,7 +50,7 @@
     }
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-    private final Timers timers = new Timers();
+    private final Timers timers;
     private final RateLimitedLog log;
     private final Selectors selectors;
     private volatile Thread thread;
@@ -58,7 +58,8 @@
     private Function<EndPoint, Connection> accepted;
 
     /** @param connectTimeout how long a connection may take to open */
-    public EventLoop(Duration connectTimeout, RateLimitedLog log) {
+    public EventLoop(Duration connectTimeout, Clock clock, RateLimitedLog log) {
+        timers = new Timers(clock);
         this.log = log;
         selectors = new Selectors();
         selectors.setConnectTimeout(Math.max(1, connectTimeout.toMillis()));
--- a/src/main/java/rowanplank/net/RateLimitedLog.java
+++ b/src/main/java/rowanplank/net/RateLimitedLog.java
@@ -1,5 +1,7 @@
 package rowanplank.net;
 
+import java.time.Duration;
+import java.time.Instant;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,10 +14,16 @@
     private static final double BURST = 100;
 
     private final Logger logger = LoggerFactory.getLogger("rowanplank");
+    private final Clock clock;
     private double allowance = BURST;
-    private long at = System.nanoTime();
+    private Instant at;
     private long left;
 
+    public RateLimitedLog(Clock clock) {
+        this.clock = clock;
+        at = clock.now();
+    }
+
     public void info(String line) {
         if (mayWrite()) {
             logger.info(line);
@@ -35,8 +43,8 @@
     }
 
     private synchronized boolean mayWrite() {
-        long now = System.nanoTime();
-        allowance = Math.min(BURST, allowance + (now - at) * LINES_A_SECOND / 1e9);
+        Instant now = clock.now();
+        allowance = Math.min(BURST, allowance + Clock.millis(Duration.between(at, now)) / 1000 * LINES_A_SECOND);
         at = now;
         if (allowance < 1) {
             left++;
--- a/src/main/java/rowanplank/net/Timers.java
+++ b/src/main/java/rowanplank/net/Timers.java
@@ -1,53 +1,57 @@
 package rowanplank.net;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
 import java.util.TreeSet;
 
 /** Timers of the event loop, in the order in which they are due; used on its thread only. */
 final class Timers {
-    private final TreeSet<Entry> due = new TreeSet<>();
+    private static final Comparator<Entry> ORDER =
+            Comparator.comparing((Entry e) -> e.due).thenComparingLong(e -> e.number);
+
+    private final Clock clock;
+    private final TreeSet<Entry> entries = new TreeSet<>(ORDER);
     private long count;
 
+    Timers(Clock clock) {
+        this.clock = clock;
+    }
+
     /** One timer; cancelling it twice or after it ran does nothing. */
-    private final class Entry implements EventLoop.Timer, Comparable<Entry> {
-        final long atNanos;
-        final long order;
+    private final class Entry implements EventLoop.Timer {
+        final Instant due;
+        final long number = count++;
         final Runnable task;
 
-        Entry(long atNanos, Runnable task) {
-            this.atNanos = atNanos;
-            this.order = count++;
+        Entry(Instant due, Runnable task) {
+            this.due = due;
             this.task = task;
         }
 
         @Override
         public boolean cancel() {
-            return due.remove(this);
-        }
-
-        @Override
-        public int compareTo(Entry other) {
-            int byTime = Long.compare(atNanos - other.atNanos, 0);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
+            return entries.remove(this);
         }
     }
 
     EventLoop.Timer schedule(Duration delay, Runnable task) {
-        Entry entry = new Entry(System.nanoTime() + delay.toNanos(), task);
-        due.add(entry);
+        Entry entry = new Entry(clock.now().plus(delay), task);
+        entries.add(entry);
         return entry;
     }
 
     /** The next timer's task if it is due, else null. */
     Runnable poll() {
-        if (due.isEmpty() || due.first().atNanos - System.nanoTime() > 0) {
-            return null;
-        }
-        return due.pollFirst().task;
+        return entries.isEmpty() || entries.first().due.isAfter(clock.now()) ? null : entries.pollFirst().task;
     }
 
     /** How long nothing is due: zero where something is now, null where there are no timers. */
     Duration untilNext() {
-        return due.isEmpty() ? null : Duration.ofNanos(Math.max(0, due.first().atNanos - System.nanoTime()));
+        if (entries.isEmpty()) {
+            return null;
+        }
+        Duration left = Duration.between(clock.now(), entries.first().due);
+        return left.isNegative() ? Duration.ZERO : left;
     }
 }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -37,8 +37,8 @@
     private static final Duration PATIENCE = Duration.ofSeconds(1);
 
     private final NodeConfig config;
-    private final RateLimitedLog log = new RateLimitedLog();
     private final Clock clock = new Clock();
+    private final RateLimitedLog log = new RateLimitedLog(clock);
     private final Counters counters = new Counters();
     private final UpstreamGroup group = new UpstreamGroup();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -54,7 +54,7 @@
     public Node(NodeConfig config) {
         this.config = config;
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
-        loop = new EventLoop(config.site().connectTimeout(), log);
+        loop = new EventLoop(config.site().connectTimeout(), clock, log);
         decisions = new Decisions(config.site(), config.seed(), loop, clock, counters, log);
         peers = new Peers(group, config.site().connIdle(), sockets / 3, loop, clock, counters);
         decisions.sendThrough(peers);
