Give every reject its Retry-After, and test ended and unreachable peers

The node's own rejects (no room for a connection or a body, stopping) carried no advice; they now carry one within the site's bound, none where the site forbids it. New tests: a connection that the peer ended between two tries is not used again, and a peer that refuses connections costs no answer.

--- a/src/main/java/rowanplank/config/SiteSettings.java
+++ b/src/main/java/rowanplank/config/SiteSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import rowanplank.BalancerApi.Settings;
+import rowanplank.net.Clock;
 
 /**
  * The settings of a site: those of the decision module, and what only the node around it needs.
@@ -19,4 +20,10 @@
         classNames = List.copyOf(classNames);
         zones = List.copyOf(zones);
     }
+
+    /** The nearest to a wanted advice that the site allows; zero where clients are told none. */
+    public Duration retryAfter(Duration wanted) {
+        Duration most = Clock.span(module.limits().maxRetryAfterMs());
+        return wanted.compareTo(most) < 0 ? wanted : most;
+    }
 }
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -31,6 +31,9 @@
  * carries out what it asks for. Everything here runs on the event loop's thread.
  */
 public final class Decisions implements Exchanges, Exchange.Listener {
+    /** When a client of a node that stops may ask another one: as soon as its front has seen it go. */
+    private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(100);
+
     /** A request that the module knows of. */
     private static final class Entry {
         final Exchange exchange;
@@ -101,7 +104,8 @@
 
     /** Ends all that is open, for a node that must stop now. */
     public void rejectAll() {
-        new ArrayList<>(entries.values()).forEach(e -> abandon(e, new Answer.Rejected(Duration.ZERO)));
+        Answer elsewhere = new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE));
+        new ArrayList<>(entries.values()).forEach(e -> abandon(e, elsewhere));
     }
 
     private void abandon(Entry entry, Answer answer) {
@@ -210,8 +214,7 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            Duration retryAfter = Clock.span(Math.min(retryAfterMs, site.module().limits().maxRetryAfterMs()));
-            answer(request, new Answer.Rejected(retryAfter));
+            answer(request, new Answer.Rejected(site.retryAfter(Clock.span(retryAfterMs))));
         }
 
         @Override
--- a/src/main/java/rowanplank/intake/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/ClientConnection.java
@@ -38,6 +38,8 @@
     private static final int LITTLE = Messages.MOST_HEADER_BYTES;
     /** What a client may send ahead while it waits for an answer. */
     private static final int MOST_UNREAD = Messages.MOST_BODY_BYTES + Messages.MOST_HEADER_BYTES;
+    /** When a client that found no room here may try again. */
+    private static final Duration NO_ROOM = Duration.ofMillis(250);
     private static final byte[] NOTHING = {};
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -67,7 +69,8 @@
     public void onOpen() {
         super.onOpen();
         if (!room) {
-            respondAndClose(503);
+            lastOne = true;
+            reject(NO_ROOM);
         }
     }
 
@@ -121,7 +124,8 @@
         if (!room && held > LITTLE && state == State.READING) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
             reader.turnAway();
-            respondAndClose(reader.error());
+            lastOne = true;
+            reject(NO_ROOM);
         }
     }
 
@@ -208,7 +212,7 @@
         }
         if (reader.bodySize() > LITTLE && !intake.hold(0)) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
-            respond(503, HttpFields.build(), NOTHING);
+            reject(NO_ROOM);
             return;
         }
         state = State.WAITING;
@@ -237,16 +241,21 @@
         if (answer instanceof Answer.Served served) {
             respond(200, Headers.fields(served.headers()), served.body());
         } else if (answer instanceof Answer.Rejected rejected) {
-            HttpFields.Mutable fields = HttpFields.build();
-            if (!rejected.retryAfter().isZero()) {
-                fields.put(HttpHeader.RETRY_AFTER, seconds(rejected.retryAfter()));
-            }
-            respond(503, fields, NOTHING);
+            reject(rejected.retryAfter());
         } else {
             respond(502, HttpFields.build(), NOTHING);
         }
     }
 
+    private void reject(Duration retryAfter) {
+        HttpFields.Mutable fields = HttpFields.build();
+        Duration told = intake.site.retryAfter(retryAfter);
+        if (!told.isZero()) {
+            fields.put(HttpHeader.RETRY_AFTER, seconds(told));
+        }
+        respond(503, fields, NOTHING);
+    }
+
     private static String seconds(Duration span) {
         return BigDecimal.valueOf(span.toMillis(), 3).stripTrailingZeros().toPlainString();
     }
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -134,14 +134,18 @@
     }
 
     private void awaitCount(String counter, int least) throws Exception {
-        Pattern line = Pattern.compile("^rowanplank_" + counter + "_total (\\d+)$", Pattern.MULTILINE);
-        for (int count = -1; count < least; Thread.sleep(5)) {
-            Matcher m = line.matcher(ask(get("/metrics", "")));
-            assertTrue(m.find(), "no counter " + counter);
-            count = Integer.parseInt(m.group(1));
+        while (count(counter) < least) {
+            Thread.sleep(5);
         }
     }
 
+    private int count(String counter) throws IOException {
+        Pattern line = Pattern.compile("^rowanplank_" + counter + "_total (\\d+)$", Pattern.MULTILINE);
+        Matcher m = line.matcher(ask(get("/metrics", "")));
+        assertTrue(m.find(), "no counter " + counter);
+        return Integer.parseInt(m.group(1));
+    }
+
     @Test
     void aRequestAndItsAnswerPassUnchanged() throws Exception {
         StubSite.Peer peer = peer(r -> StubSite.ok("page"));
@@ -237,6 +241,32 @@
         }
     }
 
+    /** Guards against requests written to connections that the peer has ended between two of them. */
+    @Test
+    void aConnectionThatThePeerEndedIsNotUsedAgain() throws Exception {
+        StubSite.Peer ending = peer(r -> StubSite.ok("page") + StubSite.CUT);
+        site.list(ending.member("s-1", "ready"));
+        serve();
+        for (int i = 1; i <= 5; i++) {
+            assertEquals(200, status(ask(ARTICLE)));
+            assertNotNull(ending.ended.poll(30, TimeUnit.SECONDS));
+        }
+        awaitCount("peer_connections", 5);
+        awaitCount("tries_ok", 5);
+        assertEquals(5, ending.requests.size());
+    }
+
+    @Test
+    void aPeerThatCannotBeReachedCostsNoAnswer() throws Exception {
+        StubSite.Peer dead = peer(r -> null);
+        dead.close();
+        site.list(dead.member("s-1", "ready"), peer(r -> StubSite.ok("page")).member("s-2", "ready"));
+        serve();
+        for (int failed = 0; failed == 0; failed = count("tries_connect_failed")) {
+            assertEquals(200, status(ask(ARTICLE)));
+        }
+    }
+
     @Test
     void aDrainingPeerGetsNothingNewAndAMalformedListChangesNothing() throws Exception {
         StubSite.Peer leaving = peer(r -> StubSite.ok("old"));
