--- a/src/main/java/rowanplank/net/EventLoop.java
+++ b/src/main/java/rowanplank/net/EventLoop.java
@@ -69,6 +69,11 @@
         selectors.start();
     }
 
+    /** Closes all connections and ends the loop; not to be called on its own thread. */
+    public void stop() throws Exception {
+        selectors.stop();
+    }
+
     /** Runs the task on the loop's thread, soon; may be called from any thread. */
     @Override
     public void execute(Runnable task) {
--- /dev/null
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -0,0 +1,105 @@
+package rowanplank.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.BalancerApi.ListKind;
+import rowanplank.BalancerApi.Outcome;
+import rowanplank.BalancerApi.Server;
+import rowanplank.config.SettingsReader;
+import rowanplank.exchange.Answer;
+import rowanplank.exchange.Exchange;
+import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.TrySender;
+import rowanplank.net.Clock;
+import rowanplank.net.Counters;
+import rowanplank.net.Counters.Count;
+import rowanplank.net.EventLoop;
+import rowanplank.net.RateLimitedLog;
+
+@Timeout(60)
+class DecisionsTest implements TrySender {
+    private static final String SETTINGS = """
+            {"classes": [{"name": "a", "aim_ms": 50, "deadline_ms": 200, "effect": "repeatable"}],
+             "ceilings": {"most_tries": 6, "may_cancel": true, "retry_after": true, "max_retry_after_ms": 10}}""";
+
+    private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final BlockingQueue<Answer> answers = new LinkedBlockingQueue<>();
+    private final List<Long> tried = new ArrayList<>();
+    private final RateLimitedLog log = new RateLimitedLog(clock);
+    private final EventLoop loop = new EventLoop(Duration.ofSeconds(1), clock, log);
+    private final Decisions decisions =
+            new Decisions(SettingsReader.parse(SETTINGS), 1, loop, clock, counters, log);
+
+    @BeforeEach
+    void start() throws Exception {
+        loop.start();
+        decisions.sendThrough(this);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.stop();
+    }
+
+    private Answer ask(int classIndex) throws InterruptedException {
+        loop.execute(() -> {
+            Instant now = clock.now();
+            decisions.servers(ListKind.FULL, List.of(server(1), server(2)));
+            decisions.open(new RequestContext("id", classIndex, false, now, now.plusMillis(200),
+                    new RequestContext.Payload("GET", "/a", List.of(), new byte[0])), answers::add);
+        });
+        return answers.take();
+    }
+
+    private static Server server(long id) {
+        return new Server(id, 0, 0, Lifecycle.READY, 1, 0);
+    }
+
+    /** Each try fails within the module's own action. */
+    @Override
+    public void send(Exchange.Try attempt) {
+        tried.add(attempt.peer());
+        attempt.end(Outcome.CONNECT_FAILED, null);
+    }
+
+    @Override
+    public void cancel(Exchange.Try attempt) {
+        attempt.end(Outcome.CANCELLED, null);
+    }
+
+    @Override
+    public void closeIdle(long peer) { }
+
+    /** Guards against actions that call back: the module would see an outcome before its send had returned. */
+    @Test
+    void anOutcomeWithinASendWaitsUntilTheModuleIsDone() throws Exception {
+        Answer answer = ask(0);
+        assertEquals(new Answer.Rejected(Duration.ofMillis(10)), answer, "advice is cut to the site's bound");
+        assertEquals(Set.of(1L, 2L), new TreeSet<>(tried));
+        assertEquals(2, tried.size(), "each server once");
+        assertEquals(0, counters.get(Count.INTERNAL_FAILURES));
+    }
+
+    /** Guards the deadline: the module throws at a class it does not know, and says nothing more of the request. */
+    @Test
+    void aRequestThatTheModuleLeavesUnansweredIsFailedAtItsDeadline() throws Exception {
+        assertInstanceOf(Answer.Failed.class, ask(9));
+        assertEquals(1, counters.get(Count.ANSWERS_OVERDUE));
+        assertEquals(0, answers.size());
+    }
+}
