--- a/src/main/java/rowanplank/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -1,9 +1,9 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import java.util.*;
 import java.util.stream.*;
-import rowanplank.BalancerApi.*;
-import rowanplank.NodeState.*;
+import rowanplank.balancer.BalancerApi.*;
+import rowanplank.balancer.NodeState.*;
 
 /**
  * Every decision of one proxy node. The interface (settings, events, actions) is in {@code BalancerApi.java}.
--- a/src/main/java/rowanplank/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -1,4 +1,4 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import java.util.List;
 
--- a/src/main/java/rowanplank/NodeState.java
+++ b/src/main/java/rowanplank/balancer/NodeState.java
@@ -1,10 +1,10 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import java.util.ArrayList;
 import java.util.List;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.RequestClass;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Server;
 
 /** What a {@link Balancer} remembers of servers and requests: plain records of fact, no decisions. */
 final class NodeState {
--- a/src/main/java/rowanplank/node/Hangup.java
+++ b/src/main/java/rowanplank/cli/Hangup.java
@@ -1,4 +1,4 @@
-package rowanplank.node;
+package rowanplank.cli;
 
 import java.lang.invoke.MethodHandle;
 import java.lang.invoke.MethodHandleProxies;
@@ -9,11 +9,11 @@
  * Hears SIGHUP, on which a Java process would else end. The platform's only way, {@code sun.misc.Signal}, is called
  * by its name: the compiler warns of it in a way that can't be suppressed, and warnings are errors here.
  */
-public final class Hangup {
+final class Hangup {
     private Hangup() { }
 
     /** @param task run on a thread of its own, once for each signal from now on */
-    public static void handle(Runnable task) {
+    static void handle(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/rowanplank/config/HostList.java
+++ b/src/main/java/rowanplank/config/HostList.java
@@ -11,8 +11,8 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.List;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Server;
 
 /**
  * One answer of discovery.
--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -5,11 +5,10 @@
 import com.eclipsesource.json.ParseException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import rowanplank.net.FileAccess;
 
 /**
  * What a node is told at its start.
@@ -19,6 +18,8 @@
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         HostList known, SiteSettings site) {
+    /** A list of ten thousand peers takes a fifth of it. */
+    private static final int MOST_BYTES = 8 << 20;
 
     /**
      * Reads the file of a running node anew. Here the file alone tells where discovery is: the environment still
@@ -26,20 +27,20 @@
      *
      * @throws ConfigException with one line that says what is missing or wrong
      */
-    public static NodeConfig reread(Map<String, String> environment) {
+    public static NodeConfig reread(Map<String, String> environment, FileAccess files) {
         Map<String, String> left = new HashMap<>(environment);
         left.remove("EDGE_DISCOVERY");
-        return read(left);
+        return read(left, files);
     }
 
     /** @throws ConfigException with one line that says what is missing or wrong */
-    public static NodeConfig read(Map<String, String> environment) {
+    public static NodeConfig read(Map<String, String> environment, FileAccess files) {
         String file = environment.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new ConfigException("EDGE_CONFIG is not set: it names the configuration file");
         }
         try {
-            return read(environment, JsonFields.object(Json.parse(Files.readString(Path.of(file))), "the document"));
+            return read(environment, JsonFields.object(Json.parse(files.read(file, MOST_BYTES)), "the document"));
         } catch (IOException | InvalidPathException e) {
             throw new ConfigException("EDGE_CONFIG: can't read " + file + ": " + e);
         } catch (ParseException e) {
--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -13,13 +13,13 @@
 import com.eclipsesource.json.ParseException;
 import java.util.ArrayList;
 import java.util.List;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.Group;
-import rowanplank.BalancerApi.Limits;
-import rowanplank.BalancerApi.RequestClass;
-import rowanplank.BalancerApi.Rules;
-import rowanplank.BalancerApi.Settings;
-import rowanplank.BalancerApi.Tenant;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Rules;
+import rowanplank.balancer.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Tenant;
 import rowanplank.net.Clock;
 
 /** Reads an instance's settings, for the node and for the simulator's host alike; unknown keys are skipped. */
--- a/src/main/java/rowanplank/config/SiteSettings.java
+++ b/src/main/java/rowanplank/config/SiteSettings.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import rowanplank.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.net.Clock;
 
 /**
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -10,23 +10,23 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
-import rowanplank.Balancer;
-import rowanplank.BalancerApi.Actions;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.Balancer;
+import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.Exchanges;
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.TrySender;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
+import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
-import rowanplank.net.RateLimitedLog;
+import rowanplank.net.Loop;
 
 /**
  * Drives the decision module: tells it what happens, in order and never from within one of its own actions, and
@@ -39,7 +39,7 @@
     /** A request that the module knows of. */
     private static final class Entry {
         final Exchange exchange;
-        EventLoop.Timer guard;
+        Loop.Timer guard;
         int sends;
         /** Tries whose outcome the module has not heard; until it has, it holds their place at the peer taken. */
         int untold;
@@ -50,7 +50,7 @@
     }
 
     private final SiteSettings site;
-    private final EventLoop loop;
+    private final Loop loop;
     private final Clock clock;
     private final Counters counters;
     private final RateLimitedLog log;
@@ -63,10 +63,10 @@
     private TrySender sender;
     private long requests;
 
-    public Decisions(SiteSettings site, long seed, EventLoop loop, Clock clock, Counters counters, RateLimitedLog log) {
+    public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log) {
         this.site = site;
         this.loop = loop;
-        this.clock = clock;
+        clock = loop.clock();
         this.counters = counters;
         this.log = log;
         balancer = new Balancer(site.module(), seed, new ModuleActions());
--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -12,13 +12,13 @@
 import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
 import rowanplank.config.HostList;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
+import rowanplank.http.Messages;
+import rowanplank.http.ResponseReader;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
+import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.Loop;
 import rowanplank.net.LoopConnection;
-import rowanplank.net.Messages;
-import rowanplank.net.RateLimitedLog;
-import rowanplank.net.ResponseReader;
 
 /**
  * Asks discovery for the whole list, then watches it for changes, one call at a time. A call that fails or stays
@@ -44,21 +44,24 @@
 
     private final InetSocketAddress address;
     private final List<String> zones;
-    private final EventLoop loop;
+    private final Duration connectTimeout;
+    private final Loop loop;
     private final Counters counters;
     private final RateLimitedLog log;
     private final Listener listener;
     private Duration retry = RETRY;
     private long revision = -1;
     private boolean stopped;
-    private EventLoop.Opening opening;
-    private EventLoop.Timer next;
+    private Loop.Opening opening;
+    private Loop.Timer next;
     private Call call;
 
-    public DiscoveryWatch(InetSocketAddress address, List<String> zones, EventLoop loop, Counters counters,
-            RateLimitedLog log, Listener listener) {
+    /** @param connectTimeout how long a connection may take to open */
+    public DiscoveryWatch(InetSocketAddress address, List<String> zones, Duration connectTimeout, Loop loop,
+            Counters counters, RateLimitedLog log, Listener listener) {
         this.address = address;
         this.zones = zones;
+        this.connectTimeout = connectTimeout;
         this.loop = loop;
         this.counters = counters;
         this.log = log;
@@ -71,7 +74,7 @@
 
     /** Begins to watch, on the loop's thread, until it is stopped. */
     public void start() {
-        opening = loop.connect(address, new EventLoop.Connector() {
+        opening = loop.connect(address, connectTimeout, new Loop.Connector() {
             @Override
             public Connection connected(EndPoint endPoint) {
                 call = new Call(endPoint);
@@ -131,8 +134,8 @@
     /** A connection to discovery, with one call after the other on it. */
     private final class Call extends LoopConnection {
         private final ResponseReader reader = new ResponseReader(MOST_ANSWER_BYTES);
-        private EventLoop.Timer patience;
-        private EventLoop.Timer stall;
+        private Loop.Timer patience;
+        private Loop.Timer stall;
         private int pieces;
         private String reason = "discovery closed the connection";
 
--- a/src/main/java/rowanplank/discovery/UpstreamGroup.java
+++ b/src/main/java/rowanplank/discovery/UpstreamGroup.java
@@ -3,9 +3,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.config.HostList;
+import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.config.HostList.Member;
+import rowanplank.config.HostList;
 
 /** The peers as discovery has told them so far: lists replace it, changes are laid over it in their order. */
 public final class UpstreamGroup {
--- a/src/main/java/rowanplank/exchange/Exchange.java
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -1,7 +1,7 @@
 package rowanplank.exchange;
 
 import java.time.Instant;
-import rowanplank.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Outcome;
 
 /**
  * One request's life, and the only place where the client's side and the peers' side meet. It guards what must hold
--- a/src/main/java/rowanplank/net/Messages.java
+++ b/src/main/java/rowanplank/http/Messages.java
@@ -1,8 +1,9 @@
-package rowanplank.net;
+package rowanplank.http;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpParser;
@@ -20,9 +21,8 @@
     /** The most that its first line and headers may hold. */
     public static final int MOST_HEADER_BYTES = 8 * 1024;
 
-    /** Where heads are put together, on the loop's one thread; each message takes just the bytes that it needs. */
-    private static final ThreadLocal<ByteBuffer> HEAD =
-            ThreadLocal.withInitial(() -> ByteBuffer.allocate(2 * MOST_HEADER_BYTES));
+    /** What a head holds beside its target and its fields: version, status and reason, the length that is added. */
+    private static final int REST_OF_HEAD = 256;
 
     private Messages() { }
 
@@ -39,23 +39,31 @@
         MetaData.Request head =
                 new MetaData.Request(method, HttpURI.from(target), HttpVersion.HTTP_1_1, fields, body.length);
         HttpGenerator generator = new HttpGenerator();
-        return message(body, (header, content) -> generator.generateRequest(head, header, null, content, true));
+        int room = target.length() + room(fields);
+        return message(room, body, (header, content) -> generator.generateRequest(head, header, null, content, true));
     }
 
     public static ByteBuffer[] response(int status, HttpFields fields, byte[] body) {
         MetaData.Response head =
                 new MetaData.Response(status, null, HttpVersion.HTTP_1_1, fields, body.length);
         HttpGenerator generator = new HttpGenerator();
-        return message(body, (header, content) -> generator.generateResponse(head, false, header, null, content, true));
+        return message(room(fields), body, (header, content) -> generator.generateResponse(head, false, header, null, content, true));
     }
 
     private interface Step {
         HttpGenerator.Result generate(ByteBuffer header, ByteBuffer content) throws IOException;
     }
 
-    private static ByteBuffer[] message(byte[] body, Step step) {
-        ByteBuffer header = HEAD.get();
-        BufferUtil.clear(header);
+    private static int room(HttpFields fields) {
+        int room = REST_OF_HEAD;
+        for (HttpField f : fields) {
+            room += f.getName().length() + (f.getValue() == null ? 0 : f.getValue().length()) + 4;
+        }
+        return room;
+    }
+
+    private static ByteBuffer[] message(int room, byte[] body, Step step) {
+        ByteBuffer header = BufferUtil.allocate(room);
         ByteBuffer content = ByteBuffer.wrap(body);
         try {
             HttpGenerator.Result result = step.generate(header, content);
@@ -65,6 +73,6 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return new ByteBuffer[] {ByteBuffer.allocate(header.remaining()).put(header).flip(), content};
+        return new ByteBuffer[] {header, content};
     }
 }
--- a/src/main/java/rowanplank/intake/RequestReader.java
+++ b/src/main/java/rowanplank/http/RequestReader.java
@@ -1,4 +1,4 @@
-package rowanplank.intake;
+package rowanplank.http;
 
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -9,11 +9,9 @@
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
-import rowanplank.net.MessageHandler;
-import rowanplank.net.Messages;
 
 /** Puts an HTTP request together from the pieces in which it comes, or says why it can't be taken. */
-final class RequestReader {
+public final class RequestReader {
     private final Handler handler = new Handler();
     private final HttpParser parser =
             Messages.lean(new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110));
@@ -29,7 +27,7 @@
      *
      * @return whether there is something to answer: a whole request, or an error
      */
-    boolean read(ByteBuffer bytes) {
+    public boolean read(ByteBuffer bytes) {
         while (!done() && bytes.hasRemaining()) {
             int before = bytes.remaining();
             begun = true;
@@ -46,58 +44,58 @@
     }
 
     /** Makes ready for the next request on the same connection. */
-    void reset() {
+    public void reset() {
         parser.reset();
         handler.reset();
         begun = false;
         whole = false;
     }
 
-    int bodySize() {
+    public int bodySize() {
         return handler.bodySize();
     }
 
     /** Gives the request up: there is no room for it now. */
-    void turnAway() {
+    public void turnAway() {
         error = HttpStatus.SERVICE_UNAVAILABLE_503;
     }
 
     /** Whether part of a request has come. */
-    boolean begun() {
+    public boolean begun() {
         return begun;
     }
 
     /** The status that tells what is wrong with the request; 0 if nothing is. */
-    int error() {
+    public int error() {
         return error;
     }
 
-    String method() {
+    public String method() {
         return method;
     }
 
-    String target() {
+    public String target() {
         return target;
     }
 
-    byte[] body() {
+    public byte[] body() {
         return handler.body();
     }
 
-    HttpFields fields() {
+    public HttpFields fields() {
         return handler.fields();
     }
 
-    String field(String name) {
+    public String field(String name) {
         return handler.fields().get(name);
     }
 
-    boolean keepsConnection() {
+    public boolean keepsConnection() {
         return error == 0 && version == HttpVersion.HTTP_1_1 && !handler.fields().contains(HttpHeader.CONNECTION, "close");
     }
 
     /** Whether the client waits for leave to send the body. */
-    boolean expectsContinue() {
+    public boolean expectsContinue() {
         return !whole && error == 0 && parser.inContentState() && handler.bodySize() == 0
                 && handler.fields().contains(HttpHeader.EXPECT, "100-continue");
     }
--- a/src/main/java/rowanplank/net/ResponseReader.java
+++ b/src/main/java/rowanplank/http/ResponseReader.java
@@ -1,4 +1,4 @@
-package rowanplank.net;
+package rowanplank.http;
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpCompliance;
--- a/src/main/java/rowanplank/intake/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package rowanplank.intake;
+package rowanplank.intake.http;
 
 import java.math.BigDecimal;
 import java.nio.ByteBuffer;
@@ -6,26 +6,25 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.io.EndPoint;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
+import rowanplank.exchange.Header;
 import rowanplank.exchange.RequestContext;
+import rowanplank.http.Headers;
+import rowanplank.http.Messages;
+import rowanplank.http.RequestReader;
+import rowanplank.metrics.Counters.Count;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.Headers;
 import rowanplank.net.LoopConnection;
-import rowanplank.net.Messages;
 
 /** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
 final class ClientConnection extends LoopConnection {
-    private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)([mu])");
     private static final Set<String> CHANGING = Set.of("POST", "PUT", "PATCH", "DELETE");
     /** A request must come whole within this time of its first byte, and the first one of the connecting. */
     private static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
@@ -276,7 +275,7 @@
             return;
         }
         Duration longest = Clock.span(type.deadlineMs());
-        Duration wait = timeout(reader.field("X-Timeout"), longest);
+        Duration wait = Headers.timeout(reader.field("X-Timeout"), longest);
         String id = reader.field("X-Request-ID");
         if (wait == null || id == null || id.isEmpty()) {
             intake.counters.add(Count.REQUESTS_MALFORMED);
@@ -303,27 +302,17 @@
         Instant now = intake.clock.now();
         RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
                 now.plus(wait.compareTo(longest) < 0 ? wait : longest),
-                new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields()),
+                new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
                         reader.body()));
         exchange = intake.exchanges.open(context, this::answer);
     }
 
-    /** @return null if the text is no time-out */
-    static Duration timeout(String text, Duration otherwise) {
-        if (text == null) {
-            return otherwise;
-        }
-        Matcher m = TIMEOUT.matcher(text);
-        return m.matches() ? Duration.ofNanos(new BigDecimal(m.group(1))
-                .movePointRight(m.group(2).equals("m") ? 6 : 3).longValue()) : null;
-    }
-
     private void answer(Answer answer) {
         if (isOver()) {
             return;
         }
         if (answer instanceof Answer.Served served && mayWrite(served.body().length)) {
-            respond(200, Headers.fields(served.headers()), served.body());
+            respond(200, Headers.fields(served.headers(), Header::name, Header::value), served.body());
         } else if (answer instanceof Answer.Rejected rejected) {
             reject(rejected.retryAfter());
         } else {
--- a/src/main/java/rowanplank/intake/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -1,9 +1,7 @@
-package rowanplank.intake;
+package rowanplank.intake.http;
 
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -16,10 +14,10 @@
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Exchanges;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
+import rowanplank.net.Loop;
 
 /** Accepts clients and looks after their connections; never more of them than the node's sockets allow. */
 public final class Intake {
@@ -34,15 +32,14 @@
 
     final SiteSettings site;
     final Exchanges exchanges;
-    final EventLoop loop;
+    final Loop loop;
     final Clock clock;
     final Counters counters;
     private final int mostConnections;
     private final int mostServed;
     private final BooleanSupplier ready;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    private ServerSocketChannel channel;
-    private Closeable acceptor;
+    private Loop.Listening listening;
     private boolean closing;
     private long held;
     private long heldAnswers;
@@ -51,29 +48,27 @@
      * @param mostServed how many connections of clients that were served are kept open for their next request
      * @param ready whether the node can serve
      */
-    public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, int mostServed, EventLoop loop,
-            Clock clock, Counters counters, BooleanSupplier ready) {
+    public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, int mostServed, Loop loop,
+            Counters counters, BooleanSupplier ready) {
         this.site = site;
         this.exchanges = exchanges;
         this.mostConnections = mostConnections;
         this.mostServed = mostServed;
         this.loop = loop;
-        this.clock = clock;
+        clock = loop.clock();
         this.counters = counters;
         this.ready = ready;
     }
 
     /** Begins to listen; to be called on the loop's thread. */
     public void start(InetSocketAddress address) throws IOException {
-        channel = ServerSocketChannel.open();
-        channel.bind(address, BACKLOG);
-        acceptor = loop.listen(channel, this::accept);
+        listening = loop.listen(address, BACKLOG, this::accept);
         sweep();
     }
 
     /** Where it listens: of use where the port was left to the system. */
-    public InetSocketAddress address() throws IOException {
-        return (InetSocketAddress) channel.getLocalAddress();
+    public InetSocketAddress address() {
+        return listening.address();
     }
 
     private Connection accept(EndPoint endPoint) {
@@ -177,9 +172,8 @@
     /** Takes no more connections, and closes those there are as soon as they owe nothing. */
     public void close() throws IOException {
         closing = true;
-        loop.acceptPending(channel);
-        acceptor.close();
-        channel.close();
+        listening.acceptPending();
+        listening.close();
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
--- a/src/main/java/rowanplank/net/Counters.java
+++ b/src/main/java/rowanplank/metrics/Counters.java
@@ -1,4 +1,4 @@
-package rowanplank.net;
+package rowanplank.metrics;
 
 import java.util.EnumMap;
 import java.util.Locale;
--- a/src/main/java/rowanplank/net/RateLimitedLog.java
+++ b/src/main/java/rowanplank/metrics/RateLimitedLog.java
@@ -1,9 +1,10 @@
-package rowanplank.net;
+package rowanplank.metrics;
 
 import java.time.Duration;
 import java.time.Instant;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rowanplank.net.Clock;
 
 /**
  * The node's log. Guards against a flood: whatever clients, page servers or discovery do, no more than a few lines a
@@ -13,32 +14,49 @@
     private static final double LINES_A_SECOND = 5;
     private static final double BURST = 100;
 
-    private final Logger logger = LoggerFactory.getLogger("rowanplank");
+    /** Where lines go. */
+    public interface Sink {
+        /** @param cause what was thrown; null where nothing was */
+        void write(boolean warning, String line, Throwable cause);
+
+        /** The process's own log. */
+        static Sink system() {
+            Logger logger = LoggerFactory.getLogger("rowanplank");
+            return (warning, line, cause) -> {
+                if (warning) {
+                    logger.warn(line, cause);
+                } else {
+                    logger.info(line);
+                }
+            };
+        }
+    }
+
     private final Clock clock;
+    private final Sink sink;
     private double allowance = BURST;
     private Instant at;
     private long left;
 
-    public RateLimitedLog(Clock clock) {
+    public RateLimitedLog(Clock clock, Sink sink) {
         this.clock = clock;
+        this.sink = sink;
         at = clock.now();
     }
 
     public void info(String line) {
         if (mayWrite()) {
-            logger.info(line);
+            sink.write(false, line, null);
         }
     }
 
     public void warn(String line) {
-        if (mayWrite()) {
-            logger.warn(line);
-        }
+        warn(line, null);
     }
 
     public void warn(String line, Throwable cause) {
         if (mayWrite()) {
-            logger.warn(line, cause);
+            sink.write(true, line, cause);
         }
     }
 
@@ -52,7 +70,7 @@
         }
         allowance--;
         if (left > 0) {
-            logger.warn("{} log lines left out", left);
+            sink.write(true, left + " log lines left out", null);
             left = 0;
         }
         return true;
--- a/src/main/java/rowanplank/net/LoopConnection.java
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -12,23 +12,19 @@
  * is over, whichever side ended it.
  */
 public abstract class LoopConnection extends AbstractConnection {
-    /** All connections are read on one thread, and none keeps the buffer. */
-    private static final ThreadLocal<ByteBuffer> READ =
-            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1 << 16));
-
     /** Guards the others: one that sends at full speed must not keep the loop for itself. */
     private static final int MOST_READS_A_TURN = 4;
 
     private final Callback fillable = Callback.from(Invocable.InvocationType.NON_BLOCKING,
             this::onFillable, cause -> ended());
-    private final EventLoop loop;
+    private final Loop loop;
     private boolean over;
     private boolean paused;
     private boolean writing;
     /** No side ever has more than one message waiting: an answer, after the leave to send a body. */
     private Runnable next;
 
-    protected LoopConnection(EndPoint endPoint, EventLoop loop) {
+    protected LoopConnection(EndPoint endPoint, Loop loop) {
         super(endPoint, loop);
         this.loop = loop;
     }
@@ -50,7 +46,7 @@
 
     @Override
     public void onFillable() {
-        ByteBuffer buffer = READ.get();
+        ByteBuffer buffer = loop.readBuffer();
         try {
             for (int reads = 0; !over && !paused; reads++) {
                 if (reads == MOST_READS_A_TURN) {
@@ -83,7 +79,7 @@
 
     /** Reads what has come but was not yet seen, so that a connection is not closed over it. */
     protected void lastLook() {
-        ByteBuffer buffer = READ.get();
+        ByteBuffer buffer = loop.readBuffer();
         buffer.clear().limit(0);
         try {
             if (!over && getEndPoint().fill(buffer) > 0) {
--- a/src/main/java/rowanplank/net/EventLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -2,18 +2,23 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.SocketAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -27,43 +32,30 @@
  * The one thread on which the node does everything: sockets, timers and decisions. It is the thread of a single
  * Jetty selector; whatever Jetty would hand to a pool of threads is queued here and run between two selects.
  */
-public final class EventLoop implements Executor {
+public final class SelectorLoop implements Loop {
     /** So much queued work is run before sockets are looked at again. */
     private static final int MOST_TASKS_A_ROUND = 256;
-
-    /** A task to be run later, on the loop's thread. */
-    public interface Timer {
-        /** @return whether it was still to come */
-        boolean cancel();
-    }
-
-    /** What is to become of a connection that the node opens. */
-    public interface Connector {
-        Connection connected(EndPoint endPoint);
-
-        void failed(Throwable cause);
-    }
-
-    /** A connection being opened. */
-    public interface Opening {
-        /** Gives it up, and its connector hears no more; once it is open this does nothing. */
-        void abandon();
-    }
+    /** All connections are read on one thread, and none keeps the buffer. */
+    private static final int READ_BYTES = 1 << 16;
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Timers timers;
-    private final RateLimitedLog log;
+    private final Clock clock;
+    private final Consumer<Throwable> reports;
     private final Selectors selectors;
+    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+    private final Map<SelectableChannel, Function<EndPoint, Connection>> listeners = new HashMap<>();
     private volatile Thread thread;
     private volatile ManagedSelector selector;
-    private Function<EndPoint, Connection> accepted;
+    private Function<EndPoint, Connection> accepting;
 
-    /** @param connectTimeout how long a connection may take to open */
-    public EventLoop(Duration connectTimeout, Clock clock, RateLimitedLog log) {
+    /** @param reports is told what goes wrong in a task */
+    public SelectorLoop(Clock clock, Consumer<Throwable> reports) {
+        this.clock = clock;
+        this.reports = reports;
         timers = new Timers(clock);
-        this.log = log;
         selectors = new Selectors();
-        selectors.setConnectTimeout(Math.max(1, connectTimeout.toMillis()));
+        selectors.setConnectTimeout(0); // each connection has a timer of its own
     }
 
     public void start() throws Exception {
@@ -75,7 +67,16 @@
         selectors.stop();
     }
 
-    /** Runs the task on the loop's thread, soon; may be called from any thread. */
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public ByteBuffer readBuffer() {
+        return readBuffer;
+    }
+
     @Override
     public void execute(Runnable task) {
         synchronized (this) {
@@ -92,28 +93,32 @@
         }
     }
 
-    /** To be called on the loop's thread. */
+    @Override
     public Timer schedule(Duration delay, Runnable task) {
         return timers.schedule(delay, task);
     }
 
-    /** Accepts connections until what it returns is closed. */
-    public Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> onAccept) throws IOException {
-        accepted = onAccept;
-        channel.configureBlocking(false);
-        return selectors.acceptor(channel);
-    }
-
-    /** Takes the connections that the machine has accepted and the loop has not yet: closing would reset them. */
-    public void acceptPending(ServerSocketChannel channel) throws IOException {
-        for (SocketChannel client; (client = channel.accept()) != null;) {
-            selectors.accepted(client);
+    @Override
+    public Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> onAccept)
+            throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        try {
+            channel.bind(address, backlog);
+            channel.configureBlocking(false);
+            listeners.put(channel, onAccept);
+            return new ListeningChannel(channel, selectors.acceptor(channel));
+        } catch (IOException | RuntimeException e) {
+            listeners.remove(channel);
+            closeQuietly(channel);
+            throw e;
         }
     }
 
-    /** Opens a connection; the connector hears of it later, never within this call. */
-    public Opening connect(SocketAddress address, Connector connector) {
+    @Override
+    public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
         OpeningConnection opening = new OpeningConnection(connector);
+        opening.timer = schedule(timeout,
+                () -> opening.failed(new SocketTimeoutException("no connection within " + timeout.toMillis() + " ms")));
         try {
             SocketChannel channel = SocketChannel.open();
             opening.channel = channel;
@@ -130,6 +135,21 @@
         return opening;
     }
 
+    @Override
+    public Datagrams datagrams(InetSocketAddress address, int mostBytes, Receiver receiver) throws IOException {
+        DatagramChannel channel = DatagramChannel.open();
+        try {
+            channel.bind(address);
+            channel.configureBlocking(false);
+            SelectorDatagrams datagrams = new SelectorDatagrams(channel, mostBytes, receiver, this::guarded);
+            selector.submit(datagrams::register);
+            return datagrams;
+        } catch (IOException | RuntimeException e) {
+            closeQuietly(channel);
+            throw e;
+        }
+    }
+
     /** Guards the loop: what goes wrong in one task must not end the others. */
     private void guarded(Runnable task) {
         try {
@@ -139,8 +159,9 @@
         }
     }
 
-    void report(Throwable failure) {
-        log.warn("unexpected failure in the event loop", failure);
+    @Override
+    public void report(Throwable failure) {
+        reports.accept(failure);
     }
 
     private void runDue() {
@@ -156,6 +177,7 @@
     private final class OpeningConnection implements Opening {
         private final Connector connector;
         private SocketChannel channel;
+        private Timer timer;
         private boolean over;
 
         OpeningConnection(Connector connector) {
@@ -167,6 +189,7 @@
                 throw new IOException("given up while it was opened");
             }
             over = true;
+            timer.cancel();
             return connector.connected(endPoint);
         }
 
@@ -181,11 +204,43 @@
         public void abandon() {
             if (!over) {
                 over = true;
+                timer.cancel();
                 closeQuietly(channel);
             }
         }
     }
 
+    private final class ListeningChannel implements Listening {
+        private final ServerSocketChannel channel;
+        private final Closeable acceptor;
+        private final InetSocketAddress address;
+
+        ListeningChannel(ServerSocketChannel channel, Closeable acceptor) throws IOException {
+            this.channel = channel;
+            this.acceptor = acceptor;
+            address = (InetSocketAddress) channel.getLocalAddress();
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return address;
+        }
+
+        @Override
+        public void acceptPending() throws IOException {
+            for (SelectableChannel client; (client = selectors.doAccept(channel)) != null;) {
+                selectors.accepted(client);
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listeners.remove(channel);
+            acceptor.close();
+            channel.close();
+        }
+    }
+
     private static void closeQuietly(SelectableChannel channel) {
         try {
             if (channel != null) {
@@ -198,7 +253,7 @@
 
     private final class Selectors extends SelectorManager {
         Selectors() {
-            super(EventLoop.this, new LoopScheduler(), 1);
+            super(SelectorLoop.this, new LoopScheduler(), 1);
         }
 
         @Override
@@ -219,11 +274,18 @@
             return selector;
         }
 
+        /** What it returns is handed to {@link #accepted} next, on this thread. */
+        @Override
+        protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+            accepting = listeners.get(server);
+            return accepting == null ? null : super.doAccept(server);
+        }
+
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             channel.configureBlocking(false);
             ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
-            accept(channel);
+            accept(channel, accepting);
         }
 
         @Override
@@ -237,7 +299,12 @@
         @Override
         public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment)
                 throws IOException {
-            return attachment instanceof OpeningConnection o ? o.connected(endPoint) : accepted.apply(endPoint);
+            if (attachment instanceof OpeningConnection o) {
+                return o.connected(endPoint);
+            }
+            @SuppressWarnings("unchecked")
+            Function<EndPoint, Connection> onAccept = (Function<EndPoint, Connection>) attachment;
+            return onAccept.apply(endPoint);
         }
 
         @Override
@@ -252,7 +319,7 @@
     private final class LoopScheduler extends AbstractLifeCycle implements Scheduler {
         @Override
         public Task schedule(Runnable task, long delay, TimeUnit unit) {
-            return EventLoop.this.schedule(Duration.of(delay, unit.toChronoUnit()), task)::cancel;
+            return SelectorLoop.this.schedule(Duration.of(delay, unit.toChronoUnit()), task)::cancel;
         }
     }
 }
--- a/src/main/java/rowanplank/net/Timers.java
+++ b/src/main/java/rowanplank/net/Timers.java
@@ -19,7 +19,7 @@
     }
 
     /** One timer; cancelling it twice or after it ran does nothing. */
-    private final class Entry implements EventLoop.Timer {
+    private final class Entry implements Loop.Timer {
         final Instant due;
         final long number = count++;
         final Runnable task;
@@ -35,7 +35,7 @@
         }
     }
 
-    EventLoop.Timer schedule(Duration delay, Runnable task) {
+    Loop.Timer schedule(Duration delay, Runnable task) {
         Entry entry = new Entry(clock.now().plus(delay), task);
         entries.add(entry);
         return entry;
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -4,27 +4,23 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
+import rowanplank.config.HostList;
 import rowanplank.config.NodeConfig;
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
-import rowanplank.config.Addresses;
-import rowanplank.config.HostList;
 import rowanplank.discovery.UpstreamGroup;
-import rowanplank.intake.Intake;
+import rowanplank.intake.http.Intake;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
+import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
-import rowanplank.net.RateLimitedLog;
-import rowanplank.peer.Peers;
+import rowanplank.net.Loop;
+import rowanplank.peer.http.Peers;
 
 /** A node: puts its parts together, starts them, and stops them without losing what it has taken. */
 public final class Node {
@@ -45,12 +41,11 @@
     private static final Duration PATIENCE = Duration.ofSeconds(1);
 
     private final NodeConfig config;
-    private final Clock clock = new Clock();
-    private final RateLimitedLog log = new RateLimitedLog(clock);
+    private final Loop loop;
+    private final Clock clock;
+    private final RateLimitedLog log;
     private final Counters counters = new Counters();
     private final UpstreamGroup group = new UpstreamGroup();
-    private final CountDownLatch stopped = new CountDownLatch(1);
-    private final EventLoop loop;
     private final Decisions decisions;
     private final Peers peers;
     private final Intake intake;
@@ -60,21 +55,25 @@
     private Instant started;
     private boolean listed;
     private boolean stopping;
+    private Runnable whenStopped;
 
-    public Node(NodeConfig config) {
+    public Node(NodeConfig config, Loop loop, RateLimitedLog log) {
         this.config = config;
+        this.loop = loop;
+        this.log = log;
+        clock = loop.clock();
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
-        loop = new EventLoop(config.site().connectTimeout(), clock, log);
-        decisions = new Decisions(config.site(), config.seed(), loop, clock, counters, log);
-        peers = new Peers(group, config.site().connIdle(), sockets / 3, loop, clock, counters);
+        decisions = new Decisions(config.site(), config.seed(), loop, counters, log);
+        peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
         decisions.sendThrough(peers);
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
-                clock, counters, this::ready);
+                counters, this::ready);
         watch = watch(config.discovery());
     }
 
     private DiscoveryWatch watch(InetSocketAddress address) {
-        return new DiscoveryWatch(address, config.site().zones(), loop, counters, log, this::told);
+        return new DiscoveryWatch(address, config.site().zones(), config.site().connectTimeout(), loop,
+                counters, log, this::told);
     }
 
     private void told(DiscoveryWatch by, HostList list) {
@@ -118,33 +117,40 @@
         });
     }
 
-    /** @throws IOException if the node can't listen at its address */
-    public void start() throws Exception {
-        WarmUp.run(config.site());
-        loop.start();
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                started = clock.now();
-                if (!config.known().members().isEmpty()) {
-                    apply(config.known(), ListKind.CACHED);
-                }
-                watch.start();
-                peers.start();
-                intake.start(config.listen());
-                done.complete(null);
-            } catch (IOException | RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        });
+    /**
+     * Starts the node; to be called once, on the loop's thread.
+     *
+     * @throws IOException if the node can't listen at its address
+     */
+    public void start() throws IOException {
+        started = clock.now();
+        if (!config.known().members().isEmpty()) {
+            apply(config.known(), ListKind.CACHED);
+        }
+        watch.start();
+        peers.start();
         try {
-            done.get();
-        } catch (ExecutionException e) {
-            throw new IOException("can't listen at " + Addresses.format(config.listen()) + ": " + e.getCause().getMessage(), e);
+            intake.start(config.listen());
+        } catch (IOException e) {
+            throw new IOException("can't listen at " + Addresses.format(config.listen()) + ": " + e.getMessage(), e);
         }
         log.info(config.name() + " listens at " + Addresses.format(intake.address()));
     }
 
+    /** Where the node listens, once it has started. */
+    public InetSocketAddress address() {
+        return intake.address();
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** What is open now: zero once all that the node took has ended. */
+    public int openCount() {
+        return decisions.openCount();
+    }
+
     private void apply(HostList list, ListKind kind) {
         group.apply(list);
         peers.groupChanged();
@@ -158,22 +164,36 @@
 
     /**
      * Stops the node: serves on while clients hold connections, then closes each one with its answer. Guards the
-     * clients that it has: for as long as their front takes the node for alive, they find no other one. Returns when
-     * nothing is open, and in any case before the node would be killed.
+     * clients that it has: for as long as their front takes the node for alive, they find no other one. May be called
+     * from any thread; a second call does nothing.
+     *
+     * @param stopped run when nothing is open, and in any case before the node would be killed
      */
-    public void stop() throws InterruptedException {
+    public void stop(Runnable stopped) {
         Duration longest = config.site().module().classes().stream().map(RequestClass::deadlineMs).map(Clock::span)
                 .max(Duration::compareTo).filter(d -> d.compareTo(LONGEST_DEADLINE) < 0).orElse(LONGEST_DEADLINE);
         Duration all = longest.plus(STOPS_WITHIN);
         loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
             stopping = true;
+            whenStopped = stopped;
             log.info(config.name() + " was told to stop");
             Instant atMost = clock.now().plus(all).minus(WINDING_DOWN);
             loop.schedule(STILL_ACCEPTING, () -> awaitNoClients(atMost));
             loop.schedule(all.minus(LAST_ANSWERS), decisions::rejectAll);
+            loop.schedule(all, () -> finish(" stopped with connections open; "));
         });
-        boolean idle = stopped.await(all.toMillis(), TimeUnit.MILLISECONDS);
-        log.info(config.name() + (idle ? " stopped; " : " stopped with connections open; ") + counters.line());
+    }
+
+    private void finish(String how) {
+        if (whenStopped != null) {
+            log.info(config.name() + how + counters.line());
+            Runnable told = whenStopped;
+            whenStopped = null;
+            told.run();
+        }
     }
 
     private void awaitNoClients(Instant atMost) {
@@ -195,7 +215,7 @@
 
     private void awaitQuiet() {
         if (decisions.openCount() == 0 && intake.connectionCount() == 0) {
-            stopped.countDown();
+            finish(" stopped; ");
         } else {
             loop.schedule(LOOK_AGAIN, this::awaitQuiet);
         }
--- a/src/main/java/rowanplank/node/WarmUp.java
+++ b/src/main/java/rowanplank/node/WarmUp.java
@@ -6,22 +6,22 @@
 import java.util.List;
 import java.util.Queue;
 import org.eclipse.jetty.http.HttpFields;
-import rowanplank.Balancer;
-import rowanplank.BalancerApi.Actions;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.Balancer;
+import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.SiteSettings;
-import rowanplank.net.Messages;
-import rowanplank.net.ResponseReader;
+import rowanplank.http.Messages;
+import rowanplank.http.ResponseReader;
 
 /**
  * Runs the code that each request needs until it is compiled, on a module and messages of its own. Guards against a
  * node that is taken in cold: on its one core its first requests would wait for the compiler.
  */
-final class WarmUp implements Actions {
+public final class WarmUp implements Actions {
     private static final int REQUESTS = 2000;
     private static final int SERVERS = 10;
     private static final double STEP_MS = 10;
@@ -30,7 +30,7 @@
 
     private final Queue<Sent> sent = new ArrayDeque<>();
 
-    static void run(SiteSettings site) {
+    public static void run(SiteSettings site) {
         new WarmUp().requests(site);
         byte[] body = new byte[512];
         ResponseReader reader = new ResponseReader(Messages.MOST_BODY_BYTES);
--- a/src/main/java/rowanplank/peer/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -1,4 +1,4 @@
-package rowanplank.peer;
+package rowanplank.peer.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,16 +8,17 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
-import rowanplank.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.config.Addresses;
 import rowanplank.config.HostList.Member;
 import rowanplank.exchange.Answer;
+import rowanplank.exchange.Header;
 import rowanplank.exchange.RequestContext;
-import rowanplank.net.EventLoop;
-import rowanplank.net.Headers;
+import rowanplank.http.Headers;
+import rowanplank.http.Messages;
+import rowanplank.http.ResponseReader;
+import rowanplank.net.Loop;
 import rowanplank.net.LoopConnection;
-import rowanplank.net.Messages;
-import rowanplank.net.ResponseReader;
 
 /** One connection to a peer: carries one try at a time, and tells its outcome from what comes back. */
 final class PeerConnection extends LoopConnection {
@@ -32,7 +33,7 @@
     private boolean answered;
     private Instant idleSince;
 
-    PeerConnection(EndPoint endPoint, EventLoop loop, Peers peers, Member peer,
+    PeerConnection(EndPoint endPoint, Loop loop, Peers peers, Member peer,
             Consumer<PeerConnection> opened) {
         super(endPoint, loop);
         this.peers = peers;
@@ -53,7 +54,7 @@
         reader.reset();
         RequestContext context = next.attempt.exchange().context();
         RequestContext.Payload payload = context.payload();
-        HttpFields.Mutable fields = Headers.fields(payload.headers());
+        HttpFields.Mutable fields = Headers.fields(payload.headers(), Header::name, Header::value);
         if (!fields.contains(HttpHeader.HOST)) {
             fields.put(HttpHeader.HOST, Addresses.format(peer.address()));
         }
@@ -109,7 +110,7 @@
                 boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
                 Outcome outcome = outcome();
                 finish(outcome, outcome == Outcome.OK
-                        ? new Answer.Served(Headers.endToEnd(reader.fields()), reader.body()) : null, reusable);
+                        ? new Answer.Served(Headers.endToEnd(reader.fields(), Header::new), reader.body()) : null, reusable);
             }
         }
     }
--- a/src/main/java/rowanplank/peer/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -1,24 +1,25 @@
-package rowanplank.peer;
+package rowanplank.peer.http;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
-import rowanplank.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.config.HostList.Member;
 import rowanplank.discovery.UpstreamGroup;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.TrySender;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
+import rowanplank.net.Loop;
 
 /**
  * The connections to peers and the tries that are out on them. A try waits for no other: it takes an idle connection
@@ -33,24 +34,30 @@
 
     private final UpstreamGroup group;
     private final Duration connIdle;
+    private final Duration connectTimeout;
     private final int mostConnections;
-    private final EventLoop loop;
+    private final Loop loop;
     private final Clock clock;
     private final Counters counters;
-    private final Map<Exchange.Try, Sending> out = new HashMap<>();
+    /** In the order of their sending: what is done to all of them is the same in every process. */
+    private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
     /** By peer, not by address: a new peer may come up at the address of one that has gone. */
     private final Map<Long, Deque<PeerConnection>> idle = new HashMap<>();
     private int connections;
     private long held;
 
-    /** @param connIdle when peers close an idle connection at the latest */
-    public Peers(UpstreamGroup group, Duration connIdle, int mostConnections, EventLoop loop, Clock clock,
+    /**
+     * @param connIdle when peers close an idle connection at the latest
+     * @param connectTimeout how long a connection may take to open
+     */
+    public Peers(UpstreamGroup group, Duration connIdle, Duration connectTimeout, int mostConnections, Loop loop,
             Counters counters) {
         this.group = group;
         this.connIdle = connIdle.dividedBy(IDLE_PART);
+        this.connectTimeout = connectTimeout;
         this.mostConnections = mostConnections;
         this.loop = loop;
-        this.clock = clock;
+        clock = loop.clock();
         this.counters = counters;
     }
 
@@ -58,8 +65,8 @@
     final class Sending {
         final Exchange.Try attempt;
         private final Member member;
-        private EventLoop.Timer timer;
-        private EventLoop.Opening opening;
+        private Loop.Timer timer;
+        private Loop.Opening opening;
         private PeerConnection connection;
 
         Sending(Exchange.Try attempt, Member member) {
@@ -91,7 +98,7 @@
         private void open() {
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
-            opening = loop.connect(member.address(), new EventLoop.Connector() {
+            opening = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
                 @Override
                 public Connection connected(EndPoint endPoint) {
                     opening = null;
--- a/src/main/java/rowanplank/simhost/EventReader.java
+++ b/src/main/java/rowanplank/simhost/EventReader.java
@@ -5,11 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.Server;
 
 /** A cursor over the event records of one batch. */
 final class EventReader {
--- a/src/main/java/rowanplank/simhost/ReplyWriter.java
+++ b/src/main/java/rowanplank/simhost/ReplyWriter.java
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import rowanplank.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Actions;
 
 /** Writes actions as records of one reply. */
 final class ReplyWriter implements Actions {
--- a/src/main/java/rowanplank/simhost/Simhost.java
+++ b/src/main/java/rowanplank/simhost/Simhost.java
@@ -8,10 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rowanplank.Balancer;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Server;
-import rowanplank.BalancerApi.Settings;
+import rowanplank.balancer.Balancer;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.ConfigException;
 import rowanplank.config.SettingsReader;
 
@@ -23,12 +23,14 @@
     private final Map<Integer, List<Server>> lists = new HashMap<>();
     private final ReplyWriter reply = new ReplyWriter();
 
-    public static void main(String[] args) throws IOException {
+    /** @return the exit status: 2 for input that is not what the wire allows */
+    public static int run() throws IOException {
         try {
             new Simhost().run(System.in, System.out);
+            return 0;
         } catch (MalformedFrameException e) {
             System.err.println("rowanplank simhost: " + e.getMessage());
-            System.exit(2);
+            return 2;
         }
     }
 
--- a/src/test/java/rowanplank/BalancerTest.java
+++ b/src/test/java/rowanplank/balancer/BalancerTest.java
@@ -1,4 +1,4 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,16 +11,16 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.Group;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.Limits;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.Server;
-import rowanplank.BalancerApi.Settings;
-import rowanplank.BalancerApi.Tenant;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Tenant;
 
 class BalancerTest {
     private static final int CLASS = 0;
--- a/src/test/java/rowanplank/EmbeddingExample.java
+++ b/src/test/java/rowanplank/balancer/EmbeddingExample.java
@@ -1,19 +1,19 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import java.util.ArrayList;
 import java.util.List;
-import rowanplank.BalancerApi.Actions;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.Group;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.Limits;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.RequestClass;
-import rowanplank.BalancerApi.Rules;
-import rowanplank.BalancerApi.Server;
-import rowanplank.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Rules;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 
 /** The example of the README, compiled and run by the tests. */
 final class EmbeddingExample {
--- a/src/test/java/rowanplank/Harness.java
+++ b/src/test/java/rowanplank/balancer/Harness.java
@@ -1,4 +1,4 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,18 +12,18 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import rowanplank.BalancerApi.Actions;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.Group;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.Limits;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Request;
-import rowanplank.BalancerApi.RequestClass;
-import rowanplank.BalancerApi.Rules;
-import rowanplank.BalancerApi.Server;
-import rowanplank.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Rules;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 
 /** Drives one balancer by hand and checks the four rules after every action. */
 final class Harness implements Actions {
--- a/src/test/java/rowanplank/NetworkTest.java
+++ b/src/test/java/rowanplank/balancer/NetworkTest.java
@@ -1,4 +1,4 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import rowanplank.Balancer.Network;
-import rowanplank.NodeState.Neuron;
+import rowanplank.balancer.Balancer.Network;
+import rowanplank.balancer.NodeState.Neuron;
 
 class NetworkTest {
     /** The fixed point of q = (1/4 + q/2) / (1 + q/2), which equal weights give. */
--- a/src/test/java/rowanplank/RandomRunTest.java
+++ b/src/test/java/rowanplank/balancer/RandomRunTest.java
@@ -1,4 +1,4 @@
-package rowanplank;
+package rowanplank.balancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,15 +8,15 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import rowanplank.BalancerApi.Effect;
-import rowanplank.BalancerApi.Group;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.Limits;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.RequestClass;
-import rowanplank.BalancerApi.Server;
-import rowanplank.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 
 /** Legal events in random order; {@link Harness} checks the rules after every action. */
 class RandomRunTest {
--- a/src/test/java/rowanplank/config/HostListTest.java
+++ b/src/test/java/rowanplank/config/HostListTest.java
@@ -8,7 +8,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import rowanplank.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.config.HostList.Member;
 
 class HostListTest {
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -15,20 +15,21 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.SettingsReader;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.TrySender;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
+import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
-import rowanplank.net.Counters;
-import rowanplank.net.Counters.Count;
-import rowanplank.net.EventLoop;
-import rowanplank.net.RateLimitedLog;
+import rowanplank.net.SelectorLoop;
+import rowanplank.net.SystemClock;
 
 @Timeout(60)
 class DecisionsTest implements TrySender {
@@ -36,15 +37,15 @@
             {"classes": [{"name": "a", "aim_ms": 50, "deadline_ms": 200, "effect": "repeatable"}],
              "ceilings": {"most_tries": 6, "may_cancel": true, "retry_after": true, "max_retry_after_ms": 10}}""";
 
-    private final Clock clock = new Clock();
+    private final Clock clock = new SystemClock();
     private final Counters counters = new Counters();
     private final BlockingQueue<Answer> answers = new LinkedBlockingQueue<>();
     private final List<Long> tried = new ArrayList<>();
     private boolean stays;
-    private final RateLimitedLog log = new RateLimitedLog(clock);
-    private final EventLoop loop = new EventLoop(Duration.ofSeconds(1), clock, log);
+    private final RateLimitedLog log = new RateLimitedLog(clock, RateLimitedLog.Sink.system());
+    private final SelectorLoop loop = new SelectorLoop(clock, e -> log.warn("unexpected", e));
     private final Decisions decisions =
-            new Decisions(SettingsReader.parse(SETTINGS), 1, loop, clock, counters, log);
+            new Decisions(SettingsReader.parse(SETTINGS), 1, loop, counters, log);
 
     @BeforeEach
     void start() throws Exception {
--- a/src/test/java/rowanplank/exchange/ExchangeTest.java
+++ b/src/test/java/rowanplank/exchange/ExchangeTest.java
@@ -11,7 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import rowanplank.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Outcome;
 
 class ExchangeTest implements Exchange.Listener {
     private static final Instant NOW = Instant.EPOCH;
--- a/src/test/java/rowanplank/intake/RequestReaderTest.java
+++ b/src/test/java/rowanplank/http/RequestReaderTest.java
@@ -1,4 +1,4 @@
-package rowanplank.intake;
+package rowanplank.http;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -17,7 +17,6 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.eclipse.jetty.http.HttpFields;
-import rowanplank.net.Messages;
 
 class RequestReaderTest {
     private static final String CHUNKED = "POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f\r\n"
@@ -139,11 +138,11 @@
     @Example
     void timeoutsAreReadInTheirUnits() {
         Duration otherwise = Duration.ofSeconds(9);
-        assertEquals(Duration.ofMillis(480), ClientConnection.timeout("480m", otherwise));
-        assertEquals(Duration.ofNanos(1_500), ClientConnection.timeout("1.5u", otherwise));
-        assertEquals(otherwise, ClientConnection.timeout(null, otherwise));
+        assertEquals(Duration.ofMillis(480), Headers.timeout("480m", otherwise));
+        assertEquals(Duration.ofNanos(1_500), Headers.timeout("1.5u", otherwise));
+        assertEquals(otherwise, Headers.timeout(null, otherwise));
         for (String bad : List.of("", "480", "m", "-1m", "1e3m", "480s", "9999999999m")) {
-            assertNull(ClientConnection.timeout(bad, otherwise), bad);
+            assertNull(Headers.timeout(bad, otherwise), bad);
         }
     }
 }
--- a/src/test/java/rowanplank/net/ResponseReaderTest.java
+++ b/src/test/java/rowanplank/http/ResponseReaderTest.java
@@ -1,4 +1,4 @@
-package rowanplank.net;
+package rowanplank.http;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -15,7 +15,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.eclipse.jetty.http.HttpFields;
-import rowanplank.net.ResponseReader.Progress;
+import rowanplank.exchange.Header;
+import rowanplank.http.ResponseReader.Progress;
 
 class ResponseReaderTest {
     private static final String SIZED = "HTTP/1.1 200 OK\r\nX-Server-Load: {\"queue\":1}\r\nContent-Length: 5\r\n\r\nab\r\nc";
@@ -80,6 +81,6 @@
     void headersOfOneHopAreNotPassedOn() {
         HttpFields fields = HttpFields.build().add("Connection", "close, X-Hop").add("X-Hop", "1")
                 .add("X-Server-Load", "{}").add("Content-Type", "text/html").asImmutable();
-        assertEquals("[Header[name=Content-Type, value=text/html]]", Headers.endToEnd(fields).toString());
+        assertEquals("[Header[name=Content-Type, value=text/html]]", Headers.endToEnd(fields, Header::new).toString());
     }
 }
--- a/src/test/java/rowanplank/simhost/SimhostTest.java
+++ b/src/test/java/rowanplank/simhost/SimhostTest.java
@@ -11,10 +11,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import org.junit.jupiter.api.Test;
-import rowanplank.BalancerApi.Lifecycle;
-import rowanplank.BalancerApi.ListKind;
-import rowanplank.BalancerApi.Outcome;
-import rowanplank.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Server;
 
 class SimhostTest {
     private static final String CLOCK = "00000000206ec040";
