--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -12,10 +12,12 @@
 import java.util.Set;
 import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Events;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
@@ -36,6 +38,11 @@
     /** When a client of a node that stops may ask another one: as soon as its front has seen it go. */
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(100);
 
+    /** Makes a decision module: another one can stand in for {@link Balancer}, to be measured against it. */
+    public interface Module {
+        Events create(Settings settings, long seed, Actions actions);
+    }
+
     /** A request that the module knows of. */
     private static final class Entry {
         final Exchange exchange;
@@ -54,7 +61,7 @@
     private final Clock clock;
     private final Counters counters;
     private final RateLimitedLog log;
-    private final Balancer balancer;
+    private final Events balancer;
     private final Map<Long, Entry> entries = new HashMap<>();
     /** The clients' names of the entries' requests. */
     private final Set<String> ids = new HashSet<>();
@@ -64,12 +71,16 @@
     private long requests;
 
     public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log) {
+        this(site, seed, loop, counters, log, Balancer::new);
+    }
+
+    public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log, Module module) {
         this.site = site;
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
         this.log = log;
-        balancer = new Balancer(site.module(), seed, new ModuleActions());
+        balancer = module.create(site.module(), seed, new ModuleActions());
     }
 
     /** To be called once, before the first request. */
--- /dev/null
+++ b/src/main/java/rowanplank/lab/run/NodeFactory.java
@@ -0,0 +1,13 @@
+package rowanplank.lab.run;
+
+import rowanplank.config.NodeConfig;
+import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.Loop;
+import rowanplank.node.Node;
+
+/** Makes the nodes of a day. Another one than the usual puts another module in, or something round the loop. */
+public interface NodeFactory {
+    NodeFactory USUAL = Node::new;
+
+    Node create(NodeConfig config, Loop loop, RateLimitedLog log);
+}
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Supplier;
+import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.config.Addresses;
@@ -58,12 +59,16 @@
     private Runnable whenStopped;
 
     public Node(NodeConfig config, Loop loop, RateLimitedLog log) {
+        this(config, loop, log, Balancer::new);
+    }
+
+    public Node(NodeConfig config, Loop loop, RateLimitedLog log, Decisions.Module module) {
         this.config = config;
         this.loop = loop;
         this.log = log;
         clock = loop.clock();
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
-        decisions = new Decisions(config.site(), config.seed(), loop, counters, log);
+        decisions = new Decisions(config.site(), config.seed(), loop, counters, log, module);
         peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
         decisions.sendThrough(peers);
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
