--- a/src/main/java/rowanplank/lab/day/Day.java
+++ b/src/main/java/rowanplank/lab/day/Day.java
@@ -65,11 +65,14 @@
     /**
      * The page servers; their halls follow each other in turn, their kinds as the shares say.
      *
+     * @param tryNoise how much work differs from one try of a request to the next: the standard deviation of a factor
+     *        of mean 1
+     * @param bodyBytes how long the bodies of answers are
      * @param warmBy {@code work} done since the start, or {@code time}
      * @param restartAfter a server whose process was killed comes back after this
      */
     public record Servers(int count, List<Kind> kinds, Report report, Connections connections, Duration probeWork,
-            String warmBy, Duration restartAfter) {
+            double tryNoise, int bodyBytes, String warmBy, Duration restartAfter) {
         public Servers {
             kinds = List.copyOf(kinds);
         }
@@ -81,14 +84,15 @@
      * @param slotsPerCore requests in work at most; beyond them {@code queuePerCore} wait, and the rest is turned away
      * @param crowdedFrom requests held a core beyond which less is done
      * @param crowdedLoss how much is lost: throughput falls by this share for each request a core above
+     * @param crowdedFloor the share of its throughput that is left however many it holds
      * @param coldFrom the share of its capacity that it has when it starts
      * @param pauseEvery mean time between pauses, which last {@code pause} on average; zero for none
      * @param errors share of requests answered 500
      * @param dropsExpired whether work whose time is up is not begun
      */
     public record Kind(String name, double share, int cores, double speed, double speedSpread, double slotsPerCore,
-            double queuePerCore, double crowdedFrom, double crowdedLoss, double coldFrom, Duration cold,
-            Duration pauseEvery, Duration pause, double errors, boolean dropsExpired) { }
+            double queuePerCore, double crowdedFrom, double crowdedLoss, double crowdedFloor, double coldFrom,
+            Duration cold, Duration pauseEvery, Duration pause, double errors, boolean dropsExpired) { }
 
     /** Load reports in answers: how often refreshed, how late and how noisy; none where the period is zero. */
     public record Report(Duration period, Duration delay, double noise) { }
