Add page servers, roster and discovery agents over Loop, with the model of a server's work

The node has to be tried beside servers that crowd, start cold, fall over, stand still and spoil answers, and beside discovery that is late, down or wrong.

--- a/src/main/java/rowanplank/lab/net/Stamped.java
+++ b/src/main/java/rowanplank/lab/net/Stamped.java
@@ -1,16 +1,22 @@
 package rowanplank.lab.net;
 
 /**
- * An end point that knows when the other side did what is seen here now. Rules count from what a node did, not from
- * when the network brought it. All times are nanoseconds since {@link rowanplank.lab.world.World#BEGINNING}.
+ * An end point that knows when what it hands out was sent, in nanoseconds since the beginning of the world: what a
+ * checker needs and a socket does not tell.
  */
 public interface Stamped {
-    /** When the other side wrote the first byte that the last fill handed out. */
+    /** No such thing has happened. */
+    long NEVER = -1;
+
+    /** When the other side wrote the first byte that the last fill handed out; {@link #NEVER} before that. */
     long firstByteSentAt();
 
-    /** When the other side wrote the last byte that the last fill handed out. */
+    /** When the other side wrote the last byte that the last fill handed out; {@link #NEVER} before that. */
     long lastByteSentAt();
 
-    /** When the other side closed, ended its sending or was reset; of use once this side has seen that end. */
+    /**
+     * When the other side ended its sending, closed, or died, if word of it has come; else {@link #NEVER}. Word may
+     * come before all bytes have been read.
+     */
     long endSentAt();
 }
--- /dev/null
+++ b/src/main/java/rowanplank/lab/site/Try.java
@@ -0,0 +1,37 @@
+package rowanplank.lab.site;
+
+import rowanplank.lab.site.Fates.Fate;
+
+/** A node's try, as the page server sees it that it came to. */
+final class Try extends ServerModel.Job {
+    private final PageServer server;
+    final ServerConnection connection;
+    final long request;
+    final Fate fate;
+    /** Whether it was told of that it will never be answered. */
+    boolean lost;
+    long begunAt;
+
+    Try(PageServer server, ServerConnection connection, long request, long work, Fate fate) {
+        super(work);
+        this.server = server;
+        this.connection = connection;
+        this.request = request;
+        this.fate = fate;
+    }
+
+    @Override
+    protected void begun() {
+        server.runs(this);
+    }
+
+    @Override
+    protected void done() {
+        server.finished(this, true);
+    }
+
+    @Override
+    protected void expired() {
+        server.finished(this, false);
+    }
+}
