--- a/src/main/java/rowanplank/lab/site/DiscoveryAgent.java
+++ b/src/main/java/rowanplank/lab/site/DiscoveryAgent.java
@@ -195,6 +195,7 @@
     private void learn() {
         cancel(nextNews);
         if (down) {
+            awaitCount();
             return;
         }
         long now = teller.now();
--- a/src/main/java/rowanplank/lab/site/LoadReports.java
+++ b/src/main/java/rowanplank/lab/site/LoadReports.java
@@ -65,6 +65,7 @@
 
     /** So much later than usual they come. */
     void late(Duration time) {
+        catchUp(); // what would have been carried by now still is
         more = time;
     }
 
@@ -80,13 +81,18 @@
 
     /** @return null if there is none yet */
     String current() {
+        catchUp();
+        return broken > 0 && shown != null && random.nextDouble() < broken ? brokenOne() : shown;
+    }
+
+    private void catchUp() {
         long newest = teller.now() - figures.delay().plus(more).toNanos();
         while (!late.isEmpty() && late.peek().at <= newest) {
             shown = late.poll().text;
         }
-        return broken > 0 && shown != null && random.nextDouble() < broken ? brokenOne() : shown;
     }
 
+    /** One that can't be read. */
     String brokenOne() {
         return BROKEN[random.nextInt(BROKEN.length)];
     }
