--- /dev/null
+++ b/src/main/java/rowanplank/lab/client/Clients.java
@@ -0,0 +1,85 @@
+package rowanplank.lab.client;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.List;
+import rowanplank.net.Loop;
+
+/**
+ * Brings arrivals to their halls' fronts at their time, whatever has become of the earlier ones (open loop). One timer
+ * is out at a time. A loop that is late catches up, {@value #MOST_A_TURN} arrivals before it looks at its sockets
+ * again.
+ */
+public final class Clients {
+    private static final int MOST_A_TURN = 64;
+
+    private final Loop loop;
+    private final Witness witness;
+    private final Iterator<Arrival> arrivals;
+    private final List<Front> fronts;
+    private Arrival next;
+    private boolean begun;
+    private int onTheWay;
+
+    /** @param fronts one a hall, in the halls' order; each may be on a loop of its own, of the same thread */
+    public Clients(Loop loop, Witness witness, Iterator<Arrival> arrivals, List<Front> fronts) {
+        this.loop = loop;
+        this.witness = witness;
+        this.arrivals = arrivals;
+        this.fronts = List.copyOf(fronts);
+    }
+
+    public void start() {
+        begun = true;
+        fronts.forEach(f -> on(f, f::start));
+        draw();
+        await();
+    }
+
+    private void draw() {
+        next = arrivals.hasNext() ? arrivals.next() : null;
+    }
+
+    private void await() {
+        if (next != null) {
+            loop.schedule(Duration.ofNanos(Math.max(0, next.at() - witness.now())), this::bringDue);
+        }
+    }
+
+    private void bringDue() {
+        long now = witness.now();
+        for (int i = 0; i < MOST_A_TURN && next != null && next.at() <= now; i++) {
+            Arrival arrival = next;
+            Front front = fronts.get(arrival.hall());
+            on(front, () -> front.ask(arrival));
+            draw();
+        }
+        await();
+    }
+
+    private void on(Front front, Runnable task) {
+        if (front.loop == loop) {
+            task.run();
+            return;
+        }
+        onTheWay++;
+        front.loop.execute(() -> {
+            onTheWay--;
+            task.run();
+        });
+    }
+
+    /** Whether nobody comes any more and nothing is open. */
+    public boolean atRest() {
+        return begun && next == null && onTheWay == 0 && open() == 0;
+    }
+
+    /** Requests that have not come to their end, over all fronts. */
+    public int open() {
+        return fronts.stream().mapToInt(Front::open).sum();
+    }
+
+    public void close() {
+        fronts.forEach(f -> on(f, f::close));
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -0,0 +1,269 @@
+package rowanplank.lab.client;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import rowanplank.lab.day.Day;
+import rowanplank.lab.day.Day.RequestClass;
+import rowanplank.lab.site.Bodies;
+import rowanplank.lab.site.Works;
+import rowanplank.lab.trace.Event;
+import rowanplank.lab.trace.Event.Kind;
+import rowanplank.net.Loop;
+
+/**
+ * A hall's clients and what stands between them and the nodes. Each request ends in exactly one of ANSWERED,
+ * CUT_SHORT, GAVE_UP and NOT_CONNECTED; it has all of its time from its arrival, waiting for a connection included.
+ *
+ * <p>Choice: nodes that can take a request stand in a ring; each request goes to the first, which then goes to the
+ * end. A node can take one if it is in use ({@link NodePool}) and has a connection at rest, the newest of which is
+ * used, or room for another. Where none can, requests wait in the order of their coming; a client whose time is up
+ * leaves. On a connection there is one request at a time.
+ *
+ * <p>A connection that ends before any byte of an answer, and that has carried a request before, may have been closed
+ * before the node read this one: then it is sent once more, on a new connection (SENT_ANEW). The simulated network
+ * knows whether the node read it; on real sockets the client takes it that it did not, as RFC 9112 (9.3.1) allows. Any
+ * other end without a whole answer is CUT_SHORT, that of a new connection included.
+ *
+ * <p>A client that heeds asks again after the {@code Retry-After} of a 429 or 503, if that is before it stops waiting:
+ * with a new number, one {@link Asking#RETRY_STEP} above the last, in what is left of its time.
+ *
+ * <p>Costs: a request takes O(log n) for its timer, else O(1), whatever the number of nodes, connections and waiting
+ * requests. Bounds: {@code connections} a node, {@value #MOST_WAITING} requests waiting.
+ */
+public final class Front {
+    private static final int MOST_WAITING = 1 << 16;
+    private static final int REFUSED = 503;
+    private static final int TOO_MANY = 429;
+
+    final Loop loop;
+    private final Witness witness;
+    private final Day.Clients clients;
+    private final List<RequestClass> classes;
+    private final Works works;
+    private final Lives lives;
+    private final UniformRandomProvider notices;
+    private final List<NodePool> pools = new ArrayList<>();
+    private final Deque<NodePool> ring = new ArrayDeque<>();
+    private final Deque<Asking> waiting = new ArrayDeque<>();
+    private boolean handingOut;
+    private int open;
+
+    /**
+     * @param nodes those that this front may use ({@link Target#of})
+     * @param lives shared by all fronts
+     * @param notices the chance of how late a dead node is noticed
+     */
+    public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
+            Works works, Lives lives, UniformRandomProvider notices) {
+        this.loop = loop;
+        this.witness = witness;
+        this.clients = clients;
+        this.classes = List.copyOf(classes);
+        this.works = works;
+        this.lives = lives;
+        this.notices = notices;
+        nodes.forEach(n -> pools.add(new NodePool(this, n, clients.connections())));
+    }
+
+    /** Begins to look for nodes that are ready. */
+    public void start() {
+        pools.forEach(NodePool::check);
+    }
+
+    /** A client wants something now. */
+    public void ask(Arrival arrival) {
+        Asking asking = new Asking(arrival, arrival.number(), arrival.at() + arrival.patience().toNanos());
+        // In real time the loop may come to it late; what counts is when the client wanted it.
+        witness.trace().tell(arrival.at(), Kind.ARRIVED, Event.NONE, Event.NONE, asking.number, asking.stopsAt,
+                classes.get(arrival.requestClass()).name());
+        open++;
+        begin(asking);
+    }
+
+    /** Requests that have not come to their end, those that are to be asked again included. */
+    public int open() {
+        return open;
+    }
+
+    /** Closes what is at rest, and looks after nodes no more; what is open comes to its end. */
+    public void close() {
+        pools.forEach(NodePool::close);
+    }
+
+    private void begin(Asking asking) {
+        request(asking).enter(works, asking.arrival.work());
+        asking.patience = loop.schedule(timeLeft(asking), () -> timeIsUp(asking));
+        if (waiting.size() >= MOST_WAITING) {
+            notConnected(asking, "too many wait");
+            return;
+        }
+        waiting.addLast(asking);
+        handOut();
+    }
+
+    /** Gives waiting requests to nodes; what comes back to it on the way is taken up by the same call. */
+    private void handOut() {
+        if (handingOut) {
+            return;
+        }
+        handingOut = true;
+        try {
+            while (someoneWaits()) {
+                NodePool pool = next();
+                if (pool == null) {
+                    return;
+                }
+                pool.take(waiting.pollFirst());
+                offer(pool);
+            }
+        } finally {
+            handingOut = false;
+        }
+    }
+
+    private boolean someoneWaits() {
+        while (!waiting.isEmpty() && waiting.peekFirst().over) {
+            waiting.pollFirst();
+        }
+        return !waiting.isEmpty();
+    }
+
+    private NodePool next() {
+        for (NodePool pool; (pool = ring.pollFirst()) != null;) {
+            pool.offered = false;
+            if (pool.canTake()) {
+                return pool;
+            }
+        }
+        return null;
+    }
+
+    /** The node may be able to take a request. */
+    void offer(NodePool pool) {
+        if (!pool.offered && pool.canTake()) {
+            pool.offered = true;
+            ring.addLast(pool);
+        }
+        handOut();
+    }
+
+    /** A check found it ready. */
+    void ready(NodePool pool) {
+        if (lives.firstSeen(pool.target.node())) {
+            witness.tell(Kind.NODE_READY, pool.target.node(), Event.NONE, Event.NONE, null);
+        }
+        offer(pool);
+    }
+
+    /** How long the front goes on with a node after the first sign of its death. */
+    Duration notice() {
+        long least = clients.leastNotice().toNanos();
+        long range = clients.mostNotice().toNanos() - least;
+        return Duration.ofNanos(least + (long) (notices.nextDouble() * range));
+    }
+
+    Duration timeLeft(Asking asking) {
+        return Duration.ofNanos(Math.max(0, asking.stopsAt - witness.now()));
+    }
+
+    private PageRequest request(Asking asking) {
+        return PageRequest.of(classes.get(asking.arrival.requestClass()), asking.number);
+    }
+
+    /** The request as it is written now. */
+    String message(Asking asking) {
+        boolean marked = asking.isRetry() && clients.marksRetries();
+        return request(asking).text(PageRequest.timeout(timeLeft(asking)) + (marked ? "X-Retried: 1\r\n" : ""));
+    }
+
+    void asked(Asking asking) {
+        witness.tell(Kind.ASKED, asking.pool.target.node(), asking.number, asking.stopsAt,
+                classes.get(asking.arrival.requestClass()).name());
+    }
+
+    void answered(Asking asking, AnswerReader answer) {
+        int status = answer.status();
+        witness.tell(Kind.ANSWERED, asking.pool.target.node(), asking.number, status,
+                status == 200 ? Bodies.digest(answer.body()) : answer.retryAfter());
+        boolean refused = status == REFUSED || status == TOO_MANY;
+        Duration after = refused && asking.arrival.heeds() ? PageRequest.retryAfter(answer.retryAfter()) : null;
+        end(asking);
+        if (after != null && after.compareTo(timeLeft(asking)) < 0 && asking.canRetry()) {
+            open++;
+            loop.schedule(after, () -> askAgain(asking));
+        }
+    }
+
+    private void askAgain(Asking refused) {
+        Asking asking = refused.again();
+        witness.tell(Kind.ASKED_AGAIN, Event.NONE, asking.number, refused.number, null);
+        begin(asking);
+    }
+
+    void answeredTwice(Asking asking) {
+        witness.tell(Kind.ANSWERED, asking.pool.target.node(), asking.number, 0, null);
+    }
+
+    /**
+     * A request's connection has ended without a whole answer.
+     *
+     * @param fault what is wrong with the part of an answer that has come; null where none has
+     * @return whether the end crossed the request, which is sent anew
+     */
+    boolean lost(Asking asking, FrontConnection connection, String fault) {
+        boolean crossed = connection.mayHaveCrossed() && !asking.sentAnew;
+        if (crossed) {
+            sendAnew(asking);
+        } else if (!asking.written && !connection.answerBegun()) {
+            notConnected(asking, "ended while the request was written");
+        } else {
+            boolean begun = connection.answerBegun();
+            witness.tell(Kind.CUT_SHORT, asking.pool.target.node(), asking.number, begun ? 1 : 0,
+                    begun ? fault : "ended");
+            end(asking);
+        }
+        return crossed;
+    }
+
+    private void sendAnew(Asking asking) {
+        witness.tell(Kind.SENT_ANEW, asking.pool.target.node(), asking.number, Event.NONE, null);
+        asking.sentAnew = true;
+        asking.written = false;
+        asking.connection = null;
+        asking.pool = null;
+        waiting.addFirst(asking);
+    }
+
+    void notConnected(Asking asking, String why) {
+        witness.tell(Kind.NOT_CONNECTED, asking.pool == null ? Event.NONE : asking.pool.target.node(), asking.number,
+                Event.NONE, why);
+        end(asking);
+    }
+
+    private void timeIsUp(Asking asking) {
+        if (asking.pool == null) {
+            notConnected(asking, "none was free");
+            someoneWaits(); // those that have left don't pile up
+        } else if (asking.opening != null) {
+            asking.pool.abandonOpening(asking);
+            notConnected(asking, "not up in time");
+        } else if (!asking.written) {
+            notConnected(asking, "the request was not written in time");
+            asking.connection.abandon();
+        } else {
+            witness.tell(Kind.GAVE_UP, asking.pool.target.node(), asking.number, Event.NONE, null);
+            end(asking);
+            asking.connection.abandon();
+        }
+    }
+
+    private void end(Asking asking) {
+        asking.over = true;
+        asking.patience.cancel();
+        open--;
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/lab/client/NodePool.java
@@ -0,0 +1,168 @@
+package rowanplank.lab.client;
+
+import java.time.Duration;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.net.Loop;
+
+/**
+ * What a front knows of one node: whether it is in use, and the connections to it.
+ *
+ * <p>A node is in use once a check ({@link UpCheck}) has found it ready. A refused connection, one that was not up
+ * when its request's time was over, and one that ended in place of an answer are signs of death: after the first of
+ * them the front goes on for a drawn time, then takes the node out and checks it until it is ready again. (A reset
+ * can't be told from an end: end points read both as an end.) Checks follow each other after
+ * {@link #CHECK_PAUSE}, one at a time.
+ *
+ * <p>Bounds: {@code mostConnections} open or being opened, and one check.
+ */
+final class NodePool {
+    private static final Duration CHECK_PAUSE = Duration.ofMillis(100);
+
+    final Target target;
+    private final Front front;
+    private final int mostConnections;
+    private final ConnectionStack atRest = new ConnectionStack();
+    /** Of clients that ask once: theirs for good. */
+    private final ConnectionStack takenAway = new ConnectionStack();
+    private int connections;
+    private boolean inUse;
+    private Loop.Timer timer;
+    private UpCheck check;
+    /** Whether the front has it among those that can take a request. */
+    boolean offered;
+
+    NodePool(Front front, Target target, int mostConnections) {
+        this.front = front;
+        this.target = target;
+        this.mostConnections = mostConnections;
+    }
+
+    /** Whether a request finds a connection at once, or one can be opened. */
+    boolean canTake() {
+        return inUse && (!atRest.isEmpty() || connections < mostConnections);
+    }
+
+    /** Puts the request on the newest connection at rest, or opens one for it. */
+    void take(Asking asking) {
+        asking.pool = this;
+        if (asking.sentAnew && connections == mostConnections) {
+            atRest.pop().close(); // it goes on a new one in any case
+        }
+        if (atRest.isEmpty() || asking.sentAnew) {
+            open(asking);
+        } else {
+            send(asking, atRest.pop());
+        }
+    }
+
+    private void open(Asking asking) {
+        connections++;
+        asking.opening = front.loop.connect(target.address(), front.timeLeft(asking), new Loop.Connector() {
+            @Override
+            public Connection connected(EndPoint endPoint) {
+                asking.opening = null;
+                asking.connection = new FrontConnection(endPoint, front.loop, NodePool.this, asking);
+                return asking.connection;
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                connections--;
+                asking.opening = null;
+                signOfDeath();
+                front.notConnected(asking, String.valueOf(cause.getMessage()));
+                front.offer(NodePool.this);
+            }
+        });
+    }
+
+    /** Gives up the connection that is being opened for the request. */
+    void abandonOpening(Asking asking) {
+        asking.opening.abandon();
+        asking.opening = null;
+        connections--;
+        signOfDeath();
+        front.offer(this);
+    }
+
+    void send(Asking asking, FrontConnection connection) {
+        asking.connection = connection;
+        connection.send(asking, front.message(asking));
+    }
+
+    void asked(Asking asking) {
+        front.asked(asking);
+    }
+
+    void answered(FrontConnection connection, Asking asking, AnswerReader reader, boolean keep) {
+        front.answered(asking, reader);
+        if (!keep || !inUse || !asking.arrival.keepsConnection()) {
+            connection.close();
+        } else if (asking.arrival.askOnce()) {
+            takenAway.push(connection);
+        } else {
+            atRest.push(connection);
+            front.offer(this);
+        }
+    }
+
+    void answeredTwice(Asking asking) {
+        front.answeredTwice(asking);
+    }
+
+    /** @param lost the request that it carried, null if none */
+    void over(FrontConnection connection, Asking lost, String fault) {
+        connections--;
+        if (connection.stack != null) {
+            connection.stack.remove(connection);
+        }
+        if (lost != null && !front.lost(lost, connection, fault)) {
+            signOfDeath();
+        }
+        front.offer(this);
+    }
+
+    private void signOfDeath() {
+        if (inUse && timer == null) {
+            timer = front.loop.schedule(front.notice(), this::takeOut);
+        }
+    }
+
+    private void takeOut() {
+        timer = null;
+        inUse = false;
+        atRest.closeAll();
+        takenAway.closeAll();
+        check();
+    }
+
+    void check() {
+        timer = null;
+        check = new UpCheck(front.loop, target.address(), this::checked);
+        check.begin();
+    }
+
+    private void checked(boolean ready) {
+        check = null;
+        if (ready) {
+            inUse = true;
+            front.ready(this);
+        } else {
+            timer = front.loop.schedule(CHECK_PAUSE, this::check);
+        }
+    }
+
+    /** Closes what is at rest, and checks no more. */
+    void close() {
+        inUse = false;
+        if (timer != null) {
+            timer.cancel();
+        }
+        if (check != null) {
+            check.abandon();
+        }
+        atRest.closeAll();
+        takenAway.closeAll();
+    }
+}
--- a/src/main/java/rowanplank/lab/day/Day.java
+++ b/src/main/java/rowanplank/lab/day/Day.java
@@ -127,8 +127,12 @@
      * @param heeds the share of clients that ask again after the {@code Retry-After} of a reject
      * @param connections how many connections the clients of a hall may hold to a node
      * @param askOnce the share of clients that keep their connection after one request and never use it again
-     * @param notices how long a front goes on sending to a dead node, at the least and at the most
+     * @param leastNotice how long a front goes on sending to a dead node, at the least
+     * @param mostNotice and at the most
+     * @param keeps the share of clients that leave their connection to the next ones; the others close it with the answer
+     * @param marksRetries whether a client that asks again says so in {@code X-Retried}
      */
     public record Clients(double rate, double burst, Duration burstLength, double skew, double patience, double heeds,
-            int connections, double askOnce, Duration leastNotice, Duration mostNotice) { }
+            int connections, double askOnce, Duration leastNotice, Duration mostNotice, double keeps,
+            boolean marksRetries) { }
 }
--- a/src/main/java/rowanplank/lab/net/SimEndPoint.java
+++ b/src/main/java/rowanplank/lab/net/SimEndPoint.java
@@ -159,4 +159,9 @@
     public long endSentAt() {
         return socket.endSentAt();
     }
+
+    @Override
+    public boolean allRead() {
+        return socket.allRead();
+    }
 }
--- a/src/main/java/rowanplank/lab/net/SimSocket.java
+++ b/src/main/java/rowanplank/lab/net/SimSocket.java
@@ -482,6 +482,10 @@
         return filled;
     }
 
+    boolean allRead() {
+        return other != null && other.read == written;
+    }
+
     long firstByteSentAt() {
         return firstSentAt;
     }
--- a/src/main/java/rowanplank/lab/trace/Event.java
+++ b/src/main/java/rowanplank/lab/trace/Event.java
@@ -61,25 +61,31 @@
          *  where the list names none that ever ran. */
         TOLD,
 
+        /** A client wants something, and has yet to find a connection. value: when it stops waiting; text: the class. */
+        ARRIVED,
         /** A client has written a request's last byte to a connection that the node's machine accepted. value: when
          *  the client stops waiting; text: the class. */
         ASKED,
-        /** The client tries the same once more. request: the new number; value: the old one. */
+        /** The client tries the same once more, as ARRIVED. request: the new number; value: the old one. */
         ASKED_AGAIN,
-        /** A whole answer has come. value: the status; text: for 200 the digest of its body, else the Retry-After. */
+        /** A whole answer has come. value: the status; text: for 200 the digest of its body, else the Retry-After. Once
+         *  more for the same request, with value 0, if the node sends anything behind it. */
         ANSWERED,
-        /** The connection ended without a whole answer. value: 1 if the node had written part of one. */
+        /** The connection ended without a whole answer, or the client can't read it. value: 1 if the node had written
+         *  part of one; text: what the client saw. */
         CUT_SHORT,
         /** The client stopped waiting and closed its connection. */
         GAVE_UP,
-        /** The client found no connection. text: why. */
+        /** The client found no connection on which it could write its request whole. text: why. */
         NOT_CONNECTED,
-        /** The node closed the connection before it had read the request, and the client sent it on a new one. */
+        /** The node (this one) closed the connection before it had read the request, and the client sends it on a new
+         *  one: what it asked there is void, and ASKED follows once more, of whichever node. */
         SENT_ANEW,
 
-        /** A bad client begins. request: its number; text: what it does. */
+        /** A bad client has connected. request: its number; text: what it does. */
         BAD_BEGAN,
-        /** It was told an error (value: the status) or its connection was closed (value: 0). */
+        /** It was told an error (value: the status), its connection was closed (value: 0), or it left with neither
+         *  (value: -1). */
         BAD_ENDED,
         /** It was served as though its request had run. value: the status. */
         BAD_SERVED,
