--- a/src/main/java/rowanplank/lab/trace/Event.java
+++ b/src/main/java/rowanplank/lab/trace/Event.java
@@ -20,9 +20,9 @@
         DAY_BEGAN,
         /** The last arrival is over and all is at rest, or the day was ended since it never came to rest (value 1). */
         DAY_ENDED,
-        /** A fault begins. value: its place in the day's timeline; text: its kind. */
+        /** A fault begins. value: its place in the day's timeline; text: its kind; node or server: where it is at one. */
         FAULT_BEGAN,
-        /** A fault has ended. value: its place in the day's timeline; text: its kind. */
+        /** A fault has ended. The same. */
         FAULT_ENDED,
 
         /** A node's process starts. value: its hall. */
@@ -48,7 +48,8 @@
         /** At the day's end. value: how many are left; text: of what ({@code requests}, {@code connections}, ...). */
         NODE_HELD,
 
-        /** A page server's process starts. value: its hall; text: the name discovery knows it by. */
+        /** A page server's process starts. value: its hall; text: the name discovery knows it by; request: the server
+         *  at whose address it stands, if that is another's. */
         SERVER_STARTED,
         /** It begins to drain. */
         SERVER_DRAINS,
