--- /dev/null
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -0,0 +1,213 @@
+package rowanplank.lab.run;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import net.openhft.hashing.LongHashFunction;
+import rowanplank.lab.day.Day;
+import rowanplank.lab.day.Fault;
+import rowanplank.lab.net.Process;
+import rowanplank.lab.net.SimMachine;
+import rowanplank.lab.net.SimProcess;
+import rowanplank.lab.site.PageServer;
+import rowanplank.lab.site.Roster;
+import rowanplank.lab.site.Roster.Entry;
+import rowanplank.lab.site.Roster.Phase;
+
+/** A place for a page server: the machine that stands there, one after the other, and the lives of its process. */
+final class ServerHost {
+    private static final int CELL = 4;
+    /** A machine that falls silent is noticed so many times as late as a process that ends. */
+    private static final int SILENT_NOTICE = 3;
+
+    private final Stage stage;
+    private final ServerPark park;
+    private final int place;
+    private final int hall;
+    private final Day.Kind kind;
+    /** The faults in force here. */
+    private final Map<Fault.Kind, Double> faults = new EnumMap<>(Fault.Kind.class);
+    private SimMachine machine;
+    private String name;
+    private double speed;
+    private SimProcess process;
+    private PageServer server;
+    private Entry entry;
+    private boolean draining;
+
+    ServerHost(Stage stage, ServerPark park, int place, Day.Kind kind) {
+        this.stage = stage;
+        this.park = park;
+        this.place = place;
+        this.kind = kind;
+        hall = stage.map().hall(place);
+    }
+
+    private static String name(long seed, int machine) {
+        return "s-" + String.format("%08x", (int) LongHashFunction.xx(seed).hashInt(machine));
+    }
+
+    /** Sets up a new machine. @param address where it stands; null for an address of its own */
+    private void setUp(InetAddress address) {
+        int number = park.nextMachine();
+        name = name(stage.day().seed(), number);
+        speed = park.speed(kind, number);
+        machine = stage.network().machine(name, hall, SiteMap.server(number));
+        if (address != null) {
+            machine.takeOver(address);
+        }
+        entry = new Entry(name, SiteMap.served(address != null ? address : machine.address()),
+                stage.day().halls().get(hall), kind.name(), place / CELL, Phase.GONE, kind.cores(), 0, -1);
+    }
+
+    /** The one that has been there for long. */
+    void begin() {
+        setUp(null);
+        boot(false);
+        park.roster().known(entry);
+    }
+
+    private void boot(boolean cold) {
+        draining = false;
+        int number = park.nextLife();
+        SimProcess booted = machine.boot(Process.unbounded(name), NodeHost::rethrow);
+        process = booted;
+        PageServer.Setup setup = new PageServer.Setup(number, name, hall, kind, speed, cold, stage.day().servers(),
+                stage.day().rules(), stage.day().nodes().probes());
+        server = new PageServer(setup, park.works(), park::nodeAt, booted, stage.world().random("server " + number),
+                stage.trace(), () -> fell(booted));
+        try {
+            server.start(entry.address());
+        } catch (IOException e) {
+            NodeHost.rethrow(e);
+        }
+        faults.forEach(this::apply);
+        entry = new Entry(entry.name(), entry.address(), entry.hall(), entry.kind(), entry.cell(), Phase.READY,
+                entry.size(), cold ? stage.world().now().toEpochMilli() : 0, number);
+    }
+
+    private void list(Phase phase) {
+        entry = entry.with(phase);
+        park.roster().change(stage.world().nanos(), entry);
+    }
+
+    boolean isRunning() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it runs and is not about to end. */
+    boolean isUp() {
+        return isRunning() && !draining;
+    }
+
+    /** The number of its life. */
+    int life() {
+        return entry.server();
+    }
+
+    private void fell(SimProcess which) {
+        stage.world().after(Duration.ZERO, which::exit);
+        list(Phase.GONE);
+    }
+
+    void kill() {
+        process.kill();
+        server.killed();
+        list(Phase.GONE);
+    }
+
+    /** It starts once more, cold, under its name. */
+    void startAgain() {
+        if (!isRunning()) {
+            boot(true);
+            park.roster().change(stage.world().nanos(), entry);
+        }
+    }
+
+    /**
+     * It drains, ends once nothing is left and nodes have had the time to hear of it, and starts again.
+     *
+     * @param until when it starts again at the earliest, nanoseconds since the beginning
+     */
+    void drain(long until) {
+        draining = true;
+        list(Phase.DRAINING);
+        Day.Discovery d = stage.day().discovery();
+        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(stage.day().rules().drainGrace());
+        long earliest = stage.world().nanos() + heard.toNanos();
+        SimProcess draining = process;
+        server.drain(() -> stage.world().at(earliest, () -> drained(draining, until)));
+    }
+
+    private void drained(SimProcess which, long until) {
+        if (which.isAlive()) {
+            server.stop();
+            stage.world().after(Duration.ZERO, which::exit);
+            list(Phase.GONE);
+        }
+        stage.world().at(Math.max(until, stage.world().nanos() + 1), this::startAgain);
+    }
+
+    /** A new machine under a new name takes its place. */
+    void replace(boolean sameAddress) {
+        if (isRunning()) {
+            kill();
+        }
+        setUp(sameAddress ? entry.address().getAddress() : null);
+        boot(true);
+        park.roster().change(stage.world().nanos(), entry);
+    }
+
+    void vanish() {
+        machine.vanish();
+        int silent = life();
+        Duration notices = stage.day().discovery().notices();
+        stage.world().after(notices.multipliedBy(SILENT_NOTICE - 1), () -> {
+            if (machine.isSilent() && life() == silent && isRunning()) {
+                list(Phase.GONE);
+            }
+        });
+    }
+
+    void appear() {
+        machine.appear();
+        if (isRunning() && entry.phase() == Phase.GONE) {
+            list(Phase.READY);
+        }
+    }
+
+    void begin(Fault.Kind fault, double size) {
+        faults.put(fault, size);
+        if (isRunning()) {
+            apply(fault, size);
+        }
+    }
+
+    void end(Fault.Kind fault) {
+        faults.remove(fault);
+        if (isRunning()) {
+            apply(fault, fault == Fault.Kind.SLOW ? 1 : 0);
+        }
+    }
+
+    private void apply(Fault.Kind fault, double size) {
+        switch (fault) {
+            case SLOW -> server.slow(size);
+            case PAUSES -> server.pauses(millis(size));
+            case ERRORS -> server.errors(size);
+            case SPOILT -> server.spoilt(size);
+            case EXTRAS -> server.extras(size);
+            case RESETS -> server.resets(size);
+            case SILENT -> server.silent(size);
+            case REPORTS_LATE -> server.reportsLate(millis(size));
+            case REPORTS_BROKEN -> server.reportsBroken(size);
+            default -> throw new IllegalArgumentException("no fault of a running server: " + fault);
+        }
+    }
+
+    static Duration millis(double count) {
+        return Duration.ofNanos((long) (count * 1e6));
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/lab/run/ServerPark.java
@@ -0,0 +1,95 @@
+package rowanplank.lab.run;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import rowanplank.lab.day.Day;
+import rowanplank.lab.site.Roster;
+import rowanplank.lab.site.Works;
+import rowanplank.lab.trace.Event;
+
+/** All places for page servers, and what they share. */
+final class ServerPark {
+    private final Stage stage;
+    private final Works works;
+    private final Roster roster;
+    private final List<ServerHost> hosts = new ArrayList<>();
+    /** Looked up only. */
+    private final Map<InetAddress, Integer> nodes = new HashMap<>();
+    private int machines;
+    private int lives;
+
+    ServerPark(Stage stage, Works works) {
+        this.stage = stage;
+        this.works = works;
+        roster = new Roster(stage.day().discovery().notices());
+        for (int i = 0; i < stage.day().nodes().count(); i++) {
+            nodes.put(SiteMap.node(i), i);
+        }
+        List<Day.Kind> kinds = kinds(stage.day().servers());
+        for (int i = 0; i < kinds.size(); i++) {
+            hosts.add(new ServerHost(stage, this, i, kinds.get(i)));
+        }
+    }
+
+    /** Each place's kind: the one of which most is lacking so far, beside its share; the first of equals. */
+    private static List<Day.Kind> kinds(Day.Servers servers) {
+        List<Day.Kind> all = servers.kinds();
+        double shares = all.stream().mapToDouble(Day.Kind::share).sum();
+        int[] have = new int[all.size()];
+        List<Day.Kind> kinds = new ArrayList<>();
+        for (int i = 0; i < servers.count(); i++) {
+            int most = 0;
+            double lacking = Double.NEGATIVE_INFINITY;
+            for (int k = 0; k < all.size(); k++) {
+                double lacks = all.get(k).share() / shares * (i + 1) - have[k];
+                if (lacks > lacking) {
+                    lacking = lacks;
+                    most = k;
+                }
+            }
+            have[most]++;
+            kinds.add(all.get(most));
+        }
+        return kinds;
+    }
+
+    void begin() {
+        hosts.forEach(ServerHost::begin);
+    }
+
+    List<ServerHost> hosts() {
+        return hosts;
+    }
+
+    Roster roster() {
+        return roster;
+    }
+
+    Works works() {
+        return works;
+    }
+
+    int nodeAt(InetSocketAddress address) {
+        return nodes.getOrDefault(address.getAddress(), Event.NONE);
+    }
+
+    int nextMachine() {
+        return machines++;
+    }
+
+    int nextLife() {
+        return lives++;
+    }
+
+    /** Log-normal with the kind's speed as its mean: exp(ln m - v / 2 + sqrt(v) z), with v = ln(1 + spread^2). */
+    double speed(Day.Kind kind, int machine) {
+        double variance = StrictMath.log1p(kind.speedSpread() * kind.speedSpread());
+        double z = ZigguratSampler.NormalizedGaussian.of(stage.world().random("speed " + machine)).sample();
+        return kind.speed() * StrictMath.exp(StrictMath.sqrt(variance) * z - variance / 2);
+    }
+}
