--- a/src/main/java/rowanplank/cli/Cli.java
+++ b/src/main/java/rowanplank/cli/Cli.java
@@ -2,22 +2,21 @@
 
 import rowanplank.simhost.Simhost;
 
-/** The program's commands: {@code serve} is one real node, {@code simhost} hosts many on the simulator's wire. */
+/** The program's commands; {@link RootCommand} lists them. */
 public final class Cli {
     private Cli() { }
 
-    /** @return the exit status; where it is 0, threads that the command left behind run on */
+    /**
+     * Runs a command line. {@code serve} and {@code simhost} by themselves go past picocli: its reflection would take
+     * time and memory of each node's start, and of a node's 192 MB, to read one word.
+     *
+     * @return the exit status; where it is 0, threads that the command left behind run on
+     */
     public static int run(String[] args) throws Exception {
-        switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> {
-                return Serve.run(System.getenv());
-            }
-            case "simhost" -> {
-                return Simhost.run();
-            }
-            default -> {
-                return Status.failed(Status.USAGE, "usage: rowanplank serve | simhost");
-            }
-        }
+        return switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> Serve.run(System.getenv());
+            case "simhost" -> Simhost.run();
+            default -> CommandLines.run(args);
+        };
     }
 }
