Keep the node's maps in order of entry, close the longest idle connection first, bound the group

Reason: what the node did to several requests or connections at once went in the order of a hash table: which idle connection made room for a new one, and in which order a node that must stop rejected what was open. And discovery could fill the heap by changes that only add.

Change: maps and sets are linked or sorted ones. Idle connections to peers also stand in one list, the longest idle first, so that making room costs the same however many there are. Fixed sets of names are switches, as Set.of has another order in each process. Jetty's parts that the node uses were read for statics that change and for thread-locals: there are none.

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -71,7 +71,7 @@
     private double listedPart = 1;
     /** Nodes that use a server. */
     private double sharers;
-    private final Map<Long, Target> targets = new HashMap<>();
+    private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final List<Target> ready = new ArrayList<>();
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private final List<Open> held = new ArrayList<>();
--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -6,8 +6,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.InvalidPathException;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import rowanplank.net.FileAccess;
 
 /**
@@ -28,7 +28,7 @@
      * @throws ConfigException with one line that says what is missing or wrong
      */
     public static NodeConfig reread(Map<String, String> environment, FileAccess files) {
-        Map<String, String> left = new HashMap<>(environment);
+        Map<String, String> left = new TreeMap<>(environment);
         left.remove("EDGE_DISCOVERY");
         return read(left, files);
     }
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -4,8 +4,8 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -55,9 +55,10 @@
     private final Counters counters;
     private final RateLimitedLog log;
     private final Balancer balancer;
-    private final Map<Long, Entry> entries = new HashMap<>();
+    /** In the order of their taking: what is done to all of them is the same in every process. */
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
     /** The clients' names of the entries' requests. */
-    private final Set<String> ids = new HashSet<>();
+    private final Set<String> ids = new LinkedHashSet<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean delivering;
     private TrySender sender;
--- a/src/main/java/rowanplank/http/Headers.java
+++ b/src/main/java/rowanplank/http/Headers.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -16,11 +15,6 @@
 
 /** Which headers pass from end to end, and which are a matter of one connection (RFC 9110, 7.6.1). */
 public final class Headers {
-    /** Those of one hop, those that every message is given anew, and those that only the node is told. */
-    private static final Set<String> OF_ONE_HOP = Set.of("connection", "keep-alive", "proxy-connection",
-            "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-            "content-length", "x-timeout", "x-server-load", "x-not-processed");
-
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)([mu])");
 
     private Headers() { }
@@ -30,7 +24,7 @@
         List<String> named = fields.getCSV(HttpHeader.CONNECTION, false);
         List<T> passed = new ArrayList<>(fields.size());
         for (HttpField f : fields) {
-            boolean ofOneHop = OF_ONE_HOP.contains(f.getLowerCaseName())
+            boolean ofOneHop = isOfOneHop(f.getLowerCaseName())
                     || named.stream().anyMatch(n -> n.toLowerCase(Locale.ROOT).equals(f.getLowerCaseName()));
             if (!ofOneHop && f.getValue() != null) {
                 passed.add(header.apply(f.getName(), f.getValue()));
@@ -39,6 +33,16 @@
         return passed;
     }
 
+    /** Those of one hop, those that every message is given anew, and those that only the node is told. */
+    private static boolean isOfOneHop(String name) {
+        return switch (name) {
+            case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+                    "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-timeout", "x-server-load",
+                    "x-not-processed" -> true;
+            default -> false;
+        };
+    }
+
     public static <T> HttpFields.Mutable fields(List<T> headers, Function<T, String> name, Function<T, String> value) {
         HttpFields.Mutable fields = HttpFields.build();
         headers.forEach(h -> fields.add(name.apply(h), value.apply(h)));
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpURI;
@@ -25,7 +24,6 @@
 
 /** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
 final class ClientConnection extends LoopConnection {
-    private static final Set<String> CHANGING = Set.of("POST", "PUT", "PATCH", "DELETE");
     /** A request must come whole within this time of its first byte, and the first one of the connecting. */
     private static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
     private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
@@ -269,7 +267,7 @@
         }
         RequestClass type = intake.site.module().classes().get(index);
         boolean repeatable = type.effect() == Effect.REPEATABLE;
-        if (repeatable ? !reader.method().equals("GET") : !CHANGING.contains(reader.method())) {
+        if (repeatable ? !reader.method().equals("GET") : !changes(reader.method())) {
             String allowed = repeatable ? "GET" : "POST, PUT, PATCH, DELETE";
             respond(405, HttpFields.build().put(HttpHeader.ALLOW, allowed), NOTHING);
             return;
@@ -307,6 +305,13 @@
         exchange = intake.exchanges.open(context, this::answer);
     }
 
+    private static boolean changes(String method) {
+        return switch (method) {
+            case "POST", "PUT", "PATCH", "DELETE" -> true;
+            default -> false;
+        };
+    }
+
     private void answer(Answer answer) {
         if (isOver()) {
             return;
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -13,7 +13,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -46,7 +46,7 @@
     private final Consumer<Throwable> reports;
     private final Selectors selectors;
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
-    private final Map<SelectableChannel, Function<EndPoint, Connection>> listeners = new HashMap<>();
+    private final Map<SelectableChannel, Function<EndPoint, Connection>> listeners = new LinkedHashMap<>();
     private volatile Thread thread;
     private volatile ManagedSelector selector;
     private Function<EndPoint, Connection> accepting;
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.function.Supplier;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.RequestClass;
@@ -152,14 +153,17 @@
     }
 
     private void apply(HostList list, ListKind kind) {
-        group.apply(list);
+        List<HostList.Member> taken = group.apply(list);
+        if (taken.size() < list.members().size()) {
+            log.warn(list.members().size() - taken.size() + " peers beyond the bound were left out");
+        }
         peers.groupChanged();
-        decisions.servers(kind, list.members().stream().map(HostList.Member::server).toList());
+        decisions.servers(kind, taken.stream().map(HostList.Member::server).toList());
     }
 
     private boolean ready() {
         boolean patient = Duration.between(started, clock.now()).compareTo(PATIENCE) < 0;
-        return !stopping && !group.members().isEmpty() && (listed || !patient);
+        return !stopping && !group.isEmpty() && (listed || !patient);
     }
 
     /**
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -3,11 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -42,7 +43,9 @@
     /** In the order of their sending: what is done to all of them is the same in every process. */
     private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
     /** By peer, not by address: a new peer may come up at the address of one that has gone. */
-    private final Map<Long, Deque<PeerConnection>> idle = new HashMap<>();
+    private final Map<Long, Deque<PeerConnection>> idle = new LinkedHashMap<>();
+    /** All of these, the longest idle first. */
+    private final Set<PeerConnection> resting = new LinkedHashSet<>();
     private int connections;
     private long held;
 
@@ -187,9 +190,9 @@
 
     /** The newest one first, so that those not needed grow old and are closed. */
     private PeerConnection takeIdle(Member peer) {
-        Deque<PeerConnection> kept = idle.get(peer.server().id());
-        while (kept != null && !kept.isEmpty()) {
-            PeerConnection c = kept.pop();
+        for (Deque<PeerConnection> kept; (kept = idle.get(peer.server().id())) != null;) {
+            PeerConnection c = kept.peek();
+            restsNoMore(c);
             if (c.idleFor(clock.now()).compareTo(connIdle) < 0 && isCurrent(c.peer()) && c.isUsable()) {
                 return c;
             }
@@ -199,32 +202,15 @@
     }
 
     private boolean closeOneIdle() {
-        for (Deque<PeerConnection> kept : idle.values()) {
-            if (!kept.isEmpty()) {
-                kept.pollLast().close();
-                return true;
-            }
+        if (resting.isEmpty()) {
+            return false;
         }
-        return false;
-    }
-
-    private interface Which {
-        boolean test(PeerConnection connection);
+        resting.iterator().next().close();
+        return true;
     }
 
-    private void closeWhere(Which which) {
-        for (Iterator<Deque<PeerConnection>> i = idle.values().iterator(); i.hasNext();) {
-            Deque<PeerConnection> kept = i.next();
-            for (PeerConnection c : List.copyOf(kept)) {
-                if (which.test(c)) {
-                    kept.remove(c);
-                    c.close();
-                }
-            }
-            if (kept.isEmpty()) {
-                i.remove();
-            }
-        }
+    private void closeWhere(Predicate<PeerConnection> which) {
+        List.copyOf(resting).stream().filter(which).forEach(PeerConnection::close);
     }
 
     /** Keeps a connection for the next try, unless its peer has gone or drains meanwhile. */
@@ -234,14 +220,23 @@
             return;
         }
         connection.idleSince(clock.now());
+        resting.add(connection);
         idle.computeIfAbsent(connection.peer().server().id(), id -> new ArrayDeque<>()).push(connection);
     }
 
-    void over(PeerConnection connection) {
-        connections--;
-        Deque<PeerConnection> kept = idle.get(connection.peer().server().id());
-        if (kept != null) {
+    private void restsNoMore(PeerConnection connection) {
+        if (resting.remove(connection)) {
+            long peer = connection.peer().server().id();
+            Deque<PeerConnection> kept = idle.get(peer);
             kept.remove(connection);
+            if (kept.isEmpty()) {
+                idle.remove(peer);
+            }
         }
     }
+
+    void over(PeerConnection connection) {
+        connections--;
+        restsNoMore(connection);
+    }
 }
--- a/src/main/java/rowanplank/simhost/Simhost.java
+++ b/src/main/java/rowanplank/simhost/Simhost.java
@@ -5,7 +5,7 @@
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import rowanplank.balancer.Balancer;
@@ -19,8 +19,8 @@
 public final class Simhost {
     private static final int HEADER_BYTES = 16;
 
-    private final Map<Integer, Balancer> instances = new HashMap<>();
-    private final Map<Integer, List<Server>> lists = new HashMap<>();
+    private final Map<Integer, Balancer> instances = new LinkedHashMap<>();
+    private final Map<Integer, List<Server>> lists = new LinkedHashMap<>();
     private final ReplyWriter reply = new ReplyWriter();
 
     /** @return the exit status: 2 for input that is not what the wire allows */
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -117,6 +118,29 @@
         assertEquals(100, tried.size(), "there is room for each, as all before it have ended");
     }
 
+    /** Guards runs that are to repeat: what ends all that is open must not do so in the order of a hash. */
+    @Test
+    void whatIsOpenIsRejectedInTheOrderInWhichItWasTaken() throws Exception {
+        BlockingQueue<List<String>> rejected = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            List<String> order = new ArrayList<>();
+            List<Exchange> first = open(0, 10, order); // numbers that have gone by: later ones wrap round in a table
+            first.forEach(Exchange::depart);
+            open(10, 22, order);
+            decisions.rejectAll();
+            rejected.add(order);
+        });
+        assertEquals(IntStream.range(10, 22).mapToObj(i -> "id" + i).toList(), rejected.take());
+    }
+
+    private List<Exchange> open(int from, int to, List<String> answered) {
+        Instant now = clock.now();
+        return IntStream.range(from, to).mapToObj(i -> "id" + i)
+                .map(id -> decisions.open(new RequestContext(id, 0, false, now, now.plusSeconds(20),
+                        new RequestContext.Payload("GET", "/a", List.of(), new byte[0])), a -> answered.add(id)))
+                .toList();
+    }
+
     /** Guards the deadline: the module throws at a class it does not know, and says nothing more of the request. */
     @Test
     void aRequestThatTheModuleLeavesUnansweredIsFailedAtItsDeadline() throws Exception {
