--- a/src/main/java/rowanplank/lab/net/SimEndPoint.java
+++ b/src/main/java/rowanplank/lab/net/SimEndPoint.java
@@ -16,6 +16,7 @@
     private final SimProcess process;
     private final SimSocket socket;
     private final Work ready;
+    private final long created;
     private boolean writeInterested;
     private boolean asked;
 
@@ -23,6 +24,7 @@
         super(process.scheduler());
         this.process = process;
         this.socket = socket;
+        created = process.clock().now().toEpochMilli();
         ready = new Work(process) {
             @Override
             void perform() {
@@ -141,10 +143,22 @@
         return socket;
     }
 
-    /** Idle time-outs are off, and the machine's time is none of this. */
+    /** Guards determinism: Jetty's idle time-outs follow the machine's own clock. */
+    @Override
+    public void setIdleTimeout(long millis) {
+        if (millis > 0) {
+            throw new UnsupportedOperationException("idle time-outs are off in virtual time");
+        }
+    }
+
     @Override
     public void notIdle() { }
 
+    @Override
+    public long getCreatedTimeStamp() {
+        return created;
+    }
+
     @Override
     public long firstByteSentAt() {
         return socket.firstByteSentAt();
@@ -159,4 +173,9 @@
     public long endSentAt() {
         return socket.endSentAt();
     }
+
+    @Override
+    public boolean allRead() {
+        return socket.allRead();
+    }
 }
--- a/src/main/java/rowanplank/lab/net/SimListening.java
+++ b/src/main/java/rowanplank/lab/net/SimListening.java
@@ -14,6 +14,9 @@
  * one more wait than the backlog says and drops what asks for a connection beyond that.
  */
 final class SimListening extends Work implements Loop.Listening {
+    /** What Java makes of a backlog that is none. */
+    private static final int DEFAULT_BACKLOG = 50;
+
     private final InetSocketAddress address;
     private final int backlog;
     private final Function<EndPoint, Connection> onAccept;
@@ -25,7 +28,7 @@
             Function<EndPoint, Connection> onAccept) {
         super(process);
         this.address = address;
-        this.backlog = backlog;
+        this.backlog = backlog < 1 ? DEFAULT_BACKLOG : backlog;
         this.onAccept = onAccept;
     }
 
--- a/src/main/java/rowanplank/lab/net/SimNetwork.java
+++ b/src/main/java/rowanplank/lab/net/SimNetwork.java
@@ -87,9 +87,12 @@
      * Sets up a machine.
      *
      * @param hall its number, or {@link #CLIENTS}
-     * @throws IllegalArgumentException if another machine has the address
+     * @throws IllegalArgumentException if there is no such hall, or another machine has the address
      */
     public SimMachine machine(String name, int hall, InetAddress address) {
+        if (hall < CLIENTS || hall >= places - 1) {
+            throw new IllegalArgumentException(name + " stands in hall " + hall + ", and there is none");
+        }
         SimMachine machine = new SimMachine(this, name, hall);
         machine.addAddress(address);
         return machine;
--- a/src/main/java/rowanplank/lab/net/SimSocket.java
+++ b/src/main/java/rowanplank/lab/net/SimSocket.java
@@ -8,9 +8,9 @@
 import rowanplank.lab.world.World;
 
 /**
- * One side of a connection, as the system keeps it: it outlives the process's end point for as long as something is
- * to be sent. What it sends arrives in order and once; what is lost on the way comes later, and all that follows with
- * it, by a time-out that doubles (RFC 6298, section 5). RST alone is sent once and may be lost.
+ * One side of a connection, as the system keeps it (RFC 9293): it outlives the process's end point for as long as
+ * something is to be sent. What it sends arrives in order and once; what is lost on the way comes later, and all that
+ * follows with it, by a time-out that doubles (RFC 6298, section 5). RST alone is sent once and may be lost.
  *
  * <p>A message costs one entry of the agenda. Word of what has been read travels with what is sent, and by itself
  * once a quarter of the receive buffer has been read since.
@@ -212,7 +212,7 @@
         }
     }
 
-    /** The process closes it. What it has not read, nobody ever will: the other side is told by RST. */
+    /** The process closes it. What it has not read, nobody ever will: RST says so (RFC 2525, section 2.17). */
     void close() {
         release();
         if (gone) {
@@ -482,6 +482,10 @@
         return filled;
     }
 
+    boolean allRead() {
+        return other != null && other.read == written;
+    }
+
     long firstByteSentAt() {
         return firstSentAt;
     }
--- a/src/main/java/rowanplank/lab/net/Stamped.java
+++ b/src/main/java/rowanplank/lab/net/Stamped.java
@@ -19,4 +19,7 @@
      * come before all bytes have been read.
      */
     long endSentAt();
+
+    /** Whether the other side's process has read all that was written here. */
+    boolean allRead();
 }
