--- a/src/main/java/rowanplank/lab/site/DiscoveryAgent.java
+++ b/src/main/java/rowanplank/lab/site/DiscoveryAgent.java
@@ -46,9 +46,9 @@
  * on for 1.5 s and are closed then.
  *
  * <p><b>TOLD</b> is told of each line in the instant in which the answer's first byte is written. Of an answer that
- * stops half-way, of the lines of which a byte was written; of one that can't be read, of none. A line that was not told
- * 6 s after it was here, after the node started and after discovery was last down, counts as told then, whether the
- * node asked or not, and TOLD says so; after a move, until an answer was written at the new address, from 4 s after
+ * stops half-way, of the lines of which a byte was written; of one that can't be read, of none. A line that was not
+ * told 6 s after it was here, after the node started and after discovery was last down, counts as told then, whether
+ * the node asked or not, and TOLD says so; after a move, until an answer was written at the new address, from 4 s after
  * the move. For this the agent has to be told when the node's process starts and ends.
  *
  * <p><b>Bounds.</b> {@value #MOST_CONNECTIONS} connections, one call each; {@link AgentView}.
