--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -250,7 +250,7 @@
             someoneWaits(); // those that have left don't pile up
         } else if (asking.opening != null) {
             asking.pool.abandonOpening(asking);
-            notConnected(asking, "not up in time");
+            notConnected(asking, NodePool.NOT_IN_TIME);
         } else if (!asking.written) {
             notConnected(asking, "the request was not written in time");
             asking.connection.abandon();
--- a/src/main/java/rowanplank/lab/client/NodePool.java
+++ b/src/main/java/rowanplank/lab/client/NodePool.java
@@ -1,5 +1,7 @@
 package rowanplank.lab.client;
 
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -17,6 +19,8 @@
  * <p>Bounds: {@code mostConnections} open or being opened, and one check.
  */
 final class NodePool {
+    static final String NOT_IN_TIME = "not up in time";
+
     private static final Duration CHECK_PAUSE = Duration.ofMillis(100);
 
     final Target target;
@@ -71,12 +75,18 @@
                 connections--;
                 asking.opening = null;
                 signOfDeath();
-                front.notConnected(asking, String.valueOf(cause.getMessage()));
+                front.notConnected(asking, why(cause));
                 front.offer(NodePool.this);
             }
         });
     }
 
+    /** In few words: messages tell times and ports, and no two are alike. */
+    private static String why(Throwable cause) {
+        return cause instanceof ConnectException ? "refused"
+                : cause instanceof SocketTimeoutException ? NOT_IN_TIME : cause.getClass().getSimpleName();
+    }
+
     /** Gives up the connection that is being opened for the request. */
     void abandonOpening(Asking asking) {
         asking.opening.abandon();
