--- a/src/main/java/rowanplank/lab/client/BadClients.java
+++ b/src/main/java/rowanplank/lab/client/BadClients.java
@@ -117,7 +117,7 @@
         switch (kind) {
             case OTHERS_ID -> {
                 Victim victim = new Victim(node, number, script);
-                connect(node, scripts.victim(number, chance), victim);
+                connect(node, scripts.victim(number), victim);
             }
             case REPEATED -> repeat(node, new Again(script.pieces().next()));
             default -> connect(node, script, new Bad(kind, node, number, script.mayBeServed()));
--- a/src/main/java/rowanplank/lab/client/BadScripts.java
+++ b/src/main/java/rowanplank/lab/client/BadScripts.java
@@ -35,7 +35,8 @@
 
     /** @param number the first of its numbers */
     BadScript of(BadKind kind, long number, UniformRandomProvider random) {
-        RequestClass type = classes.get(random.nextInt(classes.size()));
+        RequestClass type = kind == BadKind.OTHERS_ID ? victimsClass(number)
+                : classes.get(random.nextInt(classes.size()));
         PageRequest request = PageRequest.of(type, number);
         String wait = PageRequest.timeout(type.deadline());
         return switch (kind) {
@@ -61,13 +62,18 @@
     }
 
     /** A request like any other, of which page servers know; it takes them long. */
-    BadScript victim(long number, UniformRandomProvider random) {
-        RequestClass type = classes.get(random.nextInt(classes.size()));
+    BadScript victim(long number) {
+        RequestClass type = victimsClass(number);
         PageRequest request = PageRequest.of(type, number);
         request.enter(works, 2 * type.work().toNanos());
         return new BadScript(one(bytes(request.text(PageRequest.timeout(type.deadline())))), Then.STAY, true);
     }
 
+    /** Victim and thief send the same: what comes when the victim has just been answered may be served. */
+    private RequestClass victimsClass(long number) {
+        return classes.get((int) (number / BadClients.NUMBERS % classes.size()));
+    }
+
     private static byte[] garbage(UniformRandomProvider random) {
         byte[] bytes = new byte[1 + random.nextInt(MOST_GARBAGE)];
         random.nextBytes(bytes);
--- a/src/main/java/rowanplank/lab/site/PageServer.java
+++ b/src/main/java/rowanplank/lab/site/PageServer.java
@@ -45,12 +45,13 @@
      * Who a server is and what it can do.
      *
      * @param number of this life of it
+     * @param tookOver the life that stood at its address before it; {@link Event#NONE} if none did
      * @param name by which discovery knows it
      * @param speed its own
      * @param cold whether it starts cold; else it has run for long
      * @param probes whether probes are allowed
      */
-    public record Setup(int number, String name, int hall, Day.Kind kind, double speed, boolean cold,
+    public record Setup(int number, int tookOver, String name, int hall, Day.Kind kind, double speed, boolean cold,
             Day.Servers servers, Day.Rules rules, boolean probes) { }
 
     private final Setup setup;
@@ -99,7 +100,7 @@
     /** Begins to serve; to be called once, in the instant in which it was made. */
     public void start(InetSocketAddress address) throws IOException {
         listening = loop.listen(address, BACKLOG, this::accept);
-        teller.tell(Kind.SERVER_STARTED, Event.NONE, setup.number, Event.NONE, setup.hall, setup.name);
+        teller.tell(Kind.SERVER_STARTED, Event.NONE, setup.number, setup.tookOver, setup.hall, setup.name);
         reports.start();
         pauses.start();
     }
