Let every second client hear a node's last word; what a silent machine kept comes later

And a request that waited for a silent machine seemed to be sent on after its client had left: time-outs have doubled meanwhile.

Change: every second client reads on for as long as an answer would be in time; the service counts such an answer as none. The checker grants what a fault kept as long again as the fault was.

--- a/src/main/java/rowanplank/lab/check/Node.java
+++ b/src/main/java/rowanplank/lab/check/Node.java
@@ -12,6 +12,7 @@
     /** So long after its core or its process is there again, a node may still be catching up. */
     static final Duration RECOVERY = Duration.ofSeconds(1);
     private static final int RECENT = 16;
+    private static final long TIME_OUT = 200_000_000;
 
     /** From a process's start to its end. */
     static final class Life {
@@ -34,6 +35,7 @@
     final Spans paused = new Spans();
     final Spans coreShort = new Spans();
     int hall = Event.NONE;
+    private long vanishedAt;
     private final List<Life> lives = new ArrayList<>();
 
     void see(Event e) {
@@ -46,8 +48,12 @@
             case NODE_TOLD_TO_STOP -> life().toldToStopAt = Math.min(life().toldToStopAt, e.at());
             case NODE_ENDED -> end(e.at(), false);
             case NODE_KILLED -> end(e.at(), true);
-            case NODE_VANISHED -> vanished.begin(e.at());
-            case NODE_RETURNED -> vanished.end(e.at());
+            case NODE_VANISHED -> {
+                vanished.begin(e.at());
+                vanishedAt = e.at();
+            }
+            // What was sent meanwhile comes as late again: time-outs have doubled.
+            case NODE_RETURNED -> vanished.end(e.at() + e.at() - vanishedAt + TIME_OUT);
             default -> { }
         }
     }
--- a/src/main/java/rowanplank/lab/check/Picture.java
+++ b/src/main/java/rowanplank/lab/check/Picture.java
@@ -62,7 +62,7 @@
         told.see(e, name(e));
         switch (e.kind()) {
             case FAULT_BEGAN -> fault(e, spans -> spans.begin(e.at()));
-            case FAULT_ENDED -> fault(e, spans -> spans.end(e.at()));
+            case FAULT_ENDED -> fault(e, spans -> spans.end(e.at() + late(e)));
             default -> { }
         }
     }
@@ -95,6 +95,15 @@
         }
     }
 
+    /** How long after a fault's end what it kept still comes. */
+    private long late(Event e) {
+        if (e.value() < 0 || e.value() >= figures.faults().size()) {
+            return 0;
+        }
+        Fault fault = figures.faults().get((int) e.value());
+        return Math.max(0, Figures.held(fault).minus(fault.length()).toNanos());
+    }
+
     private void nodes(Event e, Fault fault, Consumer<Node> what) {
         int target = e.node() != Event.NONE ? e.node() : fault.target();
         if (target == Fault.ALL) {
--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -23,6 +23,10 @@
  * used, or room for another. Where none can, requests wait in the order of their coming; a client whose time is up
  * leaves. On a connection there is one request at a time.
  *
+ * <p>A client whose time is up while its request is at a node closes the connection; every second one first reads on
+ * for as long as an answer would still be in time, since a node that never answers would look like one whose clients
+ * are impatient.
+ *
  * <p>A connection that ends before any byte of an answer, and that has carried a request before, may have been closed
  * before the node read this one: then it is sent once more, on a new connection (SENT_ANEW). The simulated network
  * knows whether the node read it; on real sockets the client takes it that it did not, as RFC 9112 (9.3.1) allows. Any
@@ -46,6 +50,7 @@
     private final Works works;
     private final Lives lives;
     private final UniformRandomProvider notices;
+    private final Duration lastWord;
     private final List<NodePool> pools = new ArrayList<>();
     private final Deque<NodePool> ring = new ArrayDeque<>();
     private final Deque<Asking> waiting = new ArrayDeque<>();
@@ -56,9 +61,10 @@
      * @param nodes those that this front may use ({@link Target#of})
      * @param lives shared by all fronts
      * @param notices the chance of how late a dead node is noticed
+     * @param lastWord so long after its time every second client still reads, to hear the node's last word
      */
     public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
-            Works works, Lives lives, UniformRandomProvider notices) {
+            Works works, Lives lives, UniformRandomProvider notices, Duration lastWord) {
         this.loop = loop;
         this.witness = witness;
         this.clients = clients;
@@ -66,6 +72,7 @@
         this.works = works;
         this.lives = lives;
         this.notices = notices;
+        this.lastWord = lastWord;
         nodes.forEach(n -> pools.add(new NodePool(this, n, clients.connections())));
     }
 
@@ -254,13 +261,19 @@
         } else if (!asking.written) {
             notConnected(asking, "the request was not written in time");
             asking.connection.abandon();
+        } else if (asking.arrival.number() % 2 == 0) {
+            asking.patience = loop.schedule(lastWord, () -> giveUp(asking));
         } else {
-            witness.tell(Kind.GAVE_UP, asking.pool.target.node(), asking.number, Event.NONE, null);
-            end(asking);
-            asking.connection.abandon();
+            giveUp(asking);
         }
     }
 
+    private void giveUp(Asking asking) {
+        witness.tell(Kind.GAVE_UP, asking.pool.target.node(), asking.number, Event.NONE, null);
+        end(asking);
+        asking.connection.abandon();
+    }
+
     private void end(Asking asking) {
         asking.over = true;
         asking.patience.cancel();
--- a/src/main/java/rowanplank/lab/run/ServiceMeter.java
+++ b/src/main/java/rowanplank/lab/run/ServiceMeter.java
@@ -42,14 +42,17 @@
     private static final class Wish {
         final OfClass type;
         final long arrived;
+        /** The client has no use for what comes after this. */
+        final long until;
         final List<Run> runs = new ArrayList<>(1);
         End end;
         double earned;
         double lateFailure;
 
-        Wish(OfClass type, long arrived) {
+        Wish(OfClass type, long arrived, long until) {
             this.type = type;
             this.arrived = arrived;
+            this.until = until;
         }
     }
 
@@ -118,7 +121,7 @@
     private void arrived(Event e) {
         OfClass type = classes.get(e.text());
         if (type != null) {
-            wishes.put(e.request(), new Wish(type, e.at()));
+            wishes.put(e.request(), new Wish(type, e.at(), e.value()));
             type.asked++;
             askedWorth[second(e.at())] += type.figures.worth();
         }
@@ -147,6 +150,10 @@
         if (wish == null || wish.end != null) {
             return;
         }
+        if (e.at() > wish.until) {
+            ended(e, End.LOST);
+            return;
+        }
         long took = e.at() - wish.arrived;
         wish.type.micros.recordValue(took / 1000);
         for (Run r : wish.runs) {
