--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -215,7 +215,7 @@
      * @return whether the end crossed the request, which is sent anew
      */
     boolean lost(Asking asking, FrontConnection connection, String fault) {
-        boolean crossed = connection.mayHaveCrossed() && !asking.sentAnew;
+        boolean crossed = connection.mayHaveCrossed(); // once: then it goes on a new one
         if (crossed) {
             sendAnew(asking);
         } else if (!asking.written && !connection.answerBegun()) {
