--- a/src/test/java/rowanplank/lab/client/Stage.java
+++ b/src/test/java/rowanplank/lab/client/Stage.java
@@ -69,7 +69,7 @@
         world.runUntil(world.nanos() + millis * 1_000_000);
     }
 
-    /** What has been told since the last call, but for arrivals: kind, request (a retry as 0+1), node, and what more. */
+    /** What has been told since the last call, but for arrivals: kind, request (a retry: 0+1), node, and what more. */
     List<String> told() {
         List<String> lines = events.stream().filter(e -> e.kind() != Kind.ARRIVED).map(Stage::line).toList();
         events.clear();
