--- a/src/test/java/rowanplank/lab/net/Stage.java
+++ b/src/test/java/rowanplank/lab/net/Stage.java
@@ -125,15 +125,18 @@
         }
 
         @Override
-        void hold(Loop loop, Act then) {
+        void hold(Loop loop, Act then) throws Exception {
+            CountDownLatch begun = new CountDownLatch(1);
             loop.execute(() -> {
                 try {
+                    begun.countDown();
                     held.await();
                     then.run();
                 } catch (IOException | InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
+            begun.await();
         }
 
         @Override
