--- a/src/main/java/rowanplank/lab/site/ServerConnection.java
+++ b/src/main/java/rowanplank/lab/site/ServerConnection.java
@@ -16,6 +16,7 @@
  */
 final class ServerConnection extends LoopConnection {
     private static final int MOST_AHEAD = 16;
+    private static final String OF_NO_USE = "on a connection of no further use";
     /** How often more of an answer without end is written, and how much in all. */
     private static final Duration TRICKLE = Duration.ofMillis(5);
     private static final int MOST_TRICKLED = 64 << 20;
@@ -142,7 +143,7 @@
         if (out.size() > MOST_AHEAD || ahead.size() == MOST_AHEAD) {
             lose("closed over too many sent ahead");
         } else if (useless) {
-            service.lost(out, "on a connection of no further use");
+            service.lost(out, OF_NO_USE);
         } else if (busy) {
             ahead.add(task);
         } else {
@@ -200,6 +201,9 @@
     void useless() {
         useless = true;
         ahead.clear();
+        if (out.size() > 1) {
+            service.lost(out.subList(1, out.size()), OF_NO_USE);
+        }
     }
 
     /** Writes something that is no answer, and more of it for as long as the node takes it. */
--- a/src/main/java/rowanplank/lab/site/ServerConnections.java
+++ b/src/main/java/rowanplank/lab/site/ServerConnections.java
@@ -54,9 +54,10 @@
     }
 
     void heard(ServerConnection connection) {
-        open.remove(connection);
-        open.add(connection);
-        connection.quietSince(teller.now());
+        if (open.remove(connection)) {
+            open.add(connection);
+            connection.quietSince(teller.now());
+        }
     }
 
     void remove(ServerConnection connection) {
