--- a/src/main/java/rowanplank/lab/check/BadClients.java
+++ b/src/main/java/rowanplank/lab/check/BadClients.java
@@ -21,7 +21,8 @@
     private static final Duration OWED = Duration.ofSeconds(3);
     private static final Duration OWED_LONG = Duration.ofSeconds(6);
     private static final Set<String> LONG = Set.of("LONG_BODY");
-    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", "OTHERS_ID");
+    private static final String OTHERS_ID = "OTHERS_ID";
+    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", OTHERS_ID);
 
     private final Figures figures;
     private final Picture picture;
@@ -39,7 +40,7 @@
     public void see(Event e, Request request) {
         switch (e.kind()) {
             case BAD_BEGAN -> waiting.put(e.request(), e);
-            case BAD_SERVED -> broke(waiting.get(e.request()), e, "served with status " + e.value());
+            case BAD_SERVED -> served(waiting.get(e.request()), e);
             case BAD_ENDED -> {
                 Event began = waiting.remove(e.request());
                 if (began != null) {
@@ -50,6 +51,19 @@
         }
     }
 
+    /** Where segments are lost, the request of the client whose id it is may come later than this one's. */
+    private void served(Event began, Event e) {
+        boolean others = began != null && began.text().equals(OTHERS_ID);
+        Excuse trouble = others ? picture.node(e.node()).excuse(began.at() - OWED.toNanos(), e.at()) : null;
+        if (trouble != null) {
+            findings.excuse(trouble);
+        } else if (others && !figures.retransmission().isZero()) {
+            findings.excuse(Excuse.SEGMENTS_LOST);
+        } else {
+            broke(began, e, "served with status " + e.value());
+        }
+    }
+
     private void judge(Event began, Event end) {
         long late = began.at() + (LONG.contains(began.text()) ? OWED_LONG : OWED).toNanos();
         if (end.value() == Event.NONE || end.at() > late) {
--- a/src/main/java/rowanplank/lab/check/Losses.java
+++ b/src/main/java/rowanplank/lab/check/Losses.java
@@ -92,7 +92,7 @@
             return life.toldToStop() ? null : Excuse.NODE_CRASHED;
         }
         boolean cameTooLate = life.toldToStop() && r.askedAt > life.toldToStopAt + STOPS_TAKING.toNanos();
-        return cameTooLate ? null : Excuse.NODE_KILLED;
+        return cameTooLate ? node.excuse(life.toldToStopAt, until) : Excuse.NODE_KILLED;
     }
 
     private Excuse cut(Request r) {
