--- a/src/main/java/rowanplank/lab/check/BadClients.java
+++ b/src/main/java/rowanplank/lab/check/BadClients.java
@@ -5,9 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Event.Kind;
+import rowanplank.lab.trace.Event;
 
 /**
  * {@link Rule#BAD_CLIENT}: within 3 s of connecting a bad client is told an error (400 or above) or its connection is
@@ -20,9 +19,9 @@
 final class BadClients implements Check {
     private static final Duration OWED = Duration.ofSeconds(3);
     private static final Duration OWED_LONG = Duration.ofSeconds(6);
-    private static final Set<String> LONG = Set.of("LONG_BODY");
+    private static final List<String> LONG = List.of("LONG_BODY");
     private static final String OTHERS_ID = "OTHERS_ID";
-    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", OTHERS_ID);
+    private static final List<String> SERVED_BY_RIGHT = List.of("PIPELINED", OTHERS_ID);
 
     private final Figures figures;
     private final Picture picture;
--- a/src/main/java/rowanplank/lab/check/ColdServers.java
+++ b/src/main/java/rowanplank/lab/check/ColdServers.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Event.Kind;
+import rowanplank.lab.trace.Event;
 
 /**
  * {@link Rule#COLD_SERVER} (WIRE, The contract, 4): when a cold server falls, it is broken if
@@ -25,7 +25,7 @@
     private final Figures figures;
     private final Picture picture;
     private final Findings findings;
-    private final Map<Integer, Deque<Event>> offered = new HashMap<>();
+    private final Map<Integer, Deque<Event>> offered = new LinkedHashMap<>();
 
     ColdServers(Figures figures, Picture picture, Findings findings) {
         this.figures = figures;
--- a/src/main/java/rowanplank/lab/check/Findings.java
+++ b/src/main/java/rowanplank/lab/check/Findings.java
@@ -2,10 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.EnumMap;
-import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,7 +51,7 @@
 
     private List<Event> before(long at, int node, int server, List<Event> own) {
         List<Event> events = new ArrayList<>();
-        Set<Event> seen = Collections.newSetFromMap(new IdentityHashMap<>());
+        Set<Event> seen = new LinkedHashSet<>();
         add(picture.faults.events(), events, seen);
         if (node != Event.NONE) {
             add(picture.node(node).recent.events(), events, seen);
--- a/src/main/java/rowanplank/lab/check/NodeHealth.java
+++ b/src/main/java/rowanplank/lab/check/NodeHealth.java
@@ -1,9 +1,9 @@
 package rowanplank.lab.check;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Event.Kind;
+import rowanplank.lab.trace.Event;
 
 /**
  * {@link Rule#NODE_HEALTH}: a node's code never throws where nothing was foreseen; its process ends only when it was
@@ -24,7 +24,7 @@
     }
 
     private static Map<String, Long> mostHeld() {
-        Map<String, Long> most = new HashMap<>();
+        Map<String, Long> most = new LinkedHashMap<>();
         most.put("requests", 0L);
         most.put("tries", 0L);
         most.put("bytes", 0L);
--- a/src/main/java/rowanplank/lab/check/Picture.java
+++ b/src/main/java/rowanplank/lab/check/Picture.java
@@ -1,6 +1,6 @@
 package rowanplank.lab.check;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import rowanplank.lab.day.Fault;
@@ -16,15 +16,15 @@
     final Recent faults = new Recent(RECENT_FAULTS);
     private final Figures figures;
     /** Looked up, and gone through only to do the same to each. */
-    private final Map<Integer, Node> nodes = new HashMap<>();
-    private final Map<Integer, Server> servers = new HashMap<>();
+    private final Map<Integer, Node> nodes = new LinkedHashMap<>();
+    private final Map<Integer, Server> servers = new LinkedHashMap<>();
     /** While any fault keeps up what is sent. */
     final Spans held = new Spans();
     /** Where it was not said which one. */
     private final Spans allServersVanished = new Spans();
     private long now;
     /** By pair of halls, one way. */
-    private final Map<Integer, Spans> ways = new HashMap<>();
+    private final Map<Integer, Spans> ways = new LinkedHashMap<>();
 
     Picture(Figures figures) {
         this.figures = figures;
--- a/src/main/java/rowanplank/lab/check/Requests.java
+++ b/src/main/java/rowanplank/lab/check/Requests.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Event.Kind;
+import rowanplank.lab.trace.Event;
 
 /**
  * The requests that can still matter: from when they were asked until all that may come of them has. What is kept
@@ -20,10 +20,10 @@
 
     private final Figures figures;
     private final Spans held;
-    private final Map<Long, Request> kept = new HashMap<>();
+    private final Map<Long, Request> kept = new LinkedHashMap<>();
     private final PriorityQueue<Request> settling = new PriorityQueue<>(
             Comparator.<Request>comparingLong(r -> r.settlesAt).thenComparingLong(r -> r.number));
-    private final Map<Long, BitSet> asked = new HashMap<>();
+    private final Map<Long, BitSet> asked = new LinkedHashMap<>();
 
     /** @param held while any fault keeps up what is sent */
     Requests(Figures figures, Spans held) {
--- a/src/main/java/rowanplank/lab/check/Told.java
+++ b/src/main/java/rowanplank/lab/check/Told.java
@@ -1,8 +1,9 @@
 package rowanplank.lab.check;
 
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import rowanplank.lab.trace.Event;
@@ -36,11 +37,11 @@
     }
 
     /** By node, then by the server's name. */
-    private final Map<Integer, Map<String, History>> histories = new HashMap<>();
+    private final Map<Integer, Map<String, History>> histories = new LinkedHashMap<>();
     /** By node: the lives of servers of whose start it was told, and when it was. */
-    private final Map<Integer, Map<Integer, Long>> starts = new HashMap<>();
+    private final Map<Integer, Map<Integer, Long>> starts = new LinkedHashMap<>();
     /** Servers that were there before any node. */
-    private final Set<String> first = new HashSet<>();
+    private final Set<String> first = new LinkedHashSet<>();
     private boolean nodesStarted;
 
     /** @param name of the server that the event is about */
@@ -58,7 +59,7 @@
             case TOLD -> {
                 of(e.node()).computeIfAbsent(name, n -> new History()).add(e.at(), (int) e.value());
                 if (e.server() != Event.NONE && e.value() != 0) {
-                    starts.computeIfAbsent(e.node(), n -> new HashMap<>()).putIfAbsent(e.server(), e.at());
+                    starts.computeIfAbsent(e.node(), n -> new LinkedHashMap<>()).putIfAbsent(e.server(), e.at());
                 }
             }
             default -> { }
@@ -66,7 +67,7 @@
     }
 
     private Map<String, History> of(int node) {
-        return histories.computeIfAbsent(node, n -> new HashMap<>());
+        return histories.computeIfAbsent(node, n -> new LinkedHashMap<>());
     }
 
     /** Whether the node was ever told of a server of this name by then, or may have known it from its start. */
@@ -92,7 +93,7 @@
 
     /** Whether the node had been told by then of the start of this life of a server. */
     boolean knewOfStart(int node, int server, long by) {
-        Long at = starts.getOrDefault(node, Map.of()).get(server);
+        Long at = starts.getOrDefault(node, Collections.emptyMap()).get(server);
         return at != null && at <= by;
     }
 }
--- a/src/main/java/rowanplank/lab/check/Verdict.java
+++ b/src/main/java/rowanplank/lab/check/Verdict.java
@@ -1,5 +1,6 @@
 package rowanplank.lab.check;
 
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +18,8 @@
         Map<Count, Long> counts) {
     public Verdict {
         breaks = List.copyOf(breaks);
-        broken = broken.isEmpty() ? Map.of() : new EnumMap<>(broken);
-        excuses = excuses.isEmpty() ? Map.of() : new EnumMap<>(excuses);
+        broken = broken.isEmpty() ? Collections.emptyMap() : new EnumMap<>(broken);
+        excuses = excuses.isEmpty() ? Collections.emptyMap() : new EnumMap<>(excuses);
         counts = new EnumMap<>(counts);
     }
 
--- a/src/main/java/rowanplank/lab/net/SimFiles.java
+++ b/src/main/java/rowanplank/lab/net/SimFiles.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.NoSuchFileException;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import rowanplank.net.FileAccess;
 
 /** The files of a machine. They outlive its processes. */
 public final class SimFiles implements FileAccess {
-    private final Map<String, String> texts = new HashMap<>();
+    private final Map<String, String> texts = new LinkedHashMap<>();
 
     /** Writes a file, in place of what was there. */
     public void put(String file, String text) {
--- a/src/main/java/rowanplank/lab/net/SimMachine.java
+++ b/src/main/java/rowanplank/lab/net/SimMachine.java
@@ -3,7 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -16,8 +16,8 @@
 
     final SimNetwork network;
     /** By value, and never gone through: hash order decides nothing. */
-    final Map<InetSocketAddress, SimListening> listeners = new HashMap<>();
-    final Map<InetSocketAddress, SimDatagrams> datagrams = new HashMap<>();
+    final Map<InetSocketAddress, SimListening> listeners = new LinkedHashMap<>();
+    final Map<InetSocketAddress, SimDatagrams> datagrams = new LinkedHashMap<>();
     private final String name;
     private final int hall;
     private final List<SimNetwork.Address> addresses = new ArrayList<>();
--- a/src/main/java/rowanplank/lab/net/SimNetwork.java
+++ b/src/main/java/rowanplank/lab/net/SimNetwork.java
@@ -6,7 +6,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import rowanplank.lab.day.Day;
@@ -55,8 +55,8 @@
     private final Link[] links;
     private final Link inside;
     /** These are looked up and never gone through: hash order decides nothing. */
-    private final Map<InetAddress, Address> addresses = new HashMap<>();
-    private final Map<InetSocketAddress, List<InetSocketAddress>> groups = new HashMap<>();
+    private final Map<InetAddress, Address> addresses = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, List<InetSocketAddress>> groups = new LinkedHashMap<>();
     /** One thread runs all processes, and what a buffer holds counts for one task only: one serves all. */
     private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BYTES);
     private DatagramWatcher watcher = (from, to, bytes, receivers) -> { };
--- a/src/main/java/rowanplank/lab/run/ServerPark.java
+++ b/src/main/java/rowanplank/lab/run/ServerPark.java
@@ -3,7 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
@@ -19,7 +19,7 @@
     private final Roster roster;
     private final List<ServerHost> hosts = new ArrayList<>();
     /** Looked up only. */
-    private final Map<InetAddress, Integer> nodes = new HashMap<>();
+    private final Map<InetAddress, Integer> nodes = new LinkedHashMap<>();
     private int machines;
     private int lives;
 
--- a/src/main/java/rowanplank/lab/run/ServiceMeter.java
+++ b/src/main/java/rowanplank/lab/run/ServiceMeter.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
-import rowanplank.lab.day.Day;
 import rowanplank.lab.day.Day.Prices;
 import rowanplank.lab.day.Day.RequestClass;
+import rowanplank.lab.day.Day;
 import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Trace;
 
@@ -69,12 +69,12 @@
     }
 
     private final Prices prices;
-    private final Map<String, OfClass> classes = new HashMap<>();
+    private final Map<String, OfClass> classes = new LinkedHashMap<>();
     private final List<OfClass> inOrder = new ArrayList<>();
     /** By the number of each try; looked up only. */
-    private final Map<Long, Wish> wishes = new HashMap<>();
-    private final Map<Integer, Long> nodeHalls = new HashMap<>();
-    private final Map<Integer, Long> serverHalls = new HashMap<>();
+    private final Map<Long, Wish> wishes = new LinkedHashMap<>();
+    private final Map<Integer, Long> nodeHalls = new LinkedHashMap<>();
+    private final Map<Integer, Long> serverHalls = new LinkedHashMap<>();
     private final double[] askedWorth;
     private final double[] earnedWorth;
     private double lateFailures;
--- a/src/main/java/rowanplank/lab/site/AgentView.java
+++ b/src/main/java/rowanplank/lab/site/AgentView.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -22,7 +22,7 @@
     record Line(long revision, Entry entry, long learnedAt) { }
 
     private final TreeMap<Long, Line> lines = new TreeMap<>();
-    private final Map<String, Line> byName = new HashMap<>();
+    private final Map<String, Line> byName = new LinkedHashMap<>();
     private final Deque<Line> gone = new ArrayDeque<>();
     private long revision;
     /** Changes since an older version can't be told any more. */
--- a/src/main/java/rowanplank/lab/site/MessageReader.java
+++ b/src/main/java/rowanplank/lab/site/MessageReader.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -31,7 +31,7 @@
     private enum State { START_LINE, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, WHOLE, BROKEN }
 
     /** By name, in small letters. */
-    private final Map<String, String> fields = new HashMap<>();
+    private final Map<String, String> fields = new LinkedHashMap<>();
     private State state = State.START_LINE;
     private boolean begun;
     private byte[] line = new byte[FIRST_ROOM];
--- a/src/main/java/rowanplank/lab/trace/TraceWriter.java
+++ b/src/main/java/rowanplank/lab/trace/TraceWriter.java
@@ -7,7 +7,7 @@
 import java.nio.ByteOrder;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import rowanplank.lab.trace.Event.Kind;
 
@@ -20,7 +20,7 @@
 public final class TraceWriter implements Trace, Closeable {
     private final OutputStream out;
     private final byte[] frame = new byte[TraceFile.LONGEST_FRAME];
-    private final Map<String, Integer> texts = new HashMap<>();
+    private final Map<String, Integer> texts = new LinkedHashMap<>();
     private int size;
     private long at;
     private long request;
@@ -35,7 +35,7 @@
     TraceWriter(OutputStream out) throws IOException {
         this.out = out;
         try {
-            out.write(TraceFile.MAGIC);
+            out.write(TraceFile.magic());
             out.write(TraceFile.VERSION);
             begin(TraceFile.NAMES);
             number(Kind.values().length);
@@ -108,7 +108,7 @@
             request = e.request();
         }
         if (e.value() != 0) {
-            signed(TraceFile.VALUE_IS_TIME.contains(e.kind()) ? e.value() - e.at() : e.value());
+            signed(TraceFile.valueIsTime(e.kind()) ? e.value() - e.at() : e.value());
         }
         if (e.text() != null) {
             text(e.text());
