--- a/src/main/java/rowanplank/net/Loop.java
+++ b/src/main/java/rowanplank/net/Loop.java
@@ -91,7 +91,7 @@
     Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> onAccept)
             throws IOException;
 
-    /** Opens a connection; the connector hears of it later, and of failure at the latest after the time-out. */
+    /** Opens a connection; the connector hears of it later, and of failure after the time-out, 10 s at the latest. */
     Opening connect(InetSocketAddress address, Duration timeout, Connector connector);
 
     /** @param mostBytes longer datagrams that come in are dropped */
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -37,6 +37,8 @@
     private static final int MOST_TASKS_A_ROUND = 256;
     /** All connections are read on one thread, and none keeps the buffer. */
     private static final int READ_BYTES = 1 << 16;
+    /** Each connection has a time-out of its own within this: Jetty keeps what it knows of one for so long. */
+    private static final Duration LONGEST_CONNECT = Duration.ofSeconds(10);
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Timers timers;
@@ -55,7 +57,7 @@
         this.reports = reports;
         timers = new Timers(clock);
         selectors = new Selectors();
-        selectors.setConnectTimeout(0); // each connection has a timer of its own
+        selectors.setConnectTimeout(LONGEST_CONNECT.toMillis());
     }
 
     public void start() throws Exception {
@@ -117,7 +119,7 @@
     @Override
     public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
         OpeningConnection opening = new OpeningConnection(connector);
-        opening.timer = schedule(timeout,
+        opening.timer = schedule(timeout.compareTo(LONGEST_CONNECT) < 0 ? timeout : LONGEST_CONNECT,
                 () -> opening.failed(new SocketTimeoutException("no connection within " + timeout.toMillis() + " ms")));
         try {
             SocketChannel channel = SocketChannel.open();
