--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -4,6 +4,7 @@
 import java.util.stream.*;
 import rowanplank.balancer.BalancerApi.*;
 import rowanplank.balancer.NodeState.*;
+import rowanplank.route.Route;
 
 /**
  * Every decision of one proxy node. The interface (settings, events, actions) is in {@code BalancerApi.java}.
@@ -68,6 +69,7 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<Long, Server> listed = new LinkedHashMap<>();
+    private final Route route;
     private double listedPart = 1;
     /** Nodes that use a server. */
     private double sharers;
@@ -92,6 +94,7 @@
         this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
+        route = new Route(settings.nodes(), settings.zone(), settings.crossingPrice());
         networks = settings.classes().stream().map(c -> new Network()).toArray(Network[]::new);
         tenantTokens = IntStream.range(0, settings.tenants().size()).mapToDouble(this::tenantRate).toArray();
         if (settings.askForList()) actions.watchServers();
@@ -112,6 +115,7 @@
         List.copyOf(ready).stream().filter(t -> !stays(t)).forEach(this::leave);
         listed.values().stream().filter(this::isMine).forEach(this::update);
         sharers = settings.nodes() * listedPart;
+        route.servers(ready.stream().map(t -> t.listed.zone()).collect(Collectors.toSet()));
         drawn = drawn.length < ready.size() ? new Target[ready.size() + 8] : drawn;
         sendHeld();
     }
@@ -249,10 +253,15 @@
         boolean panic = balance < 0;
         int c = r.request.classIndex();
         int n = 0;
+        int best = Integer.MAX_VALUE;
         for (Target t : ready) {
             if (!hasRoom(t.limit) || !mayGo(r, t)) continue;
             if (t.ejected && !panic && trialDue(t, r)) return t;
-            if (!t.ejected || panic && !t.unreachable) drawn[n++] = t;
+            int rank = route.rank(t.listed.zone());
+            if (t.ejected && (!panic || t.unreachable) || rank > best) continue;
+            n = rank < best ? 0 : n;
+            best = rank;
+            drawn[n++] = t;
         }
         if (n < 2) return n == 0 ? null : drawn[0];
         long key = settings.warmKeys() ? r.request.key() : 0;
@@ -306,8 +315,11 @@
         double warmth = warmth(t.listed);
         double cold = warmth < 1 ? Math.min(1, settings.rules().fallMultiple() / 2) * warmth : 1;
         // While requests are refused there is always one to fill a place: more held at the server only waits.
-        double most = now < barUntil && bar >= 1 && warmth == 1 ? SATURATED : MOST_IN_FLIGHT;
-        return most / sharers * t.limit.part * cold;
+        boolean refusing = now < barUntil && bar >= 1;
+        double most = refusing && warmth == 1 ? SATURATED : MOST_IN_FLIGHT;
+        // And a request that some zone can still take must not be refused for being another zone's.
+        double parts = refusing ? 1 : route.parts(t.listed.zone());
+        return most * parts / sharers * t.limit.part * cold;
     }
 
     /** The lowest share of its capacity that a server started then can have now. */
@@ -367,6 +379,7 @@
         t.limit.lastMs = Math.max(1, latency);
         double slow = latency / r.type.aimMs();
         adjust(t.limit, latency, Math.min(2, slow));
+        route.answered(t.listed.zone(), Math.min(2, slow));
         usualSlowness += USUAL_GAIN * (Math.min(1, slow) - usualSlowness);
         if (late) return;
         t.unreachable = outcome == Outcome.CONNECT_FAILED || t.unreachable && outcome == Outcome.TIMEOUT;
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -107,10 +107,12 @@
      * @param node this instance's number among them, from 0
      * @param zone the instance's own zone
      * @param askForList whether the server list comes only when asked for
+     * @param crossingPrice what is lost if every request crosses zones once, as a part of all worth; 0 for none
      */
     record Settings(int nodes, int node, int zone, List<RequestClass> classes, List<Tenant> tenants, double overShareWorth,
-            Limits limits, Rules rules, boolean askForList, boolean warmKeys, boolean worthByWork) {
+            Limits limits, Rules rules, boolean askForList, boolean warmKeys, boolean worthByWork, double crossingPrice) {
         public Settings {
+            require(crossingPrice >= 0, "deductions.cross_zone");
             require(nodes >= 1, "balancers");
             require(node >= 0 && node < nodes, "position");
             require(zone >= 0, "zone");
--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -64,7 +64,8 @@
         Settings module = new Settings(integer(o, "balancers", 1), integer(o, "position", 0),
                 integer(o, "zone", 0), classes, tenants, number(o, "over_share_worth", 1), limits(ceilings),
                 rules(rules), "ask".equals(string(o, "membership_mode", "")),
-                flag(object(o, "specifics"), "warm_keys"), "work".equals(string(o, "counted_by", "")));
+                flag(object(o, "specifics"), "warm_keys"), "work".equals(string(o, "counted_by", "")),
+                number(object(o, "deductions"), "cross_zone", 0));
         return new SiteSettings(module, names, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
                 Clock.span(number(ceilings, "connect_timeout_ms", 1000)),
                 Clock.span(number(rules, "answer_slack_ms", 0)));
--- a/src/test/java/rowanplank/balancer/BalancerTest.java
+++ b/src/test/java/rowanplank/balancer/BalancerTest.java
@@ -32,7 +32,7 @@
     private static Settings settings(List<Tenant> tenants, boolean askForList, boolean warmKeys) {
         Settings s = Harness.settings(Harness.SAFE);
         return new Settings(s.nodes(), s.node(), s.zone(), s.classes(), tenants, s.overShareWorth(), s.limits(), s.rules(),
-                askForList, warmKeys, false);
+                askForList, warmKeys, false, 0);
     }
 
     @Test
@@ -461,6 +461,55 @@
         }
     }
 
+    private static Harness priced(int nodes) {
+        Settings s = Harness.settings(nodes, Harness.LIMITS, Harness.SAFE);
+        return new Harness(new Settings(nodes, 0, 0, s.classes(), List.of(), 0.1, s.limits(), s.rules(), false, false,
+                false, 0.08));
+    }
+
+    /** Guards the price: where the own zone has room, no request may pay it. */
+    @Test
+    void whereCrossingHasAPriceRequestsStayInTheirZoneWhileItHasRoom() {
+        Harness h = priced(3).servers(9); // three in each of the zones 0, the node's own, 1 and 2
+        for (long id = 1; id <= 200; id++) {
+            h.request(id, CLASS);
+            h.advance(20);
+            h.pending().forEach(s -> h.outcome(s, Outcome.OK));
+        }
+        assertTrue(h.sent.stream().allMatch(s -> s.server() % 3 == 0));
+    }
+
+    /** Guards service: a zone that is full must not keep its requests while another could serve them. */
+    @Test
+    void whatFindsNoRoomInItsZoneCrossesAtOnce() {
+        Harness h = priced(3).servers(9);
+        requests(h, 1, 12);
+        long own = h.sent.stream().filter(s -> s.server() % 3 == 0).count();
+        assertEquals(12, h.sent.size());
+        assertEquals(6, own, "one and a half even parts, of four thirds each, at three servers");
+    }
+
+    /** Guards requests that only a far zone can take: while some are refused, no zone keeps room for its own. */
+    @Test
+    void whileRequestsAreRefusedPartsAreEven() {
+        Harness h = priced(3).servers(9);
+        answerAfter(h, 201, 220, 150);
+        requests(h, 1, 40);
+        h.advance(120);
+        assertFalse(h.refused.isEmpty());
+        h.pending().forEach(s -> h.outcome(s, Outcome.OK));
+        requests(h, 101, 140);
+        assertEquals(9, h.pending().size(), "a third of three at every server");
+        assertEquals(9, h.pending().stream().map(Harness.Sent::server).distinct().count());
+    }
+
+    @Test
+    void aNodeAloneHasAllPlacesOfEveryZone() {
+        Harness h = priced(1).servers(9);
+        requests(h, 1, 40);
+        assertEquals(36, h.pending().size());
+    }
+
     @Test
     void aKeyHasTheSameHomeAtEveryNode() {
         Settings warm = settings(List.of(), false, true);
@@ -569,7 +618,7 @@
         for (int node = 0; node < nodes; node++) {
             Settings s = Harness.settings(nodes, Harness.LIMITS, Harness.SAFE);
             Harness h = new Harness(new Settings(nodes, node, 0, s.classes(), List.of(), 0.1, s.limits(), s.rules(),
-                    false, false, false)).servers(100);
+                    false, false, false, 0)).servers(100);
             for (long id = 1; id <= 300; id++) {
                 h.request(id, CLASS);
                 h.advance(50);
@@ -654,11 +703,14 @@
         assertTrue(e.getMessage().contains("most_tries"));
         Settings s = Harness.settings(Harness.SAFE);
         e = assertThrows(IllegalArgumentException.class, () -> new Settings(0, 0, 0, s.classes(), List.of(), 0.1,
-                s.limits(), s.rules(), false, false, false));
+                s.limits(), s.rules(), false, false, false, 0));
         assertTrue(e.getMessage().contains("balancers"));
         e = assertThrows(IllegalArgumentException.class, () -> new Settings(1, 0, 0, List.of(), List.of(), 0.1,
-                s.limits(), s.rules(), false, false, false));
+                s.limits(), s.rules(), false, false, false, 0));
         assertTrue(e.getMessage().contains("classes"));
+        e = assertThrows(IllegalArgumentException.class, () -> new Settings(1, 0, 0, s.classes(), List.of(), 0.1,
+                s.limits(), s.rules(), false, false, false, -0.01));
+        assertTrue(e.getMessage().contains("deductions.cross_zone"));
     }
 
     /** Guards places against silence: the try is given up while its request can still be served in time elsewhere. */
--- a/src/test/java/rowanplank/balancer/EmbeddingExample.java
+++ b/src/test/java/rowanplank/balancer/EmbeddingExample.java
@@ -57,7 +57,7 @@
         RequestClass reads = new RequestClass(400, 1200, 1, 0.2, Effect.REPEATABLE, Group.ALL, 0, false);
         Settings settings = new Settings(3, 0, 0, List.of(reads), List.of(), 0.1,
                 new Limits(3, true, true, 1000),
-                new Rules(10_000, 0.14, 24_000, 3), true, false, false);
+                new Rules(10_000, 0.14, 24_000, 3), true, false, false, 0);
         Balancer balancer = new Balancer(settings, 42, node);
         balancer.onServers(0, ListKind.FULL, List.of(new Server(7, 0, 0, Lifecycle.READY, 1, 0)));
         balancer.onRequest(10, new Request(1, 0, 0, 0, 1210, 0, false));
--- a/src/test/java/rowanplank/balancer/Harness.java
+++ b/src/test/java/rowanplank/balancer/Harness.java
@@ -89,7 +89,7 @@
     }
 
     static Settings settings(int nodes, Limits limits, RequestClass... classes) {
-        return new Settings(nodes, 0, 0, List.of(classes), List.of(), 0.1, limits, RULES, false, false, false);
+        return new Settings(nodes, 0, 0, List.of(classes), List.of(), 0.1, limits, RULES, false, false, false, 0);
     }
 
     static Server server(long id) {
--- a/src/test/java/rowanplank/balancer/RandomRunTest.java
+++ b/src/test/java/rowanplank/balancer/RandomRunTest.java
@@ -45,7 +45,7 @@
         RequestClass zone = Harness.type(Effect.BY_KEY, Group.ZONE);
         Limits limits = new Limits(1 + random.nextInt(4), random.nextBoolean(), random.nextBoolean(), 1000);
         return new Settings(3, 0, 0, List.of(Harness.SAFE, Harness.UNSAFE, Harness.KEYED, cell, zone), List.of(), 0.1,
-                limits, Harness.RULES, false, true, false);
+                limits, Harness.RULES, false, true, false, 0);
     }
 
     private static void step(Harness h, SplittableRandom random, long id) {
--- /dev/null
+++ b/src/test/java/rowanplank/balancer/SameChoicesTest.java
@@ -0,0 +1,221 @@
+package rowanplank.balancer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Effect;
+import rowanplank.balancer.BalancerApi.Events;
+import rowanplank.balancer.BalancerApi.Group;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Limits;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
+import rowanplank.balancer.BalancerApi.Tenant;
+import rowanplank.balancer.former.FormerBalancer;
+
+/**
+ * Plays a history to the module and to the one before routing and flat costs, and compares what both do after every
+ * event. The site goes from rest to far beyond its capacity, its servers are cold, slow, full, silent and gone by turns.
+ */
+class SameChoicesTest {
+    private static final Outcome[] FAILURES = {Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET,
+        Outcome.MOOT};
+
+    /** Writes down what is asked for; what the first module asks for also becomes the history's next events. */
+    private final class Recorder implements Actions {
+        final List<String> asked = new ArrayList<>();
+        final boolean leads;
+
+        Recorder(boolean leads) {
+            this.leads = leads;
+        }
+
+        @Override
+        public void send(long request, long server, double timeoutMs) {
+            asked.add("send " + request + " to " + server + " for " + timeoutMs);
+            if (leads) {
+                sent(request, server, timeoutMs);
+            }
+        }
+
+        @Override
+        public void refuse(long request, double retryAfterMs) {
+            asked.add("refuse " + request + " " + retryAfterMs);
+            ended.set((int) request);
+        }
+
+        @Override
+        public void fail(long request) {
+            asked.add("fail " + request);
+            ended.set((int) request);
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            asked.add("cancel " + request + "/" + attempt);
+            if (leads) {
+                at(now + 1, () -> outcome(request, attempt, Outcome.CANCELLED));
+            }
+        }
+
+        @Override
+        public void timer(double delayMs, long token) {
+            asked.add("timer " + delayMs + " " + token);
+            if (leads) {
+                at(now + delayMs, () -> m -> m.onTimer(now, token));
+            }
+        }
+
+        @Override
+        public void watchServers() {
+            asked.add("watch");
+        }
+
+        @Override
+        public void closeIdle(long server) {
+            asked.add("close " + server);
+        }
+
+        @Override
+        public void log(String line) {
+            asked.add(line);
+        }
+    }
+
+    /** What happens then, worked out once and told to both. */
+    private record Due(double at, long order, Supplier<Consumer<Events>> event) { }
+
+    private record Try(long request, int attempt, double at) { }
+
+    private final Recorder former = new Recorder(true);
+    private final Recorder present = new Recorder(false);
+    private final PriorityQueue<Due> agenda =
+            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
+    private final BitSet ended = new BitSet();
+    private final List<Try> tries = new ArrayList<>();
+    private final Map<Long, Integer> sends = new HashMap<>();
+    private SplittableRandom random;
+    private int servers;
+    private double now = 1000;
+    private long order;
+    private double pace = 1;
+
+    private void at(double time, Supplier<Consumer<Events>> event) {
+        agenda.add(new Due(time, order++, event));
+    }
+
+    private void sent(long request, long server, double timeoutMs) {
+        int attempt = sends.merge(request, 1, Integer::sum) - 1;
+        tries.add(new Try(request, attempt, now));
+        boolean fails = random.nextInt(100) < (server % 7 == 1 ? 30 : 3);
+        boolean silent = random.nextInt(100) < 2;
+        double latency = (10 + 60 * random.nextDouble()) * (1 + server % 4) / pace;
+        Outcome outcome = silent || latency >= timeoutMs ? Outcome.TIMEOUT
+                : fails ? FAILURES[random.nextInt(FAILURES.length)] : Outcome.OK;
+        double took = outcome == Outcome.TIMEOUT ? Math.max(0, timeoutMs) : latency;
+        at(now + took, () -> outcome(request, attempt, outcome));
+    }
+
+    private Consumer<Events> outcome(long request, int attempt, Outcome outcome) {
+        Try ends = tries.stream().filter(t -> t.request() == request && t.attempt() == attempt).findFirst().orElse(null);
+        if (ends == null) {
+            return m -> { }; // it was withdrawn before
+        }
+        tries.remove(ends);
+        if (outcome == Outcome.OK) {
+            ended.set((int) request);
+        }
+        boolean concluded = ended.get((int) request);
+        return m -> m.onOutcome(now, request, attempt, outcome, now - ends.at(), concluded);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void withoutAPriceEveryChoiceIsAsItWas(long seed) {
+        random = new SplittableRandom(seed);
+        servers = 1 + random.nextInt(seed % 4 == 0 ? 40 : 14);
+        Settings settings = settings();
+        List<Events> modules = List.of(new FormerBalancer(settings, seed, former), new Balancer(settings, seed, present));
+        at(now, () -> list(ListKind.FULL));
+        for (int id = 1; id <= 4000; id++) {
+            arrival(id);
+        }
+        while (!agenda.isEmpty() && !(agenda.peek().at() > 1_000_000)) {
+            Due due = agenda.poll();
+            now = due.at();
+            modules.forEach(due.event().get());
+            assertEquals(former.asked, present.asked, "at " + now);
+            former.asked.clear();
+            present.asked.clear();
+        }
+        assertTrue(sends.size() > 500, sends.size() + " requests sent");
+        assertTrue(ended.cardinality() > 3500, ended.cardinality() + " requests ended");
+    }
+
+    /** Arrivals swing between rest and several times what the servers can do. */
+    private void arrival(int id) {
+        double time = now + id * 8 + 2000 * Math.sin(id / 300.0) + random.nextInt(5);
+        double patience = 200 + random.nextInt(1500);
+        int type = random.nextInt(5);
+        int tenant = random.nextInt(3);
+        long key = random.nextInt(20);
+        boolean repeat = random.nextInt(6) == 0;
+        at(time, () -> m -> m.onRequest(now, new Request(id, type, tenant, key, now + patience, 0, repeat)));
+        if (id % 400 == 0) {
+            at(time, () -> list(random.nextBoolean() ? ListKind.FULL : ListKind.DELTA));
+            double next = 0.3 + 4 * random.nextDouble();
+            at(time, () -> {
+                pace = next;
+                return m -> { };
+            });
+        }
+        if (id % 37 == 0) {
+            at(time + random.nextInt(300), () -> {
+                ended.set(id);
+                return m -> m.onDeparture(now, id);
+            });
+        }
+        if (id % 41 == 0) {
+            at(time + 30, () -> m -> m.onStreamStarted(now, id, 0));
+        }
+    }
+
+    private Consumer<Events> list(ListKind kind) {
+        List<Server> list = new ArrayList<>();
+        double started = random.nextInt(3) == 0 ? now + random.nextInt(30_000) : 0;
+        for (long s = 1; s <= servers; s++) {
+            if (random.nextInt(6) > 0) {
+                Lifecycle lifecycle = random.nextInt(8) > 0 ? Lifecycle.READY : Lifecycle.DRAINING;
+                list.add(new Server(s, (int) (s % 3), (int) (s % 5), lifecycle, 1 + s % 2, s % 3 == 0 ? started : 0));
+            }
+        }
+        return m -> m.onServers(now, kind, list);
+    }
+
+    private Settings settings() {
+        List<RequestClass> classes = List.of(Harness.SAFE, Harness.UNSAFE, Harness.KEYED,
+                Harness.type(Effect.BY_KEY, Group.CELL), Harness.type(Effect.BY_KEY, Group.ZONE));
+        Limits limits = new Limits(1 + random.nextInt(5), random.nextInt(4) > 0, random.nextBoolean(), 1000);
+        int nodes = 1 + random.nextInt(4);
+        return new Settings(nodes, random.nextInt(nodes), random.nextInt(3), classes,
+                List.of(new Tenant(30), new Tenant(100)), 0.1, limits, Harness.RULES, false, random.nextBoolean(),
+                random.nextBoolean(), 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanplank/balancer/former/NodeState.java
@@ -0,0 +1,121 @@
+package rowanplank.balancer.former;
+
+import java.util.ArrayList;
+import java.util.List;
+import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
+import rowanplank.balancer.BalancerApi.Server;
+
+/** What a {@link Balancer} remembers of servers and requests: plain records of fact, no decisions. */
+final class NodeState {
+    private NodeState() { }
+
+    /** A server as this node sees it. */
+    static final class Target {
+        Server listed;
+        /** Its neuron in each class's network; null while it is not ready. */
+        Neuron[] neurons;
+        final Limit limit;
+        double failureRate;
+        boolean ejected;
+        /** Its last failure was a connection that could not be made. */
+        boolean unreachable;
+        boolean trialOut;
+        double trialAt;
+        double ejectionMs;
+        double lastHeardAt;
+
+        Target(Server listed, Neuron[] neurons, Limit limit) {
+            this.listed = listed;
+            this.neurons = neurons;
+            this.limit = limit;
+        }
+
+        String name() {
+            return "server " + Long.toHexString(listed.id());
+        }
+    }
+
+    /**
+     * A server's place in a network. The weights between neurons j and k are w+(j,k) = w0 + k.up - j.upRow and
+     * w-(j,k) = w0 + k.down - j.downRow.
+     */
+    static final class Neuron {
+        double q = 0.5;
+        double up;
+        double upRow;
+        double down;
+        double downRow;
+    }
+
+    /** How many requests may be in flight at a server. */
+    static final class Limit {
+        /** Part that is left of the first limit. */
+        double part = 1;
+        /** The limit as of the last request. */
+        double places;
+        int inFlight;
+        /** Running mean of latencies as parts of their aims. */
+        double slowness;
+        /** Latency of the last answer: how long a place is taken. */
+        double lastMs;
+        int answers;
+        double cutAt;
+        /** How far the next use of the broken place is due: 1 when it is. */
+        double credit = 1;
+        /** When this was brought up to date. */
+        double at;
+
+        Limit(double lastMs, double at) {
+            this.lastMs = lastMs;
+            this.at = at;
+        }
+    }
+
+    /** One send of a request. */
+    static final class Attempt {
+        final Target target;
+        final double sentAt;
+        final boolean trial;
+        boolean pending = true;
+        /** Given up by this node; its outcome is still to come. */
+        boolean withdrawn;
+        boolean neverRan;
+
+        Attempt(Target target, double sentAt, boolean trial) {
+            this.target = target;
+            this.sentAt = sentAt;
+            this.trial = trial;
+        }
+    }
+
+    /** A request that is owed an answer, or whose attempts are still out. */
+    static final class Open {
+        final Request request;
+        final RequestClass type;
+        final double arrivedAt;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        /** What is left of its class's worth: less for a repeat and beyond its tenant's share. */
+        double rank;
+        double worthDensity;
+        boolean held;
+        boolean streaming;
+        /** It has had its final answer. */
+        boolean done;
+
+        Open(Request request, RequestClass type, double arrivedAt) {
+            this.request = request;
+            this.type = type;
+            this.arrivedAt = arrivedAt;
+        }
+
+        boolean pending() {
+            return attempts.stream().anyMatch(a -> a.pending);
+        }
+
+        /** The first attempt that may have had an effect, or null. */
+        Attempt firstMayHaveRun() {
+            return attempts.stream().filter(a -> !a.neverRan).findFirst().orElse(null);
+        }
+    }
+}
