--- a/src/main/java/rowanplank/lab/trace/Event.java
+++ b/src/main/java/rowanplank/lab/trace/Event.java
@@ -20,9 +20,9 @@
         DAY_BEGAN,
         /** The last arrival is over and all is at rest, or the day was ended since it never came to rest (value 1). */
         DAY_ENDED,
-        /** A fault begins. value: its place in the day's timeline; text: its kind. */
+        /** A fault begins. value: its place in the day's timeline; text: its kind; node or server: where it is at one. */
         FAULT_BEGAN,
-        /** A fault has ended. value: its place in the day's timeline; text: its kind. */
+        /** A fault has ended. The same. */
         FAULT_ENDED,
 
         /** A node's process starts. value: its hall. */
@@ -48,7 +48,8 @@
         /** At the day's end. value: how many are left; text: of what ({@code requests}, {@code connections}, ...). */
         NODE_HELD,
 
-        /** A page server's process starts. value: its hall; text: the name discovery knows it by. */
+        /** A page server's process starts. value: its hall; text: the name discovery knows it by; request: the server
+         *  at whose address it stands, if that is another's. */
         SERVER_STARTED,
         /** It begins to drain. */
         SERVER_DRAINS,
@@ -61,25 +62,31 @@
          *  where the list names none that ever ran. */
         TOLD,
 
+        /** A client wants something, and has yet to find a connection. value: when it stops waiting; text: the class. */
+        ARRIVED,
         /** A client has written a request's last byte to a connection that the node's machine accepted. value: when
          *  the client stops waiting; text: the class. */
         ASKED,
-        /** The client tries the same once more. request: the new number; value: the old one. */
+        /** The client tries the same once more, as ARRIVED. request: the new number; value: the old one. */
         ASKED_AGAIN,
-        /** A whole answer has come. value: the status; text: for 200 the digest of its body, else the Retry-After. */
+        /** A whole answer has come. value: the status; text: for 200 the digest of its body, else the Retry-After. Once
+         *  more for the same request, with value 0, if the node sends anything behind it. */
         ANSWERED,
-        /** The connection ended without a whole answer. value: 1 if the node had written part of one. */
+        /** The connection ended without a whole answer, or the client can't read it. value: 1 if the node had written
+         *  part of one; text: what the client saw. */
         CUT_SHORT,
         /** The client stopped waiting and closed its connection. */
         GAVE_UP,
-        /** The client found no connection. text: why. */
+        /** The client found no connection on which it could write its request whole. text: why. */
         NOT_CONNECTED,
-        /** The node closed the connection before it had read the request, and the client sent it on a new one. */
+        /** The node (this one) closed the connection before it had read the request, and the client sends it on a new
+         *  one: what it asked there is void, and ASKED follows once more, of whichever node. */
         SENT_ANEW,
 
-        /** A bad client begins. request: its number; text: what it does. */
+        /** A bad client has connected. request: its number; text: what it does. */
         BAD_BEGAN,
-        /** It was told an error (value: the status) or its connection was closed (value: 0). */
+        /** It was told an error (value: the status), its connection was closed (value: 0), or it left with neither
+         *  (value: -1). */
         BAD_ENDED,
         /** It was served as though its request had run. value: the status. */
         BAD_SERVED,
