--- a/src/main/java/rowanplank/lab/check/Excuse.java
+++ b/src/main/java/rowanplank/lab/check/Excuse.java
@@ -27,6 +27,6 @@
     END_ON_ITS_WAY,
     /** The node's end of a try could not be seen: the way between, or the server's machine, was silent or slow. */
     WAY_DISTURBED,
-    /** A bad client that left with neither an error nor a close may have been served by right. */
+    /** A bad client that got neither an error nor a close in time asked what may be served, and it was. */
     BAD_BUT_SERVED
 }
--- a/src/main/java/rowanplank/lab/check/Figures.java
+++ b/src/main/java/rowanplank/lab/check/Figures.java
@@ -23,11 +23,10 @@
  * @param settles so long after a request's time was up nothing comes any more that matters to it, if no fault held
  *        it up
  * @param held so much longer where one did
- * @param sockets the most descriptors of a node
  */
 record Figures(long seed, Duration answerWithin, Duration drainWithin, Duration fallTime, int tries,
         boolean retryAfter, Map<String, String> effects, List<Fault> faults, int halls, Duration travel,
-        Duration retransmission, Duration settles, Duration held, int sockets) {
+        Duration retransmission, Duration settles, Duration held) {
     /** On sockets every time limit is so much longer. */
     private static final Duration SOCKETS = Duration.ofMillis(50);
     /** Of the exponential jitter one draw in 5e8 is beyond 20 times its mean. */
@@ -56,7 +55,7 @@
         return new Figures(day.seed(), day.rules().answerSlack().plus(SOCKETS), day.rules().drainGrace().plus(SOCKETS),
                 day.rules().fallTime(), day.nodes().tries(), !day.nodes().longestRetryAfter().isZero(), effects,
                 day.faults(), day.halls().size(), travel, retransmission,
-                QUIET.plus(travel.multipliedBy(2)).plus(retransmission.multipliedBy(2)), held, day.nodes().sockets());
+                QUIET.plus(travel.multipliedBy(2)).plus(retransmission.multipliedBy(2)), held);
     }
 
     /** All time-outs together until a share of losses has surely let one segment through. */
@@ -66,7 +65,7 @@
         return TIME_OUT.multipliedBy((1 << timeOuts) - 1);
     }
 
-    /** How long a fault keeps what is sent: time-outs have doubled meanwhile, so that its end is heard as late again. */
+    /** How long a fault keeps what is sent: time-outs double meanwhile, so that its end is heard as late again. */
     static Duration held(Fault fault) {
         return switch (fault.kind()) {
             case CUT, SERVER_VANISHED, NODE_VANISHED -> fault.length().multipliedBy(2).plus(TIME_OUT);
--- a/src/main/java/rowanplank/lab/check/Losses.java
+++ b/src/main/java/rowanplank/lab/check/Losses.java
@@ -14,7 +14,7 @@
  * (killed outright, silent, standing still, short of its core, crashed), and
  * <ul>
  * <li>a client that left before the time was up: {@link Excuse#CLIENT_LEFT};
- * <li>a connection ended before any byte of an answer, with nothing sent on: {@link Excuse#UNREAD};
+ * <li>a connection that was new, ended before the node had read it or sent anything on: {@link Excuse#UNREAD};
  * <li>part of an answer, where a server had ended a try of it or sent what can't be read: {@link Excuse#ANSWER_BROKEN};
  * <li>lateness by less than what the loss of segments may take: {@link Excuse#SEGMENTS_LOST}.
  * </ul>
@@ -23,6 +23,8 @@
     /** SIGKILL may come so long after SIGTERM plus the longest deadline: what came after it could not be answered. */
     private static final Duration STOPS_TAKING = Duration.ofMillis(700);
 
+    private static final String UNREAD = "unread";
+
     private final Figures figures;
     private final Picture picture;
     private final Findings findings;
@@ -100,7 +102,7 @@
         if (!partly) {
             Life life = picture.node(r.node).lifeAt(r.askedAt);
             boolean closed = !life.killed || life.endedAt > r.endedAt();
-            return closed && !r.sentOnBy(r.node, r.endedAt()) ? Excuse.UNREAD : null;
+            return closed && UNREAD.equals(r.end.text()) && !r.sentOnBy(r.node, r.endedAt()) ? Excuse.UNREAD : null;
         }
         return r.tries.stream().anyMatch(t -> t.broken) ? Excuse.ANSWER_BROKEN : null;
     }
--- a/src/main/java/rowanplank/lab/check/Rules.java
+++ b/src/main/java/rowanplank/lab/check/Rules.java
@@ -13,8 +13,8 @@
  * <p>Events come in the order in which they are seen, while the rules ask when things were sent. So a request is judged
  * once all that can matter to it has come ({@link Figures#settles} after it was owed an answer), or at the day's end.
  *
- * <p>Costs: O(log n) an event for n requests kept. Memory: the requests of one such time, each under a kilobyte; for each
- * node and server its lives, what it was told and its last events; one bit for each request that was ever asked.
+ * <p>Costs: O(log n) an event for n requests kept. Memory: the requests of one such time, each under a kilobyte; for
+ * each node and server its lives, what it was told and its last events; one bit for each request ever asked.
  */
 public final class Rules implements Trace {
     private final Picture picture;
@@ -37,7 +37,7 @@
                 new OneTry(figures, picture, requests, findings), new Effects(figures, findings),
                 new Drains(figures, picture, findings), new ColdServers(figures, picture, findings),
                 new ServedBytes(requests, findings), new Prices(figures, findings),
-                new BadClients(figures, picture, findings), new NodeHealth(figures, picture, findings));
+                new BadClients(figures, picture, findings), new NodeHealth(picture, findings));
         endOfDay = new EndOfDay(findings);
     }
 
--- a/src/main/java/rowanplank/lab/client/FrontConnection.java
+++ b/src/main/java/rowanplank/lab/client/FrontConnection.java
@@ -56,7 +56,11 @@
      * what it has taken, which must not pass for a close that crossed a request.
      */
     boolean mayHaveCrossed() {
-        return answered != null && !reader.begun() && !(getEndPoint() instanceof Stamped s && s.allRead());
+        return answered != null && mayBeUnread();
+    }
+
+    boolean mayBeUnread() {
+        return !reader.begun() && !(getEndPoint() instanceof Stamped s && s.allRead());
     }
 
     /** Whether any byte of the awaited answer has come. */
--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -15,6 +15,7 @@
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.site.Roster.Entry;
 import rowanplank.lab.site.Roster.Phase;
+import rowanplank.lab.trace.Event;
 
 /** A place for a page server: the machine that stands there, one after the other, and the lives of its process. */
 final class ServerHost {
@@ -31,6 +32,8 @@
     private final Map<Fault.Kind, Double> faults = new EnumMap<>(Fault.Kind.class);
     private SimMachine machine;
     private String name;
+    /** The last life of the server whose address it has. */
+    private int tookOver = Event.NONE;
     private double speed;
     private SimProcess process;
     private PageServer server;
@@ -74,8 +77,8 @@
         int number = park.nextLife();
         SimProcess booted = machine.boot(Process.unbounded(name), NodeHost::rethrow);
         process = booted;
-        PageServer.Setup setup = new PageServer.Setup(number, name, hall, kind, speed, cold, stage.day().servers(),
-                stage.day().rules(), stage.day().nodes().probes());
+        PageServer.Setup setup = new PageServer.Setup(number, name, tookOver, hall, kind, speed, cold,
+                stage.day().servers(), stage.day().rules(), stage.day().nodes().probes());
         server = new PageServer(setup, park.works(), park::nodeAt, booted, stage.world().random("server " + number),
                 stage.trace(), () -> fell(booted));
         try {
@@ -155,6 +158,7 @@
         if (isRunning()) {
             kill();
         }
+        tookOver = sameAddress ? life() : Event.NONE;
         setUp(sameAddress ? entry.address().getAddress() : null);
         boot(true);
         park.roster().change(stage.world().nanos(), entry);
--- a/src/main/java/rowanplank/lab/site/PageServer.java
+++ b/src/main/java/rowanplank/lab/site/PageServer.java
@@ -55,11 +55,12 @@
      *
      * @param number of this life of it
      * @param name by which discovery knows it
+     * @param tookOver the number of the server whose address it has; {@link Event#NONE} if it has one of its own
      * @param speed its own
      * @param cold whether it starts cold; else it has run for long
      * @param probes whether probes are allowed
      */
-    public record Setup(int number, String name, int hall, Day.Kind kind, double speed, boolean cold,
+    public record Setup(int number, String name, int tookOver, int hall, Day.Kind kind, double speed, boolean cold,
             Day.Servers servers, Day.Rules rules, boolean probes) { }
 
     private final Setup setup;
@@ -117,7 +118,7 @@
     /** Begins to serve; to be called once, in the instant in which it was made. */
     public void start(InetSocketAddress address) throws IOException {
         listening = loop.listen(address, BACKLOG, this::accept);
-        teller.tell(Kind.SERVER_STARTED, Event.NONE, setup.number, Event.NONE, setup.hall, setup.name);
+        teller.tell(Kind.SERVER_STARTED, Event.NONE, setup.number, setup.tookOver, setup.hall, setup.name);
         reports.start();
         pauses.start();
     }
