--- a/src/main/java/rowanplank/lab/check/BadClients.java
+++ b/src/main/java/rowanplank/lab/check/BadClients.java
@@ -20,7 +20,8 @@
     private static final Duration OWED = Duration.ofSeconds(3);
     private static final Duration OWED_LONG = Duration.ofSeconds(6);
     private static final Set<String> LONG = Set.of("LONG_BODY");
-    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", "OTHERS_ID");
+    private static final String OTHERS_ID = "OTHERS_ID";
+    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", OTHERS_ID);
     /** How many numbers of requests each has, from its own on. */
     private static final int NUMBERS = rowanplank.lab.client.BadClients.NUMBERS;
 
@@ -48,7 +49,7 @@
     public void see(Event e, Request request) {
         switch (e.kind()) {
             case BAD_BEGAN -> waiting.put(e.request(), new Waiting(e));
-            case BAD_SERVED -> broke(waiting.get(e.request()), e, "served with status " + e.value());
+            case BAD_SERVED -> served(waiting.get(e.request()), e);
             case BAD_ENDED -> {
                 Waiting ended = waiting.remove(e.request());
                 if (ended != null) {
@@ -65,6 +66,19 @@
         }
     }
 
+    /** Where segments are lost, the request of the client whose id it is may come later than this one's. */
+    private void served(Waiting bad, Event e) {
+        boolean others = bad != null && bad.began.text().equals(OTHERS_ID);
+        Excuse trouble = others ? picture.node(e.node()).excuse(bad.began.at() - OWED.toNanos(), e.at()) : null;
+        if (trouble != null) {
+            findings.excuse(trouble);
+        } else if (others && !figures.retransmission().isZero()) {
+            findings.excuse(Excuse.SEGMENTS_LOST);
+        } else {
+            broke(bad, e, "served with status " + e.value());
+        }
+    }
+
     private void judge(Waiting ended, Event end) {
         Event began = ended.began;
         long late = began.at() + (LONG.contains(began.text()) ? OWED_LONG : OWED).toNanos();
--- a/src/main/java/rowanplank/lab/client/FrontConnection.java
+++ b/src/main/java/rowanplank/lab/client/FrontConnection.java
@@ -59,6 +59,7 @@
         return answered != null && mayBeUnread();
     }
 
+    /** Whether no byte of an answer has come, and the node is not known to have read the request. */
     boolean mayBeUnread() {
         return !reader.begun() && !(getEndPoint() instanceof Stamped s && s.allRead());
     }
