--- a/src/main/java/rowanplank/lab/check/BadClients.java
+++ b/src/main/java/rowanplank/lab/check/BadClients.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Event.Kind;
@@ -19,9 +18,9 @@
 final class BadClients implements Check {
     private static final Duration OWED = Duration.ofSeconds(3);
     private static final Duration OWED_LONG = Duration.ofSeconds(6);
-    private static final Set<String> LONG = Set.of("LONG_BODY");
+    private static final List<String> LONG = List.of("LONG_BODY");
     private static final String OTHERS_ID = "OTHERS_ID";
-    private static final Set<String> SERVED_BY_RIGHT = Set.of("PIPELINED", OTHERS_ID);
+    private static final List<String> SERVED_BY_RIGHT = List.of("PIPELINED", OTHERS_ID);
     /** How many numbers of requests each has, from its own on. */
     private static final int NUMBERS = rowanplank.lab.client.BadClients.NUMBERS;
 
--- a/src/main/java/rowanplank/lab/check/Told.java
+++ b/src/main/java/rowanplank/lab/check/Told.java
@@ -1,7 +1,8 @@
 package rowanplank.lab.check;
 
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import rowanplank.lab.trace.Event;
 
@@ -34,11 +35,11 @@
     }
 
     /** By node, then by the server's name. */
-    private final Map<Integer, Map<String, History>> histories = new HashMap<>();
+    private final Map<Integer, Map<String, History>> histories = new LinkedHashMap<>();
     /** By node: the lives of servers of whose start it was told, and when it was. */
-    private final Map<Integer, Map<Integer, Long>> starts = new HashMap<>();
+    private final Map<Integer, Map<Integer, Long>> starts = new LinkedHashMap<>();
     /** When each name was first heard of. */
-    private final Map<String, Long> first = new HashMap<>();
+    private final Map<String, Long> first = new LinkedHashMap<>();
 
     /** @param name of the server that the event is about */
     void see(Event e, String name) {
@@ -48,7 +49,7 @@
             case TOLD -> {
                 of(e.node()).computeIfAbsent(name, n -> new History()).add(e.at(), (int) e.value());
                 if (e.server() != Event.NONE && e.value() != 0) {
-                    starts.computeIfAbsent(e.node(), n -> new HashMap<>()).putIfAbsent(e.server(), e.at());
+                    starts.computeIfAbsent(e.node(), n -> new LinkedHashMap<>()).putIfAbsent(e.server(), e.at());
                 }
             }
             default -> { }
@@ -56,7 +57,7 @@
     }
 
     private Map<String, History> of(int node) {
-        return histories.computeIfAbsent(node, n -> new HashMap<>());
+        return histories.computeIfAbsent(node, n -> new LinkedHashMap<>());
     }
 
     /**
@@ -86,7 +87,7 @@
 
     /** Whether the node had been told by then of the start of this life of a server. */
     boolean knewOfStart(int node, int server, long by) {
-        Long at = starts.getOrDefault(node, Map.of()).get(server);
+        Long at = starts.getOrDefault(node, Collections.emptyMap()).get(server);
         return at != null && at <= by;
     }
 }
--- a/src/main/java/rowanplank/lab/check/Try.java
+++ b/src/main/java/rowanplank/lab/check/Try.java
@@ -1,13 +1,13 @@
 package rowanplank.lab.check;
 
-import java.util.Set;
+import java.util.List;
 import rowanplank.lab.trace.Event;
 
 /** One try of a request, as its server saw it. Times of sending are the node's. */
 final class Try {
     static final long NEVER = Long.MAX_VALUE;
     /** How the server's side gives up a try without ending its connection: for the node it is still out. */
-    private static final Set<String> STILL_OPEN = Set.of("silent", "on a connection of no further use");
+    private static final List<String> STILL_OPEN = List.of("silent", "on a connection of no further use");
     private static final String SPOILT = "spoilt";
 
     final int node;
