--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -115,7 +115,7 @@
         List.copyOf(ready).stream().filter(t -> !stays(t)).forEach(this::leave);
         listed.values().stream().filter(this::isMine).forEach(this::update);
         sharers = settings.nodes() * listedPart;
-        route.servers(ready.stream().map(t -> t.listed.zone()).collect(Collectors.toCollection(TreeSet::new)));
+        route.servers(new TreeSet<>(ready.stream().map(t -> t.listed.zone()).toList()));
         drawn = drawn.length < ready.size() ? new Target[ready.size() + 8] : drawn;
         sendHeld();
     }
