--- a/scripts/measure-node.sh
+++ b/scripts/measure-node.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # measure-node.sh RUNS [NAME=FOLDER...]: what a node's start, memory and requests cost, for built trees (this one if
-# none is named), in turn; a table of medians, least and most on standard output. About 16 s a run and tree, on a
+# none is named), in turn; a table of medians, least and most on standard output. About 12 s a run and tree, on a
 # machine that does nothing else. Where taskset is there, the nodes have one processor to themselves.
 set -eu
 root=$(cd "$(dirname "$0")/.." && pwd -P)
