--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -53,7 +53,7 @@
     private static final Duration LOOK = Duration.ofMillis(50);
     /** Idle connections of nodes and page servers, and sweeps, are over after their time and this. */
     private static final Duration LAST_SWEEPS = Duration.ofSeconds(13);
-    private static final long MOST_IN_AN_INSTANT = 10_000_000;
+    private static final long MOST_IN_AN_INSTANT = 3_000_000;
     private static final int STEPS_BETWEEN_LOOKS = 4096;
 
     /**
--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -22,6 +22,8 @@
     private static final int CELL = 4;
     /** A machine that falls silent is noticed so many times as late as a process that ends. */
     private static final int SILENT_NOTICE = 3;
+    /** It stays so much longer than nodes need to stop sending, to see those that do not. */
+    private static final Duration DRAINED_FOR = Duration.ofSeconds(1);
 
     private final Stage stage;
     private final ServerPark park;
@@ -141,7 +143,8 @@
         draining = true;
         list(Phase.DRAINING);
         Day.Discovery d = stage.day().discovery();
-        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(stage.day().rules().drainGrace());
+        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(stage.day().rules().drainGrace())
+                .plus(DRAINED_FOR);
         long earliest = stage.world().nanos() + heard.toNanos();
         SimProcess draining = process;
         server.drain(() -> stage.world().at(earliest, () -> drained(draining, until)));
