--- a/src/main/java/rowanplank/cli/CommandLines.java
+++ b/src/main/java/rowanplank/cli/CommandLines.java
@@ -40,8 +40,9 @@
 
     /** What is not foreseen is a fault of the program, and picocli prints it whole. */
     private static int failed(Exception e, CommandLine command, ParseResult parsed) throws Exception {
-        if (e instanceof ConfigException) {
-            return Status.failed(Status.USAGE, e.getMessage());
+        if (e instanceof ConfigException faults) {
+            faults.faults().forEach(f -> Status.failed(Status.USAGE, f));
+            return Status.USAGE;
         }
         if (e instanceof IOException) {
             return Status.failed(Status.FAILED, e.getMessage());
--- a/src/main/java/rowanplank/config/ConfigException.java
+++ b/src/main/java/rowanplank/config/ConfigException.java
@@ -10,12 +10,12 @@
         super(message);
     }
 
-    /** @param faults one line each */
+    /** @param faults of a file, each with its place */
     public ConfigException(List<String> faults) {
         super(String.join("\n", faults));
     }
 
-    /** What is wrong, one line for each fault. */
+    /** The message's lines. */
     public List<String> faults() {
         return getMessage().lines().toList();
     }
--- a/src/test/java/rowanplank/lab/run/DayRunTest.java
+++ b/src/test/java/rowanplank/lab/run/DayRunTest.java
@@ -115,6 +115,14 @@
         assertEquals(List.of(0L, 3000L, 4000L), third);
     }
 
+    @Test
+    void aNodeThatIsToldToStopInTheInstantOfItsStartEndsAndComesBack() {
+        List<Event> told = events(quiet(fault(Fault.Kind.NODE_RESTARTED, 0, 0.5, 1, 0)), Kind.NODE_STARTED,
+                Kind.NODE_ENDED, Kind.NODE_KILLED);
+        assertEquals(List.of(Kind.NODE_STARTED, Kind.NODE_ENDED, Kind.NODE_STARTED),
+                told.stream().filter(e -> e.node() == 1).map(Event::kind).toList());
+    }
+
     /** What nobody runs can't be killed: a server that drains when it is to be killed, as well as one that is gone. */
     @Test
     void aFaultThatFindsItsTargetAwayDoesNotHappen() {
