--- a/src/main/java/rowanplank/lab/check/Figures.java
+++ b/src/main/java/rowanplank/lab/check/Figures.java
@@ -22,11 +22,10 @@
  *        none are lost
  * @param settles so long after a request's time was up nothing comes any more that matters to it, if no fault held
  *        it up
- * @param held so much longer where one did
  */
 record Figures(long seed, Duration answerWithin, Duration drainWithin, Duration fallTime, int tries,
         boolean retryAfter, Map<String, String> effects, List<Fault> faults, int halls, Duration travel,
-        Duration retransmission, Duration settles, Duration held) {
+        Duration retransmission, Duration settles) {
     /** On sockets every time limit is so much longer. */
     private static final Duration SOCKETS = Duration.ofMillis(50);
     /** Of the exponential jitter one draw in 5e8 is beyond 20 times its mean. */
@@ -48,14 +47,10 @@
         Duration farthest = max(max(network.sameHall(), network.crossHall()), network.toClients());
         Duration travel = farthest.plus(times(farthest, MOST_JITTER * network.jitter())).plus(HANDLING);
         Duration retransmission = retransmission(network.loss());
-        Duration held = Duration.ZERO;
-        for (Fault fault : day.faults()) {
-            held = max(held, held(fault));
-        }
         return new Figures(day.seed(), day.rules().answerSlack().plus(SOCKETS), day.rules().drainGrace().plus(SOCKETS),
                 day.rules().fallTime(), day.nodes().tries(), !day.nodes().longestRetryAfter().isZero(), effects,
                 day.faults(), day.halls().size(), travel, retransmission,
-                QUIET.plus(travel.multipliedBy(2)).plus(retransmission.multipliedBy(2)), held);
+                QUIET.plus(travel.multipliedBy(2)).plus(retransmission.multipliedBy(2)));
     }
 
     /** All time-outs together until a share of losses has surely let one segment through. */
@@ -65,13 +60,19 @@
         return TIME_OUT.multipliedBy((1 << timeOuts) - 1);
     }
 
-    /** How long a fault keeps what is sent: time-outs double meanwhile, so that its end is heard as late again. */
-    static Duration held(Fault fault) {
+    /** Whether a fault keeps up what is sent, or what is to be done with it. */
+    static boolean holdsUp(Fault fault) {
         return switch (fault.kind()) {
-            case CUT, SERVER_VANISHED, NODE_VANISHED -> fault.length().multipliedBy(2).plus(TIME_OUT);
-            case NODE_PAUSED, NODE_SHORT -> fault.length();
-            case LOSS -> retransmission(fault.size());
-            case DELAY, PAUSES -> Duration.ofMillis((long) (4 * fault.size()));
+            case CUT, LOSS, DELAY, PAUSES, SERVER_VANISHED, NODE_VANISHED, NODE_PAUSED, NODE_SHORT -> true;
+            default -> false;
+        };
+    }
+
+    /** How long after a fault's end what it kept may still come: time-outs have doubled meanwhile. */
+    static Duration after(Fault fault) {
+        return switch (fault.kind()) {
+            case CUT, LOSS, SERVER_VANISHED, NODE_VANISHED -> fault.length().plus(TIME_OUT);
+            case DELAY, PAUSES -> Duration.ofMillis((long) fault.size());
             default -> Duration.ZERO;
         };
     }
--- a/src/test/java/rowanplank/lab/check/Script.java
+++ b/src/test/java/rowanplank/lab/check/Script.java
@@ -42,7 +42,7 @@
     static Figures figures(List<Fault> faults, Duration retransmission) {
         return new Figures(7, ms(70), ms(300), ms(1500), 3, true,
                 Map.of("page", "repeatable", "order", "once", "keyed", "by_key"), faults, 2, ms(5), retransmission,
-                ms(3000), ms(3000));
+                ms(3000));
     }
 
     private static Fault fault(Fault.Kind kind, int target) {
