--- a/src/main/java/rowanplank/lab/check/ColdServers.java
+++ b/src/main/java/rowanplank/lab/check/ColdServers.java
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import rowanplank.lab.trace.Event.Kind;
 import rowanplank.lab.trace.Event;
+import rowanplank.lab.trace.Event.Kind;
 
 /**
  * {@link Rule#COLD_SERVER} (WIRE, The contract, 4): when a cold server falls, it is broken if
--- a/src/main/java/rowanplank/lab/check/Picture.java
+++ b/src/main/java/rowanplank/lab/check/Picture.java
@@ -61,28 +61,29 @@
         }
         told.see(e, name(e));
         switch (e.kind()) {
-            case FAULT_BEGAN -> fault(e, spans -> spans.begin(e.at()));
-            case FAULT_ENDED -> fault(e, spans -> spans.end(e.at() + late(e)));
+            case FAULT_BEGAN, FAULT_ENDED -> fault(e);
             default -> { }
         }
     }
 
     private static boolean isOfOneRequest(Event e) {
         return switch (e.kind()) {
-            case ASKED, ASKED_AGAIN, ANSWERED, CUT_SHORT, GAVE_UP, NOT_CONNECTED, SENT_ANEW, BAD_BEGAN, BAD_ENDED,
-                    BAD_SERVED, TRY_BEGAN, TRY_CAME, TRY_RUNS, TRY_OFFERED_COLD, TRY_ANSWERED, TRY_WITHDRAWN, TRY_LOST,
-                    PROBED, DATAGRAM -> true;
+            case ARRIVED, ASKED, ASKED_AGAIN, ANSWERED, CUT_SHORT, GAVE_UP, NOT_CONNECTED, SENT_ANEW, BAD_BEGAN,
+                    BAD_ENDED, BAD_SERVED, TRY_BEGAN, TRY_CAME, TRY_RUNS, TRY_OFFERED_COLD, TRY_ANSWERED, TRY_WITHDRAWN,
+                    TRY_LOST, PROBED, DATAGRAM -> true;
             default -> false;
         };
     }
 
-    private void fault(Event e, Consumer<Spans> change) {
+    private void fault(Event e) {
         faults.tell(e);
         if (e.value() < 0 || e.value() >= figures.faults().size()) {
             return;
         }
         Fault fault = figures.faults().get((int) e.value());
-        if (!Figures.held(fault).isZero()) {
+        Consumer<Spans> change = e.kind() == Event.Kind.FAULT_BEGAN ? spans -> spans.begin(e.at())
+                : spans -> spans.end(e.at() + Figures.after(fault).toNanos());
+        if (Figures.holdsUp(fault)) {
             change.accept(held);
         }
         switch (fault.kind()) {
@@ -95,15 +96,6 @@
         }
     }
 
-    /** How long after a fault's end what it kept still comes. */
-    private long late(Event e) {
-        if (e.value() < 0 || e.value() >= figures.faults().size()) {
-            return 0;
-        }
-        Fault fault = figures.faults().get((int) e.value());
-        return Math.max(0, Figures.held(fault).minus(fault.length()).toNanos());
-    }
-
     private void nodes(Event e, Fault fault, Consumer<Node> what) {
         int target = e.node() != Event.NONE ? e.node() : fault.target();
         if (target == Fault.ALL) {
--- a/src/test/java/rowanplank/lab/check/RulesTest.java
+++ b/src/test/java/rowanplank/lab/check/RulesTest.java
@@ -140,6 +140,16 @@
         return cases.stream();
     }
 
+    @Test
+    void whatOneFaultAfterTheOtherKeptIsStillJudged() {
+        Script s = new Script().asked(1).at(5).fault(Kind.FAULT_BEGAN, Script.CUT).at(40).tried(1, 1, 39).at(60)
+                .answered(1, 502, null).at(4000).fault(Kind.FAULT_BEGAN, Script.SILENT_SERVER).at(5000)
+                .fault(Kind.FAULT_ENDED, Script.CUT).at(8000).fault(Kind.FAULT_ENDED, Script.SILENT_SERVER);
+        Verdict verdict = s.at(15_900).tried(1, 0, 9).at(60_000).dayEnds(0).verdict();
+        assertEquals(0, verdict.counts().get(Count.UNJUDGED));
+        assertEquals(Map.of(Excuse.WAY_DISTURBED, 1L), verdict.excuses());
+    }
+
     /** A try is sent to server 0 at 9, something happens, and the request is failed at 900. */
     private void out(String name, Object expected, Consumer<Script> script) {
         play(name, expected, s -> {
