--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -51,8 +51,11 @@
     /** On sockets time limits are 50 ms longer, and an answer takes its way. */
     private static final Duration LAST_WORD = Duration.ofMillis(60);
     private static final Duration LOOK = Duration.ofMillis(50);
-    /** Idle connections of nodes and page servers, and sweeps, are over after their time and this. */
-    private static final Duration LAST_SWEEPS = Duration.ofSeconds(13);
+    /**
+     * So long after the last client has gone a node holds nothing more than at its start: what a machine that was silent
+     * never heard the end of looks like a client's idle connection, which a node keeps for 120 s.
+     */
+    private static final Duration LAST_SWEEPS = Duration.ofSeconds(125);
     private static final long MOST_IN_AN_INSTANT = 3_000_000;
     private static final int STEPS_BETWEEN_LOOKS = 4096;
 
@@ -228,7 +231,7 @@
             if (rest) {
                 clients.close();
                 Duration idle = day.servers().connections().idle();
-                world.after(idle.plus(LAST_SWEEPS), this::lastLook);
+                world.after(idle.compareTo(LAST_SWEEPS) > 0 ? idle : LAST_SWEEPS, this::lastLook);
             } else if (world.nanos() > day.length().plus(MOST_REST).toNanos()) {
                 end(How.NEVER_ENDED);
             } else {
--- a/src/main/java/rowanplank/lab/run/ServiceMeter.java
+++ b/src/main/java/rowanplank/lab/run/ServiceMeter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
+import rowanplank.lab.client.BadClients;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.day.Day.Prices;
 import rowanplank.lab.day.Day.RequestClass;
@@ -15,7 +16,7 @@
 
 /**
  * Reckons a day's {@link Service} from its events alone. A request's time runs from when its client wants it to the
- * last byte of its answer, over all that the client tries.
+ * last byte of its answer, over all that the client tries. Bad clients count for nothing.
  *
  * <p>Holds some 100 bytes for each request that is open or was not served, and two numbers a second of the day.
  */
@@ -106,10 +107,7 @@
             case ASKED_AGAIN -> askedAgain(e);
             case ANSWERED -> answered(e);
             case CUT_SHORT, GAVE_UP, NOT_CONNECTED -> ended(e, End.LOST);
-            case TRY_CAME -> {
-                tries++;
-                crossings += nodeHalls.getOrDefault(e.node(), 0L).equals(serverHalls.get(e.server())) ? 0 : 1;
-            }
+            case TRY_CAME -> came(e);
             case TRY_RUNS -> runs(e);
             case TRY_ANSWERED -> tryAnswered(e);
             case PROBED -> probes++;
@@ -185,8 +183,19 @@
         }
     }
 
+    private static boolean isBad(Event e) {
+        return e.request() >= BadClients.FIRST_NUMBER;
+    }
+
+    private void came(Event e) {
+        if (!isBad(e)) {
+            tries++;
+            crossings += nodeHalls.getOrDefault(e.node(), 0L).equals(serverHalls.get(e.server())) ? 0 : 1;
+        }
+    }
+
     private void runs(Event e) {
-        workDone += e.value();
+        workDone += isBad(e) ? 0 : e.value();
         Wish wish = wishes.get(e.request());
         if (wish != null) {
             wish.runs.add(new Run(e.server(), e.value()));
