--- a/src/main/java/rowanplank/lab/day/DayDraw.java
+++ b/src/main/java/rowanplank/lab/day/DayDraw.java
@@ -101,8 +101,8 @@
                 nodes(usual.nodes(), sockets, between(0.4, 1), micros(between(5, 40))), classes, usual.rules(),
                 usual.prices(), servers, new Discovery(millis(between(200, 3000)), millis(between(5, 500)),
                         millis(between(0, 500))), clients, List.of());
-        int count = 1 + random.nextInt(8) + nodes / 4;
-        return withFaults(day, EnumSet.allOf(Kind.class), chance(0.25) ? 3 * count : count);
+        int faults = 1 + random.nextInt(8) + nodes / 4;
+        return withFaults(day, EnumSet.allOf(Kind.class), chance(0.25) ? 3 * faults : faults);
     }
 
     private Network network() {
