--- a/src/main/java/rowanplank/lab/check/Request.java
+++ b/src/main/java/rowanplank/lab/check/Request.java
@@ -24,8 +24,6 @@
     final List<Event> events = new ArrayList<>(8);
     /** When all that can matter has come. */
     long settlesAt;
-    /** Whether that allows for a fault. */
-    boolean heldUp;
 
     Request(Event asked) {
         number = asked.request();
--- a/src/main/java/rowanplank/lab/check/Requests.java
+++ b/src/main/java/rowanplank/lab/check/Requests.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import rowanplank.lab.trace.Event.Kind;
 import rowanplank.lab.trace.Event;
+import rowanplank.lab.trace.Event.Kind;
 
 /**
  * The requests that can still matter: from when they were asked until all that may come of them has. What is kept
@@ -78,18 +78,27 @@
     Request settled(long now) {
         for (Request first; (first = settling.peek()) != null && first.settlesAt <= now;) {
             settling.poll();
-            if (!first.heldUp && now != Long.MAX_VALUE && held.touches(first.askedAt, first.settlesAt)) {
-                first.heldUp = true;
-                first.settlesAt += figures.held().toNanos();
-                settling.add(first);
-            } else {
+            long settles = settlesAt(first, now);
+            if (settles <= now) {
                 kept.remove(first.number);
                 return first;
             }
+            first.settlesAt = settles;
+            settling.add(first);
         }
         return null;
     }
 
+    /**
+     * What was sent at s, and was kept by one fault after the other, the last one until b, comes at 2 b - s and a
+     * time-out at the latest, since time-outs double.
+     */
+    private long settlesAt(Request r, long now) {
+        long last = now == Long.MAX_VALUE ? 0 : held.lastIn(r.askedAt, r.settlesAt);
+        long quiet = figures.settles().toNanos();
+        return last == Long.MAX_VALUE ? now + quiet : Math.max(r.settlesAt, 2 * last - r.askedAt + quiet);
+    }
+
     /** Those that have no end, by their numbers. */
     List<Request> open() {
         List<Request> open = new ArrayList<>(kept.values());
