--- a/src/test/java/rowanplank/lab/client/ClientsTest.java
+++ b/src/test/java/rowanplank/lab/client/ClientsTest.java
@@ -98,7 +98,7 @@
     /** The one node stands in hall 0; those of hall 1 have none of their own. */
     private Clients clients(Loop loop, Witness witness, List<Target> targets, List<RequestClass> classes) {
         List<Front> fronts = IntStream.range(0, 2).mapToObj(hall -> new Front(loop, witness, Target.of(hall, targets),
-                FIGURES, classes, new Works(1, 0), new Lives(), world.random("notices"))).toList();
+                FIGURES, classes, new Works(1, 0), new Lives(), world.random("notices"), Duration.ZERO)).toList();
         return new Clients(loop, witness, arrivals(classes), fronts);
     }
 
--- a/src/test/java/rowanplank/lab/client/FrontTest.java
+++ b/src/test/java/rowanplank/lab/client/FrontTest.java
@@ -35,7 +35,7 @@
         Day.Clients clients = new Day.Clients(1, 0, Duration.ZERO, 0, 1, 0, connections, 0, Duration.ofMillis(300),
                 Duration.ofMillis(500), 1, false);
         front = new Front(stage.clients, stage.witness, stage.targets, clients, Stage.CLASSES, stage.works,
-                new Lives(), stage.world.random("notices"));
+                new Lives(), stage.world.random("notices"), Duration.ZERO);
         front.start();
         stage.runFor(10);
         stage.told();
