Add an open-loop load on real sockets: lab load

Need: nothing could ask a real node at a steady rate and tell its latency without leaving out what a stall kept from being sent.

Connections can be opened ahead, few at a time; a loop can stay awake for its timers.

--- a/src/main/java/rowanplank/cli/LabCommand.java
+++ b/src/main/java/rowanplank/cli/LabCommand.java
@@ -3,5 +3,6 @@
 import picocli.CommandLine.Command;
 
 @Command(name = "lab", description = "The laboratory: whole nodes and an emulated site in virtual time, from one seed.",
-        subcommands = {LabRunCommand.class, LabReplayCommand.class, LabHuntCommand.class, LabDrawCommand.class})
+        subcommands = {LabRunCommand.class, LabReplayCommand.class, LabHuntCommand.class, LabDrawCommand.class,
+            LabLoadCommand.class})
 final class LabCommand { }
--- a/src/main/java/rowanplank/lab/client/Arrival.java
+++ b/src/main/java/rowanplank/lab/client/Arrival.java
@@ -17,4 +17,10 @@
  * @param askOnce whether the client keeps the connection to itself after the answer and never uses it again
  */
 public record Arrival(long number, long at, int hall, int requestClass, long work, Duration patience, boolean heeds,
-        boolean keepsConnection, boolean askOnce) { }
+        boolean keepsConnection, boolean askOnce) {
+    /** The same so many nanoseconds later, and with a number so much higher. */
+    public Arrival moved(long later, long higher) {
+        return new Arrival(number + higher, at + later, hall, requestClass, work, patience, heeds, keepsConnection,
+                askOnce);
+    }
+}
--- a/src/main/java/rowanplank/lab/client/Clients.java
+++ b/src/main/java/rowanplank/lab/client/Clients.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.LongConsumer;
 import rowanplank.net.Loop;
 
 /**
@@ -19,27 +20,50 @@
     private final Witness witness;
     private final Iterator<Arrival> arrivals;
     private final List<Front> fronts;
+    private final LongConsumer lateness;
     private Arrival next;
+    private long from;
     private boolean begun;
     private int onTheWay;
 
     /** @param fronts one a hall, in the halls' order; each may be on a loop of its own, of the same thread */
     public Clients(Loop loop, Witness witness, Iterator<Arrival> arrivals, List<Front> fronts) {
+        this(loop, witness, arrivals, fronts, late -> { });
+    }
+
+    /**
+     * @param lateness told for each arrival how many nanoseconds after its time it was dealt with: written whole where
+     *        a connection was at rest, else waiting for one
+     */
+    public Clients(Loop loop, Witness witness, Iterator<Arrival> arrivals, List<Front> fronts, LongConsumer lateness) {
         this.loop = loop;
+        this.lateness = lateness;
         this.witness = witness;
         this.arrivals = arrivals;
         this.fronts = List.copyOf(fronts);
     }
 
+    /** Fronts look for their nodes from now on, and nobody comes yet. */
+    public void prepare() {
+        fronts.forEach(f -> on(f, f::start));
+    }
+
+    /** All begins at once. */
     public void start() {
+        prepare();
+        begin(0);
+    }
+
+    /** Arrivals come from now on; their times count from this one, nanoseconds since the witness's beginning. */
+    public void begin(long when) {
         begun = true;
-        fronts.forEach(f -> on(f, f::start));
+        from = when;
         draw();
         await();
     }
 
     private void draw() {
-        next = arrivals.hasNext() ? arrivals.next() : null;
+        next = arrivals.hasNext() ? arrivals.next().moved(from, 0) : null;
     }
 
     private void await() {
@@ -54,7 +78,10 @@
         for (int i = 0; i < MOST_A_TURN && next != null && next.at() <= now; i++) {
             Arrival arrival = next;
             Front front = fronts.get(arrival.hall());
-            on(front, () -> front.ask(arrival));
+            on(front, () -> {
+                front.ask(arrival);
+                lateness.accept(witness.now() - arrival.at());
+            });
             draw();
         }
         await();
--- a/src/main/java/rowanplank/lab/client/ConnectionStack.java
+++ b/src/main/java/rowanplank/lab/client/ConnectionStack.java
@@ -3,6 +3,7 @@
 /** Connections of one node, the newest on top; a link in each makes all steps O(1). */
 final class ConnectionStack {
     private FrontConnection top;
+    private FrontConnection bottom;
 
     boolean isEmpty() {
         return top == null;
@@ -12,14 +13,24 @@
         connection.stack = this;
         connection.newer = null;
         connection.older = top;
-        if (top != null) {
+        if (top == null) {
+            bottom = connection;
+        } else {
             top.newer = connection;
         }
         top = connection;
     }
 
     FrontConnection pop() {
-        FrontConnection connection = top;
+        return take(top);
+    }
+
+    /** The one that is there for longest. */
+    FrontConnection popOldest() {
+        return take(bottom);
+    }
+
+    private FrontConnection take(FrontConnection connection) {
         remove(connection);
         return connection;
     }
@@ -30,7 +41,9 @@
         } else {
             connection.newer.older = connection.older;
         }
-        if (connection.older != null) {
+        if (connection.older == null) {
+            bottom = connection.newer;
+        } else {
             connection.older.newer = connection.newer;
         }
         connection.stack = null;
--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -43,11 +43,24 @@
     private static final int REFUSED = 503;
     private static final int TOO_MANY = 429;
 
+    /**
+     * How a front deals with nodes and connections, where that is not as usual.
+     *
+     * @param check what a node must answer with 200 before it is used; null if it is used unasked
+     * @param oldestFirst whether a request takes the connection that rests for longest, so that all are in use
+     * @param ahead how many connections are opened to each node before they are needed
+     * @param openingAtOnce how many to a node are being opened at a time, at most
+     */
+    public record Manner(String check, boolean oldestFirst, int ahead, int openingAtOnce) {
+        public static final Manner USUAL = new Manner("/up", false, 0, Integer.MAX_VALUE);
+    }
+
     final Loop loop;
+    final Manner manner;
     private final Witness witness;
     private final Day.Clients clients;
     private final List<RequestClass> classes;
-    private final Works works;
+    private final Wording wording;
     private final Lives lives;
     private final UniformRandomProvider notices;
     private final Duration lastWord;
@@ -65,11 +78,19 @@
      */
     public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
             Works works, Lives lives, UniformRandomProvider notices, Duration lastWord) {
+        this(loop, witness, nodes, clients, classes, new PageWording(classes, works), lives, notices, lastWord,
+                Manner.USUAL);
+    }
+
+    /** With requests that read otherwise, or another manner. */
+    public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
+            Wording wording, Lives lives, UniformRandomProvider notices, Duration lastWord, Manner manner) {
         this.loop = loop;
+        this.manner = manner;
         this.witness = witness;
         this.clients = clients;
         this.classes = List.copyOf(classes);
-        this.works = works;
+        this.wording = wording;
         this.lives = lives;
         this.notices = notices;
         this.lastWord = lastWord;
@@ -96,13 +117,28 @@
         return open;
     }
 
+    /** Whether all its nodes are in use, and what was to be opened ahead is open. */
+    public boolean isPrepared() {
+        return pools.stream().allMatch(NodePool::isPrepared);
+    }
+
+    /** Connections that are open or being opened. */
+    public int connections() {
+        return pools.stream().mapToInt(NodePool::connections).sum();
+    }
+
+    /** How often a connection did not come up. */
+    public int failedOpenings() {
+        return pools.stream().mapToInt(NodePool::failedOpenings).sum();
+    }
+
     /** Closes what is at rest, and looks after nodes no more; what is open comes to its end. */
     public void close() {
         pools.forEach(NodePool::close);
     }
 
     private void begin(Asking asking) {
-        request(asking).enter(works, asking.arrival.work());
+        wording.enter(asking.arrival.requestClass(), asking.number, asking.arrival.work());
         asking.patience = loop.schedule(timeLeft(asking), () -> timeIsUp(asking));
         if (waiting.size() >= MOST_WAITING) {
             notConnected(asking, "too many wait");
@@ -177,14 +213,11 @@
         return Duration.ofNanos(Math.max(0, asking.stopsAt - witness.now()));
     }
 
-    private PageRequest request(Asking asking) {
-        return PageRequest.of(classes.get(asking.arrival.requestClass()), asking.number);
-    }
-
     /** The request as it is written now. */
     String message(Asking asking) {
         boolean marked = asking.isRetry() && clients.marksRetries();
-        return request(asking).text(PageRequest.timeout(timeLeft(asking)) + (marked ? "X-Retried: 1\r\n" : ""));
+        return wording.message(asking.arrival.requestClass(), asking.number,
+                PageRequest.timeout(timeLeft(asking)) + (marked ? "X-Retried: 1\r\n" : ""));
     }
 
     void asked(Asking asking) {
--- a/src/main/java/rowanplank/lab/client/FrontConnection.java
+++ b/src/main/java/rowanplank/lab/client/FrontConnection.java
@@ -22,7 +22,7 @@
     FrontConnection newer;
     FrontConnection older;
 
-    /** @param first for whom it is opened */
+    /** @param first for whom it is opened; null if for nobody yet */
     FrontConnection(EndPoint endPoint, Loop loop, NodePool pool, Asking first) {
         super(endPoint, loop);
         this.pool = pool;
@@ -32,8 +32,10 @@
     @Override
     public void onOpen() {
         super.onOpen();
-        if (asking != null) { // else it was given up in the instant in which it came up
+        if (asking != null) {
             pool.send(asking, this);
+        } else if (!isOver()) { // it was not given up in the instant in which it came up
+            pool.opened(this);
         }
     }
 
--- a/src/main/java/rowanplank/lab/client/NodePool.java
+++ b/src/main/java/rowanplank/lab/client/NodePool.java
@@ -16,12 +16,18 @@
  * can't be told from an end: end points read both as an end.) Checks follow each other after
  * {@link #CHECK_PAUSE}, one at a time.
  *
+ * <p>Connections may be opened ahead, and few at a time ({@link Front.Manner}): of thousands at once the other side's
+ * machine drops those that find no room to wait there, and the rest wait behind each other.
+ *
  * <p>Bounds: {@code mostConnections} open or being opened, and one check.
  */
 final class NodePool {
     static final String NOT_IN_TIME = "not up in time";
 
     private static final Duration CHECK_PAUSE = Duration.ofMillis(100);
+    private static final Duration AHEAD_TIMEOUT = Duration.ofSeconds(5);
+    /** After one that was to be opened ahead has failed. */
+    private static final Duration OPENING_PAUSE = Duration.ofMillis(50);
 
     final Target target;
     private final Front front;
@@ -30,6 +36,11 @@
     /** Of clients that ask once: theirs for good. */
     private final ConnectionStack takenAway = new ConnectionStack();
     private int connections;
+    private int opening;
+    /** So many are to be opened before they are needed; 0 once that has been so. */
+    private int ahead;
+    private boolean pausesOpening;
+    private int failedOpenings;
     private boolean inUse;
     private Loop.Timer timer;
     private UpCheck check;
@@ -40,14 +51,16 @@
         this.front = front;
         this.target = target;
         this.mostConnections = mostConnections;
+        ahead = Math.min(front.manner.ahead(), mostConnections);
     }
 
     /** Whether a request finds a connection at once, or one can be opened. */
     boolean canTake() {
-        return inUse && (!atRest.isEmpty() || connections < mostConnections);
+        return inUse && (!atRest.isEmpty()
+                || connections < mostConnections && opening < front.manner.openingAtOnce());
     }
 
-    /** Puts the request on the newest connection at rest, or opens one for it. */
+    /** Puts the request on a connection at rest, or opens one for it. */
     void take(Asking asking) {
         asking.pool = this;
         if (asking.sentAnew && connections == mostConnections) {
@@ -56,15 +69,17 @@
         if (atRest.isEmpty() || asking.sentAnew) {
             open(asking);
         } else {
-            send(asking, atRest.pop());
+            send(asking, front.manner.oldestFirst() ? atRest.popOldest() : atRest.pop());
         }
     }
 
     private void open(Asking asking) {
         connections++;
+        opening++;
         asking.opening = front.loop.connect(target.address(), front.timeLeft(asking), new Loop.Connector() {
             @Override
             public Connection connected(EndPoint endPoint) {
+                openingEnded();
                 asking.opening = null;
                 asking.connection = new FrontConnection(endPoint, front.loop, NodePool.this, asking);
                 return asking.connection;
@@ -73,6 +88,8 @@
             @Override
             public void failed(Throwable cause) {
                 connections--;
+                opening--;
+                failedOpenings++;
                 asking.opening = null;
                 signOfDeath();
                 front.notConnected(asking, why(cause));
@@ -81,6 +98,74 @@
         });
     }
 
+    /** Guards the loop: the next is opened by a task of its own, not within the one that tells of this one. */
+    private void openingEnded() {
+        opening--;
+        if (front.manner.openingAtOnce() < Integer.MAX_VALUE) {
+            front.loop.execute(() -> {
+                openAhead();
+                front.offer(this);
+            });
+        }
+    }
+
+    private void openAhead() {
+        if (connections >= ahead) {
+            ahead = 0;
+        }
+        while (inUse && !pausesOpening && connections < ahead && opening < front.manner.openingAtOnce()) {
+            openOneAhead();
+        }
+    }
+
+    private void openOneAhead() {
+        connections++;
+        opening++;
+        front.loop.connect(target.address(), AHEAD_TIMEOUT, new Loop.Connector() {
+            @Override
+            public Connection connected(EndPoint endPoint) {
+                openingEnded();
+                return new FrontConnection(endPoint, front.loop, NodePool.this, null);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                connections--;
+                opening--;
+                failedOpenings++;
+                signOfDeath();
+                pausesOpening = true;
+                front.loop.schedule(OPENING_PAUSE, () -> {
+                    pausesOpening = false;
+                    openAhead();
+                });
+            }
+        });
+    }
+
+    /** One that was opened ahead is up. */
+    void opened(FrontConnection connection) {
+        if (inUse) {
+            atRest.push(connection);
+            front.offer(this);
+        } else {
+            connection.close();
+        }
+    }
+
+    /** Whether it is in use, and what was to be opened ahead is open. */
+    boolean isPrepared() {
+        return inUse && opening == 0 && connections >= ahead;
+    }
+
+    int connections() {
+        return connections;
+    }
+
+    int failedOpenings() {
+        return failedOpenings;
+    }
+
     /** In few words: messages tell times and ports, and no two are alike. */
     private static String why(Throwable cause) {
         return cause instanceof ConnectException ? "refused"
@@ -92,6 +177,7 @@
         asking.opening.abandon();
         asking.opening = null;
         connections--;
+        opening--;
         signOfDeath();
         front.offer(this);
     }
@@ -149,7 +235,11 @@
 
     void check() {
         timer = null;
-        check = new UpCheck(front.loop, target.address(), this::checked);
+        if (front.manner.check() == null) {
+            checked(true);
+            return;
+        }
+        check = new UpCheck(front.loop, target.address(), front.manner.check(), this::checked);
         check.begin();
     }
 
@@ -157,6 +247,7 @@
         check = null;
         if (ready) {
             inUse = true;
+            openAhead();
             front.ready(this);
         } else {
             timer = front.loop.schedule(CHECK_PAUSE, this::check);
@@ -166,6 +257,7 @@
     /** Closes what is at rest, and checks no more. */
     void close() {
         inUse = false;
+        ahead = 0;
         if (timer != null) {
             timer.cancel();
         }
--- a/src/main/java/rowanplank/lab/client/UpCheck.java
+++ b/src/main/java/rowanplank/lab/client/UpCheck.java
@@ -14,11 +14,10 @@
 /** Asks a node once whether it can serve, over a connection of its own; a second is the most it may take. */
 final class UpCheck {
     private static final Duration LONGEST = Duration.ofSeconds(1);
-    private static final byte[] QUESTION =
-            "GET /up HTTP/1.1\r\nHost: pages.lab\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Loop loop;
     private final InetSocketAddress address;
+    private final byte[] question;
     private final Consumer<Boolean> told;
     private Loop.Timer timer;
     private Loop.Opening opening;
@@ -26,9 +25,11 @@
     private boolean over;
 
     /** @param told hears once whether the answer was 200 */
-    UpCheck(Loop loop, InetSocketAddress address, Consumer<Boolean> told) {
+    UpCheck(Loop loop, InetSocketAddress address, String path, Consumer<Boolean> told) {
         this.loop = loop;
         this.address = address;
+        question = ("GET " + path + " HTTP/1.1\r\nHost: pages.lab\r\nConnection: close\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
         this.told = told;
     }
 
@@ -75,7 +76,7 @@
         @Override
         public void onOpen() {
             super.onOpen();
-            write(() -> { }, ByteBuffer.wrap(QUESTION));
+            write(() -> { }, ByteBuffer.wrap(question));
         }
 
         @Override
--- a/src/main/java/rowanplank/lab/site/Roster.java
+++ b/src/main/java/rowanplank/lab/site/Roster.java
@@ -93,7 +93,7 @@
     }
 
     /** Tells all that is on the list, and from now on each change. */
-    void follow(Follower follower) {
+    public void follow(Follower follower) {
         last.values().forEach(follower::changed);
         followers.add(follower);
     }
--- a/src/main/java/rowanplank/lab/site/Service.java
+++ b/src/main/java/rowanplank/lab/site/Service.java
@@ -55,8 +55,8 @@
             return null;
         }
         String id = reader.field("x-request-id");
-        long request = Ids.number(id);
-        if (request < 0 || !works.knows(request)) {
+        long request = works.number(id, reader.target());
+        if (request < 0) {
             teller.tell(Kind.TRY_BEGAN, connection.node(), setup.number(), Event.NONE, firstByteSentAt,
                     id == null ? "no id" : "an id that no client sent: " + id);
             return null;
--- a/src/main/java/rowanplank/lab/site/Works.java
+++ b/src/main/java/rowanplank/lab/site/Works.java
@@ -17,7 +17,7 @@
  *
  * <p>The last {@link #MOST} requests are known; older ones are long over. All calls cost O(1).
  */
-public final class Works {
+public class Works {
     /** At 10,000 requests a second, 26 s. */
     public static final int MOST = 1 << 18;
     /** No try is less work: guards the model against work that takes no time. */
@@ -51,15 +51,26 @@
      * @param work in nanoseconds of a core of speed 1
      * @param form of {@link #form}
      */
-    public void put(long request, long work, long form) {
+    public final void put(long request, long work, long form) {
         entries.put(request, new Entry(work, form));
     }
 
     /** Whether a client sent a request of this number. */
-    public boolean knows(long request) {
+    public final boolean knows(long request) {
         return entries.containsKey(request);
     }
 
+    /**
+     * The number of a request that has come to a page server.
+     *
+     * @param id as it came; null if there is none
+     * @return -1 if it is none that a client sent
+     */
+    public long number(String id, String target) {
+        long number = Ids.number(id);
+        return number >= 0 && knows(number) ? number : -1;
+    }
+
     /** Whether a client sent the request in this form. */
     public boolean isForm(long request, long form) {
         Entry entry = entries.get(request);
@@ -67,7 +78,7 @@
     }
 
     /** The work of a try of this request on this server, in nanoseconds of a core of speed 1. */
-    public long work(long request, int server) {
+    public final long work(long request, int server) {
         Entry entry = entries.get(request);
         if (entry == null) {
             throw new IllegalArgumentException("no such request: " + request);
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -16,7 +16,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -40,9 +43,18 @@
     /** Each connection has a time-out of its own within this: Jetty keeps what it knows of one for so long. */
     private static final Duration LONGEST_CONNECT = Duration.ofSeconds(10);
 
+    /** How a timer is waited for. */
+    public enum Wait {
+        /** The thread rests until then, and may come a millisecond late: a select counts in whole ones. */
+        AT_REST,
+        /** The last millisecond is spent looking at the sockets again and again: on time, at the price of a core. */
+        AWAKE
+    }
+
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Timers timers;
     private final Clock clock;
+    private final Wait wait;
     private final Consumer<Throwable> reports;
     private final Selectors selectors;
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
@@ -53,7 +65,13 @@
 
     /** @param reports is told what goes wrong in a task */
     public SelectorLoop(Clock clock, Consumer<Throwable> reports) {
+        this(clock, reports, Wait.AT_REST);
+    }
+
+    /** @param reports is told what goes wrong in a task */
+    public SelectorLoop(Clock clock, Consumer<Throwable> reports, Wait wait) {
         this.clock = clock;
+        this.wait = wait;
         this.reports = reports;
         timers = new Timers(clock);
         selectors = new Selectors();
@@ -69,6 +87,30 @@
         selectors.stop();
     }
 
+    /**
+     * Runs a task on the loop's thread and waits for what comes of it; not to be called on that thread.
+     *
+     * @throws IOException what the task threw
+     */
+    public <T> T call(Callable<T> task) throws IOException, InterruptedException {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        execute(() -> {
+            try {
+                result.complete(task.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        try {
+            return result.get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RuntimeException failure) {
+                throw failure;
+            }
+            throw e.getCause() instanceof IOException failure ? failure : new IOException(e.getCause());
+        }
+    }
+
     @Override
     public Clock clock() {
         return clock;
@@ -266,16 +308,20 @@
                 protected int nioSelect(Selector selector, boolean now) throws IOException {
                     runDue();
                     Duration idle = timers.untilNext();
-                    if (now || !tasks.isEmpty() || idle != null && idle.isZero()) {
+                    if (now || !tasks.isEmpty() || idle != null && millis(idle) == 0) {
                         return selector.selectNow();
                     }
-                    // Rounded up: a select that ends a little early would spin until the timer is due.
-                    return idle == null ? selector.select() : selector.select(idle.plusNanos(999_999).toMillis());
+                    return idle == null ? selector.select() : selector.select(millis(idle));
                 }
             };
             return selector;
         }
 
+        /** Rounded up at rest: a select that ends a little early would spin until the timer is due. */
+        private long millis(Duration idle) {
+            return wait == Wait.AWAKE ? idle.toMillis() : idle.plusNanos(999_999).toMillis();
+        }
+
         /** What it returns is handed to {@link #accepted} next, on this thread. */
         @Override
         protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
