--- a/src/main/java/rowanplank/cli/Cli.java
+++ b/src/main/java/rowanplank/cli/Cli.java
@@ -13,8 +13,12 @@
      * @return the exit status; where it is 0, threads that the command left behind run on
      */
     public static int run(String[] args) throws Exception {
-        return switch (args.length == 1 ? args[0] : "") {
+        return switch (String.join(" ", args)) {
             case "serve" -> Serve.run(System.getenv());
+            case "serve " + ServeCommand.END_WITH_INPUT -> {
+                Serve.endWithInput();
+                yield Serve.run(System.getenv());
+            }
             case "simhost" -> Simhost.run();
             default -> CommandLines.run(args);
         };
--- a/src/main/java/rowanplank/cli/LabCommand.java
+++ b/src/main/java/rowanplank/cli/LabCommand.java
@@ -2,7 +2,7 @@
 
 import picocli.CommandLine.Command;
 
-@Command(name = "lab", description = "The laboratory: whole nodes and an emulated site in virtual time, from one seed.",
+@Command(name = "lab", description = "The laboratory: nodes, an emulated site and clients, in virtual time or on real sockets.",
         subcommands = {LabRunCommand.class, LabReplayCommand.class, LabHuntCommand.class, LabDrawCommand.class,
-            LabLoadCommand.class})
+            LabSiteCommand.class, LabLoadCommand.class})
 final class LabCommand { }
--- a/src/main/java/rowanplank/cli/LabLoadCommand.java
+++ b/src/main/java/rowanplank/cli/LabLoadCommand.java
@@ -52,6 +52,8 @@
     private boolean oldestFirst;
     @Option(names = "--check", paramLabel = "PATH", description = "Must answer 200 before a target is asked.")
     private String check;
+    @Option(names = "--ready", paramLabel = "TIME", description = "How long targets may take to answer at all.")
+    private String ready;
     @Option(names = "--path", paramLabel = "PATH", description = "The one thing to ask for by GET; {n} is a number.")
     private String path;
     @Option(names = "--deadline", paramLabel = "TIME", description = "How long clients wait, where --path is there.")
@@ -59,7 +61,7 @@
     @Option(names = "--seed", paramLabel = "N")
     private Long seed;
     @Option(names = "--late", paramLabel = "TIME",
-            description = "The run is late if more than 1 % of its requests are later than this; usually 5ms.")
+            description = "The run is late if more than 1 %% of its requests are later than this; usually 5ms.")
     private String late;
     @Option(names = "--strict", description = "Ends with status 1 if the run is late.")
     private boolean strict;
@@ -132,6 +134,7 @@
         add(t, "ahead", ahead);
         add(t, "oldest_first", oldestFirst ? true : null);
         add(t, "check", check);
+        add(t, "ready", ready);
         add(t, "seed", seed);
         add(t, "late", late);
         if (path != null || deadline != null) {
--- a/src/main/java/rowanplank/cli/Serve.java
+++ b/src/main/java/rowanplank/cli/Serve.java
@@ -19,6 +19,20 @@
 final class Serve {
     private Serve() { }
 
+    /** From now on, the end of standard input ends this process as SIGTERM would. */
+    static void endWithInput() {
+        Thread reader = new Thread(() -> {
+            try {
+                while (System.in.read() >= 0) { }
+            } catch (IOException e) {
+                // its end, too
+            }
+            System.exit(Status.DONE);
+        }, "input");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
     /** @return the exit status, where the node does not come up; else the node runs on after this returns */
     static int run(Map<String, String> environment) throws Exception {
         CompletableFuture<Node> started = new CompletableFuture<>();
--- a/src/main/java/rowanplank/lab/client/NodePool.java
+++ b/src/main/java/rowanplank/lab/client/NodePool.java
@@ -16,8 +16,9 @@
  * can't be told from an end: end points read both as an end.) Checks follow each other after
  * {@link #CHECK_PAUSE}, one at a time.
  *
- * <p>Connections may be opened ahead, and few at a time ({@link Front.Manner}): of thousands at once the other side's
- * machine drops those that find no room to wait there, and the rest wait behind each other.
+ * <p>Connections may be opened ahead, few at a time and at a steady pace ({@link Front.Manner}): they are up for this
+ * side before the other one's process has accepted them, and of thousands at once its machine drops those that find no
+ * room to wait there, to be tried again a second and more later.
  *
  * <p>Bounds: {@code mostConnections} open or being opened, and one check.
  */
@@ -26,8 +27,9 @@
 
     private static final Duration CHECK_PAUSE = Duration.ofMillis(100);
     private static final Duration AHEAD_TIMEOUT = Duration.ofSeconds(5);
-    /** After one that was to be opened ahead has failed. */
-    private static final Duration OPENING_PAUSE = Duration.ofMillis(50);
+    /** Of those ahead so many are opened, and so long later the next: 2,000 a second. */
+    private static final int AHEAD_TOGETHER = 10;
+    private static final Duration AHEAD_PAUSE = Duration.ofMillis(5);
 
     final Target target;
     private final Front front;
@@ -39,7 +41,7 @@
     private int opening;
     /** So many are to be opened before they are needed; 0 once that has been so. */
     private int ahead;
-    private boolean pausesOpening;
+    private boolean opensAhead;
     private int failedOpenings;
     private boolean inUse;
     private Loop.Timer timer;
@@ -56,8 +58,11 @@
 
     /** Whether a request finds a connection at once, or one can be opened. */
     boolean canTake() {
-        return inUse && (!atRest.isEmpty()
-                || connections < mostConnections && opening < front.manner.openingAtOnce());
+        return inUse && (!atRest.isEmpty() || canOpen());
+    }
+
+    private boolean canOpen() {
+        return inUse && connections < mostConnections && opening < front.manner.openingAtOnce();
     }
 
     /** Puts the request on a connection at rest, or opens one for it. */
@@ -98,24 +103,23 @@
         });
     }
 
-    /** Guards the loop: the next is opened by a task of its own, not within the one that tells of this one. */
+    /** Guards the loop: requests that wait are handed on by a task of its own, not within the one that tells of this. */
     private void openingEnded() {
         opening--;
         if (front.manner.openingAtOnce() < Integer.MAX_VALUE) {
-            front.loop.execute(() -> {
-                openAhead();
-                front.offer(this);
-            });
+            front.loop.execute(() -> front.offer(this));
         }
     }
 
     private void openAhead() {
-        if (connections >= ahead) {
-            ahead = 0;
-        }
-        while (inUse && !pausesOpening && connections < ahead && opening < front.manner.openingAtOnce()) {
+        for (int i = 0; i < AHEAD_TOGETHER && connections < ahead && canOpen(); i++) {
             openOneAhead();
         }
+        if (connections < ahead) {
+            front.loop.schedule(AHEAD_PAUSE, this::openAhead);
+        } else {
+            ahead = 0;
+        }
     }
 
     private void openOneAhead() {
@@ -134,11 +138,6 @@
                 opening--;
                 failedOpenings++;
                 signOfDeath();
-                pausesOpening = true;
-                front.loop.schedule(OPENING_PAUSE, () -> {
-                    pausesOpening = false;
-                    openAhead();
-                });
             }
         });
     }
@@ -155,7 +154,7 @@
 
     /** Whether it is in use, and what was to be opened ahead is open. */
     boolean isPrepared() {
-        return inUse && opening == 0 && connections >= ahead;
+        return inUse && opening == 0 && ahead == 0;
     }
 
     int connections() {
@@ -247,8 +246,11 @@
         check = null;
         if (ready) {
             inUse = true;
-            openAhead();
             front.ready(this);
+            if (ahead > 0 && !opensAhead) {
+                opensAhead = true;
+                openAhead();
+            }
         } else {
             timer = front.loop.schedule(CHECK_PAUSE, this::check);
         }
--- a/src/main/java/rowanplank/lab/load/LoadFile.java
+++ b/src/main/java/rowanplank/lab/load/LoadFile.java
@@ -48,7 +48,7 @@
                 s.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, usual.seed()), connections,
                 s.integer("ahead", 0, LoadPlan.MOST_CONNECTIONS, usual.ahead()),
                 s.integer("opening", 1, 1000, usual.opening()), s.flag("oldest_first", usual.oldestFirst()),
-                check(s, usual), s.number("burst", 0, 1, usual.burst()),
+                check(s, usual), s.duration("ready", LEAST, HOUR, usual.ready()), s.number("burst", 0, 1, usual.burst()),
                 s.duration("burst_length", LEAST, HOUR, usual.burstLength()),
                 s.number("patience", 0.01, 1, usual.patience()), s.number("heeds", 0, 1, usual.heeds()),
                 s.number("keeps", 0, 1, usual.keeps()), s.number("ask_once", 0, 1, usual.askOnce()),
--- a/src/main/java/rowanplank/lab/load/LoadPlan.java
+++ b/src/main/java/rowanplank/lab/load/LoadPlan.java
@@ -18,18 +18,19 @@
  * @param opening how many are being opened at a time, by each thread to each target
  * @param oldestFirst whether a request takes the connection that rests for longest; else the newest
  * @param check what a target must answer with 200 before it is used; empty for none
+ * @param ready how long targets may take to be used, and the connections to be opened ahead
  * @param burst how far the rate swings; burstLength, patience, heeds, keeps and askOnce as in {@link Day.Clients}
  * @param late the run is marked if more than 1 % of its requests were dealt with later than this after their time
  */
 public record LoadPlan(List<InetSocketAddress> targets, double rate, Duration length, Duration warmUp, int threads,
-        long seed, int connections, int ahead, int opening, boolean oldestFirst, String check, double burst,
-        Duration burstLength, double patience, double heeds, double keeps, double askOnce, Duration late,
+        long seed, int connections, int ahead, int opening, boolean oldestFirst, String check, Duration ready,
+        double burst, Duration burstLength, double patience, double heeds, double keeps, double askOnce, Duration late,
         List<LoadClass> classes) {
     /** The bound that has been tried. */
     public static final int MOST_CONNECTIONS = 10_000;
 
     public static final LoadPlan USUAL = new LoadPlan(List.of(), 100, Duration.ofSeconds(10), Duration.ofSeconds(2), 1,
-            1, 100, 0, 32, false, "", 0, Duration.ofSeconds(3), 1, 0, 1, 0, Duration.ofMillis(5),
+            1, 100, 0, 32, false, "", Duration.ofSeconds(10), 0, Duration.ofSeconds(3), 1, 0, 1, 0, Duration.ofMillis(5),
             List.of(new LoadClass("page", 1, "GET", "/", "", Duration.ofSeconds(10))));
 
     /**
@@ -57,8 +58,8 @@
         Day.Clients c = day.clients();
         return new LoadPlan(List.of(), c.rate(), day.length(), USUAL.warmUp, 1, day.seed(),
                 Math.min(MOST_CONNECTIONS, c.connections() * day.halls().size() * day.nodes().count()), 0,
-                USUAL.opening, false, "/up", c.burst(), c.burstLength(), c.patience(), c.heeds(), c.keeps(),
-                c.askOnce(), USUAL.late, classes);
+                USUAL.opening, false, "/up", USUAL.ready, c.burst(), c.burstLength(), c.patience(), c.heeds(),
+                c.keeps(), c.askOnce(), USUAL.late, classes);
     }
 
     /** From its first request to its last. */
--- a/src/main/java/rowanplank/lab/load/LoadRun.java
+++ b/src/main/java/rowanplank/lab/load/LoadRun.java
@@ -13,6 +13,7 @@
 import net.openhft.hashing.LongHashFunction;
 import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
+import rowanplank.config.Units;
 import rowanplank.net.Clock;
 import rowanplank.net.Descriptors;
 import rowanplank.net.SelectorLoop;
@@ -24,9 +25,6 @@
 public final class LoadRun {
     /** Descriptors for all that is no connection to a target. */
     private static final int OTHER_DESCRIPTORS = 100;
-    /** How long targets may take to be ready, and more for each connection that is to be opened ahead. */
-    private static final Duration READY_WITHIN = Duration.ofSeconds(10);
-    private static final Duration OPENED_WITHIN = Duration.ofMillis(2);
     private static final Duration LOOK = Duration.ofMillis(20);
     private static final Duration SECOND = Duration.ofSeconds(1);
     /** All threads have heard of the beginning by then. */
@@ -171,15 +169,15 @@
     }
 
     private void awaitTargets() throws IOException, InterruptedException {
-        Duration within = READY_WITHIN.plus(OPENED_WITHIN.multipliedBy(plan.ahead()));
-        Instant until = clock.now().plus(within);
+        Instant until = clock.now().plus(plan.ready());
         while (!all(LoadThread::isPrepared)) {
             if (stopped.await(LOOK.toMillis(), TimeUnit.MILLISECONDS)) {
                 return;
             }
             if (clock.now().isAfter(until)) {
-                throw new IOException("not ready within " + within.toSeconds() + " s: " + Addresses.format(plan.targets()
-                        .get(0)) + (plan.targets().size() > 1 ? " or another target" : "") + "; " + waitsFor());
+                throw new IOException("not ready within " + Units.format(plan.ready()) + ": "
+                        + Addresses.format(plan.targets().get(0))
+                        + (plan.targets().size() > 1 ? " or another target" : "") + "; " + waitsFor());
             }
         }
     }
--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -153,7 +153,7 @@
             Works works = new Works(day.seed(), day.servers().tryNoise());
             park = new ServerPark(stage, works);
             Lives lives = new Lives();
-            timeline = new Timeline(stage, nodes, park.hosts());
+            timeline = new Timeline(stage, stage.network()::link, nodes, park.hosts());
             timeline.enter();
             stage.tell(Kind.DAY_BEGAN, Event.NONE, day.seed(), Bodies.digest(DayFile.write(day).getBytes(
                     java.nio.charset.StandardCharsets.UTF_8)));
@@ -162,7 +162,7 @@
                 nodes.add(new NodeHost(stage, i, park.roster(), manner.nodes, lives));
             }
             stage.network().watchDatagrams((from, to, bytes, receivers) -> stage.trace().tell(world.nanos(),
-                    Kind.DATAGRAM, park.nodeAt(new java.net.InetSocketAddress(from.address(), 0)), Event.NONE,
+                    Kind.DATAGRAM, stage.nodeAt(new java.net.InetSocketAddress(from.address(), 0)), Event.NONE,
                     receivers, bytes, null));
             nodes.forEach(NodeHost::start);
             clients(works, lives);
--- a/src/main/java/rowanplank/lab/run/NodeHost.java
+++ b/src/main/java/rowanplank/lab/run/NodeHost.java
@@ -20,7 +20,7 @@
 import rowanplank.node.Node;
 
 /** A node's machine: its agent, its files, and one life of the node's process after the other. */
-final class NodeHost {
+final class NodeHost implements NodeControl {
     private static final String FILE = "/run/balancer/config.json";
     private static final String UNUSABLE = "{\"name\":\"n0\",\"listen\":";
     /** No SIGHUP comes in a node's first second. */
@@ -74,7 +74,8 @@
         throw new IllegalStateException("the laboratory failed", failure);
     }
 
-    DiscoveryAgent agent() {
+    @Override
+    public DiscoveryAgent agent() {
         return agent;
     }
 
@@ -86,7 +87,8 @@
         return hall;
     }
 
-    boolean isRunning() {
+    @Override
+    public boolean isRunning() {
         return process != null && process.isAlive();
     }
 
@@ -96,11 +98,12 @@
     }
 
     private void writeFile() {
-        machine.files().put(FILE, NodeText.write(stage.day(), number, hall, agent.address(), seeds.nextLong(), known));
+        machine.files().put(FILE, NodeText.write(stage.day(), SiteMap.places(stage.day().nodes().count()),
+                number, hall, agent.address(), seeds.nextLong(), known));
     }
 
-    /** Starts the node's process, if none runs. */
-    void start() {
+    @Override
+    public void start() {
         if (isRunning()) {
             return;
         }
@@ -154,8 +157,8 @@
         return text.toString();
     }
 
-    /** Its process is killed outright. */
-    void kill() {
+    @Override
+    public void kill() {
         if (isRunning()) {
             stage.tell(Kind.NODE_KILLED, number, 0, null);
             process.kill();
@@ -177,8 +180,8 @@
         node = null;
     }
 
-    /** SIGTERM, and SIGKILL when the time that the platform grants is over. */
-    void stop() {
+    @Override
+    public void stop() {
         if (!isRunning() || stopping) {
             return;
         }
@@ -195,12 +198,13 @@
         });
     }
 
-    boolean isStopping() {
+    @Override
+    public boolean isStopping() {
         return isRunning() && stopping;
     }
 
-    /** SIGHUP with a new file, as soon as the node has run for a second. @param usable whether it can be read */
-    void reload(boolean usable) {
+    @Override
+    public void reload(boolean usable) {
         whenSettled(() -> {
             writeFile();
             if (!usable) {
@@ -210,8 +214,8 @@
         });
     }
 
-    /** Its agent moves, and the node is told of it. */
-    void moveAgent() {
+    @Override
+    public void moveAgent() {
         whenSettled(() -> {
             agentMoves++;
             try {
@@ -241,24 +245,27 @@
         }
     }
 
-    void vanish() {
+    @Override
+    public void vanish() {
         stage.tell(Kind.NODE_VANISHED, number, 0, null);
         machine.vanish();
     }
 
-    void appear() {
+    @Override
+    public void appear() {
         machine.appear();
         stage.tell(Kind.NODE_RETURNED, number, 0, null);
     }
 
-    void pause(Duration length) {
+    @Override
+    public void pause(Duration length) {
         if (isRunning()) {
             process.pause(length);
         }
     }
 
-    /** @param share of the core that it has; in its next lives too */
-    void cores(double share) {
+    @Override
+    public void cores(double share) {
         cores = stage.day().nodes().cores() * share;
         if (isRunning()) {
             process.cores(cores);
--- a/src/main/java/rowanplank/lab/run/NodeText.java
+++ b/src/main/java/rowanplank/lab/run/NodeText.java
@@ -4,12 +4,27 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.net.InetSocketAddress;
+import java.util.List;
 import rowanplank.config.Addresses;
 import rowanplank.lab.day.Day;
 import rowanplank.net.Clock;
 
 /** A node's configuration as the platform writes it: JSON, with the settings that its site has. */
-final class NodeText {
+public final class NodeText {
+    /**
+     * Where a site's nodes are.
+     *
+     * @param listen where clients connect to each
+     * @param peers where each hears the others; may be empty
+     * @param allPeers where all of them hear; null if nowhere
+     */
+    public record Places(List<InetSocketAddress> listen, List<InetSocketAddress> peers, InetSocketAddress allPeers) {
+        public Places {
+            listen = List.copyOf(listen);
+            peers = List.copyOf(peers);
+        }
+    }
+
     private static final int MEMORY_MB = 192;
     /** How long servers drop repeats of a keyed request. */
     private static final int WINDOW_MS = 5000;
@@ -21,21 +36,26 @@
      * @param seed a new one with each start
      * @param known the list of servers as the node last had it
      */
-    static String write(Day day, int node, int hall, InetSocketAddress discovery, long seed, JsonObject known) {
+    public static String write(Day day, Places places, int node, int hall, InetSocketAddress discovery, long seed,
+            JsonObject known) {
         JsonArray peers = Json.array().asArray();
-        for (int i = 0; i < day.nodes().count(); i++) {
-            peers.add(Addresses.format(SiteMap.peer(i)));
-        }
+        places.peers.forEach(p -> peers.add(Addresses.format(p)));
         JsonObject limits = Json.object().add("cores", day.nodes().cores()).add("memory_mb", MEMORY_MB)
                 .add("sockets", day.nodes().sockets());
-        return Json.object().add("name", name(node)).add("listen", Addresses.format(SiteMap.listen(node)))
+        JsonObject text = Json.object().add("name", name(node))
+                .add("listen", Addresses.format(places.listen.get(node)))
                 .add("discovery", Addresses.format(discovery)).add("seed", Long.toHexString(seed))
-                .add("limits", limits).add("peer_listen", Addresses.format(SiteMap.peer(node))).add("peers", peers)
-                .add("peers_all", Addresses.format(SiteMap.ALL_PEERS)).add("known", known)
-                .add("settings", settings(day, node, hall)).toString();
+                .add("limits", limits);
+        if (!places.peers.isEmpty()) {
+            text.add("peer_listen", Addresses.format(places.peers.get(node))).add("peers", peers);
+        }
+        if (places.allPeers != null) {
+            text.add("peers_all", Addresses.format(places.allPeers));
+        }
+        return text.add("known", known).add("settings", settings(day, node, hall)).toString();
     }
 
-    static String name(int node) {
+    public static String name(int node) {
         return "n" + node;
     }
 
--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -1,16 +1,13 @@
 package rowanplank.lab.run;
 
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
 import net.openhft.hashing.LongHashFunction;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.day.Fault;
-import rowanplank.lab.net.Process;
-import rowanplank.lab.net.SimMachine;
-import rowanplank.lab.net.SimProcess;
 import rowanplank.lab.site.PageServer;
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.site.Roster.Entry;
@@ -18,34 +15,34 @@
 import rowanplank.lab.trace.Event;
 
 /** A place for a page server: the machine that stands there, one after the other, and the lives of its process. */
-final class ServerHost {
+public final class ServerHost {
     private static final int CELL = 4;
     /** A machine that falls silent is noticed so many times as late as a process that ends. */
     private static final int SILENT_NOTICE = 3;
 
-    private final Stage stage;
+    private final Ground ground;
     private final ServerPark park;
     private final int place;
     private final int hall;
     private final Day.Kind kind;
     /** The faults in force here. */
     private final Map<Fault.Kind, Double> faults = new EnumMap<>(Fault.Kind.class);
-    private SimMachine machine;
+    private ServerMachine machine;
     private String name;
     private double speed;
-    private SimProcess process;
+    private ServerMachine.Running process;
     private PageServer server;
     private Entry entry;
     private boolean draining;
     /** The life that stood last at this address. */
     private int before = Event.NONE;
 
-    ServerHost(Stage stage, ServerPark park, int place, Day.Kind kind) {
-        this.stage = stage;
+    ServerHost(Ground ground, ServerPark park, int place, Day.Kind kind) {
+        this.ground = ground;
         this.park = park;
         this.place = place;
         this.kind = kind;
-        hall = stage.map().hall(place);
+        hall = ground.hall(place);
     }
 
     private static String name(long seed, int machine) {
@@ -53,18 +50,18 @@
     }
 
     /** Sets up a new machine. @param address where it stands; null for an address of its own */
-    private void setUp(InetAddress address) {
+    private void setUp(InetSocketAddress address) {
         int number = park.nextMachine();
-        name = name(stage.day().seed(), number);
+        name = name(ground.day().seed(), number);
         speed = park.speed(kind, number);
-        machine = stage.network().machine(name, hall, SiteMap.server(number));
+        machine = ground.machine(name, hall, number);
         if (address == null) {
             before = Event.NONE;
         } else {
             machine.takeOver(address);
         }
-        entry = new Entry(name, SiteMap.served(address != null ? address : machine.address()),
-                stage.day().halls().get(hall), kind.name(), place / CELL, Phase.GONE, kind.cores(), 0, Event.NONE);
+        entry = new Entry(name, address != null ? address : machine.address(),
+                ground.day().halls().get(hall), kind.name(), place / CELL, Phase.GONE, kind.cores(), 0, Event.NONE);
     }
 
     /** The one that has been there for long. */
@@ -77,12 +74,12 @@
     private void boot(boolean cold) {
         draining = false;
         int number = park.nextLife();
-        SimProcess booted = machine.boot(Process.unbounded(name), NodeHost::rethrow);
+        ServerMachine.Running booted = machine.boot();
         process = booted;
         PageServer.Setup setup = new PageServer.Setup(number, before, name, hall, kind, speed, cold,
-                stage.day().servers(), stage.day().rules(), stage.day().nodes().probes());
-        server = new PageServer(setup, park.works(), park::nodeAt, booted, stage.world().random("server " + number),
-                stage.trace(), () -> fell(booted));
+                ground.day().servers(), ground.day().rules(), ground.day().nodes().probes());
+        server = new PageServer(setup, park.works(), ground::nodeAt, booted.loop(), ground.random("server " + number),
+                ground.trace(), () -> fell(booted));
         try {
             server.start(entry.address());
         } catch (IOException e) {
@@ -91,12 +88,12 @@
         before = number;
         faults.forEach(this::apply);
         entry = new Entry(entry.name(), entry.address(), entry.hall(), entry.kind(), entry.cell(), Phase.READY,
-                entry.size(), cold ? stage.world().now().toEpochMilli() : 0, number);
+                entry.size(), cold ? ground.now().toEpochMilli() : 0, number);
     }
 
     private void list(Phase phase) {
         entry = entry.with(phase);
-        park.roster().change(stage.world().nanos(), entry);
+        park.roster().change(ground.nanos(), entry);
     }
 
     boolean isRunning() {
@@ -104,17 +101,17 @@
     }
 
     /** Whether it runs and is not about to end. */
-    boolean isUp() {
+    public boolean isUp() {
         return isRunning() && !draining;
     }
 
     /** The number of its life. */
-    int life() {
+    public int life() {
         return entry.server();
     }
 
-    private void fell(SimProcess which) {
-        stage.world().after(Duration.ZERO, which::exit);
+    private void fell(ServerMachine.Running which) {
+        ground.after(Duration.ZERO, which::exit);
         list(Phase.GONE);
     }
 
@@ -128,7 +125,7 @@
     void startAgain() {
         if (!isRunning()) {
             boot(true);
-            park.roster().change(stage.world().nanos(), entry);
+            park.roster().change(ground.nanos(), entry);
         }
     }
 
@@ -140,20 +137,20 @@
     void drain(long until) {
         draining = true;
         list(Phase.DRAINING);
-        Day.Discovery d = stage.day().discovery();
-        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(stage.day().rules().drainGrace());
-        long earliest = stage.world().nanos() + heard.toNanos();
-        SimProcess draining = process;
-        server.drain(() -> stage.world().at(earliest, () -> drained(draining, until)));
+        Day.Discovery d = ground.day().discovery();
+        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(ground.day().rules().drainGrace());
+        long earliest = ground.nanos() + heard.toNanos();
+        ServerMachine.Running draining = process;
+        server.drain(() -> ground.at(earliest, () -> drained(draining, until)));
     }
 
-    private void drained(SimProcess which, long until) {
+    private void drained(ServerMachine.Running which, long until) {
         if (which.isAlive()) {
             server.stop();
-            stage.world().after(Duration.ZERO, which::exit);
+            ground.after(Duration.ZERO, which::exit);
             list(Phase.GONE);
         }
-        stage.world().at(Math.max(until, stage.world().nanos() + 1), this::startAgain);
+        ground.at(Math.max(until, ground.nanos() + 1), this::startAgain);
     }
 
     /** A new machine under a new name takes its place. */
@@ -161,16 +158,16 @@
         if (isRunning()) {
             kill();
         }
-        setUp(sameAddress ? entry.address().getAddress() : null);
+        setUp(sameAddress ? entry.address() : null);
         boot(true);
-        park.roster().change(stage.world().nanos(), entry);
+        park.roster().change(ground.nanos(), entry);
     }
 
     void vanish() {
         machine.vanish();
         int silent = life();
-        Duration notices = stage.day().discovery().notices();
-        stage.world().after(notices.multipliedBy(SILENT_NOTICE - 1), () -> {
+        Duration notices = ground.day().discovery().notices();
+        ground.after(notices.multipliedBy(SILENT_NOTICE - 1), () -> {
             if (machine.isSilent() && life() == silent && isRunning()) {
                 list(Phase.GONE);
             }
--- a/src/main/java/rowanplank/lab/run/ServerPark.java
+++ b/src/main/java/rowanplank/lab/run/ServerPark.java
@@ -1,38 +1,29 @@
 package rowanplank.lab.run;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.site.Works;
-import rowanplank.lab.trace.Event;
 
 /** All places for page servers, and what they share. */
-final class ServerPark {
-    private final Stage stage;
+public final class ServerPark {
+    private final Ground ground;
     private final Works works;
     private final Roster roster;
     private final List<ServerHost> hosts = new ArrayList<>();
-    /** Looked up only. */
-    private final Map<InetAddress, Integer> nodes = new HashMap<>();
     private int machines;
     private int lives;
 
-    ServerPark(Stage stage, Works works) {
-        this.stage = stage;
+    /** @param works what is known of the requests that come */
+    public ServerPark(Ground ground, Works works) {
+        this.ground = ground;
         this.works = works;
-        roster = new Roster(stage.day().discovery().notices());
-        for (int i = 0; i < stage.day().nodes().count(); i++) {
-            nodes.put(SiteMap.node(i), i);
-        }
-        List<Day.Kind> kinds = kinds(stage.day().servers());
+        roster = new Roster(ground.day().discovery().notices());
+        List<Day.Kind> kinds = kinds(ground.day().servers());
         for (int i = 0; i < kinds.size(); i++) {
-            hosts.add(new ServerHost(stage, this, i, kinds.get(i)));
+            hosts.add(new ServerHost(ground, this, i, kinds.get(i)));
         }
     }
 
@@ -58,15 +49,16 @@
         return kinds;
     }
 
-    void begin() {
+    /** All of them have been there for long, and serve from now on. */
+    public void begin() {
         hosts.forEach(ServerHost::begin);
     }
 
-    List<ServerHost> hosts() {
+    public List<ServerHost> hosts() {
         return hosts;
     }
 
-    Roster roster() {
+    public Roster roster() {
         return roster;
     }
 
@@ -74,10 +66,6 @@
         return works;
     }
 
-    int nodeAt(InetSocketAddress address) {
-        return nodes.getOrDefault(address.getAddress(), Event.NONE);
-    }
-
     int nextMachine() {
         return machines++;
     }
@@ -89,7 +77,7 @@
     /** Log-normal with the kind's speed as its mean: exp(ln m - v / 2 + sqrt(v) z), with v = ln(1 + spread^2). */
     double speed(Day.Kind kind, int machine) {
         double variance = StrictMath.log1p(kind.speedSpread() * kind.speedSpread());
-        double z = ZigguratSampler.NormalizedGaussian.of(stage.world().random("speed " + machine)).sample();
+        double z = ZigguratSampler.NormalizedGaussian.of(ground.random("speed " + machine)).sample();
         return kind.speed() * StrictMath.exp(StrictMath.sqrt(variance) * z - variance / 2);
     }
 }
--- a/src/main/java/rowanplank/lab/run/SiteMap.java
+++ b/src/main/java/rowanplank/lab/run/SiteMap.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.stream.IntStream;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.net.SimNetwork;
 
@@ -39,6 +40,11 @@
         return new InetSocketAddress(node(node), PEER_PORT);
     }
 
+    static NodeText.Places places(int nodes) {
+        return new NodeText.Places(IntStream.range(0, nodes).mapToObj(SiteMap::listen).toList(),
+                IntStream.range(0, nodes).mapToObj(SiteMap::peer).toList(), ALL_PEERS);
+    }
+
     /** @param moves how often the agent has moved */
     static InetSocketAddress agent(int node, int moves) {
         return new InetSocketAddress(node(node), AGENT_PORT + moves);
--- a/src/main/java/rowanplank/lab/run/Timeline.java
+++ b/src/main/java/rowanplank/lab/run/Timeline.java
@@ -16,26 +16,34 @@
  * day's order holds; all of them come before anything else that is due in that instant, since they are entered before
  * the day begins. What finds its target away (a process that does not run) does not happen, and is not told.
  */
-final class Timeline {
+public final class Timeline {
     /** One step, at its time. */
     private record Step(long at, int place, boolean end, Runnable task) { }
 
-    private final Stage stage;
-    private final List<NodeHost> nodes;
+    /** The ways between halls. */
+    public interface Ways {
+        Link link(int from, int to);
+    }
+
+    private final Ground ground;
+    private final Ways ways;
+    private final List<? extends NodeControl> nodes;
     private final List<ServerHost> servers;
     private int left;
 
-    Timeline(Stage stage, List<NodeHost> nodes, List<ServerHost> servers) {
-        this.stage = stage;
+    public Timeline(Ground ground, Ways ways, List<? extends NodeControl> nodes, List<ServerHost> servers) {
+        this.ground = ground;
+        this.ways = ways;
         this.nodes = nodes;
         this.servers = servers;
     }
 
-    /** Enters all faults of the day. */
-    void enter() {
+    /** Enters all faults of the day, which begins now. */
+    public void enter() {
+        long begins = ground.nanos();
         List<Step> steps = new ArrayList<>();
-        for (int i = 0; i < stage.day().faults().size(); i++) {
-            Fault f = stage.day().faults().get(i);
+        for (int i = 0; i < ground.day().faults().size(); i++) {
+            Fault f = ground.day().faults().get(i);
             int place = i;
             long end = f.at().plus(f.length()).toNanos();
             boolean[] began = new boolean[1];
@@ -56,14 +64,14 @@
         }
         steps.sort(Comparator.comparingLong(Step::at).thenComparing(s -> !s.end).thenComparingInt(Step::place));
         left = steps.size();
-        steps.forEach(s -> stage.world().at(s.at, () -> {
+        steps.forEach(s -> ground.at(begins + s.at, () -> {
             left--;
             s.task.run();
         }));
     }
 
     /** Whether all of it has come. */
-    boolean isOver() {
+    public boolean isOver() {
         return left == 0;
     }
 
@@ -72,7 +80,7 @@
         int node = one && (f.kind().at() == Fault.At.NODE || f.kind().at() == Fault.At.DISCOVERY) ? f.target()
                 : Event.NONE;
         int server = one && f.kind().at() == Fault.At.SERVER ? servers.get(f.target()).life() : Event.NONE;
-        stage.trace().tell(stage.world().nanos(), kind, node, server, Event.NONE, place,
+        ground.trace().tell(ground.nanos(), kind, node, server, Event.NONE, place,
                 f.kind().name().toLowerCase(Locale.ROOT));
     }
 
@@ -80,7 +88,7 @@
     private boolean begin(Fault f, int place) {
         boolean away = switch (f.kind()) {
             case SERVER_KILLED, SERVER_DRAINED -> serversOf(f).stream().noneMatch(ServerHost::isUp);
-            case NODE_KILLED, NODE_PAUSED -> nodesOf(f).stream().noneMatch(NodeHost::isRunning);
+            case NODE_KILLED, NODE_PAUSED -> nodesOf(f).stream().noneMatch(NodeControl::isRunning);
             case NODE_RESTARTED -> nodesOf(f).stream().noneMatch(n -> n.isRunning() && !n.isStopping());
             default -> false;
         };
@@ -100,7 +108,7 @@
             case SERVER_VANISHED -> atServers(f, ServerHost::vanish);
             case SERVER_DRAINED -> atServers(f, s -> {
                 if (s.isUp()) {
-                    s.drain(stage.world().nanos() + f.length().toNanos());
+                    s.drain(ground.nanos() + f.length().toNanos());
                 }
             });
             case SERVER_REPLACED -> atServers(f, s -> s.replace(size == 1));
@@ -108,10 +116,10 @@
             case DISCOVERY_OUTAGE -> atNodes(f, n -> n.agent().outage(true));
             case DISCOVERY_HALF -> atNodes(f, n -> n.agent().halves(size));
             case DISCOVERY_MALFORMED -> atNodes(f, n -> n.agent().malformed(size));
-            case DISCOVERY_MOVED -> atNodes(f, NodeHost::moveAgent);
+            case DISCOVERY_MOVED -> atNodes(f, NodeControl::moveAgent);
             case NODE_KILLED -> atNodes(f, n -> killNode(n, f));
             case NODE_RESTARTED -> atNodes(f, n -> restart(n, f));
-            case NODE_VANISHED -> atNodes(f, NodeHost::vanish);
+            case NODE_VANISHED -> atNodes(f, NodeControl::vanish);
             case NODE_PAUSED -> atNodes(f, n -> n.pause(f.length()));
             case NODE_RELOADED -> atNodes(f, n -> n.reload(size == 0));
             case NODE_SHORT -> atNodes(f, n -> n.cores(size));
@@ -125,28 +133,28 @@
     private void killServer(ServerHost server, Fault f) {
         if (server.isUp()) {
             server.kill();
-            Duration away = f.length().isZero() ? stage.day().servers().restartAfter() : f.length();
-            stage.world().after(away, server::startAgain);
+            Duration away = f.length().isZero() ? ground.day().servers().restartAfter() : f.length();
+            ground.after(away, server::startAgain);
         }
     }
 
-    private void killNode(NodeHost node, Fault f) {
+    private void killNode(NodeControl node, Fault f) {
         if (node.isRunning()) {
             node.kill();
-            stage.world().after(f.length(), node::start);
+            ground.after(f.length(), node::start);
         }
     }
 
-    private void restart(NodeHost node, Fault f) {
+    private void restart(NodeControl node, Fault f) {
         if (node.isRunning()) {
             node.stop();
-            stage.world().after(f.length(), () -> startOnceEnded(node));
+            ground.after(f.length(), () -> startOnceEnded(node));
         }
     }
 
-    private void startOnceEnded(NodeHost node) {
+    private void startOnceEnded(NodeControl node) {
         if (node.isStopping()) {
-            stage.world().after(Duration.ofMillis(1), () -> startOnceEnded(node));
+            ground.after(Duration.ofMillis(1), () -> startOnceEnded(node));
         } else {
             node.start();
         }
@@ -161,7 +169,7 @@
             case DISCOVERY_OUTAGE -> atNodes(f, n -> n.agent().outage(false));
             case DISCOVERY_HALF -> atNodes(f, n -> n.agent().halves(0));
             case DISCOVERY_MALFORMED -> atNodes(f, n -> n.agent().malformed(0));
-            case NODE_VANISHED -> atNodes(f, NodeHost::appear);
+            case NODE_VANISHED -> atNodes(f, NodeControl::appear);
             case NODE_SHORT -> atNodes(f, n -> n.cores(1));
             case CUT -> atLinks(f, l -> l.cut(false));
             case LOSS -> atLinks(f, l -> l.loss(0));
@@ -174,7 +182,7 @@
         return f.target() == Fault.ALL ? servers : List.of(servers.get(f.target()));
     }
 
-    private List<NodeHost> nodesOf(Fault f) {
+    private List<? extends NodeControl> nodesOf(Fault f) {
         return f.target() == Fault.ALL ? nodes : List.of(nodes.get(f.target()));
     }
 
@@ -182,16 +190,16 @@
         serversOf(f).forEach(task);
     }
 
-    private void atNodes(Fault f, Consumer<NodeHost> task) {
+    private void atNodes(Fault f, Consumer<NodeControl> task) {
         nodesOf(f).forEach(task);
     }
 
     /** All links: those between different halls. */
     private void atLinks(Fault f, Consumer<Link> task) {
-        int halls = stage.day().halls().size();
+        int halls = ground.day().halls().size();
         for (int i = 0; i < halls * halls; i++) {
             if (f.target() == i || f.target() == Fault.ALL && i / halls != i % halls) {
-                task.accept(stage.network().link(i / halls, i % halls));
+                task.accept(ways.link(i / halls, i % halls));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/rowanplank/net/ChildProcesses.java
@@ -0,0 +1,92 @@
+package rowanplank.net;
+
+import java.io.File;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+
+/**
+ * Processes that this one starts, and that end with it: {@link #close} ends those that are left. Each has a pipe from
+ * this process as its standard input; the system closes it whatever way this process ends, and the child that reads
+ * there has to take that for its end. May be used from any thread.
+ */
+public final class ChildProcesses implements AutoCloseable {
+    private static final long ENDS_WITHIN_SECONDS = 5;
+
+    /** One of them. */
+    public static final class Child {
+        private final Process process;
+
+        private Child(Process process) {
+            this.process = process;
+        }
+
+        public long pid() {
+            return process.pid();
+        }
+
+        public boolean isAlive() {
+            return process.isAlive();
+        }
+
+        /** Asks it to end (SIGTERM). */
+        public void stop() {
+            process.destroy();
+        }
+
+        /** Ends it outright (SIGKILL). */
+        public void kill() {
+            process.destroyForcibly();
+        }
+    }
+
+    private final List<Child> children = new ArrayList<>();
+    private boolean closed;
+
+    /**
+     * @param environment put over this process's own
+     * @param log where its standard output and error go, behind what is there
+     * @param ended told the exit status, on a thread of the system's
+     * @throws IOException if it can't be started, or all are to end
+     */
+    public synchronized Child start(List<String> command, Map<String, String> environment, String log,
+            IntConsumer ended) throws IOException {
+        if (closed) {
+            throw new IOException("no process is started any more");
+        }
+        children.removeIf(c -> !c.isAlive());
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log)));
+        builder.environment().putAll(environment);
+        Child child = new Child(builder.start());
+        children.add(child);
+        child.process.onExit().thenAccept(p -> ended.accept(p.exitValue()));
+        return child;
+    }
+
+    /** Ends all of them and starts no more. */
+    @Override
+    public void close() {
+        List<Child> left;
+        synchronized (this) {
+            closed = true;
+            left = List.copyOf(children);
+            left.forEach(Child::kill);
+        }
+        try {
+            for (Child c : left) {
+                c.process.waitFor(ENDS_WITHIN_SECONDS, TimeUnit.SECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** How many have not ended. */
+    public synchronized long alive() {
+        return children.stream().filter(Child::isAlive).count();
+    }
+}
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -20,9 +20,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -228,9 +230,9 @@
             this.connector = connector;
         }
 
-        Connection connected(EndPoint endPoint) throws IOException {
+        Connection connected(EndPoint endPoint) {
             if (over) {
-                throw new IOException("given up while it was opened");
+                return new Unwanted(endPoint, SelectorLoop.this);
             }
             over = true;
             timer.cancel();
@@ -254,6 +256,21 @@
         }
     }
 
+    /** Came up in the instant in which it was given up: an ordinary thing, which Jetty must not log as a failure. */
+    private static final class Unwanted extends AbstractConnection {
+        Unwanted(EndPoint endPoint, Executor executor) {
+            super(endPoint, executor);
+        }
+
+        @Override
+        public void onOpen() {
+            close();
+        }
+
+        @Override
+        public void onFillable() { }
+    }
+
     private final class ListeningChannel implements Listening {
         private final ServerSocketChannel channel;
         private final Closeable acceptor;
@@ -345,8 +362,7 @@
         }
 
         @Override
-        public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment)
-                throws IOException {
+        public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
             if (attachment instanceof OpeningConnection o) {
                 return o.connected(endPoint);
             }
--- a/src/test/java/rowanplank/cli/CliTest.java
+++ b/src/test/java/rowanplank/cli/CliTest.java
@@ -17,9 +17,9 @@
 import picocli.CommandLine;
 
 class CliTest {
-    private record Said(int status, String out, String err) { }
+    record Said(int status, String out, String err) { }
 
-    private static Said run(String... args) throws Exception {
+    static Said run(String... args) throws Exception {
         PrintStream out = System.out;
         PrintStream err = System.err;
         ByteArrayOutputStream newOut = new ByteArrayOutputStream();
