--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -19,6 +19,8 @@
     private static final int CELL = 4;
     /** A machine that falls silent is noticed so many times as late as a process that ends. */
     private static final int SILENT_NOTICE = 3;
+    /** It stays so much longer than nodes need to stop sending, to see those that do not. */
+    private static final Duration DRAINED_FOR = Duration.ofSeconds(1);
 
     private final Ground ground;
     private final ServerPark park;
@@ -138,7 +140,8 @@
         draining = true;
         list(Phase.DRAINING);
         Day.Discovery d = ground.day().discovery();
-        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(ground.day().rules().drainGrace());
+        Duration heard = d.notices().plus(d.delay()).plus(d.spread()).plus(ground.day().rules().drainGrace())
+                .plus(DRAINED_FOR);
         long earliest = ground.nanos() + heard.toNanos();
         ServerMachine.Running draining = process;
         server.drain(() -> ground.at(earliest, () -> drained(draining, until)));
