--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -19,28 +19,17 @@
 import rowanplank.http.Headers;
 import rowanplank.http.Messages;
 import rowanplank.http.RequestReader;
+import rowanplank.intake.http.ConnectionQueue.Stage;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.net.Clock;
 import rowanplank.net.LoopConnection;
 
 /** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
-final class ClientConnection extends LoopConnection {
+final class ClientConnection extends LoopConnection implements ConnectionQueue.Connection {
     private static final Set<String> CHANGING = Set.of("POST", "PUT", "PATCH", "DELETE");
-    /** A request must come whole within this time of its first byte, and the first one of the connecting. */
-    private static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
-    private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
-    private static final Duration LONGEST_IDLE = Duration.ofSeconds(120);
-    /** And where connections are many: clients may ask once and keep their connection for good. */
-    private static final Duration LONGEST_IDLE_CROWDED = Duration.ofSeconds(2);
     /** After this, a client that keeps sending ahead is served no more than what is open. */
     private static final Duration LONGEST_AHEAD = Duration.ofMillis(1500);
-    /** A connection so new may hold a request that is yet to be read. */
-    private static final Duration FRESH = Duration.ofMillis(100);
-    /** A client that asks one thing after the other has done so by then. */
-    private static final Duration PAUSE = Duration.ofMillis(20);
-    /** How long a closed connection is read on, so that the answer is not lost to a reset. */
-    private static final Duration LINGER = Duration.ofSeconds(1);
-    /** And how much: the rest of a body without end must not take the node's core. */
+    /** So much of what a closed connection still sends is read: a body without end must not take the node's core. */
     private static final int MOST_LINGER_BYTES = 4 * Messages.MOST_BODY_BYTES;
     /** What a client may always send, however much the others have sent. */
     private static final int LITTLE = Messages.MOST_HEADER_BYTES;
@@ -51,18 +40,14 @@
     private static final byte[] NOTHING = {};
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private enum State { READING, WAITING, WRITING, LINGERING }
-
     private final Intake intake;
     private final boolean room;
+    private final ConnectionQueue.Place place;
     private final RequestReader reader = new RequestReader();
     private ByteBuffer unread = ByteBuffer.wrap(NOTHING);
-    private State state = State.READING;
     private Exchange exchange;
-    private Instant since;
     /** Since when the client has sent more than the request that is open; null if it has not. */
     private Instant aheadSince;
-    private boolean asked;
     private int dropped;
     private boolean advancing;
     private boolean continued;
@@ -71,11 +56,11 @@
     private int writes;
 
     /** @param room whether the node has room for this connection; else it is told so and closed */
-    ClientConnection(EndPoint endPoint, Intake intake, boolean room) {
+    ClientConnection(EndPoint endPoint, Intake intake, ConnectionQueue queue, boolean room) {
         super(endPoint, intake.loop);
         this.intake = intake;
         this.room = room;
-        since = intake.clock.now();
+        place = queue.join(this, intake.clock.now());
     }
 
     @Override
@@ -87,45 +72,16 @@
         }
     }
 
-    /** Whether nothing of a request has come: it may be closed with no loss. */
-    boolean isIdle() {
-        return state == State.READING && !reader.begun();
-    }
-
-    /** Whether it has never sent a request, though it has had the time to. */
-    boolean isSilent(Instant now) {
-        return isIdle() && !hasAsked() && Duration.between(since, now).compareTo(FRESH) > 0;
-    }
-
-    /** Whether a whole request has come over it. */
-    boolean hasAsked() {
-        return asked;
-    }
-
-    /** Whether it has been served, and has not asked again for some time. */
-    boolean isAtRest(Instant now) {
-        return hasRested(now, LONGEST_IDLE_CROWDED);
-    }
-
-    /** The same for a moment only. */
-    boolean hasPaused(Instant now) {
-        return hasRested(now, PAUSE);
+    private boolean isIdle() {
+        return place.stage() == Stage.SILENT || place.stage() == Stage.RESTING;
     }
 
-    private boolean hasRested(Instant now, Duration longerThan) {
-        return isIdle() && hasAsked() && Duration.between(since, now).compareTo(longerThan) > 0;
+    private boolean isReading() {
+        return isIdle() || place.stage() == Stage.BEGINNING || place.stage() == Stage.GOING_ON;
     }
 
-    Instant lastActive() {
-        return since;
-    }
-
-    /**
-     * Closes the connection if it owes nothing, also not for what has come in but was not yet read.
-     *
-     * @return whether it is closed
-     */
-    boolean closeIfIdle() {
+    @Override
+    public boolean closeIfIdle() {
         if (isIdle()) {
             lastLook();
         }
@@ -135,42 +91,24 @@
         return isOver();
     }
 
-    /** Guards against clients that stop in the middle of something, or never begin, and keep their socket. */
-    void review(Instant now) {
-        Duration in = Duration.between(since, now);
-        switch (state) {
-            case READING -> {
-                if (isIdle()) {
-                    if (in.compareTo(longestIdle()) > 0) {
-                        closeIfIdle();
-                    }
-                } else if (in.compareTo(SLOWEST_REQUEST) > 0) {
-                    lastLook();
-                    if (state == State.READING && reader.begun()) {
-                        respondAndClose(408);
-                    }
+    @Override
+    public void timeUp() {
+        switch (place.stage()) {
+            case SILENT, RESTING -> closeIfIdle();
+            case BEGINNING, GOING_ON -> {
+                lastLook();
+                if (isReading() && !isIdle()) {
+                    respondAndClose(408);
                 }
             }
-            case WRITING -> closeAfter(in, SLOWEST_READER);
-            case LINGERING -> closeAfter(in, LINGER);
+            case WRITING, LINGERING -> close();
             case WAITING -> { }
         }
     }
 
-    private Duration longestIdle() {
-        return intake.closing() ? FRESH : !asked ? SLOWEST_REQUEST
-                : intake.crowded() ? LONGEST_IDLE_CROWDED : LONGEST_IDLE;
-    }
-
-    private void closeAfter(Duration in, Duration longest) {
-        if (in.compareTo(longest) > 0) {
-            close();
-        }
-    }
-
     @Override
     protected void onBytes(ByteBuffer bytes) {
-        if (state == State.LINGERING || lastOne) {
+        if (place.stage() == Stage.LINGERING || lastOne) {
             dropped += bytes.remaining(); // nothing more is answered here
             if (dropped > MOST_LINGER_BYTES) {
                 pauseReading();
@@ -187,7 +125,7 @@
         int holds = isOver() ? 0 : unread.remaining() + reader.bodySize();
         boolean room = intake.hold(holds - held);
         held = holds;
-        if (!room && held > LITTLE && state == State.READING) {
+        if (!room && held > LITTLE && isReading()) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
             reader.turnAway();
             lastOne = true;
@@ -202,9 +140,9 @@
         }
         advancing = true;
         try {
-            while (state == State.READING && unread.hasRemaining() && !isOver()) {
-                if (!reader.begun() && asked) {
-                    since = intake.clock.now(); // the first request's time counts from connecting
+            while (isReading() && unread.hasRemaining() && !isOver()) {
+                if (isIdle()) {
+                    place.begin(intake.clock.now());
                 }
                 if (reader.read(unread)) {
                     take();
@@ -216,7 +154,7 @@
         } finally {
             advancing = false;
         }
-        if (state == State.READING || !unread.hasRemaining()) {
+        if (isReading() || !unread.hasRemaining()) {
             aheadSince = null;
         } else if (aheadSince == null) {
             aheadSince = intake.clock.now();
@@ -224,7 +162,7 @@
     }
 
     private void take() {
-        asked = true;
+        place.asked();
         if (reader.error() != 0) {
             intake.counters.add(Count.REQUESTS_MALFORMED);
             respondAndClose(reader.error());
@@ -298,8 +236,8 @@
             reject(NO_ROOM);
             return;
         }
-        state = State.WAITING;
         Instant now = intake.clock.now();
+        place.move(Stage.WAITING, now);
         RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
                 now.plus(wait.compareTo(longest) < 0 ? wait : longest),
                 new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
@@ -345,23 +283,23 @@
     }
 
     private void respond(int status, HttpFields.Mutable fields, byte[] body) {
+        Instant now = intake.clock.now();
         boolean aheadTooLong = aheadSince != null
-                && Duration.between(aheadSince, intake.clock.now()).compareTo(LONGEST_AHEAD) > 0;
+                && Duration.between(aheadSince, now).compareTo(LONGEST_AHEAD) > 0;
         lastOne |= !reader.keepsConnection() || intake.closing() || aheadTooLong;
         if (lastOne) {
             fields.put(HttpHeader.CONNECTION, "close");
         }
-        state = State.WRITING;
-        since = intake.clock.now();
+        place.move(Stage.WRITING, now);
         write(this::written, Messages.response(status, fields, body));
     }
 
     private void written() {
         intake.holdAnswers(-writes);
         writes = 0;
-        since = intake.clock.now();
+        Instant now = intake.clock.now();
         if (lastOne || intake.closing()) {
-            state = State.LINGERING;
+            place.move(Stage.LINGERING, now);
             getEndPoint().shutdownOutput();
             return;
         }
@@ -369,14 +307,14 @@
         intake.hold(unread.remaining() - held);
         held = unread.remaining();
         continued = false;
-        state = State.READING;
+        place.move(Stage.RESTING, now);
         advance();
-        intake.closeServed();
+        intake.closeServed(now);
     }
 
     @Override
     protected void onEnd() {
-        if (state != State.WRITING) {
+        if (place.stage() != Stage.WRITING) {
             close();
         } else {
             lastOne = true; // the answer is still written out; then nothing is left to do
@@ -385,7 +323,7 @@
 
     @Override
     protected void onOver() {
-        intake.over(this);
+        place.leave();
         intake.hold(-held);
         held = 0;
         intake.holdAnswers(-writes);
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -4,12 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.config.SiteSettings;
@@ -19,16 +14,20 @@
 import rowanplank.net.Clock;
 import rowanplank.net.Loop;
 
-/** Accepts clients and looks after their connections; never more of them than the node's sockets allow. */
+/**
+ * Accepts clients and looks after their connections; never more of them than the node's sockets allow. What an accept
+ * and an answer cost does not grow with the connections, but for O(log n) to find a place in their queue.
+ */
 public final class Intake {
     private static final int BACKLOG = 512;
     /** What all clients' unfinished requests may take together, but for a little that each may always send. */
     private static final long MOST_HELD = 8 << 20;
     private static final Duration SWEEP = Duration.ofMillis(100);
+    /** So many connections are ended in a sweep; where more are due, the next one follows after a moment. */
+    private static final int MOST_A_SWEEP = 64;
+    private static final Duration SWEEP_ON = Duration.ofMillis(1);
     /** So many connections more are read from, so that the node can be asked whether it is up in any crowd. */
     private static final int RESERVE = 16;
-    /** Connections are held to be many from this part of the most on. */
-    private static final int CROWDED_PART = 4;
 
     final SiteSettings site;
     final Exchanges exchanges;
@@ -36,11 +35,9 @@
     final Clock clock;
     final Counters counters;
     private final int mostConnections;
-    private final int mostServed;
     private final BooleanSupplier ready;
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final ConnectionQueue connections;
     private Loop.Listening listening;
-    private boolean closing;
     private long held;
     private long heldAnswers;
 
@@ -53,11 +50,11 @@
         this.site = site;
         this.exchanges = exchanges;
         this.mostConnections = mostConnections;
-        this.mostServed = mostServed;
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
         this.ready = ready;
+        connections = new ConnectionQueue(mostConnections, mostServed);
     }
 
     /** Begins to listen; to be called on the loop's thread. */
@@ -73,15 +70,13 @@
 
     private Connection accept(EndPoint endPoint) {
         counters.add(Count.CLIENT_CONNECTIONS);
-        closeServed();
+        closeServed(clock.now());
         boolean room = connections.size() < mostConnections || closeOneAtRest()
                 || connections.size() < mostConnections + RESERVE || closeOneIdle();
         if (!room) {
             counters.add(Count.CLIENT_CONNECTIONS_TURNED_AWAY);
         }
-        ClientConnection connection = new ClientConnection(endPoint, this, room);
-        connections.add(connection);
-        return connection;
+        return new ClientConnection(endPoint, this, connections, room);
     }
 
     /** Whether a request can be served; on the reserve's connections only questions about the node itself are. */
@@ -89,49 +84,34 @@
         return connections.size() <= mostConnections || closeOneAtRest() || closeOneIdle();
     }
 
-    /**
-     * Makes room for a newcomer. Those that connect and say nothing go first: they must not push out clients that
-     * are served. A connection that turns out to have sent something stays, and the next one is tried.
-     */
     private boolean closeOneAtRest() {
-        Instant now = clock.now();
-        return closeFirst(connections.stream().filter(c -> c.isSilent(now)))
-                || closeFirst(connections.stream().filter(c -> c.isAtRest(now)));
+        return counted(connections.closeOneAtRest(clock.now()));
     }
 
-    /**
-     * Guards clients that can hold only so many connections to a node: some ask once and keep theirs, and once all
-     * are held in that way, no further request finds one. The longest at rest go first; one that sends its next
-     * request meanwhile sends it again on a new connection, which only a first request could not.
-     */
-    void closeServed() {
-        Instant now = clock.now();
-        long served = connections.stream().filter(ClientConnection::hasAsked).count();
-        while (served > mostServed && closeFirst(connections.stream().filter(c -> c.hasPaused(now)))) {
-            served--;
-        }
+    private boolean closeOneIdle() {
+        return counted(connections.closeOneIdle());
     }
 
-    /** As closeOneAtRest, where none has been at rest for long. */
-    private boolean closeOneIdle() {
-        return closeFirst(connections.stream().filter(c -> !c.hasAsked()))
-                || closeFirst(connections.stream());
+    /** Closes connections that were served while they are too many. */
+    void closeServed(Instant now) {
+        boolean more;
+        do {
+            more = counted(connections.closeOneServed(now));
+        } while (more);
     }
 
-    private boolean closeFirst(Stream<ClientConnection> which) {
-        boolean closed = which.sorted(Comparator.comparing(ClientConnection::lastActive)).toList().stream()
-                .anyMatch(ClientConnection::closeIfIdle);
-        if (closed) {
+    private boolean counted(boolean evicted) {
+        if (evicted) {
             counters.add(Count.CLIENT_CONNECTIONS_EVICTED);
         }
-        return closed;
+        return evicted;
     }
 
     private void sweep() {
         Instant now = clock.now();
-        List.copyOf(connections).forEach(c -> c.review(now));
-        closeServed();
-        loop.schedule(SWEEP, this::sweep);
+        boolean more = connections.review(now, MOST_A_SWEEP) == MOST_A_SWEEP;
+        closeServed(now);
+        loop.schedule(more ? SWEEP_ON : SWEEP, this::sweep);
     }
 
     boolean ready() {
@@ -149,11 +129,6 @@
         return held <= MOST_HELD;
     }
 
-    /** Whether so many are connected that those at rest must make room. */
-    boolean crowded() {
-        return connections.size() > mostConnections / CROWDED_PART;
-    }
-
     /** The same for answers that clients have not read yet. */
     boolean holdAnswers(int change) {
         heldAnswers += change;
@@ -162,19 +137,15 @@
 
     /** Whether connections are closed with their answers. */
     boolean closing() {
-        return closing;
-    }
-
-    void over(ClientConnection connection) {
-        connections.remove(connection);
+        return connections.isClosing();
     }
 
     /** Takes no more connections, and closes those there are as soon as they owe nothing. */
     public void close() throws IOException {
-        closing = true;
+        connections.startClosing();
         listening.acceptPending();
         listening.close();
-        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+        connections.closeIdle();
     }
 
     public int connectionCount() {
