Keep idle connections to peers in order of rest, and readers of requests only while one is read

Need: Peers looked at all idle connections each second, at each change of the group and at each ejection, and at all tries that are out; a client connection at rest kept a parser, its last request and its exchange, 3 KB, so that 10,000 filled the heap and each collection was a full one of 120 ms.

Change: IdleConnections finds the newest of a peer and the oldest of all by O(log n); UpstreamGroup tells the peers to which a connection of before is of no use, and Peers looks at those only. Where no more connections may be opened, the one that has rested longest of all makes room, no longer the first of the first peer. A connection takes a reader with the first byte of a request and gives it back with the answer; 64 spare ones are kept.

--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -36,6 +37,15 @@
     /** When a client of a node that stops may ask another one: as soon as its front has seen it go. */
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(100);
 
+    /** What is counted of a try, by how it ended. */
+    private static final Map<Outcome, Count> COUNTS = new EnumMap<>(Outcome.class);
+
+    static {
+        for (Outcome outcome : Outcome.values()) {
+            COUNTS.put(outcome, Count.valueOf("TRIES_" + outcome));
+        }
+    }
+
     /** A request that the module knows of. */
     private static final class Entry {
         final Exchange exchange;
@@ -133,7 +143,7 @@
 
     @Override
     public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
-        counters.add(Count.valueOf("TRIES_" + outcome));
+        counters.add(COUNTS.get(outcome));
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
             Exchange exchange = attempt.exchange();
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -38,13 +38,16 @@
     /** When a client that found no room here may try again. */
     private static final Duration NO_ROOM = Duration.ofMillis(250);
     private static final byte[] NOTHING = {};
+    private static final ByteBuffer NO_BYTES = ByteBuffer.wrap(NOTHING);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Intake intake;
     private final boolean room;
     private final ConnectionQueue.Place place;
-    private final RequestReader reader = new RequestReader();
-    private ByteBuffer unread = ByteBuffer.wrap(NOTHING);
+    /** Null between requests: connections are many, and most of them rest. */
+    private RequestReader reader;
+    private ByteBuffer unread = NO_BYTES;
+    /** The request that is open; null where there is none. */
     private Exchange exchange;
     /** Since when the client has sent more than the request that is open; null if it has not. */
     private Instant aheadSince;
@@ -122,9 +125,12 @@
         ByteBuffer joined = ByteBuffer.allocate(unread.remaining() + bytes.remaining());
         unread = joined.put(unread).put(bytes).flip();
         advance();
-        int holds = isOver() ? 0 : unread.remaining() + reader.bodySize();
+        int holds = isOver() ? 0 : unread.remaining() + (reader == null ? 0 : reader.bodySize());
         boolean room = intake.hold(holds - held);
         held = holds;
+        if (!unread.hasRemaining()) {
+            unread = NO_BYTES;
+        }
         if (!room && held > LITTLE && isReading()) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
             reader.turnAway();
@@ -143,6 +149,7 @@
             while (isReading() && unread.hasRemaining() && !isOver()) {
                 if (isIdle()) {
                     place.begin(intake.clock.now());
+                    reader = intake.takeReader();
                 }
                 if (reader.read(unread)) {
                     take();
@@ -242,10 +249,12 @@
                 now.plus(wait.compareTo(longest) < 0 ? wait : longest),
                 new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
                         reader.body()));
-        exchange = intake.exchanges.open(context, this::answer);
+        Exchange opened = intake.exchanges.open(context, this::answer);
+        exchange = opened.ended() ? null : opened;
     }
 
     private void answer(Answer answer) {
+        exchange = null;
         if (isOver()) {
             return;
         }
@@ -286,7 +295,7 @@
         Instant now = intake.clock.now();
         boolean aheadTooLong = aheadSince != null
                 && Duration.between(aheadSince, now).compareTo(LONGEST_AHEAD) > 0;
-        lastOne |= !reader.keepsConnection() || intake.closing() || aheadTooLong;
+        lastOne |= reader == null || !reader.keepsConnection() || intake.closing() || aheadTooLong;
         if (lastOne) {
             fields.put(HttpHeader.CONNECTION, "close");
         }
@@ -303,7 +312,8 @@
             getEndPoint().shutdownOutput();
             return;
         }
-        reader.reset();
+        intake.giveBack(reader);
+        reader = null;
         intake.hold(unread.remaining() - held);
         held = unread.remaining();
         continued = false;
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -4,11 +4,14 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Exchanges;
+import rowanplank.http.RequestReader;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
@@ -26,6 +29,8 @@
     /** So many connections are ended in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
     private static final Duration SWEEP_ON = Duration.ofMillis(1);
+    /** A reader holds some KB, and few requests are being read at one moment, however many connections there are. */
+    private static final int MOST_SPARE_READERS = 64;
     /** So many connections more are read from, so that the node can be asked whether it is up in any crowd. */
     private static final int RESERVE = 16;
 
@@ -37,6 +42,7 @@
     private final int mostConnections;
     private final BooleanSupplier ready;
     private final ConnectionQueue connections;
+    private final Deque<RequestReader> spareReaders = new ArrayDeque<>();
     private Loop.Listening listening;
     private long held;
     private long heldAnswers;
@@ -114,6 +120,19 @@
         loop.schedule(more ? SWEEP_ON : SWEEP, this::sweep);
     }
 
+    RequestReader takeReader() {
+        RequestReader spare = spareReaders.poll();
+        return spare == null ? new RequestReader() : spare;
+    }
+
+    /** @param reader has read a whole request without an error */
+    void giveBack(RequestReader reader) {
+        reader.reset();
+        if (spareReaders.size() < MOST_SPARE_READERS) {
+            spareReaders.push(reader);
+        }
+    }
+
     boolean ready() {
         return ready.getAsBoolean();
     }
--- a/src/main/java/rowanplank/net/Timers.java
+++ b/src/main/java/rowanplank/net/Timers.java
@@ -2,16 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.TreeSet;
 
-/** Timers of the event loop, in the order in which they are due; used on its thread only. */
+/** Timers of the event loop, in the order in which they are due; used on its thread only. Each call costs O(log n). */
 final class Timers {
-    private static final Comparator<Entry> ORDER =
-            Comparator.comparing((Entry e) -> e.due).thenComparingLong(e -> e.number);
-
     private final Clock clock;
-    private final TreeSet<Entry> entries = new TreeSet<>(ORDER);
+    private final TreeSet<Entry> entries = new TreeSet<>();
     private long count;
 
     Timers(Clock clock) {
@@ -19,7 +15,7 @@
     }
 
     /** One timer; cancelling it twice or after it ran does nothing. */
-    private final class Entry implements Loop.Timer {
+    private final class Entry implements Loop.Timer, Comparable<Entry> {
         final Instant due;
         final long number = count++;
         final Runnable task;
@@ -33,6 +29,12 @@
         public boolean cancel() {
             return entries.remove(this);
         }
+
+        @Override
+        public int compareTo(Entry other) {
+            int order = due.compareTo(other.due);
+            return order != 0 ? order : Long.compare(number, other.number);
+        }
     }
 
     Loop.Timer schedule(Duration delay, Runnable task) {
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -152,14 +152,13 @@
     }
 
     private void apply(HostList list, ListKind kind) {
-        group.apply(list);
-        peers.groupChanged();
+        peers.groupChanged(group.apply(list));
         decisions.servers(kind, list.members().stream().map(HostList.Member::server).toList());
     }
 
     private boolean ready() {
         boolean patient = Duration.between(started, clock.now()).compareTo(PATIENCE) < 0;
-        return !stopping && !group.members().isEmpty() && (listed || !patient);
+        return !stopping && !group.isEmpty() && (listed || !patient);
     }
 
     /**
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -31,7 +30,8 @@
     private int held;
     private boolean written;
     private boolean answered;
-    private Instant idleSince;
+    /** Where it last rested; null before it has. */
+    private IdleConnections.Kept<PeerConnection> kept;
 
     PeerConnection(EndPoint endPoint, Loop loop, Peers peers, Member peer,
             Consumer<PeerConnection> opened) {
@@ -73,12 +73,12 @@
         return peer;
     }
 
-    void idleSince(Instant when) {
-        idleSince = when;
+    void kept(IdleConnections.Kept<PeerConnection> at) {
+        kept = at;
     }
 
-    Duration idleFor(Instant now) {
-        return Duration.between(idleSince, now);
+    IdleConnections.Kept<PeerConnection> kept() {
+        return kept;
     }
 
     /** Guards against sending on a connection whose end has come in but was not yet read. */
@@ -109,8 +109,8 @@
             case WHOLE -> {
                 boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
                 Outcome outcome = outcome();
-                finish(outcome, outcome == Outcome.OK
-                        ? new Answer.Served(Headers.endToEnd(reader.fields(), Header::new), reader.body()) : null, reusable);
+                finish(outcome, outcome != Outcome.OK ? null
+                        : new Answer.Served(Headers.endToEnd(reader.fields(), Header::new), reader.body()), reusable);
             }
         }
     }
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -1,13 +1,13 @@
 package rowanplank.peer.http;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -20,15 +20,20 @@
 import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
 import rowanplank.net.Loop;
+import rowanplank.peer.http.IdleConnections.Kept;
 
 /**
  * The connections to peers and the tries that are out on them. A try waits for no other: it takes an idle connection
- * or opens one. It is written once; nothing here sends it again.
+ * or opens one. It is written once; nothing here sends it again. A try and its end cost O(log n) for n connections at
+ * rest, and a change of the group what changed.
  */
 public final class Peers implements TrySender {
     /** Idle connections are given up after this part of the time that peers keep them. */
     private static final int IDLE_PART = 2;
     private static final Duration SWEEP = Duration.ofSeconds(1);
+    /** So many are closed in a sweep; where more are due, the next one follows after a moment. */
+    private static final int MOST_A_SWEEP = 64;
+    private static final Duration SWEEP_ON = Duration.ofMillis(1);
     /** What all unfinished answers may take together, but for the 64 KiB that each may always have. */
     private static final long MOST_HELD = 8 << 20;
 
@@ -39,10 +44,11 @@
     private final Loop loop;
     private final Clock clock;
     private final Counters counters;
-    /** In the order of their sending: what is done to all of them is the same in every process. */
-    private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
+    private final Map<Exchange.Try, Sending> out = new HashMap<>();
+    /** Those that wait for a connection, by peer, in the order of their sending. */
+    private final Map<Long, Set<Sending>> opening = new HashMap<>();
     /** By peer, not by address: a new peer may come up at the address of one that has gone. */
-    private final Map<Long, Deque<PeerConnection>> idle = new HashMap<>();
+    private final IdleConnections<PeerConnection> idle = new IdleConnections<>();
     private int connections;
     private long held;
 
@@ -66,7 +72,7 @@
         final Exchange.Try attempt;
         private final Member member;
         private Loop.Timer timer;
-        private Loop.Opening opening;
+        private Loop.Opening connecting;
         private PeerConnection connection;
 
         Sending(Exchange.Try attempt, Member member) {
@@ -80,9 +86,9 @@
                 return;
             }
             timer.cancel();
-            if (opening != null) {
-                opening.abandon();
-                opening = null;
+            if (connecting != null) {
+                connecting.abandon();
+                waitNoMore();
                 connections--;
             } else if (connection != null && !connection.answered()) {
                 connection.close();
@@ -98,10 +104,11 @@
         private void open() {
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
-            opening = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
+            opening.computeIfAbsent(attempt.peer(), p -> new LinkedHashSet<>()).add(this);
+            connecting = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
                 @Override
                 public Connection connected(EndPoint endPoint) {
-                    opening = null;
+                    waitNoMore();
                     return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::goOut);
                 }
 
@@ -111,14 +118,26 @@
                 }
             });
         }
+
+        private void waitNoMore() {
+            connecting = null;
+            opening.computeIfPresent(attempt.peer(), (peer, waiting) ->
+                    waiting.remove(this) && waiting.isEmpty() ? null : waiting);
+        }
     }
 
     /** Begins to look after idle connections; to be called on the loop's thread. */
     public void start() {
-        loop.schedule(SWEEP, () -> {
-            closeWhere(c -> c.idleFor(clock.now()).compareTo(connIdle) >= 0);
-            start();
-        });
+        loop.schedule(SWEEP, this::sweep);
+    }
+
+    private void sweep() {
+        Instant until = clock.now().minus(connIdle);
+        int closed = 0;
+        for (Kept<PeerConnection> k; closed < MOST_A_SWEEP && (k = idle.takeOldest(until)) != null; closed++) {
+            k.connection().close();
+        }
+        loop.schedule(closed == MOST_A_SWEEP ? SWEEP_ON : SWEEP, this::sweep);
     }
 
     @Override
@@ -154,24 +173,22 @@
 
     @Override
     public void closeIdle(long peer) {
-        closeWhere(c -> c.peer().server().id() == peer);
-    }
-
-    /** The group has changed: drops what was kept for peers that take nothing new, or waits for a connection there. */
-    public void groupChanged() {
-        closeWhere(c -> !isCurrent(c.peer()));
-        for (Sending s : List.copyOf(out.values())) {
-            if (s.opening != null && !isCurrent(s.member)) {
-                s.end(Outcome.MOOT, null);
-            }
+        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer)) != null;) {
+            k.connection().close();
         }
     }
 
-    /** Whether the peer takes something new, at the address that it had then and in the life that it had then. */
-    private boolean isCurrent(Member then) {
-        Member now = group.ready(then.server().id());
-        return now != null && now.address().equals(then.address())
-                && now.server().startedAtMs() == then.server().startedAtMs();
+    /**
+     * The group has changed: drops what was kept for peers, or waits for a connection to them.
+     *
+     * @param changed those to which a connection of before is of no use
+     */
+    public void groupChanged(Collection<Long> changed) {
+        for (long peer : changed) {
+            closeIdle(peer);
+            opening.getOrDefault(peer, Set.of()).stream().filter(s -> !group.isCurrent(s.member)).toList()
+                    .forEach(s -> s.end(Outcome.MOOT, null));
+        }
     }
 
     /**
@@ -187,10 +204,10 @@
 
     /** The newest one first, so that those not needed grow old and are closed. */
     private PeerConnection takeIdle(Member peer) {
-        Deque<PeerConnection> kept = idle.get(peer.server().id());
-        while (kept != null && !kept.isEmpty()) {
-            PeerConnection c = kept.pop();
-            if (c.idleFor(clock.now()).compareTo(connIdle) < 0 && isCurrent(c.peer()) && c.isUsable()) {
+        Instant since = clock.now().minus(connIdle);
+        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer.server().id())) != null;) {
+            PeerConnection c = k.connection();
+            if (k.since().isAfter(since) && group.isCurrent(c.peer()) && c.isUsable()) {
                 return c;
             }
             c.close();
@@ -199,49 +216,26 @@
     }
 
     private boolean closeOneIdle() {
-        for (Deque<PeerConnection> kept : idle.values()) {
-            if (!kept.isEmpty()) {
-                kept.pollLast().close();
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private interface Which {
-        boolean test(PeerConnection connection);
-    }
-
-    private void closeWhere(Which which) {
-        for (Iterator<Deque<PeerConnection>> i = idle.values().iterator(); i.hasNext();) {
-            Deque<PeerConnection> kept = i.next();
-            for (PeerConnection c : List.copyOf(kept)) {
-                if (which.test(c)) {
-                    kept.remove(c);
-                    c.close();
-                }
-            }
-            if (kept.isEmpty()) {
-                i.remove();
-            }
+        Kept<PeerConnection> oldest = idle.takeOldest();
+        if (oldest != null) {
+            oldest.connection().close();
         }
+        return oldest != null;
     }
 
     /** Keeps a connection for the next try, unless its peer has gone or drains meanwhile. */
     void keep(PeerConnection connection) {
-        if (!isCurrent(connection.peer())) {
+        if (group.isCurrent(connection.peer())) {
+            connection.kept(idle.keep(connection, connection.peer().server().id(), clock.now()));
+        } else {
             connection.close();
-            return;
         }
-        connection.idleSince(clock.now());
-        idle.computeIfAbsent(connection.peer().server().id(), id -> new ArrayDeque<>()).push(connection);
     }
 
     void over(PeerConnection connection) {
         connections--;
-        Deque<PeerConnection> kept = idle.get(connection.peer().server().id());
-        if (kept != null) {
-            kept.remove(connection);
+        if (connection.kept() != null) {
+            idle.remove(connection.kept());
         }
     }
 }
