--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -4,19 +4,20 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.EnumMap;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Events;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
@@ -37,13 +38,9 @@
     /** When a client of a node that stops may ask another one: as soon as its front has seen it go. */
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(100);
 
-    /** What is counted of a try, by how it ended. */
-    private static final Map<Outcome, Count> COUNTS = new EnumMap<>(Outcome.class);
-
-    static {
-        for (Outcome outcome : Outcome.values()) {
-            COUNTS.put(outcome, Count.valueOf("TRIES_" + outcome));
-        }
+    /** Makes a decision module: another one can stand in for {@link Balancer}, to be measured against it. */
+    public interface Module {
+        Events create(Settings settings, long seed, Actions actions);
     }
 
     /** A request that the module knows of. */
@@ -64,25 +61,30 @@
     private final Clock clock;
     private final Counters counters;
     private final RateLimitedLog log;
-    private final Balancer balancer;
+    private final Events balancer;
     /** So long past its deadline a request is answered here: well inside of what the rules grant. */
     private final Duration guardSlack;
-    private final Map<Long, Entry> entries = new HashMap<>();
+    /** In the order of their taking: what is done to all of them is the same in every process. */
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
     /** The clients' names of the entries' requests. */
-    private final Set<String> ids = new HashSet<>();
+    private final Set<String> ids = new LinkedHashSet<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean delivering;
     private TrySender sender;
     private long requests;
 
     public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log) {
+        this(site, seed, loop, counters, log, Balancer::new);
+    }
+
+    public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log, Module module) {
         this.site = site;
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
         this.log = log;
         guardSlack = site.answerSlack().dividedBy(2);
-        balancer = new Balancer(site.module(), seed, new ModuleActions());
+        balancer = module.create(site.module(), seed, new ModuleActions());
     }
 
     /** To be called once, before the first request. */
@@ -146,7 +148,7 @@
 
     @Override
     public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
-        counters.add(COUNTS.get(outcome));
+        counters.add(counted(outcome));
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
             Exchange exchange = attempt.exchange();
@@ -160,6 +162,19 @@
         });
     }
 
+    private static Count counted(Outcome outcome) {
+        return switch (outcome) {
+            case OK -> Count.TRIES_OK;
+            case ERROR -> Count.TRIES_ERROR;
+            case FULL -> Count.TRIES_FULL;
+            case TIMEOUT -> Count.TRIES_TIMEOUT;
+            case CONNECT_FAILED -> Count.TRIES_CONNECT_FAILED;
+            case RESET -> Count.TRIES_RESET;
+            case CANCELLED -> Count.TRIES_CANCELLED;
+            case MOOT -> Count.TRIES_MOOT;
+        };
+    }
+
     @Override
     public void departed(Exchange exchange) {
         counters.add(Count.CLIENTS_DEPARTED);
--- a/src/main/java/rowanplank/discovery/UpstreamGroup.java
+++ b/src/main/java/rowanplank/discovery/UpstreamGroup.java
@@ -10,28 +10,45 @@
 
 /** The peers as discovery has told them so far: lists replace it, changes are laid over it in their order. */
 public final class UpstreamGroup {
+    /** Guards the heap: each answer of discovery is bounded, but not what many that only add come to. */
+    static final int MOST_MEMBERS = 10_000;
+
     private final Map<Long, Member> members = new LinkedHashMap<>();
 
     /**
-     * Costs what the list names, and all peers where it is a complete one.
+     * What a list came to.
      *
-     * @return the peers to which a connection of before is of no use: they take nothing new, or are at another
+     * @param taken all of the list, but for newcomers that would be beyond the bound
+     * @param outdated the peers to which a connection of before is of no use: they take nothing new, or are at another
      *     address, or in another life
      */
-    public List<Long> apply(HostList list) {
-        List<Member> touched = new ArrayList<>();
+    public record Change(List<Member> taken, List<Long> outdated) { }
+
+    /** Costs what the list names, and all peers where it is a complete one. */
+    public Change apply(HostList list) {
+        List<Member> before = new ArrayList<>();
         if (list.complete()) {
-            touched.addAll(members.values());
+            before.addAll(members.values());
             members.clear();
         }
-        for (Member m : list.members()) {
-            long id = m.server().id();
-            Member before = m.server().lifecycle() == Lifecycle.GONE ? members.remove(id) : members.put(id, m);
-            if (before != null) {
-                touched.add(before);
-            }
+        List<Member> taken = list.members().stream().filter(m -> take(m, before)).toList();
+        return new Change(taken, before.stream().filter(m -> !isCurrent(m)).map(m -> m.server().id()).toList());
+    }
+
+    private boolean take(Member m, List<Member> before) {
+        long id = m.server().id();
+        Member known = members.get(id);
+        if (known != null) {
+            before.add(known);
+        }
+        if (m.server().lifecycle() == Lifecycle.GONE) {
+            members.remove(id);
+        } else if (known != null || members.size() < MOST_MEMBERS) {
+            members.put(id, m);
+        } else {
+            return false;
         }
-        return touched.stream().filter(m -> !isCurrent(m)).map(m -> m.server().id()).toList();
+        return true;
     }
 
     /** The peer if something new may be sent to it, else null. */
--- a/src/main/java/rowanplank/http/Headers.java
+++ b/src/main/java/rowanplank/http/Headers.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.eclipse.jetty.http.HttpField;
@@ -13,11 +12,6 @@
 
 /** Which headers pass from end to end, and which are a matter of one connection (RFC 9110, 7.6.1). */
 public final class Headers {
-    /** Those of one hop, those that every message is given anew, and those that only the node is told. */
-    private static final Set<String> OF_ONE_HOP = Set.of("connection", "keep-alive", "proxy-connection",
-            "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-            "content-length", "x-timeout", "x-server-load", "x-not-processed");
-
     private static final int MOST_TIMEOUT_DIGITS = 9;
     private static final int MOST_TIMEOUT_DECIMALS = 6;
 
@@ -29,7 +23,7 @@
                 fields.contains(HttpHeader.CONNECTION) ? fields.getCSV(HttpHeader.CONNECTION, false) : List.of();
         List<T> passed = new ArrayList<>(fields.size());
         for (HttpField f : fields) {
-            boolean ofOneHop = OF_ONE_HOP.contains(f.getLowerCaseName()) || !named.isEmpty() && isNamed(f, named);
+            boolean ofOneHop = isOfOneHop(f.getLowerCaseName()) || !named.isEmpty() && isNamed(f, named);
             if (!ofOneHop && f.getValue() != null) {
                 passed.add(header.apply(f.getName(), f.getValue()));
             }
@@ -37,6 +31,16 @@
         return passed;
     }
 
+    /** Those of one hop, those that every message is given anew, and those that only the node is told. */
+    private static boolean isOfOneHop(String name) {
+        return switch (name) {
+            case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+                    "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-timeout", "x-server-load",
+                    "x-not-processed" -> true;
+            default -> false;
+        };
+    }
+
     private static boolean isNamed(HttpField field, List<String> named) {
         return named.stream().anyMatch(n -> n.toLowerCase(Locale.ROOT).equals(field.getLowerCaseName()));
     }
--- a/src/main/java/rowanplank/http/Messages.java
+++ b/src/main/java/rowanplank/http/Messages.java
@@ -1,14 +1,13 @@
 package rowanplank.http;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.util.StringUtil;
 
 /** Whole HTTP messages as bytes. */
 public final class Messages {
@@ -25,9 +24,6 @@
     /** Shorter bodies are copied behind their heads: a write of two buffers costs more than that. */
     private static final int MOST_JOINED_BYTES = 4 * 1024;
     private static final byte[] END_OF_LINE = {'\r', '\n'};
-    /** Methods whose request tells its length also where it is zero (RFC 9110, 8.6). */
-    private static final Set<String> WITH_BODY = Set.of("POST", "PUT", "PATCH");
-
     private Messages() { }
 
     /**
@@ -45,7 +41,12 @@
         put(head, method).put((byte) ' ');
         put(head, target).put((byte) ' ');
         put(head, HttpVersion.HTTP_1_1.asString()).put(END_OF_LINE);
-        return message(head, fields, body, body.length > 0 || WITH_BODY.contains(method));
+        return message(head, fields, body, body.length > 0 || hasBody(method));
+    }
+
+    /** Methods whose request tells its length also where it is zero (RFC 9110, 8.6). */
+    private static boolean hasBody(String method) {
+        return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
     }
 
     public static ByteBuffer[] response(int status, HttpFields fields, byte[] body) {
@@ -64,7 +65,7 @@
     }
 
     private static ByteBuffer put(ByteBuffer head, String text) {
-        return head.put(text.getBytes(StandardCharsets.ISO_8859_1));
+        return head.put(StringUtil.getBytes(text));
     }
 
     /** Each field is written by Jetty, which lets no line end through; its generator of whole messages costs twice. */
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpURI;
@@ -26,7 +25,6 @@
 
 /** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
 final class ClientConnection extends LoopConnection implements ConnectionQueue.Connection {
-    private static final Set<String> CHANGING = Set.of("POST", "PUT", "PATCH", "DELETE");
     /** After this, a client that keeps sending ahead is served no more than what is open. */
     private static final Duration LONGEST_AHEAD = Duration.ofMillis(1500);
     /** So much of what a closed connection still sends is read: a body without end must not take the node's core. */
@@ -38,7 +36,6 @@
     /** When a client that found no room here may try again. */
     private static final Duration NO_ROOM = Duration.ofMillis(250);
     private static final byte[] NOTHING = {};
-    private static final ByteBuffer NO_BYTES = ByteBuffer.wrap(NOTHING);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Intake intake;
@@ -46,7 +43,7 @@
     private final ConnectionQueue.Place place;
     /** Null between requests: connections are many, and most of them rest. */
     private RequestReader reader;
-    private ByteBuffer unread = NO_BYTES;
+    private ByteBuffer unread;
     /** The request that is open; null where there is none. */
     private Exchange exchange;
     /** Since when the client has sent more than the request that is open; null if it has not. */
@@ -63,6 +60,7 @@
         super(endPoint, intake.loop);
         this.intake = intake;
         this.room = room;
+        unread = intake.noBytes;
         place = queue.join(this, intake.clock.now());
     }
 
@@ -129,7 +127,7 @@
         boolean room = intake.hold(holds - held);
         held = holds;
         if (!unread.hasRemaining()) {
-            unread = NO_BYTES;
+            unread = intake.noBytes;
         }
         if (!room && held > LITTLE && isReading()) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
@@ -214,7 +212,7 @@
         }
         RequestClass type = intake.site.module().classes().get(index);
         boolean repeatable = type.effect() == Effect.REPEATABLE;
-        if (repeatable ? !reader.method().equals("GET") : !CHANGING.contains(reader.method())) {
+        if (repeatable ? !reader.method().equals("GET") : !changes(reader.method())) {
             String allowed = repeatable ? "GET" : "POST, PUT, PATCH, DELETE";
             respond(405, HttpFields.build().put(HttpHeader.ALLOW, allowed), NOTHING);
             return;
@@ -253,6 +251,13 @@
         exchange = opened.ended() ? null : opened;
     }
 
+    private static boolean changes(String method) {
+        return switch (method) {
+            case "POST", "PUT", "PATCH", "DELETE" -> true;
+            default -> false;
+        };
+    }
+
     private void answer(Answer answer) {
         exchange = null;
         if (isOver()) {
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -39,6 +40,8 @@
     final Loop loop;
     final Clock clock;
     final Counters counters;
+    /** What a connection has of a request when it has nothing. */
+    final ByteBuffer noBytes = ByteBuffer.allocate(0);
     private final int mostConnections;
     private final BooleanSupplier ready;
     private final ConnectionQueue connections;
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.function.Supplier;
+import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.config.Addresses;
@@ -58,12 +60,16 @@
     private Runnable whenStopped;
 
     public Node(NodeConfig config, Loop loop, RateLimitedLog log) {
+        this(config, loop, log, Balancer::new);
+    }
+
+    public Node(NodeConfig config, Loop loop, RateLimitedLog log, Decisions.Module module) {
         this.config = config;
         this.loop = loop;
         this.log = log;
         clock = loop.clock();
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
-        decisions = new Decisions(config.site(), config.seed(), loop, counters, log);
+        decisions = new Decisions(config.site(), config.seed(), loop, counters, log, module);
         peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
         decisions.sendThrough(peers);
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
@@ -152,8 +158,13 @@
     }
 
     private void apply(HostList list, ListKind kind) {
-        peers.groupChanged(group.apply(list));
-        decisions.servers(kind, list.members().stream().map(HostList.Member::server).toList());
+        UpstreamGroup.Change change = group.apply(list);
+        List<HostList.Member> taken = change.taken();
+        if (taken.size() < list.members().size()) {
+            log.warn(list.members().size() - taken.size() + " peers beyond the bound were left out");
+        }
+        peers.groupChanged(change.outdated());
+        decisions.servers(kind, taken.stream().map(HostList.Member::server).toList());
     }
 
     private boolean ready() {
--- a/src/main/java/rowanplank/peer/http/IdleConnections.java
+++ b/src/main/java/rowanplank/peer/http/IdleConnections.java
@@ -1,7 +1,7 @@
 package rowanplank.peer.http;
 
 import java.time.Instant;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeSet;
 
@@ -14,7 +14,7 @@
  */
 final class IdleConnections<C> {
     private final TreeSet<Kept<C>> all = new TreeSet<>();
-    private final Map<Long, TreeSet<Kept<C>>> byPeer = new HashMap<>();
+    private final Map<Long, TreeSet<Kept<C>>> byPeer = new LinkedHashMap<>();
     private long count;
 
     /** A connection at rest; they are in the order in which they came to it. */
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,9 +45,9 @@
     private final Loop loop;
     private final Clock clock;
     private final Counters counters;
-    private final Map<Exchange.Try, Sending> out = new HashMap<>();
+    private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
     /** Those that wait for a connection, by peer, in the order of their sending. */
-    private final Map<Long, Set<Sending>> opening = new HashMap<>();
+    private final Map<Long, Set<Sending>> opening = new LinkedHashMap<>();
     /** By peer, not by address: a new peer may come up at the address of one that has gone. */
     private final IdleConnections<PeerConnection> idle = new IdleConnections<>();
     private int connections;
@@ -186,7 +187,7 @@
     public void groupChanged(Collection<Long> changed) {
         for (long peer : changed) {
             closeIdle(peer);
-            opening.getOrDefault(peer, Set.of()).stream().filter(s -> !group.isCurrent(s.member)).toList()
+            opening.getOrDefault(peer, Collections.emptySet()).stream().filter(s -> !group.isCurrent(s.member)).toList()
                     .forEach(s -> s.end(Outcome.MOOT, null));
         }
     }
