--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -62,6 +62,8 @@
     private final Counters counters;
     private final RateLimitedLog log;
     private final Events balancer;
+    /** So long past its deadline a request is answered here: well inside of what the rules grant. */
+    private final Duration guardSlack;
     /** In the order of their taking: what is done to all of them is the same in every process. */
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     /** The clients' names of the entries' requests. */
@@ -81,6 +83,7 @@
         clock = loop.clock();
         this.counters = counters;
         this.log = log;
+        guardSlack = site.answerSlack().dividedBy(2);
         balancer = module.create(site.module(), seed, new ModuleActions());
     }
 
@@ -114,7 +117,7 @@
     }
 
     private Duration untilOverdue(RequestContext context) {
-        return Duration.between(clock.now(), context.deadline()).plus(site.answerSlack().dividedBy(2));
+        return Duration.between(clock.now(), context.deadline()).plus(guardSlack);
     }
 
     /** Guards the deadline should the module let it pass: an answer is owed whatever it does. */
@@ -145,7 +148,7 @@
 
     @Override
     public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
-        counters.add(Count.valueOf("TRIES_" + outcome));
+        counters.add(counted(outcome));
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
             Exchange exchange = attempt.exchange();
@@ -159,6 +162,19 @@
         });
     }
 
+    private static Count counted(Outcome outcome) {
+        return switch (outcome) {
+            case OK -> Count.TRIES_OK;
+            case ERROR -> Count.TRIES_ERROR;
+            case FULL -> Count.TRIES_FULL;
+            case TIMEOUT -> Count.TRIES_TIMEOUT;
+            case CONNECT_FAILED -> Count.TRIES_CONNECT_FAILED;
+            case RESET -> Count.TRIES_RESET;
+            case CANCELLED -> Count.TRIES_CANCELLED;
+            case MOOT -> Count.TRIES_MOOT;
+        };
+    }
+
     @Override
     public void departed(Exchange exchange) {
         counters.add(Count.CLIENTS_DEPARTED);
