--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -325,15 +325,28 @@
                 protected int nioSelect(Selector selector, boolean now) throws IOException {
                     runDue();
                     Duration idle = timers.untilNext();
-                    if (now || !tasks.isEmpty() || idle != null && millis(idle) == 0) {
+                    if (now || !tasks.isEmpty() || idle != null && idle.isZero()) {
                         return selector.selectNow();
                     }
+                    if (wait == Wait.AWAKE && idle != null && idle.toMillis() == 0) {
+                        return stayAwake(selector, idle);
+                    }
                     return idle == null ? selector.select() : selector.select(millis(idle));
                 }
             };
             return selector;
         }
 
+        /** Looks again and again until there is something to do; makes no garbage meanwhile. */
+        private int stayAwake(Selector selector, Duration idle) throws IOException {
+            long until = System.nanoTime() + idle.toNanos();
+            int selected;
+            do {
+                selected = selector.selectNow();
+            } while (selected == 0 && tasks.isEmpty() && System.nanoTime() - until < 0);
+            return selected;
+        }
+
         /** Rounded up at rest: a select that ends a little early would spin until the timer is due. */
         private long millis(Duration idle) {
             return wait == Wait.AWAKE ? idle.toMillis() : idle.plusNanos(999_999).toMillis();
