--- a/src/main/java/rowanplank/config/HostList.java
+++ b/src/main/java/rowanplank/config/HostList.java
@@ -66,7 +66,7 @@
     }
 
     /** The module's number for a peer: made of the name alone, so that all nodes, and all lives of one, agree. */
-    static long number(String name) {
+    public static long number(String name) {
         try {
             byte[] digest = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
             return ByteBuffer.wrap(digest).getLong();
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -22,6 +22,7 @@
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.Exchanges;
+import rowanplank.exchange.Onlooker;
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
@@ -39,7 +40,7 @@
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(100);
 
     /** Makes a decision module: another one can stand in for {@link Balancer}, to be measured against it. */
-    public interface Module {
+    public interface Module extends Onlooker {
         Events create(Settings settings, long seed, Actions actions);
     }
 
@@ -61,6 +62,7 @@
     private final Clock clock;
     private final Counters counters;
     private final RateLimitedLog log;
+    private final Onlooker onlooker;
     private final Events balancer;
     /** In the order of their taking: what is done to all of them is the same in every process. */
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
@@ -81,6 +83,7 @@
         clock = loop.clock();
         this.counters = counters;
         this.log = log;
+        onlooker = module;
         balancer = module.create(site.module(), seed, new ModuleActions());
     }
 
@@ -103,6 +106,7 @@
         ids.add(context.id());
         counters.add(Count.REQUESTS_TAKEN);
         entry.guard = loop.schedule(untilOverdue(context), () -> overdue(entry));
+        onlooker.taken(number, context);
         deliver(() -> balancer.onRequest(nowMs(), new Request(number, context.classIndex(), 0, 0,
                 Clock.millis(context.deadline()), 0, context.repeat())));
         return exchange;
--- a/src/main/java/rowanplank/lab/net/Link.java
+++ b/src/main/java/rowanplank/lab/net/Link.java
@@ -58,6 +58,16 @@
         return inside;
     }
 
+    /** Whether nothing passes now. */
+    public boolean isCut() {
+        return cut;
+    }
+
+    /** What a packet takes on average, in nanoseconds. */
+    public double usual() {
+        return extra + latency * (1 + jitter);
+    }
+
     /** What a packet takes at the least. */
     long latency() {
         return latency + extra;
--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -152,6 +152,7 @@
         private void build() throws IOException {
             Works works = new Works(day.seed(), day.servers().tryNoise());
             park = new ServerPark(stage, works);
+            TrueState truth = new TrueState(stage, park);
             Lives lives = new Lives();
             timeline = new Timeline(stage, nodes, park.hosts());
             timeline.enter();
@@ -159,7 +160,8 @@
                     java.nio.charset.StandardCharsets.UTF_8)));
             park.begin();
             for (int i = 0; i < day.nodes().count(); i++) {
-                nodes.add(new NodeHost(stage, i, park.roster(), manner.nodes, lives));
+                nodes.add(new NodeHost(stage, i, park.roster(),
+                        (config, loop, log) -> manner.nodes.create(config, loop, log, truth), lives));
             }
             stage.network().watchDatagrams((from, to, bytes, receivers) -> stage.trace().tell(world.nanos(),
                     Kind.DATAGRAM, park.nodeAt(new java.net.InetSocketAddress(from.address(), 0)), Event.NONE,
--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -55,7 +55,9 @@
     /** Sets up a new machine. @param address where it stands; null for an address of its own */
     private void setUp(InetAddress address) {
         int number = park.nextMachine();
+        String former = name;
         name = name(stage.day().seed(), number);
+        park.stands(this, name, former);
         speed = park.speed(kind, number);
         machine = stage.network().machine(name, hall, SiteMap.server(number));
         if (address == null) {
@@ -113,6 +115,15 @@
         return entry.server();
     }
 
+    int hall() {
+        return hall;
+    }
+
+    /** Its server, if one runs and can be reached; else null. */
+    PageServer reachable() {
+        return isRunning() && !machine.isSilent() ? server : null;
+    }
+
     private void fell(SimProcess which) {
         stage.world().after(Duration.ZERO, which::exit);
         list(Phase.GONE);
--- a/src/main/java/rowanplank/lab/run/ServerPark.java
+++ b/src/main/java/rowanplank/lab/run/ServerPark.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import rowanplank.config.HostList;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.site.Works;
@@ -20,6 +21,8 @@
     private final List<ServerHost> hosts = new ArrayList<>();
     /** Looked up only. */
     private final Map<InetAddress, Integer> nodes = new HashMap<>();
+    /** By the number that nodes know the server of this name by; looked up only. */
+    private final Map<Long, ServerHost> byNumber = new HashMap<>();
     private int machines;
     private int lives;
 
@@ -62,6 +65,19 @@
         hosts.forEach(ServerHost::begin);
     }
 
+    /** A server of this name stands there now. @param former null if none did */
+    void stands(ServerHost host, String name, String former) {
+        if (former != null) {
+            byNumber.remove(HostList.number(former));
+        }
+        byNumber.put(HostList.number(name), host);
+    }
+
+    /** @return null if none of this number stands anywhere */
+    ServerHost host(long number) {
+        return byNumber.get(number);
+    }
+
     List<ServerHost> hosts() {
         return hosts;
     }
--- a/src/main/java/rowanplank/lab/site/AnswerMaker.java
+++ b/src/main/java/rowanplank/lab/site/AnswerMaker.java
@@ -59,10 +59,11 @@
         return Answers.message(status, report());
     }
 
-    /** The answer to a probe that passed. */
-    ByteBuffer probed(boolean withReport) {
+    /** The answer to a probe that passed. @param fields whole lines, each with its end */
+    ByteBuffer probed(boolean withReport, String fields) {
         String report = withReport ? reports.current() : null;
-        return report == null ? plain(200) : Answers.message(200, "", Answers.bytes(report));
+        return report == null ? Answers.message(200, fields + report())
+                : Answers.message(200, fields, Answers.bytes(report));
     }
 
     private String report() {
--- a/src/main/java/rowanplank/lab/site/PageServer.java
+++ b/src/main/java/rowanplank/lab/site/PageServer.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
 import java.util.function.ToIntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -39,6 +43,10 @@
  * <p><b>Bounds.</b> Connections as above, 16 requests ahead on each, one request's bytes each.
  */
 public final class PageServer {
+    /** A probe with this field is told what Prequal's own servers tell, which the platform's don't. */
+    public static final String CROWD_WANTED = "X-Lab-Crowd-Wanted";
+    /** Requests in flight, and the median latency in ms that so many had lately (-1: none): see LatencyByCrowd. */
+    public static final String CROWD = "X-Lab-Crowd";
     private static final int BACKLOG = 512;
 
     /**
@@ -55,6 +63,7 @@
             Day.Servers servers, Day.Rules rules, boolean probes) { }
 
     private final Setup setup;
+    private final Works works;
     private final ToIntFunction<InetSocketAddress> nodes;
     private final Loop loop;
     private final Teller teller;
@@ -65,6 +74,9 @@
     private final Machine machine;
     private final Service service;
     private final ServerConnections open;
+    /** Requests on their way here as {@link #sent} has told, the first to come first. */
+    private final PriorityQueue<ServerModel.Offer> coming =
+            new PriorityQueue<>(Comparator.comparingLong(ServerModel.Offer::at));
     private Loop.Listening listening;
     private boolean over;
 
@@ -76,6 +88,7 @@
     public PageServer(Setup setup, Works works, ToIntFunction<InetSocketAddress> nodes, Loop loop,
             UniformRandomProvider random, Trace trace, Runnable whenFallen) {
         this.setup = setup;
+        this.works = works;
         this.nodes = nodes;
         this.loop = loop;
         this.whenFallen = whenFallen;
@@ -185,6 +198,31 @@
         return machine.model().capacity();
     }
 
+    /**
+     * When it would be done with a request that comes then, after those that are known to be on their way.
+     *
+     * @param when nanoseconds since the beginning, not before now
+     * @return {@link ServerModel#NEVER} if it would not be served
+     */
+    public long doneAt(long when, long request) {
+        if (over || service.isDraining() || !works.knows(request)) {
+            return ServerModel.NEVER;
+        }
+        while (!coming.isEmpty() && coming.peek().at() <= teller.now()) {
+            coming.poll();
+        }
+        List<ServerModel.Offer> others = new ArrayList<>(coming);
+        others.sort(coming.comparator());
+        return machine.modelNow().doneAt(when, works.work(request, setup.number), others);
+    }
+
+    /** A request is on its way here, and comes then. */
+    public void sent(long when, long request) {
+        if (works.knows(request)) {
+            coming.add(new ServerModel.Offer(when, works.work(request, setup.number)));
+        }
+    }
+
     private void fall() {
         teller.tell(Kind.SERVER_FELL, Event.NONE, setup.number, Event.NONE, 0, null);
         end("its server fell over");
--- a/src/main/java/rowanplank/lab/site/ServerModel.java
+++ b/src/main/java/rowanplank/lab/site/ServerModel.java
@@ -72,6 +72,13 @@
             return work;
         }
 
+        private void copyTo(Job other) {
+            other.until = until;
+            other.request = request;
+            other.number = number;
+            other.end = end;
+        }
+
         /** It is in work from now on. */
         protected void begun() { }
 
@@ -86,7 +93,7 @@
     public enum Arrival { BEGUN, WAITS, FULL, EXPIRED }
 
     /** Work offered at a time. */
-    private record Offer(long at, long work) { }
+    record Offer(long at, long work) { }
 
     private final Day.Kind kind;
     private final double speed;
@@ -148,6 +155,84 @@
         changed();
     }
 
+    /** One that goes on from this one's state by itself, and whose jobs tell nobody. */
+    private ServerModel(ServerModel of) {
+        kind = of.kind;
+        speed = of.speed;
+        slots = of.slots;
+        room = of.room;
+        mostConnections = of.mostConnections;
+        fullTax = of.fullTax;
+        now = of.now;
+        count = of.count;
+        begun = of.begun;
+        connections = of.connections;
+        slow = of.slow;
+        standsUntil = of.standsUntil;
+        rate = of.rate;
+        sum = of.sum;
+        started = of.started;
+        warmsByWork = of.warmsByWork;
+        coldFrom = of.coldFrom;
+        evenly = of.evenly;
+        workToWarm = of.workToWarm;
+        fallMultiple = of.fallMultiple;
+        fallTime = of.fallTime;
+        offered = of.offered;
+        step = of.step;
+        worked = of.worked;
+        offers.addAll(of.offers);
+        of.inWork.forEach(j -> inWork.add(new Shadow(j)));
+        of.waiting.forEach(j -> waiting.add(new Shadow(j)));
+    }
+
+    /** A job that is only thought of. */
+    private static final class Shadow extends Job {
+        private boolean isDone;
+
+        Shadow(long work) {
+            super(work);
+        }
+
+        Shadow(Job of) {
+            super(of.work);
+            of.copyTo(this);
+        }
+
+        @Override
+        protected void done() {
+            isDone = true;
+        }
+    }
+
+    /**
+     * When a request that comes then would be done if, after others that are on their way, nothing else came. O(n log n)
+     * for n requests held.
+     *
+     * @param coming the others, in the order in which they come; what comes after it is left out
+     * @return {@link #NEVER} if it would be turned away, or the server would fall over
+     */
+    long doneAt(long at, long work, Iterable<Offer> coming) {
+        ServerModel ahead = new ServerModel(this);
+        for (Offer o : coming) {
+            if (o.at <= at && ahead.offer(o.at, o.work)) {
+                return NEVER;
+            }
+            if (o.at <= at) {
+                ahead.arrive(o.at, new Shadow(o.work), NEVER);
+            }
+        }
+        Shadow request = new Shadow(work);
+        if (ahead.offer(at, work) || ahead.arrive(at, request, NEVER) == Arrival.FULL) {
+            return NEVER;
+        }
+        for (long next = 0; !request.isDone && next != NEVER;) {
+            next = ahead.nextChange();
+            ahead.advance(next);
+        }
+        return ahead.now;
+    }
+
     /** How many connections a server of this kind holds. */
     static int mostConnections(Day.Kind kind, Day.Connections connections) {
         return connections.perCore() * kind.cores();
--- a/src/main/java/rowanplank/lab/site/Service.java
+++ b/src/main/java/rowanplank/lab/site/Service.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Locale;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.lab.site.Fates.Fate;
 import rowanplank.lab.trace.Event;
@@ -10,6 +11,9 @@
 /** What becomes of the requests that come to a page server, and what is told of them; see {@link PageServer}. */
 final class Service {
     static final int PROBES_PER_CORE = 2;
+    /** A probe with this field is answered with the other one too: no real page server does that. */
+    private static final String PROBE_FOR_CROWD = PageServer.CROWD_WANTED.toLowerCase(Locale.ROOT);
+    private static final String CROWD = PageServer.CROWD;
 
     private final PageServer.Setup setup;
     private final Works works;
@@ -21,6 +25,7 @@
     private final UniformRandomProvider random;
     private final AnswerMaker answers;
     private final Runnable falls;
+    private final LatencyByCrowd latencies = new LatencyByCrowd();
     private boolean draining;
     private int probing;
 
@@ -44,6 +49,10 @@
         draining = true;
     }
 
+    boolean isDraining() {
+        return draining;
+    }
+
     void unreadable(ServerConnection connection, String why, long firstByteSentAt) {
         teller.tell(Kind.TRY_BEGAN, connection.node(), setup.number(), Event.NONE, firstByteSentAt,
                 "can't be read: " + why);
@@ -84,9 +93,10 @@
     Runnable whole(ServerConnection connection, Try begun, MessageReader reader, long lastByteSentAt) {
         if (isProbe(reader)) {
             boolean forReport = isForReport(reader);
+            boolean forCrowd = reader.field(PROBE_FOR_CROWD) != null;
             teller.tell(Kind.PROBED, connection.node(), setup.number(), Event.NONE, 0,
                     setup.probes() ? null : "not allowed");
-            return gated(connection, () -> probe(connection, forReport));
+            return gated(connection, () -> probe(connection, forReport, forCrowd));
         }
         if (begun == null) {
             int status = reader.field("x-request-id") == null ? 404 : 400;
@@ -109,7 +119,7 @@
         return () -> pauses.afterwards(() -> connection.whenReady(task));
     }
 
-    private void probe(ServerConnection connection, boolean forReport) {
+    private void probe(ServerConnection connection, boolean forReport, boolean forCrowd) {
         if (!setup.probes()) {
             connection.answer(Answers.message(404, ""), false, () -> { });
         } else if (draining || connection.isSurplus() || probing >= PROBES_PER_CORE * setup.kind().cores()) {
@@ -118,7 +128,9 @@
             probing++;
             machine.beside(setup.servers().probeWork().toNanos(), () -> {
                 probing--;
-                connection.answer(answers.probed(forReport), false, () -> { });
+                ServerModel model = machine.model();
+                String crowd = forCrowd ? CROWD + ": " + latencies.text(model.begun() + model.waiting()) + "\r\n" : "";
+                connection.answer(answers.probed(forReport, crowd), false, () -> { });
             });
         }
     }
@@ -140,6 +152,8 @@
         } else if (request.fate == Fate.ERROR_BEFORE) {
             answer(request, 500, answers.plain(500), false, null);
         } else {
+            request.cameAt = teller.now();
+            request.crowd = model.begun() + model.waiting();
             switch (model.arrive(teller.now(), request, until)) {
                 case FULL -> turnAway(request, 503);
                 case EXPIRED -> turnAway(request, 504);
@@ -159,6 +173,7 @@
         machine.afterwards(() -> {
             if (worked) {
                 reports.served(teller.now() - request.begunAt);
+                latencies.served(request.crowd, teller.now() - request.cameAt);
                 conclude(request);
             } else {
                 turnAway(request, 504);
--- a/src/main/java/rowanplank/lab/site/Try.java
+++ b/src/main/java/rowanplank/lab/site/Try.java
@@ -10,7 +10,10 @@
     final Fate fate;
     /** Whether it was told of that it will never be answered. */
     boolean lost;
+    long cameAt;
     long begunAt;
+    /** How many the server held when it came. */
+    int crowd;
 
     Try(Service service, ServerConnection connection, long request, long work, Fate fate) {
         super(work);
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -71,6 +71,7 @@
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
         decisions = new Decisions(config.site(), config.seed(), loop, counters, log, module);
         peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
+        peers.show(module);
         decisions.sendThrough(peers);
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
                 counters, this::ready);
@@ -148,6 +149,12 @@
         return intake.address();
     }
 
+    /** Where a peer is to which something new may be sent; null if it is none. */
+    public InetSocketAddress addressOf(long peer) {
+        HostList.Member member = group.ready(peer);
+        return member == null ? null : member.address();
+    }
+
     public Counters counters() {
         return counters;
     }
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -107,6 +107,7 @@
             }
             case BROKEN -> finish(Outcome.ERROR, null, false);
             case WHOLE -> {
+                peers.answered(peer, reader::field);
                 boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
                 Outcome outcome = outcome();
                 finish(outcome, outcome == Outcome.OK
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -16,6 +17,7 @@
 import rowanplank.discovery.UpstreamGroup;
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
+import rowanplank.exchange.Onlooker;
 import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
@@ -46,6 +48,7 @@
     private final Map<Long, Deque<PeerConnection>> idle = new LinkedHashMap<>();
     /** All of these, the longest idle first. */
     private final Set<PeerConnection> resting = new LinkedHashSet<>();
+    private Onlooker onlooker = new Onlooker() { };
     private int connections;
     private long held;
 
@@ -116,6 +119,15 @@
         }
     }
 
+    /** Shows it all answers from now on. */
+    public void show(Onlooker whom) {
+        onlooker = whom;
+    }
+
+    void answered(Member peer, UnaryOperator<String> field) {
+        onlooker.answered(peer.server().id(), field);
+    }
+
     /** Begins to look after idle connections; to be called on the loop's thread. */
     public void start() {
         loop.schedule(SWEEP, () -> {
