--- a/src/main/java/rowanplank/lab/policy/Carrier.java
+++ b/src/main/java/rowanplank/lab/policy/Carrier.java
@@ -275,6 +275,10 @@
         }
     }
 
+    Choice choice() {
+        return choice;
+    }
+
     /** How many requests it remembers. */
     int kept() {
         return open.size() + held.size();
--- a/src/main/java/rowanplank/lab/policy/Policies.java
+++ b/src/main/java/rowanplank/lab/policy/Policies.java
@@ -65,7 +65,7 @@
         add("peak-ewma", "peak EWMA of two choices; Finagle's p2cPeakEwma, run as by Finagle",
                 (s, seed, e) -> new PeakEwma(seed), Handling.FINAGLE);
         add("weighted-round-robin", "weights by load reports; gRPC's client-side WRR, gRFC A58, run as by gRPC",
-                (s, seed, e) -> new WeightedRoundRobin(seed), Handling.GRPC);
+                (s, seed, e) -> new WeightedRoundRobin(s, seed), Handling.GRPC);
         add("c3", "C3, ranking and rate control; Suresh et al., NSDI 2015", (s, seed, e) -> new C3(s, seed, true),
                 Handling.C3);
         add("c3-ranking", "C3's ranking without its rate control", (s, seed, e) -> new C3(s, seed, false), Handling.C3);
--- a/src/main/java/rowanplank/lab/policy/WeightedRoundRobin.java
+++ b/src/main/java/rowanplank/lab/policy/WeightedRoundRobin.java
@@ -8,6 +8,7 @@
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 
 /**
  * Weighted by load reports, as gRPC's client-side weighted round robin (gRFC A58). A report makes
@@ -19,11 +20,11 @@
  * {@code weight_update_period} a new {@link StaticStride} is made. Defaults: 10 s, 3 min, 1 s, penalty 1.0. A report
  * with no utilisation or no qps changes nothing.
  *
- * <p>Adapted to what the site's servers report: they tell no qps and no eps. By Little's law a server with share
- * {@code u} of its cores busy, each request taking {@code latency_ms} of work time, serves
- * {@code qps = u * cores * 1000 / latency_ms}, with its size from discovery for the cores. Errors a request, eps / qps,
- * are those that this node saw among its last {@value #ANSWERS} answers of the server, in which gRPC's servers count
- * their own. Reports come in answers, not out of band.
+ * <p>Adapted to what the site's servers report: they tell their utilisation alone, of the last 150 ms or so. A server's
+ * qps is taken to be what this node sees it answer, times the number of nodes; eps likewise. All three are averages over
+ * the last {@value #WINDOW_MS} ms or so (an exponential window), the period of out-of-band reports by default. Reports come
+ * in answers. An estimate of qps from {@code latency_ms} by Little's law is no use: a server that is sent more is slower,
+ * gets less, is faster again, at all nodes at once.
  *
  * <p>Costs as {@link StaticStride}, and O(n) once an update period.
  */
@@ -32,29 +33,49 @@
     static final double EXPIRATION_MS = 180_000;
     static final double UPDATE_MS = 1000;
     static final double ERROR_PENALTY = 1;
-    private static final int ANSWERS = 100;
+    static final double WINDOW_MS = 10_000;
     /** Steps of the scheduler for each candidate until the first one is taken: see {@link StaticStride}. */
     private static final int MOST_STEPS = 100;
 
     /** What is kept of a server. */
     static final class State extends ByServer.State {
+        private final double enteredAt;
+        private double answers;
+        private double errors;
+        private double countedAt;
+        private double utilisation;
         private double weight;
         private double since = Double.POSITIVE_INFINITY;
         private double reportedAt;
-        private double errors;
 
-        State(Server server) {
+        State(Server server, double nowMs) {
             super(server);
+            enteredAt = nowMs;
+            countedAt = nowMs;
+        }
+
+        void answered(double nowMs, boolean ok) {
+            double left = Math.exp(-(nowMs - countedAt) / WINDOW_MS);
+            answers = answers * left + 1;
+            errors = errors * left + (ok ? 0 : 1);
+            countedAt = nowMs;
+        }
+
+        /** Of all nodes; in its first seconds the window is only as long as these. */
+        private double qps(double nowMs, int nodes) {
+            double window = -Math.expm1(-(nowMs - enteredAt) / WINDOW_MS) * WINDOW_MS;
+            return answers * Math.exp(-(nowMs - countedAt) / WINDOW_MS) * nodes / window * 1000;
         }
 
-        void report(double nowMs, Extras.Report report) {
-            double qps = report.utilisation() * server.share() * 1000 / report.latencyMs();
-            if (!(report.utilisation() > 0) || !(qps > 0) || Double.isInfinite(qps)) {
-                return;
+        void report(double nowMs, double reported, int nodes) {
+            double newest = Double.isInfinite(since) ? 1 : -Math.expm1(-(nowMs - reportedAt) / WINDOW_MS);
+            utilisation += newest * (reported - utilisation);
+            double qps = qps(nowMs, nodes);
+            if (utilisation > 0 && qps > 0 && !Double.isInfinite(qps)) {
+                weight = qps / (utilisation + errors / answers * ERROR_PENALTY);
+                since = Math.min(since, nowMs);
+                reportedAt = nowMs;
             }
-            weight = qps / (report.utilisation() + errors * ERROR_PENALTY);
-            since = Math.min(since, nowMs);
-            reportedAt = nowMs;
         }
 
         /** @return 0 where there is none */
@@ -66,7 +87,7 @@
         }
     }
 
-    private final SplittableRandom random;
+    private final int nodes;
     /** Each server's place in the schedule; looked up only. */
     private final Map<Long, Integer> places = new HashMap<>();
     private List<State> order = new ArrayList<>();
@@ -74,14 +95,14 @@
     private double scheduledAt;
     private long number;
 
-    WeightedRoundRobin(long seed) {
-        random = new SplittableRandom(seed);
-        number = random.nextInt(1 << 30);
+    WeightedRoundRobin(Settings settings, long seed) {
+        nodes = settings.nodes();
+        number = new SplittableRandom(seed).nextInt(1 << 30);
     }
 
     @Override
     State enter(double nowMs, Server server) {
-        return new State(server);
+        return new State(server, nowMs);
     }
 
     @Override
@@ -116,7 +137,7 @@
     @Override
     void ended(double nowMs, State state, Outcome outcome, double latencyMs) {
         if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
-            state.errors += ((outcome == Outcome.OK ? 0 : 1) - state.errors) / ANSWERS;
+            state.answered(nowMs, outcome == Outcome.OK);
         }
     }
 
@@ -124,7 +145,7 @@
     public void onReport(double nowMs, long server, Extras.Report report) {
         State state = state(server);
         if (state != null) {
-            state.report(nowMs, report);
+            state.report(nowMs, report.utilisation(), nodes);
         }
     }
 }
