--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -223,14 +223,16 @@
      */
     boolean lost(Asking asking, FrontConnection connection, String fault) {
         boolean crossed = connection.mayHaveCrossed(); // once: then it goes on a new one
-        if (crossed) {
+        if (crossed && timeLeft(asking).isZero()) {
+            notConnected(asking, "closed unread when its time was up");
+        } else if (crossed) {
             sendAnew(asking);
         } else if (!asking.written && !connection.answerBegun()) {
             notConnected(asking, "ended while the request was written");
         } else {
             boolean begun = connection.answerBegun();
             witness.tell(Kind.CUT_SHORT, asking.pool.target.node(), asking.number, begun ? 1 : 0,
-                    begun ? fault : "ended");
+                    begun ? fault : connection.mayBeUnread() ? "unread" : "ended");
             end(asking);
         }
         return crossed;
