--- a/src/main/java/rowanplank/lab/check/Spans.java
+++ b/src/main/java/rowanplank/lab/check/Spans.java
@@ -37,6 +37,17 @@
         end(at);
     }
 
+    /** When it was last the case in those of the spans that touch this one; 0 for none, and for ever while it is. */
+    long lastIn(long begin, long end) {
+        long last = 0;
+        for (int i = 0; i < size; i++) {
+            if (from[i] <= end && to[i] >= begin) {
+                last = Math.max(last, to[i]);
+            }
+        }
+        return last;
+    }
+
     /** Whether it was the case at any time from the one to the other, both included. */
     boolean touches(long begin, long end) {
         for (int i = size - 1; i >= 0; i--) {
--- a/src/main/java/rowanplank/lab/run/ServiceMeter.java
+++ b/src/main/java/rowanplank/lab/run/ServiceMeter.java
@@ -3,19 +3,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
-import rowanplank.lab.day.Day;
+import rowanplank.lab.client.BadClients;
 import rowanplank.lab.day.Day.Prices;
 import rowanplank.lab.day.Day.RequestClass;
+import rowanplank.lab.day.Day;
 import rowanplank.lab.trace.Event;
 import rowanplank.lab.trace.Trace;
 
 /**
  * Reckons a day's {@link Service} from its events alone. A request's time runs from when its client wants it to the
- * last byte of its answer, over all that the client tries.
+ * last byte of its answer, over all that the client tries. Bad clients count for nothing.
  *
  * <p>Holds some 100 bytes for each request that is open or was not served, and two numbers a second of the day.
  */
@@ -69,12 +70,12 @@
     }
 
     private final Prices prices;
-    private final Map<String, OfClass> classes = new HashMap<>();
+    private final Map<String, OfClass> classes = new LinkedHashMap<>();
     private final List<OfClass> inOrder = new ArrayList<>();
     /** By the number of each try; looked up only. */
-    private final Map<Long, Wish> wishes = new HashMap<>();
-    private final Map<Integer, Long> nodeHalls = new HashMap<>();
-    private final Map<Integer, Long> serverHalls = new HashMap<>();
+    private final Map<Long, Wish> wishes = new LinkedHashMap<>();
+    private final Map<Integer, Long> nodeHalls = new LinkedHashMap<>();
+    private final Map<Integer, Long> serverHalls = new LinkedHashMap<>();
     private final double[] askedWorth;
     private final double[] earnedWorth;
     private double lateFailures;
@@ -106,10 +107,7 @@
             case ASKED_AGAIN -> askedAgain(e);
             case ANSWERED -> answered(e);
             case CUT_SHORT, GAVE_UP, NOT_CONNECTED -> ended(e, End.LOST);
-            case TRY_CAME -> {
-                tries++;
-                crossings += nodeHalls.getOrDefault(e.node(), 0L).equals(serverHalls.get(e.server())) ? 0 : 1;
-            }
+            case TRY_CAME -> came(e);
             case TRY_RUNS -> runs(e);
             case TRY_ANSWERED -> tryAnswered(e);
             case PROBED -> probes++;
@@ -185,8 +183,19 @@
         }
     }
 
+    private static boolean isBad(Event e) {
+        return e.request() >= BadClients.FIRST_NUMBER;
+    }
+
+    private void came(Event e) {
+        if (!isBad(e)) {
+            tries++;
+            crossings += nodeHalls.getOrDefault(e.node(), 0L).equals(serverHalls.get(e.server())) ? 0 : 1;
+        }
+    }
+
     private void runs(Event e) {
-        workDone += e.value();
+        workDone += isBad(e) ? 0 : e.value();
         Wish wish = wishes.get(e.request());
         if (wish != null) {
             wish.runs.add(new Run(e.server(), e.value()));
