--- a/src/main/java/rowanplank/lab/run/ServerHost.java
+++ b/src/main/java/rowanplank/lab/run/ServerHost.java
@@ -54,7 +54,9 @@
     /** Sets up a new machine. @param address where it stands; null for an address of its own */
     private void setUp(InetSocketAddress address) {
         int number = park.nextMachine();
+        String former = name;
         name = name(ground.day().seed(), number);
+        park.stands(this, name, former);
         speed = park.speed(kind, number);
         machine = ground.machine(name, hall, number);
         if (address == null) {
@@ -112,6 +114,15 @@
         return entry.server();
     }
 
+    int hall() {
+        return hall;
+    }
+
+    /** Its server, if one runs and can be reached; else null. */
+    PageServer reachable() {
+        return isRunning() && !machine.isSilent() ? server : null;
+    }
+
     private void fell(ServerMachine.Running which) {
         ground.after(Duration.ZERO, which::exit);
         list(Phase.GONE);
--- a/src/main/java/rowanplank/lab/run/ServerPark.java
+++ b/src/main/java/rowanplank/lab/run/ServerPark.java
@@ -1,8 +1,11 @@
 package rowanplank.lab.run;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import rowanplank.config.HostList;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.site.Works;
@@ -13,6 +16,8 @@
     private final Works works;
     private final Roster roster;
     private final List<ServerHost> hosts = new ArrayList<>();
+    /** By the number that nodes know the server of this name by; looked up only. */
+    private final Map<Long, ServerHost> byNumber = new LinkedHashMap<>();
     private int machines;
     private int lives;
 
@@ -54,6 +59,19 @@
         hosts.forEach(ServerHost::begin);
     }
 
+    /** A server of this name stands there now. @param former null if none did */
+    void stands(ServerHost host, String name, String former) {
+        if (former != null) {
+            byNumber.remove(HostList.number(former));
+        }
+        byNumber.put(HostList.number(name), host);
+    }
+
+    /** @return null if none of this number stands anywhere */
+    ServerHost host(long number) {
+        return byNumber.get(number);
+    }
+
     public List<ServerHost> hosts() {
         return hosts;
     }
