--- a/src/main/java/rowanplank/lab/policy/C3.java
+++ b/src/main/java/rowanplank/lab/policy/C3.java
@@ -8,7 +8,8 @@
 import rowanplank.balancer.BalancerApi.Settings;
 
 /**
- * C3's replica ranking (Suresh, Canini, Schmid, Feldmann: C3, NSDI 2015, section 3.1): the server with the lowest score
+ * C3's replica ranking (Suresh, Canini, Schmid, Feldmann: C3, NSDI 2015, section 3.1): the server with the lowest
+ * score
  * <pre>
  *   R - 1/mu + q^3 / mu,   q = 1 + in flight of this node * number of nodes + queue
  * </pre>
@@ -17,9 +18,10 @@
  * simulator 0.9 for the newest. A server of which nothing is known scores 0, as there: it is tried. With rate control
  * ({@link CubicRate}) the first in that order whose rate allows it is chosen, and requests wait here while none does.
  *
- * <p>Adapted to what the site's servers report: queue is {@code queue}, which counts only those that wait for a slot, and
- * 1/mu is {@code latency_ms}; both are as old as the site makes them, where the original's come with the answer itself.
- * All servers are replicas of each other. Answers that are errors count like others, a time-out as its latency.
+ * <p>Adapted to what the site's servers report: queue is {@code queue}, which counts only those that wait for a slot,
+ * and 1/mu is {@code latency_ms}; both are as old as the site makes them, where the original's come with the answer
+ * itself. All servers are replicas of each other. Answers that are errors count like others, a time-out as its
+ * latency.
  *
  * <p>A choice costs a look at each candidate.
  */
--- a/src/main/java/rowanplank/lab/policy/Carrier.java
+++ b/src/main/java/rowanplank/lab/policy/Carrier.java
@@ -24,9 +24,9 @@
  *
  * <p>Kept whatever the rival does: one try of a request out at a time; nothing new to a server that is not ready;
  * nothing sent again that may have run and must not run twice (a keyed request is not sent again at all once it may
- * have); a final answer {@value #TICK_MS} ms before the deadline, which is a reject where trying again is harmless, else a
- * failure; a try is withdrawn once its request is over. Not kept, since no rival's original knows it: the bound on work
- * sent to cold servers.
+ * have); a final answer {@value #TICK_MS} ms before the deadline, which is a reject where trying again is harmless,
+ * else a failure; a try is withdrawn once its request is over. Not kept, since no rival's original knows it: the
+ * bound on work sent to cold servers.
  *
  * <p>A try waits for its answer until the deadline: none of the originals has a shorter time-out unless told to.
  *
--- a/src/main/java/rowanplank/lab/policy/CubicRate.java
+++ b/src/main/java/rowanplank/lab/policy/CubicRate.java
@@ -1,17 +1,17 @@
 package rowanplank.lab.policy;
 
 /**
- * C3's rate control of one server (Suresh, Canini, Schmid, Feldmann: C3: Cutting tail latency in cloud data stores via
- * adaptive replica selection, NSDI 2015, section 3.2 and algorithm 2). The rate at which requests may be sent, in
+ * C3's rate control of one server (Suresh, Canini, Schmid, Feldmann: C3: Cutting tail latency in cloud data stores
+ * via adaptive replica selection, NSDI 2015, section 3.2 and algorithm 2). The rate at which requests may be sent, in
  * requests every {@value #INTERVAL_MS} ms, follows that at which answers come. With each answer
  * <pre>
  *   sending &lt; receiving:  sending = min(sending + S_MAX, GAMMA * (T - cbrt(BETA * R0 / GAMMA))^3 + R0)
  *   sending &gt; receiving, and no increase in the last two intervals:  R0 = sending;  sending = BETA * sending
  * </pre>
- * with T the ms since the last decrease. BETA = 0.2 and S_MAX = 10 as in section 4; GAMMA = 0.000004, with which the flat
- * part at R0 is some 100 ms long as stated there, and the first rates (sending 5, receiving 10, R0 10), the rate that
- * is left at the least, the bucket of {@value #MOST_TOKENS} and the moving average of the receiving rate (0.9 for the
- * newest interval) as in the authors' simulator.
+ * with T the ms since the last decrease. BETA = 0.2 and S_MAX = 10 as in section 4; GAMMA = 0.000004, with which the
+ * flat part at R0 is some 100 ms long as stated there, and the first rates (sending 5, receiving 10, R0 10), the rate
+ * that is left at the least, the bucket of {@value #MOST_TOKENS} and the moving average of the receiving rate (0.9
+ * for the newest interval) as in the authors' simulator.
  */
 final class CubicRate {
     static final double INTERVAL_MS = 20;
--- a/src/main/java/rowanplank/lab/policy/EnvoyOutliers.java
+++ b/src/main/java/rowanplank/lab/policy/EnvoyOutliers.java
@@ -3,12 +3,12 @@
 import rowanplank.balancer.BalancerApi.Outcome;
 
 /**
- * Envoy's outlier detection (Architecture overview, Outlier detection) as Istio turns it on
- * ({@code DestinationRule}, {@code outlierDetection: {}}): after {@code consecutive5xxErrors} = 5 failures in a row a
- * server is out for {@code baseEjectionTime} = 30 s times how often it has been, and comes back with the next sweep, one
- * every {@code interval} = 10 s; the factor falls by one with each sweep at which it is in. {@code maxEjectionPercent} =
- * 10 %, but one may always be out. Failures are 5xx answers, 503 included, and failed connections, resets and time-outs,
- * which count as 5xx. Ejection by success rate is off in Istio.
+ * Envoy's outlier detection (Architecture overview, Outlier detection) as Istio turns it on ({@code DestinationRule},
+ * {@code outlierDetection: {}}): after {@code consecutive5xxErrors} = 5 failures in a row a server is out for {@code
+ * baseEjectionTime} = 30 s times how often it has been, and comes back with the next sweep, one every {@code
+ * interval} = 10 s; the factor falls by one with each sweep at which it is in. {@code maxEjectionPercent} = 10 %, but
+ * one may always be out. Failures are 5xx answers, 503 included, and failed connections, resets and time-outs, which
+ * count as 5xx. Ejection by success rate is off in Istio.
  */
 final class EnvoyOutliers extends EjectionByServer<EnvoyOutliers.State> {
     private static final int CONSECUTIVE = 5;
--- a/src/main/java/rowanplank/lab/policy/FinagleAccrual.java
+++ b/src/main/java/rowanplank/lab/policy/FinagleAccrual.java
@@ -4,12 +4,12 @@
 import rowanplank.balancer.BalancerApi.Outcome;
 
 /**
- * Finagle's failure accrual and fail fast with their defaults (user's guide, Clients, Circuit breaking). After 5 failures
- * in a row, or with a success rate below 80 % over 30 s, a server is out for a time between a half and the whole of
- * 5 s, doubled each time up to 300 s; then one request is let through, and its outcome decides. A connection that can't
- * be made takes it out for 1 s, doubled each time up to 32 s. Failures are answers 5xx, resets and time-outs; what the
- * server turned away (nack) is none. The success rate is a moving average with that window, of 5 requests at the least.
- * Where all are out they are all tried, as the balancer does once it has drawn five in vain.
+ * Finagle's failure accrual and fail fast with their defaults (user's guide, Clients, Circuit breaking). After 5
+ * failures in a row, or with a success rate below 80 % over 30 s, a server is out for a time between a half and the
+ * whole of 5 s, doubled each time up to 300 s; then one request is let through, and its outcome decides. A connection
+ * that can't be made takes it out for 1 s, doubled each time up to 32 s. Failures are answers 5xx, resets and
+ * time-outs; what the server turned away (nack) is none. The success rate is a moving average with that window, of 5
+ * requests at the least. Where all are out they are all tried, as the balancer does once it has drawn five in vain.
  */
 final class FinagleAccrual extends EjectionByServer<FinagleAccrual.State> {
     private static final int CONSECUTIVE = 5;
--- a/src/main/java/rowanplank/lab/policy/GrpcConnections.java
+++ b/src/main/java/rowanplank/lab/policy/GrpcConnections.java
@@ -6,9 +6,9 @@
 import rowanplank.balancer.BalancerApi.Server;
 
 /**
- * What becomes of a gRPC subchannel whose connection can't be made (gRPC, Connection backoff): TRANSIENT_FAILURE, and it
- * is not picked, for 1 s, times 1.6 each time up to 120 s, plus or minus a fifth; the next one that is made ends that.
- * The original tries to connect by itself; here the next request does. Nothing else takes a server out: outlier
+ * What becomes of a gRPC subchannel whose connection can't be made (gRPC, Connection backoff): TRANSIENT_FAILURE, and
+ * it is not picked, for 1 s, times 1.6 each time up to 120 s, plus or minus a fifth; the next one that is made ends
+ * that. The original tries to connect by itself; here the next request does. Nothing else takes a server out: outlier
  * detection (gRFC A50) is off unless asked for. Where none is left, requests fail.
  */
 final class GrpcConnections extends EjectionByServer<GrpcConnections.State> {
--- a/src/main/java/rowanplank/lab/policy/Omniscient.java
+++ b/src/main/java/rowanplank/lab/policy/Omniscient.java
@@ -7,15 +7,15 @@
 
 /**
  * Sees the true state of all servers, which no node can: a request goes to the server that would answer it first, by
- * the laboratory's own model of each, with all that is held there or on its way there, the request's true work on that
- * server, and the way there and back. What nobody would answer within the aim of its class goes nowhere, since a late
- * answer is worth little and would make others late; nor does a server get a request that would cost it throughput.
- * Requests wait a little for a place, and are refused then. It sees no future: what comes later, and failures that are
- * drawn later, surprise it. So it is greedy (join the shortest delay, with exact knowledge), and no bound on what can be
- * reached.
+ * the laboratory's own model of each, with all that is held there or on its way there, the request's true work on
+ * that server, and the way there and back. What nobody would answer within the aim of its class goes nowhere, since a
+ * late answer is worth little and would make others late; nor does a server get a request that would cost it
+ * throughput. Requests wait a little for a place, and are refused then. It sees no future: what comes later, and
+ * failures that are drawn later, surprise it. So it is greedy (join the shortest delay, with exact knowledge), and no
+ * bound on what can be reached.
  *
- * <p>With {@code near}, a server of the own zone that answers within {@link #EARLY} of the aim goes before all others,
- * for sites where crossing zones has a price. A choice costs a run of each candidate's model.
+ * <p>With {@code near}, a server of the own zone that answers within {@link #EARLY} of the aim goes before all
+ * others, for sites where crossing zones has a price. A choice costs a run of each candidate's model.
  */
 final class Omniscient implements Choice {
     private static final double EARLY = 0.5;
--- a/src/main/java/rowanplank/lab/policy/PeakEwma.java
+++ b/src/main/java/rowanplank/lab/policy/PeakEwma.java
@@ -17,9 +17,9 @@
  * <pre>
  *   w = exp(-(time since the last) / decay time);  cost = rtt &gt; cost ? rtt : cost * w + rtt * (1 - w)
  * </pre>
- * with the default decay time of 10 s and PENALTY = Long.MaxValue &gt;&gt; 16, in nanoseconds. Each end of a try counts as a
- * round trip, whatever its outcome, as there; what was never sent does not. Finagle's aperture is left out: its nodes
- * are few beside the servers. O(1).
+ * with the default decay time of 10 s and PENALTY = Long.MaxValue &gt;&gt; 16, in nanoseconds. Each end of a try
+ * counts as a round trip, whatever its outcome, as there; what was never sent does not. Finagle's aperture is left
+ * out: its nodes are few beside the servers. O(1).
  */
 final class PeakEwma extends ByServer<PeakEwma.State> {
     static final double DECAY_MS = 10_000;
--- a/src/main/java/rowanplank/lab/policy/Prequal.java
+++ b/src/main/java/rowanplank/lab/policy/Prequal.java
@@ -1,7 +1,7 @@
 package rowanplank.lab.policy;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -16,14 +16,14 @@
  * those lately heard; the cold one with the lowest latency is chosen, and if all are hot the one with the fewest in
  * flight. With fewer than {@link ProbePool#LEAST} probes in the pool the server is drawn at random.
  *
- * <p>Constants of section 5 (testbed): 3 probes a request, a pool of 16, quantile 2^-0.25, one probe removed a request;
- * probes age out after 1 s. The testbed's probe time-out of 3 ms fits probes that take well under 1 ms; the site's cost
- * 1 ms of a core besides the way, so {@value #PROBE_TIMEOUT_MS} ms. Probes while no requests come are optional there and
- * left out, and so is the guard against servers that fail fast, of which no figures are given.
+ * <p>Constants of section 5 (testbed): 3 probes a request, a pool of 16, quantile 2^-0.25, one probe removed a
+ * request; probes age out after 1 s. The testbed's probe time-out of 3 ms fits probes that take well under 1 ms; the
+ * site's cost 1 ms of a core besides the way, so {@value #PROBE_TIMEOUT_MS} ms. Probes while no requests come are
+ * optional there and left out, and so is the guard against servers that fail fast, of which no figures are given.
  *
- * <p>A real page server of the site tells a probe only its load report. With {@code ownServers} it tells what Prequal's
- * own servers do, requests in flight and their usual latency at that number (the laboratory's servers do both); without,
- * the report has to do: in flight = {@code queue + util * size}, latency = {@code latency_ms}.
+ * <p>A real page server of the site tells a probe only its load report. With {@code ownServers} it tells what
+ * Prequal's own servers do, requests in flight and their usual latency at that number (the laboratory's servers do
+ * both); without, the report has to do: in flight = {@code queue + util * size}, latency = {@code latency_ms}.
  *
  * <p>A choice costs O(pool), and O(n) to draw from n servers.
  */
@@ -47,7 +47,7 @@
     @Override
     public void servers(double nowMs, List<Server> now) {
         ready = new ArrayList<>(now);
-        Set<Long> ids = new HashSet<>();
+        Set<Long> ids = new LinkedHashSet<>();
         now.forEach(s -> ids.add(s.id()));
         pool.keep(ids::contains, now.size());
     }
--- a/src/main/java/rowanplank/lab/policy/RetryBudget.java
+++ b/src/main/java/rowanplank/lab/policy/RetryBudget.java
@@ -53,9 +53,9 @@
     }
 
     /**
-     * gRPC's retry throttling (gRFC A6): a bucket of {@code maxTokens} = 10, of which each failure takes one and to which
-     * each success adds {@code tokenRatio} = 0.1; retries while more than half of it is there. The figures are those of
-     * the gRFC's example, which service configurations copy.
+     * gRPC's retry throttling (gRFC A6): a bucket of {@code maxTokens} = 10, of which each failure takes one and to
+     * which each success adds {@code tokenRatio} = 0.1; retries while more than half of it is there. The figures are
+     * those of the gRFC's example, which service configurations copy.
      */
     final class Tokens implements RetryBudget {
         private static final double MOST = 10;
--- a/src/main/java/rowanplank/lab/policy/WeightedRoundRobin.java
+++ b/src/main/java/rowanplank/lab/policy/WeightedRoundRobin.java
@@ -1,7 +1,7 @@
 package rowanplank.lab.policy;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -15,16 +15,16 @@
  * <pre>
  *   weight = qps / (utilisation + eps / qps * error_utilization_penalty)
  * </pre>
- * of a server, with eps the errors a second. A weight counts from {@code blackout_period} after the first report of an
- * unbroken row, and is forgotten {@code weight_expiration_period} after the last; every
- * {@code weight_update_period} a new {@link StaticStride} is made. Defaults: 10 s, 3 min, 1 s, penalty 1.0. A report
- * with no utilisation or no qps changes nothing.
+ * of a server, with eps the errors a second. A weight counts from {@code blackout_period} after the first report of
+ * an unbroken row, and is forgotten {@code weight_expiration_period} after the last; every {@code
+ * weight_update_period} a new {@link StaticStride} is made. Defaults: 10 s, 3 min, 1 s, penalty 1.0. A report with no
+ * utilisation or no qps changes nothing.
  *
- * <p>Adapted to what the site's servers report: they tell their utilisation alone, of the last 150 ms or so. A server's
- * qps is taken to be what this node sees it answer, times the number of nodes; eps likewise. All three are averages over
- * the last {@value #WINDOW_MS} ms or so (an exponential window), the period of out-of-band reports by default. Reports come
- * in answers. An estimate of qps from {@code latency_ms} by Little's law is no use: a server that is sent more is slower,
- * gets less, is faster again, at all nodes at once.
+ * <p>Adapted to what the site's servers report: they tell their utilisation alone, of the last 150 ms or so. A
+ * server's qps is taken to be what this node sees it answer, times the number of nodes; eps likewise. All three are
+ * averages over the last {@value #WINDOW_MS} ms or so (an exponential window), the period of out-of-band reports by
+ * default. Reports come in answers. An estimate of qps from {@code latency_ms} by Little's law is no use: a server
+ * that is sent more is slower, gets less, is faster again, at all nodes at once.
  *
  * <p>Costs as {@link StaticStride}, and O(n) once an update period.
  */
@@ -88,8 +88,8 @@
     }
 
     private final int nodes;
-    /** Each server's place in the schedule; looked up only. */
-    private final Map<Long, Integer> places = new HashMap<>();
+    /** Each server's place in the schedule. */
+    private final Map<Long, Integer> places = new LinkedHashMap<>();
     private List<State> order = new ArrayList<>();
     private StaticStride schedule;
     private double scheduledAt;
--- a/src/main/java/rowanplank/lab/policy/ZoneAware.java
+++ b/src/main/java/rowanplank/lab/policy/ZoneAware.java
@@ -17,12 +17,12 @@
  * <pre>
  *   part of the servers / part of the nodes
  * </pre>
- * and the rest goes to zones whose part of the servers is above that of their nodes, each in the measure in which it is.
- * Defaults: {@code routing_enabled} 100 %, and only with {@code min_cluster_size} = 6 servers or more.
+ * and the rest goes to zones whose part of the servers is above that of their nodes, each in the measure in which it
+ * is. Defaults: {@code routing_enabled} 100 %, and only with {@code min_cluster_size} = 6 servers or more.
  *
- * <p>Envoy knows how many nodes are in each zone from the list of its own kind. Here nodes know their number alone, and
- * zones are taken to have even parts of the nodes. With fewer nodes than zones it is left off, as Envoy does where a
- * zone has no node. A choice costs a look at each candidate.
+ * <p>Envoy knows how many nodes are in each zone from the list of its own kind. Here nodes know their number alone,
+ * and zones are taken to have even parts of the nodes. With fewer nodes than zones it is left off, as Envoy does
+ * where a zone has no node. A choice costs a look at each candidate.
  */
 final class ZoneAware implements Choice {
     private static final int MIN_CLUSTER_SIZE = 6;
--- a/src/main/java/rowanplank/lab/site/ServerModel.java
+++ b/src/main/java/rowanplank/lab/site/ServerModel.java
@@ -206,8 +206,8 @@
     }
 
     /**
-     * When a request that comes then would be done if, after others that are on their way, nothing else came. O(n log n)
-     * for n requests held.
+     * When a request that comes then would be done if, after others that are on their way, nothing else came. O(n log
+     * n) for n requests held.
      *
      * @param coming the others, in the order in which they come; what comes after it is left out
      * @return {@link #NEVER} if it would be turned away, or the server would fall over
