--- a/src/main/java/rowanplank/discovery/UpstreamGroup.java
+++ b/src/main/java/rowanplank/discovery/UpstreamGroup.java
@@ -1,5 +1,6 @@
 package rowanplank.discovery;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,19 +15,35 @@
 
     private final Map<Long, Member> members = new LinkedHashMap<>();
 
-    /** @return what was taken up: all of the list, but for newcomers that would be beyond the bound */
-    public List<Member> apply(HostList list) {
+    /**
+     * What a list came to.
+     *
+     * @param taken all of the list, but for newcomers that would be beyond the bound
+     * @param outdated the peers to which a connection of before is of no use: they take nothing new, or are at another
+     *     address, or in another life
+     */
+    public record Change(List<Member> taken, List<Long> outdated) { }
+
+    /** Costs what the list names, and all peers where it is a complete one. */
+    public Change apply(HostList list) {
+        List<Member> before = new ArrayList<>();
         if (list.complete()) {
+            before.addAll(members.values());
             members.clear();
         }
-        return list.members().stream().filter(this::take).toList();
+        List<Member> taken = list.members().stream().filter(m -> take(m, before)).toList();
+        return new Change(taken, before.stream().filter(m -> !isCurrent(m)).map(m -> m.server().id()).toList());
     }
 
-    private boolean take(Member m) {
+    private boolean take(Member m, List<Member> before) {
         long id = m.server().id();
+        Member known = members.get(id);
+        if (known != null) {
+            before.add(known);
+        }
         if (m.server().lifecycle() == Lifecycle.GONE) {
             members.remove(id);
-        } else if (members.containsKey(id) || members.size() < MOST_MEMBERS) {
+        } else if (known != null || members.size() < MOST_MEMBERS) {
             members.put(id, m);
         } else {
             return false;
@@ -40,6 +57,13 @@
         return m != null && m.server().lifecycle() == Lifecycle.READY ? m : null;
     }
 
+    /** Whether the peer takes something new, at the address that it had then and in the life that it had then. */
+    public boolean isCurrent(Member then) {
+        Member now = ready(then.server().id());
+        return now != null && now.address().equals(then.address())
+                && now.server().startedAtMs() == then.server().startedAtMs();
+    }
+
     public boolean isEmpty() {
         return members.isEmpty();
     }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -158,11 +158,12 @@
     }
 
     private void apply(HostList list, ListKind kind) {
-        List<HostList.Member> taken = group.apply(list);
+        UpstreamGroup.Change change = group.apply(list);
+        List<HostList.Member> taken = change.taken();
         if (taken.size() < list.members().size()) {
             log.warn(list.members().size() - taken.size() + " peers beyond the bound were left out");
         }
-        peers.groupChanged();
+        peers.groupChanged(change.outdated());
         decisions.servers(kind, taken.stream().map(HostList.Member::server).toList());
     }
 
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -1,14 +1,14 @@
 package rowanplank.peer.http;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -21,15 +21,20 @@
 import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
 import rowanplank.net.Loop;
+import rowanplank.peer.http.IdleConnections.Kept;
 
 /**
  * The connections to peers and the tries that are out on them. A try waits for no other: it takes an idle connection
- * or opens one. It is written once; nothing here sends it again.
+ * or opens one. It is written once; nothing here sends it again. A try and its end cost O(log n) for n connections at
+ * rest, and a change of the group what changed.
  */
 public final class Peers implements TrySender {
     /** Idle connections are given up after this part of the time that peers keep them. */
     private static final int IDLE_PART = 2;
     private static final Duration SWEEP = Duration.ofSeconds(1);
+    /** So many are closed in a sweep; where more are due, the next one follows after a moment. */
+    private static final int MOST_A_SWEEP = 64;
+    private static final Duration SWEEP_ON = Duration.ofMillis(1);
     /** What all unfinished answers may take together, but for the 64 KiB that each may always have. */
     private static final long MOST_HELD = 8 << 20;
 
@@ -40,12 +45,11 @@
     private final Loop loop;
     private final Clock clock;
     private final Counters counters;
-    /** In the order of their sending: what is done to all of them is the same in every process. */
     private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
+    /** Those that wait for a connection, by peer, in the order of their sending. */
+    private final Map<Long, Set<Sending>> opening = new LinkedHashMap<>();
     /** By peer, not by address: a new peer may come up at the address of one that has gone. */
-    private final Map<Long, Deque<PeerConnection>> idle = new LinkedHashMap<>();
-    /** All of these, the longest idle first. */
-    private final Set<PeerConnection> resting = new LinkedHashSet<>();
+    private final IdleConnections<PeerConnection> idle = new IdleConnections<>();
     private int connections;
     private long held;
 
@@ -69,7 +73,7 @@
         final Exchange.Try attempt;
         private final Member member;
         private Loop.Timer timer;
-        private Loop.Opening opening;
+        private Loop.Opening connecting;
         private PeerConnection connection;
 
         Sending(Exchange.Try attempt, Member member) {
@@ -83,9 +87,9 @@
                 return;
             }
             timer.cancel();
-            if (opening != null) {
-                opening.abandon();
-                opening = null;
+            if (connecting != null) {
+                connecting.abandon();
+                waitNoMore();
                 connections--;
             } else if (connection != null && !connection.answered()) {
                 connection.close();
@@ -101,10 +105,11 @@
         private void open() {
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
-            opening = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
+            opening.computeIfAbsent(attempt.peer(), p -> new LinkedHashSet<>()).add(this);
+            connecting = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
                 @Override
                 public Connection connected(EndPoint endPoint) {
-                    opening = null;
+                    waitNoMore();
                     return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::goOut);
                 }
 
@@ -114,14 +119,26 @@
                 }
             });
         }
+
+        private void waitNoMore() {
+            connecting = null;
+            opening.computeIfPresent(attempt.peer(), (peer, waiting) ->
+                    waiting.remove(this) && waiting.isEmpty() ? null : waiting);
+        }
     }
 
     /** Begins to look after idle connections; to be called on the loop's thread. */
     public void start() {
-        loop.schedule(SWEEP, () -> {
-            closeWhere(c -> c.idleFor(clock.now()).compareTo(connIdle) >= 0);
-            start();
-        });
+        loop.schedule(SWEEP, this::sweep);
+    }
+
+    private void sweep() {
+        Instant until = clock.now().minus(connIdle);
+        int closed = 0;
+        for (Kept<PeerConnection> k; closed < MOST_A_SWEEP && (k = idle.takeOldest(until)) != null; closed++) {
+            k.connection().close();
+        }
+        loop.schedule(closed == MOST_A_SWEEP ? SWEEP_ON : SWEEP, this::sweep);
     }
 
     @Override
@@ -157,24 +174,22 @@
 
     @Override
     public void closeIdle(long peer) {
-        closeWhere(c -> c.peer().server().id() == peer);
-    }
-
-    /** The group has changed: drops what was kept for peers that take nothing new, or waits for a connection there. */
-    public void groupChanged() {
-        closeWhere(c -> !isCurrent(c.peer()));
-        for (Sending s : List.copyOf(out.values())) {
-            if (s.opening != null && !isCurrent(s.member)) {
-                s.end(Outcome.MOOT, null);
-            }
+        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer)) != null;) {
+            k.connection().close();
         }
     }
 
-    /** Whether the peer takes something new, at the address that it had then and in the life that it had then. */
-    private boolean isCurrent(Member then) {
-        Member now = group.ready(then.server().id());
-        return now != null && now.address().equals(then.address())
-                && now.server().startedAtMs() == then.server().startedAtMs();
+    /**
+     * The group has changed: drops what was kept for peers, or waits for a connection to them.
+     *
+     * @param changed those to which a connection of before is of no use
+     */
+    public void groupChanged(Collection<Long> changed) {
+        for (long peer : changed) {
+            closeIdle(peer);
+            opening.getOrDefault(peer, Collections.emptySet()).stream().filter(s -> !group.isCurrent(s.member)).toList()
+                    .forEach(s -> s.end(Outcome.MOOT, null));
+        }
     }
 
     /**
@@ -190,10 +205,10 @@
 
     /** The newest one first, so that those not needed grow old and are closed. */
     private PeerConnection takeIdle(Member peer) {
-        for (Deque<PeerConnection> kept; (kept = idle.get(peer.server().id())) != null;) {
-            PeerConnection c = kept.peek();
-            restsNoMore(c);
-            if (c.idleFor(clock.now()).compareTo(connIdle) < 0 && isCurrent(c.peer()) && c.isUsable()) {
+        Instant since = clock.now().minus(connIdle);
+        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer.server().id())) != null;) {
+            PeerConnection c = k.connection();
+            if (k.since().isAfter(since) && group.isCurrent(c.peer()) && c.isUsable()) {
                 return c;
             }
             c.close();
@@ -202,41 +217,26 @@
     }
 
     private boolean closeOneIdle() {
-        if (resting.isEmpty()) {
-            return false;
+        Kept<PeerConnection> oldest = idle.takeOldest();
+        if (oldest != null) {
+            oldest.connection().close();
         }
-        resting.iterator().next().close();
-        return true;
-    }
-
-    private void closeWhere(Predicate<PeerConnection> which) {
-        List.copyOf(resting).stream().filter(which).forEach(PeerConnection::close);
+        return oldest != null;
     }
 
     /** Keeps a connection for the next try, unless its peer has gone or drains meanwhile. */
     void keep(PeerConnection connection) {
-        if (!isCurrent(connection.peer())) {
+        if (group.isCurrent(connection.peer())) {
+            connection.kept(idle.keep(connection, connection.peer().server().id(), clock.now()));
+        } else {
             connection.close();
-            return;
-        }
-        connection.idleSince(clock.now());
-        resting.add(connection);
-        idle.computeIfAbsent(connection.peer().server().id(), id -> new ArrayDeque<>()).push(connection);
-    }
-
-    private void restsNoMore(PeerConnection connection) {
-        if (resting.remove(connection)) {
-            long peer = connection.peer().server().id();
-            Deque<PeerConnection> kept = idle.get(peer);
-            kept.remove(connection);
-            if (kept.isEmpty()) {
-                idle.remove(peer);
-            }
         }
     }
 
     void over(PeerConnection connection) {
         connections--;
-        restsNoMore(connection);
+        if (connection.kept() != null) {
+            idle.remove(connection.kept());
+        }
     }
 }
