--- a/src/main/java/rowanplank/http/MessageHandler.java
+++ b/src/main/java/rowanplank/http/MessageHandler.java
@@ -11,6 +11,8 @@
 public abstract class MessageHandler implements HttpParser.HttpHandler {
     private static final byte[] NOTHING = {};
     private static final int FIRST_ROOM = 4096;
+    /** Guards the heap: a field of two letters takes forty times its length. Servers commonly take about so many. */
+    static final int MOST_FIELDS = 100;
 
     private final HttpFields.Mutable fields = HttpFields.build();
     private byte[] body = NOTHING;
@@ -21,6 +23,9 @@
         this.mostBytes = mostBytes;
     }
 
+    /** There are more header fields than the bound; no more of them are gathered. */
+    protected abstract void tooManyFields();
+
     /** The body is longer than the bound; nothing more of it is gathered. */
     protected abstract void tooLong();
 
@@ -46,7 +51,11 @@
 
     @Override
     public void parsedHeader(HttpField field) {
-        fields.add(field);
+        if (fields.size() < MOST_FIELDS) {
+            fields.add(field);
+        } else {
+            tooManyFields();
+        }
     }
 
     @Override
--- a/src/main/java/rowanplank/http/RequestReader.java
+++ b/src/main/java/rowanplank/http/RequestReader.java
@@ -55,11 +55,6 @@
         return handler.bodySize();
     }
 
-    /** Gives the request up: there is no room for it now. */
-    public void turnAway() {
-        error = HttpStatus.SERVICE_UNAVAILABLE_503;
-    }
-
     /** Whether part of a request has come. */
     public boolean begun() {
         return begun;
@@ -117,6 +112,11 @@
             error = HttpStatus.PAYLOAD_TOO_LARGE_413;
         }
 
+        @Override
+        protected void tooManyFields() {
+            error = HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431;
+        }
+
         @Override
         public boolean headerComplete() {
             if (parser.getContentLength() > Messages.MOST_BODY_BYTES) {
--- a/src/main/java/rowanplank/http/ResponseReader.java
+++ b/src/main/java/rowanplank/http/ResponseReader.java
@@ -93,6 +93,11 @@
             progress = Progress.BROKEN;
         }
 
+        @Override
+        protected void tooManyFields() {
+            progress = Progress.BROKEN;
+        }
+
         @Override
         public boolean headerComplete() {
             boolean framed = fields().contains(HttpHeader.CONTENT_LENGTH) || parser.isChunking()
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -40,6 +40,7 @@
 
     private final Intake intake;
     private final boolean room;
+    private final boolean told;
     private final ConnectionQueue.Place place;
     /** Null between requests: connections are many, and most of them rest. */
     private RequestReader reader;
@@ -55,11 +56,15 @@
     private int held;
     private int writes;
 
-    /** @param room whether the node has room for this connection; else it is told so and closed */
-    ClientConnection(EndPoint endPoint, Intake intake, ConnectionQueue queue, boolean room) {
+    /**
+     * @param room whether the node has room for this connection; else it is closed
+     * @param told whether it is told so first
+     */
+    ClientConnection(EndPoint endPoint, Intake intake, ConnectionQueue queue, boolean room, boolean told) {
         super(endPoint, intake.loop);
         this.intake = intake;
         this.room = room;
+        this.told = told;
         unread = intake.noBytes;
         place = queue.join(this, intake.clock.now());
     }
@@ -67,7 +72,9 @@
     @Override
     public void onOpen() {
         super.onOpen();
-        if (!room) {
+        if (!told) {
+            close();
+        } else if (!room) {
             lastOne = true;
             reject(NO_ROOM);
         }
@@ -129,10 +136,22 @@
         if (!unread.hasRemaining()) {
             unread = intake.noBytes;
         }
-        if (!room && held > LITTLE && isReading()) {
+        if (!room && held > LITTLE) {
+            giveUpReading();
+        }
+    }
+
+    /** No more is taken here, and what was read is let go at once: it is the room for it that is wanting. */
+    private void giveUpReading() {
+        boolean unanswered = isReading();
+        lastOne = true;
+        unread = intake.noBytes;
+        int holds = unanswered || reader == null ? 0 : reader.bodySize();
+        intake.hold(holds - held);
+        held = holds;
+        if (unanswered) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
-            reader.turnAway();
-            lastOne = true;
+            reader = null;
             reject(NO_ROOM);
         }
     }
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -34,6 +34,9 @@
     private static final int MOST_SPARE_READERS = 64;
     /** So many connections more are read from, so that the node can be asked whether it is up in any crowd. */
     private static final int RESERVE = 16;
+    /** And so many beyond these are told that there is no room; others are closed at once. Together they stay within
+     * the descriptors that no side's connections have. */
+    private static final int MOST_TOLD = 16;
 
     final SiteSettings site;
     final Exchanges exchanges;
@@ -85,7 +88,8 @@
         if (!room) {
             counters.add(Count.CLIENT_CONNECTIONS_TURNED_AWAY);
         }
-        return new ClientConnection(endPoint, this, connections, room);
+        boolean told = room || connections.size() < mostConnections + RESERVE + MOST_TOLD;
+        return new ClientConnection(endPoint, this, connections, room, told);
     }
 
     /** Whether a request can be served; on the reserve's connections only questions about the node itself are. */
--- /dev/null
+++ b/src/test/java/rowanplank/intake/http/IntakeTest.java
@@ -0,0 +1,136 @@
+package rowanplank.intake.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.function.Function;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.junit.jupiter.api.Test;
+import rowanplank.config.SettingsReader;
+import rowanplank.exchange.Exchange;
+import rowanplank.exchange.Exchanges;
+import rowanplank.exchange.RequestContext;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.metrics.Counters;
+import rowanplank.net.Clock;
+import rowanplank.net.Loop;
+
+class IntakeTest {
+    private static final int MOST = 4;
+    private static final int RESERVE = 16;
+
+    private final Accepting loop = new Accepting();
+    private final Counters counters = new Counters();
+
+    /** A loop at which clients connect as the test says, and whose clock stands. */
+    private static final class Accepting implements Loop {
+        private final Queue<Runnable> tasks = new ArrayDeque<>();
+        private final ByteBuffer readBuffer = ByteBuffer.allocate(1 << 16);
+        private final List<ByteArrayEndPoint> clients = new ArrayList<>();
+        private Function<EndPoint, Connection> onAccept;
+
+        void connect(String text) {
+            ByteArrayEndPoint endPoint = new ByteArrayEndPoint(null, 0, (byte[]) null, 1 << 16) {
+                @Override
+                protected void execute(Runnable task) {
+                    tasks.add(task);
+                }
+            };
+            clients.add(endPoint);
+            Connection connection = onAccept.apply(endPoint);
+            endPoint.setConnection(connection);
+            connection.onOpen();
+            if (endPoint.isOpen()) {
+                endPoint.addInput(text);
+            }
+            for (Runnable task; (task = tasks.poll()) != null;) {
+                task.run();
+            }
+        }
+
+        long open() {
+            return clients.stream().filter(EndPoint::isOpen).count();
+        }
+
+        @Override
+        public Clock clock() {
+            return () -> Instant.EPOCH;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            tasks.add(task);
+        }
+
+        @Override
+        public Timer schedule(Duration delay, Runnable task) {
+            return () -> true;
+        }
+
+        @Override
+        public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> accepts) {
+            onAccept = accepts;
+            return null;
+        }
+
+        @Override
+        public Datagrams datagrams(InetSocketAddress address, int mostBytes, Receiver receiver) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public ByteBuffer readBuffer() {
+            return readBuffer;
+        }
+
+        @Override
+        public void report(Throwable failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    private static final class Nowhere implements Exchanges {
+        @Override
+        public Exchange open(RequestContext context, Exchange.Client client) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public boolean isOpen(String id) {
+            return false;
+        }
+    }
+
+    /**
+     * Guards the descriptors: connections that are told that there is no room linger for a second, and a crowd whose
+     * requests are all half done leaves nothing at rest that could make room.
+     */
+    @Test
+    void aCrowdThatStopsHalfWayNeverHoldsMoreThanTheBound() throws Exception {
+        Intake intake = new Intake(SettingsReader.parse("{\"classes\":[{\"name\":\"a\",\"aim_ms\":50,\"deadline_ms\":200}]}"),
+                new Nowhere(), MOST, MOST, loop, counters, () -> true);
+        intake.start(null);
+        for (int i = 0; i < 500; i++) {
+            loop.connect("GET /a HTTP/1.1\r\nX-Half: ");
+        }
+        assertTrue(loop.open() <= MOST + 2 * RESERVE, loop.open() + " open");
+        assertEquals(loop.open(), intake.connectionCount());
+        assertEquals(500 - MOST - RESERVE, counters.get(Count.CLIENT_CONNECTIONS_TURNED_AWAY));
+        assertTrue(loop.clients.get(MOST + RESERVE).getOutputString().startsWith("HTTP/1.1 503 "), "the first are told");
+    }
+}
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -304,6 +304,47 @@
         assertEquals(200, status(ask(ARTICLE)));
     }
 
+    /** Guards the heap: a header field of two letters takes some two hundred bytes, and a request may have 1,600 of them. */
+    @Test
+    void requestsOfManySmallHeadersAreRefusedBeforeTheyFillTheHeap() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        site.list(peer(r -> await(never)).member("s-1", "ready"));
+        sockets = 384;
+        heap = "-Xmx56m";
+        serve();
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 190; i++) {
+            Socket client = connect();
+            clients.add(client);
+            client.getOutputStream().write(get("/article/7", "a:b\r\n".repeat(1550)).replace("9b1f", "r" + i)
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        }
+        for (Socket client : clients) {
+            assertEquals(431, status(StubSite.readMessage(client.getInputStream())));
+        }
+        assertTrue(node.isAlive());
+    }
+
+    /** Guards the heap: what many clients send ahead of an answer counts among the bytes of all, as their requests do. */
+    @Test
+    void whatIsSentAheadOfAnAnswerDoesNotFillTheHeap() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        site.list(peer(r -> await(never)).member("s-1", "ready"));
+        sockets = 1024;
+        heap = "-Xmx56m";
+        serve();
+        byte[] ahead = ("GET /up HTTP/1.1\r\nX-Long: " + "a".repeat(7000) + "\r\n\r\n").repeat(18)
+                .getBytes(StandardCharsets.ISO_8859_1);
+        for (int i = 0; i < 600; i++) {
+            Socket client = connect();
+            client.getOutputStream().write(get("/article/7", "").replace("9b1f", "r" + i)
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            client.getOutputStream().write(ahead);
+        }
+        awaitCount("requests_taken", 600);
+        assertEquals(200, status(ask(get("/up", ""))));
+    }
+
     /** Guards against a stack that grows with each request that a client sends ahead. */
     @Test
     void manyRequestsSentAheadAreAnsweredInTurn() throws Exception {
