--- a/src/main/java/rowanplank/metrics/RateLimitedLog.java
+++ b/src/main/java/rowanplank/metrics/RateLimitedLog.java
@@ -11,6 +11,8 @@
  * second are written, and how many were left out is said.
  */
 public final class RateLimitedLog {
+    /** The name under which the node's own lines are written; what libraries write has the same bound (cli). */
+    public static final String NAME = "rowanplank";
     private static final double LINES_A_SECOND = 5;
     private static final double BURST = 100;
 
@@ -21,7 +23,7 @@
 
         /** The process's own log. */
         static Sink system() {
-            Logger logger = LoggerFactory.getLogger("rowanplank");
+            Logger logger = LoggerFactory.getLogger(NAME);
             return (warning, line, cause) -> {
                 if (warning) {
                     logger.warn(line, cause);
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -38,7 +38,7 @@
  * Jetty selector; whatever Jetty would hand to a pool of threads is queued here and run between two selects.
  */
 public final class SelectorLoop implements Loop {
-    /** So much queued work is run before sockets are looked at again. */
+    /** So much queued work, and so many timers, are run before sockets are looked at again. */
     private static final int MOST_TASKS_A_ROUND = 256;
     /** All connections are read on one thread, and none keeps the buffer. */
     private static final int READ_BYTES = 1 << 16;
@@ -211,10 +211,10 @@
     }
 
     private void runDue() {
-        for (Runnable task; (task = timers.poll()) != null;) {
+        Runnable task;
+        for (int i = 0; i < MOST_TASKS_A_ROUND && (task = timers.poll()) != null; i++) {
             guarded(task);
         }
-        Runnable task;
         for (int i = 0; i < MOST_TASKS_A_ROUND && (task = tasks.poll()) != null; i++) {
             guarded(task);
         }
