--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -60,6 +60,8 @@
     /** Multiples of it spread a server's nodes evenly; several make nodes' sets overlap little. */
     private static final int STRIDES = 8;
     private static final double GOLDEN = (Math.sqrt(5) - 1) / 2;
+    /** A server of which nothing is out is sent a request it is drawn for once so much time has passed since the last. */
+    private static final double LONGEST_UNTRIED_MS = 500;
     /** A server in another zone must look this much better. */
     private static final double CROSS_ZONE = 1.15;
     /** The server that likely remembers the key may look this much worse than the other one drawn. */
@@ -77,6 +79,8 @@
     private final List<Target> ready = new ArrayList<>();
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private final List<Open> held = new ArrayList<>();
+    /** Servers no longer listed at which tries are still out; no more than there are such tries. */
+    private final Map<Long, Target> left = new LinkedHashMap<>();
     private final Network[] networks;
     private final double[] tenantTokens;
     private double tenantTokensAt;
@@ -114,6 +118,7 @@
         listedPart = Math.min(1, Math.max(SUBSET / listed.size(), LEAST_NODES / settings.nodes()));
         List.copyOf(ready).stream().filter(t -> !stays(t)).forEach(this::leave);
         listed.values().stream().filter(this::isMine).forEach(this::update);
+        for (Network n : networks) n.settle();
         sharers = settings.nodes() * listedPart;
         route.servers(new TreeSet<>(ready.stream().map(t -> t.listed.zone()).toList()));
         drawn = drawn.length < ready.size() ? new Target[ready.size() + 8] : drawn;
@@ -152,9 +157,11 @@
         Attempt a = r.attempts.get(attempt);
         a.pending = false;
         a.neverRan = outcome.neverRan();
-        a.target.limit.inFlight--;
+        if (--a.target.limit.inFlight == 0) left.remove(a.target.listed.id(), a.target);
         if (a.trial) a.target.trialOut = false;
-        judge(a.target, r, outcome, latencyMs);
+        // Withdrawn as stuck, and nothing else heard from the server meanwhile: it, and not one connection, is silent.
+        boolean silent = outcome == Outcome.CANCELLED && a.withdrawn && a.target.lastHeardAt < a.sentAt;
+        judge(a.target, r, silent ? Outcome.TIMEOUT : outcome, latencyMs);
         if (concluded && !r.done) end(r);
         if (!r.done && outcome != Outcome.OK && !r.pending()) sendAgain(r, a);
         forget(r);
@@ -209,15 +216,28 @@
         return place % 1 < listedPart;
     }
 
+    /** The servers that may be chosen, as they stand: for tests. */
+    List<Target> ready() {
+        return ready;
+    }
+
     private void enter(Server s) {
+        Target before = left.remove(s.id());
+        // One that was off the list for a moment still holds what was sent to it, and is as good or bad as it was.
+        Target t = before != null && s.startedAtMs() <= before.listed.startedAtMs() ? before : newcomer(s);
+        t.neurons = Stream.of(networks).map(Network::enter).toArray(Neuron[]::new);
+        targets.put(s.id(), t);
+        ready.add(t);
+    }
+
+    private Target newcomer(Server s) {
         double warmth = warmth(s);
-        Target t = new Target(s, Stream.of(networks).map(Network::enter).toArray(Neuron[]::new),
-                new Limit(usualSlowness * settings.classes().get(0).aimMs() / warmth, now));
+        Target t = new Target(s, new Limit(usualSlowness * settings.classes().get(0).aimMs() / warmth, now));
         t.ejectionMs = FIRST_EJECTION_MS;
+        t.sentAt = now;
         // Nodes that hear of a start together must not all send at once.
         if (warmth < 1) t.limit.credit = random.nextDouble();
-        targets.put(s.id(), t);
-        ready.add(t);
+        return t;
     }
 
     private void leave(Target t) {
@@ -225,6 +245,7 @@
         ready.remove(t);
         for (int c = 0; c < networks.length; c++) networks[c].leave(t.neurons[c]);
         t.neurons = null;
+        if (t.limit.inFlight > 0) left.put(t.listed.id(), t);
     }
 
     // ---- choosing a server
@@ -267,6 +288,7 @@
         long key = settings.warmKeys() ? r.request.key() : 0;
         Target a = draw(key, c, 0, n);
         Target b = draw(key, c, 1, n);
+        if (isUntried(a) || isUntried(b)) return isUntried(a) ? a : b;
         return score(a, c) * (key != 0 ? WARM_KEY : 1) <= score(b, c) ? a : b;
     }
 
@@ -289,6 +311,14 @@
         return t;
     }
 
+    /**
+     * Guards servers that were slow once: what is seldom drawn seldom answers, and so is seldom rewarded. The paper
+     * explores with a tenth of all requests; this is far less, and none where all servers are in use.
+     */
+    private boolean isUntried(Target t) {
+        return t.limit.inFlight == 0 && now - t.sentAt > LONGEST_UNTRIED_MS;
+    }
+
     private double score(Target t, int c) {
         double zone = t.listed.zone() == settings.zone() ? 1 : CROSS_ZONE;
         return (t.limit.inFlight + 1) / (t.neurons[c].q * t.listed.share()) * zone;
@@ -355,6 +385,7 @@
         r.held = false;
         t.trialOut |= t.ejected;
         t.limit.inFlight++;
+        t.sentAt = now;
         t.limit.credit = 0;
         actions.send(r.request.id(), t.listed.id(), r.request.deadlineMs() - now);
     }
@@ -579,7 +610,7 @@
         double threshold = PAYOFF;
         double meanLatency;
 
-        /** A newcomer is held to be like the average of the others. */
+        /** A newcomer is held to be like the average of the others; {@link #settle} is to follow, once for a whole list. */
         Neuron enter() {
             Neuron entered = new Neuron();
             int n = neurons.size();
@@ -592,13 +623,11 @@
                 entered.downRow += other.downRow / n;
             }
             neurons.add(entered);
-            settle();
             return entered;
         }
 
         void leave(Neuron left) {
             neurons.remove(left);
-            settle();
         }
 
         void learn(Neuron i, double latency, boolean ok) {
@@ -620,7 +649,7 @@
         }
 
         /** Iterates q from where it stood; with fewer than two neurons there is nothing to compare. */
-        private void settle() {
+        void settle() {
             int n = neurons.size();
             double w0 = 0.5 / (n - 1);
             double change = n < 2 ? 0 : 1;
--- /dev/null
+++ b/src/test/java/rowanplank/balancer/Inside.java
@@ -0,0 +1,11 @@
+package rowanplank.balancer;
+
+/** What tests of other packages may see of a module's inside. */
+public final class Inside {
+    private Inside() { }
+
+    /** Tries that it holds to be out, at all servers that it may choose. */
+    public static int inFlight(Balancer balancer) {
+        return balancer.ready().stream().mapToInt(t -> t.limit.inFlight).sum();
+    }
+}
--- a/src/test/java/rowanplank/balancer/NetworkTest.java
+++ b/src/test/java/rowanplank/balancer/NetworkTest.java
@@ -18,6 +18,7 @@
         List<Neuron> neurons = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             neurons.add(network.enter());
+            network.settle();
         }
         return neurons;
     }
@@ -33,6 +34,7 @@
     void aloneAServerKeepsItsQ() {
         Network network = new Network();
         Neuron only = network.enter();
+        network.settle();
         network.learn(only, 10, true);
         assertEquals(0.5, only.q);
     }
@@ -105,7 +107,9 @@
         }
         double up = s.get(0).up;
         Neuron newcomer = network.enter();
+        network.settle();
         network.leave(s.get(2));
+        network.settle();
         assertEquals(up, s.get(0).up);
         assertTrue(s.get(0).q > newcomer.q && newcomer.q > s.get(3).q);
     }
--- a/src/test/java/rowanplank/balancer/former/NodeState.java
+++ b/src/test/java/rowanplank/balancer/former/NodeState.java
@@ -24,10 +24,11 @@
         double trialAt;
         double ejectionMs;
         double lastHeardAt;
+        /** When something was last sent to it, or when it came. */
+        double sentAt;
 
-        Target(Server listed, Neuron[] neurons, Limit limit) {
+        Target(Server listed, Limit limit) {
             this.listed = listed;
-            this.neurons = neurons;
             this.limit = limit;
         }
 
