--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -607,27 +607,41 @@
         private static final double SETTLED = 1e-4;
 
         final List<Neuron> neurons = new ArrayList<>();
+        /** Of all neurons; newcomers that are like it leave it as it is. Null where it is to be reckoned anew. */
+        private Neuron average;
         double threshold = PAYOFF;
         double meanLatency;
 
         /** A newcomer is held to be like the average of the others; {@link #settle} is to follow, once for a whole list. */
         Neuron enter() {
+            if (average == null) average = average();
             Neuron entered = new Neuron();
+            entered.q = average.q;
+            entered.up = average.up;
+            entered.upRow = average.upRow;
+            entered.down = average.down;
+            entered.downRow = average.downRow;
+            neurons.add(entered);
+            return entered;
+        }
+
+        private Neuron average() {
+            Neuron mean = new Neuron();
             int n = neurons.size();
             for (int i = 0; i < n; i++) {
                 Neuron other = neurons.get(i);
-                entered.q += (other.q - 0.5) / n;
-                entered.up += other.up / n;
-                entered.upRow += other.upRow / n;
-                entered.down += other.down / n;
-                entered.downRow += other.downRow / n;
+                mean.q += (other.q - 0.5) / n;
+                mean.up += other.up / n;
+                mean.upRow += other.upRow / n;
+                mean.down += other.down / n;
+                mean.downRow += other.downRow / n;
             }
-            neurons.add(entered);
-            return entered;
+            return mean;
         }
 
         void leave(Neuron left) {
             neurons.remove(left);
+            average = null;
         }
 
         void learn(Neuron i, double latency, boolean ok) {
@@ -650,22 +664,26 @@
 
         /** Iterates q from where it stood; with fewer than two neurons there is nothing to compare. */
         void settle() {
+            average = null;
             int n = neurons.size();
             double w0 = 0.5 / (n - 1);
+            double columns = 0;
+            double total = 0;
+            double upRows = 0;
+            double downRows = 0;
+            // Once: each change of a q is added to these sums below.
+            for (int k = 0; k < n; k++) {
+                Neuron j = neurons.get(k);
+                columns += j.up + j.down;
+                total += j.q;
+                upRows += j.q * j.upRow;
+                downRows += j.q * j.downRow;
+            }
             double change = n < 2 ? 0 : 1;
             for (int round = 0; round < MOST_ITERATIONS && change > SETTLED; round++) {
-                double columns = 0;
-                double total = 0;
-                double upRows = 0;
-                double downRows = 0;
-                for (Neuron j : neurons) {
-                    columns += j.up + j.down;
-                    total += j.q;
-                    upRows += j.q * j.upRow;
-                    downRows += j.q * j.downRow;
-                }
                 change = 0;
-                for (Neuron i : neurons) {
+                for (int k = 0; k < n; k++) {
+                    Neuron i = neurons.get(k);
                     double others = total - i.q;
                     double excites = others * (w0 + i.up) - (upRows - i.q * i.upRow);
                     double inhibits = others * (w0 + i.down) - (downRows - i.q * i.downRow);
