--- a/src/test/java/rowanplank/config/HostListTest.java
+++ b/src/test/java/rowanplank/config/HostListTest.java
@@ -28,6 +28,16 @@
         assertEquals(1764576000123.0, m.server().startedAtMs());
     }
 
+    /** Guards the choice of a server: one of a size that is no size would win every comparison, or none. */
+    @Example
+    void aSizeThatIsNoSizeIsClamped() {
+        for (String size : List.of("1e300", "-1e300", "0", "100", "0.01")) {
+            double share = HostList.parse(LIST.replace("\"size\":1.5", "\"size\":" + size), ZONES).members().get(0)
+                    .server().share();
+            assertEquals(Math.min(100, Math.max(0.01, Double.parseDouble(size))), share);
+        }
+    }
+
     /** Guards against numbers in order of arrival: nodes would not agree on who is who. */
     @Example
     void aPeersNumberIsMadeOfItsNameAlone() {
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -1,8 +1,10 @@
 package rowanplank.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -16,6 +18,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rowanplank.balancer.Balancer;
+import rowanplank.balancer.BalancerApi.Events;
 import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -100,6 +104,35 @@
         assertEquals(0, counters.get(Count.INTERNAL_FAILURES));
     }
 
+    /** The same, as the module sees it: it is never called from within one of its own events. */
+    @Test
+    void theModuleIsNeverCalledFromWithinItself() throws Exception {
+        int[] depth = new int[1];
+        boolean[] nested = new boolean[1];
+        Decisions watched = new Decisions(SettingsReader.parse(SETTINGS), 1, loop, counters, log, (site, seed, actions) -> {
+            Balancer module = new Balancer(site, seed, actions);
+            return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
+                    (proxy, event, arguments) -> {
+                        nested[0] |= depth[0]++ > 0;
+                        try {
+                            return event.invoke(module, arguments);
+                        } finally {
+                            depth[0]--;
+                        }
+                    });
+        });
+        loop.execute(() -> {
+            watched.sendThrough(this);
+            watched.servers(ListKind.FULL, List.of(server(1), server(2)));
+            Instant now = clock.now();
+            watched.open(new RequestContext("id", 0, false, now, now.plusMillis(200),
+                    new RequestContext.Payload("GET", "/a", List.of(), new byte[0])), answers::add);
+        });
+        answers.take();
+        assertFalse(nested[0]);
+        assertEquals(2, tried.size());
+    }
+
     /** Guards against places that stay taken: a client leaves, its try is withdrawn, and the module must hear of it. */
     @Test
     void theOutcomeOfATryWhoseClientLeftIsTold() throws Exception {
--- a/src/test/java/rowanplank/intake/http/IntakeTest.java
+++ b/src/test/java/rowanplank/intake/http/IntakeTest.java
@@ -16,12 +16,22 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.junit.jupiter.api.Test;
+import org.junitpioneer.jupiter.ExpectedToFail;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.ListKind;
+import rowanplank.balancer.BalancerApi.Outcome;
+import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.SettingsReader;
+import rowanplank.config.SiteSettings;
+import rowanplank.decision.Decisions;
+import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.Exchanges;
 import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
+import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
 import rowanplank.net.Loop;
 
@@ -133,4 +143,37 @@
         assertEquals(500 - MOST - RESERVE, counters.get(Count.CLIENT_CONNECTIONS_TURNED_AWAY));
         assertTrue(loop.clients.get(MOST + RESERVE).getOutputString().startsWith("HTTP/1.1 503 "), "the first are told");
     }
+
+    /** F18 of docs/audit-findings.md: an answer that finds no room for its bytes is told 502, and counted as served. */
+    @ExpectedToFail("F18: counted where it is decided, not where it is written")
+    @Test
+    void whatIsCountedAsServedWasServed() throws Exception {
+        SiteSettings site = SettingsReader.parse("{\"classes\":[{\"name\":\"a\",\"aim_ms\":50,\"deadline_ms\":200,"
+                + "\"effect\":\"repeatable\"}]}");
+        Decisions decisions = new Decisions(site, 1, loop, counters, new RateLimitedLog(loop.clock(), (w, l, c) -> { }));
+        decisions.sendThrough(new Serving());
+        decisions.servers(ListKind.FULL, List.of(new Server(1, 0, 0, Lifecycle.READY, 1, 0)));
+        Intake intake = new Intake(site, decisions, 64, 64, loop, counters, () -> true);
+        intake.start(null);
+        for (int i = 0; i < 20; i++) {
+            loop.connect("GET /a HTTP/1.1\r\nHost: x\r\nX-Request-ID: r" + i + "\r\n\r\n");
+        }
+        long served = loop.clients.stream().filter(c -> c.getOutputString().startsWith("HTTP/1.1 200 ")).count();
+        assertTrue(served > 0 && served < 20, served + " of 20 found room");
+        assertEquals(served, counters.get(Count.ANSWERS_SERVED));
+    }
+
+    /** Answers each try at once with a megabyte, which no client here reads. */
+    private static final class Serving implements TrySender {
+        @Override
+        public void send(Exchange.Try attempt) {
+            attempt.end(Outcome.OK, new Answer.Served(List.of(), new byte[1 << 20]));
+        }
+
+        @Override
+        public void cancel(Exchange.Try attempt) { }
+
+        @Override
+        public void closeIdle(long peer) { }
+    }
 }
--- a/src/test/java/rowanplank/soak/GrowthTest.java
+++ b/src/test/java/rowanplank/soak/GrowthTest.java
@@ -31,7 +31,7 @@
     private static final int LOOK = 10;
     private static final int QUARTERS = 4;
     /** What is open differs from look to look by so much, on the same seed in every run. */
-    private static final int SWING = 40;
+    private static final int SWING = 12;
 
     private static Day day() {
         List<Fault> faults = new ArrayList<>();
@@ -68,10 +68,15 @@
                     + most(looks, 2).get(k) + " " + v));
         }
         assertTrue(last.size() > 10, last.toString());
-        last.forEach((field, size) -> assertTrue(size <= 2 * second.getOrDefault(field, 0) + SWING,
+        last.forEach((field, size) -> assertTrue(size <= growth(second.getOrDefault(field, 0)),
                 field + " grew from " + second.get(field) + " to " + size));
     }
 
+    /** A module that forgets to drop servers that left goes from 46 to 105 of them between these quarters. */
+    private static int growth(int before) {
+        return before + before / 3 + SWING;
+    }
+
     private static Map<String, Integer> most(List<Map<String, Integer>> looks, int quarter) {
         Map<String, Integer> most = new TreeMap<>();
         looks.subList(quarter * looks.size() / QUARTERS, (quarter + 1) * looks.size() / QUARTERS)
