--- a/src/test/java/rowanplank/balancer/ModuleRulesTest.java
+++ b/src/test/java/rowanplank/balancer/ModuleRulesTest.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -369,6 +370,24 @@
         }
     }
 
+    /** As many servers as the group keeps, half of which drain at once. */
+    @Test
+    void noRuleBreaksWithTenThousandServers() {
+        Play play = new Play(1, Broken.NOT);
+        List<Server> all = LongStream.rangeClosed(1, 10_000).mapToObj(id ->
+                new Server(id, (int) id % 3, 0, Lifecycle.READY, 1, 0)).toList();
+        play.list(ListKind.FULL, all);
+        for (long id = 1; id <= 30; id++) {
+            play.request(id, (int) id % 3, 4000);
+        }
+        play.list(ListKind.DELTA, all.subList(0, 5000).stream().map(s ->
+                new Server(s.id(), s.zone(), 0, Lifecycle.DRAINING, 1, 0)).toList());
+        List.copyOf(play.out).forEach(o -> play.outcome(o, o.request() % 4 == 0 ? Outcome.RESET : Outcome.OK));
+        play.advance(5000);
+        assertEquals(Set.of(), play.broken, play.notes.toString());
+        assertTrue(play.asked.values().stream().allMatch(a -> a.ended));
+    }
+
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NOT")
     void aModuleBrokenOnPurposeIsFound(Broken how) {
