Keep the loggers' provider from telling of itself; measure servers that stand still

Observed: SLF4J wrote a line on standard error at each start since it was told of its provider by name. At fault: its own verbosity, which is by default at INFO where a provider is named. Mended: WARN.

--- a/src/main/java/rowanplank/cli/LimitedLoggers.java
+++ b/src/main/java/rowanplank/cli/LimitedLoggers.java
@@ -37,6 +37,7 @@
     /** From now on; to be called before the first logger is asked for. */
     public static void use() {
         System.setProperty("slf4j.provider", LimitedLoggers.class.getName());
+        System.setProperty("slf4j.internal.verbosity", "WARN"); // else it tells of this each time, on standard error
     }
 
     @Override
--- a/src/test/java/rowanplank/balancer/MiniSite.java
+++ b/src/test/java/rowanplank/balancer/MiniSite.java
@@ -34,9 +34,10 @@
     private static final double CORES = 2;
     private static final double COMMON_WORK = 85;
     private static final double RARE_WORK = 200;
+    private static final double PAUSE_EVERY = 1500;
 
     /** What a server does to a try that begins while it is in trouble. */
-    enum Kind { NONE, SLOW, RESETS, SILENT }
+    enum Kind { NONE, SLOW, PAUSES, RESETS, SILENT }
 
     /** One send; {@code outcome} stays null while it is out. */
     static final class Sent {
@@ -135,6 +136,7 @@
             held[s]++;
             double work = (asked.type == COMMON ? COMMON_WORK : RARE_WORK) * (0.7 + 0.6 * random.nextDouble());
             double takes = work / speed[s] * Math.max(1, held[s] / CORES) * (trouble[s] == Kind.SLOW ? size[s] : 1);
+            takes += trouble[s] == Kind.PAUSES ? pause(takes, size[s]) : 0;
             boolean resets = trouble[s] == Kind.RESETS && random.nextDouble() < size[s];
             boolean silent = trouble[s] == Kind.SILENT && random.nextDouble() < size[s];
             at(now + takes, () -> held[s]--);
@@ -193,6 +195,12 @@
         public void log(String line) { }
     }
 
+    /** How long a try that would take so long waits, where the server stands still for a while each second and a half. */
+    private double pause(double takes, double length) {
+        double since = now % PAUSE_EVERY;
+        return (since < length ? length - since : 0) + (since + takes > PAUSE_EVERY ? length : 0);
+    }
+
     private void at(double time, Runnable what) {
         agenda.add(new Due(time, order++, what));
     }
