--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -60,7 +60,7 @@
     /** Multiples of it spread a server's nodes evenly; several make nodes' sets overlap little. */
     private static final int STRIDES = 8;
     private static final double GOLDEN = (Math.sqrt(5) - 1) / 2;
-    /** A server of which nothing is out is sent a request it is drawn for once so much time has passed since the last. */
+    /** One with nothing out is sent what it is drawn for once so much time has passed since the last. */
     private static final double LONGEST_UNTRIED_MS = 500;
     /** A server in another zone must look this much better. */
     private static final double CROSS_ZONE = 1.15;
@@ -159,7 +159,7 @@
         a.neverRan = outcome.neverRan();
         if (--a.target.limit.inFlight == 0) left.remove(a.target.listed.id(), a.target);
         if (a.trial) a.target.trialOut = false;
-        // Withdrawn as stuck, and nothing else heard from the server meanwhile: it, and not one connection, is silent.
+        // Withdrawn as stuck, and nothing heard from the server since: it is silent, not one connection.
         boolean silent = outcome == Outcome.CANCELLED && a.withdrawn && a.target.lastHeardAt < a.sentAt;
         judge(a.target, r, silent ? Outcome.TIMEOUT : outcome, latencyMs);
         if (concluded && !r.done) end(r);
@@ -223,7 +223,7 @@
 
     private void enter(Server s) {
         Target before = left.remove(s.id());
-        // One that was off the list for a moment still holds what was sent to it, and is as good or bad as it was.
+        // One that was off the list for a moment still holds what was sent to it, and is as it was.
         Target t = before != null && s.startedAtMs() <= before.listed.startedAtMs() ? before : newcomer(s);
         t.neurons = Stream.of(networks).map(Network::enter).toArray(Neuron[]::new);
         targets.put(s.id(), t);
@@ -312,7 +312,7 @@
     }
 
     /**
-     * Guards servers that were slow once: what is seldom drawn seldom answers, and so is seldom rewarded. The paper
+     * Guards servers that were slow once: what is seldom drawn is seldom rewarded. The paper
      * explores with a tenth of all requests; this is far less, and none where all servers are in use.
      */
     private boolean isUntried(Target t) {
@@ -607,12 +607,12 @@
         private static final double SETTLED = 1e-4;
 
         final List<Neuron> neurons = new ArrayList<>();
-        /** Of all neurons; newcomers that are like it leave it as it is. Null where it is to be reckoned anew. */
+        /** Of all neurons; newcomers like it leave it as it is. Null where it must be reckoned anew. */
         private Neuron average;
         double threshold = PAYOFF;
         double meanLatency;
 
-        /** A newcomer is held to be like the average of the others; {@link #settle} is to follow, once for a whole list. */
+        /** A newcomer is held to be like the average; {@link #settle} is to follow, once for a whole list. */
         Neuron enter() {
             if (average == null) average = average();
             Neuron entered = new Neuron();
