--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -12,6 +12,7 @@
 import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
 import rowanplank.config.HostList;
+import rowanplank.config.SiteSettings;
 import rowanplank.http.Messages;
 import rowanplank.http.ResponseReader;
 import rowanplank.metrics.Counters.Count;
@@ -21,20 +22,16 @@
 import rowanplank.net.LoopConnection;
 
 /**
- * Asks discovery for the whole list, then watches it for changes, one call at a time. A call that fails or stays
- * silent is made again on a new connection; a malformed answer changes nothing, and the whole list is asked for anew.
+ * Asks discovery for the whole list, then watches it for changes, one call at a time; with a list of its last life
+ * it asks for what has changed since. A call that fails or stays silent is made again on a new connection, at the pace
+ * of {@link AskingPace}; a malformed answer changes nothing, and the whole list is asked for anew.
  * It can be stopped, for another one that watches discovery at a new address.
  */
 public final class DiscoveryWatch {
-    /** How long a watch waits for news; short, since a call that has gone astray shows only after it. */
-    private static final Duration WAIT = Duration.ofSeconds(2);
     /** Time beyond the wait in which an answer must come, and within which it must be whole; else it is given up. */
     private static final Duration GRACE = Duration.ofMillis(1000);
     /** An answer of which no more has come for so long has stopped: what it was to tell counts as told meanwhile. */
     private static final Duration STALL = Duration.ofMillis(80);
-    /** Well within the 200 ms in which a next call still continues the last one. */
-    private static final Duration RETRY = Duration.ofMillis(50);
-    private static final Duration SLOWEST_RETRY = Duration.ofMillis(200);
     private static final int MOST_ANSWER_BYTES = 4 * Messages.MOST_BODY_BYTES;
 
     /** Who is told of the peers. */
@@ -49,19 +46,27 @@
     private final Counters counters;
     private final RateLimitedLog log;
     private final Listener listener;
-    private Duration retry = RETRY;
-    private long revision = -1;
+    private final AskingPace pace;
+    private long revision;
+    private boolean heard;
     private boolean stopped;
     private Loop.Opening opening;
     private Loop.Timer next;
     private Call call;
 
-    /** @param connectTimeout how long a connection may take to open */
-    public DiscoveryWatch(InetSocketAddress address, List<String> zones, Duration connectTimeout, Loop loop,
+    /**
+     * @param site its connect time-out bounds how long a connection may take to open
+     * @param seed of the chance that keeps nodes from asking all at once
+     * @param revision of the list that the listener has from discovery already, so that only changes are asked for;
+     *     -1 if it has none
+     */
+    public DiscoveryWatch(InetSocketAddress address, SiteSettings site, long seed, long revision, Loop loop,
             Counters counters, RateLimitedLog log, Listener listener) {
         this.address = address;
-        this.zones = zones;
-        this.connectTimeout = connectTimeout;
+        zones = site.zones();
+        connectTimeout = site.connectTimeout();
+        pace = new AskingPace(site.module().nodes(), seed);
+        this.revision = revision;
         this.loop = loop;
         this.counters = counters;
         this.log = log;
@@ -106,8 +111,7 @@
         }
         counters.add(Count.DISCOVERY_FAILURES);
         log.warn(reason);
-        next = loop.schedule(retry, this::start);
-        retry = retry.multipliedBy(2).compareTo(SLOWEST_RETRY) < 0 ? retry.multipliedBy(2) : SLOWEST_RETRY;
+        next = loop.schedule(pace.failed(), this::start);
     }
 
     /** @return whether the answer could be used */
@@ -118,6 +122,9 @@
             if (revision < 0 && !list.complete()) {
                 throw new ConfigException("changes to a list that was never told");
             }
+            if (!list.complete() && list.revision() < revision) {
+                throw new ConfigException("changes older than the list");
+            }
         } catch (ConfigException e) {
             counters.add(Count.DISCOVERY_MALFORMED);
             log.warn("malformed answer of discovery, the old list stands: " + e.getMessage());
@@ -125,7 +132,8 @@
             return false;
         }
         revision = list.revision();
-        retry = RETRY;
+        pace.answered();
+        heard = true;
         counters.add(Count.DISCOVERY_LISTS);
         listener.told(this, list);
         return true;
@@ -150,9 +158,12 @@
         }
 
         private void ask() {
+            // At first what has changed by now: a node is not taken in before it has heard of it.
+            Duration wait = heard ? pace.watchWait() : Duration.ZERO;
             String target = "/discovery/hosts"
-                    + (revision < 0 ? "" : "?index=" + revision + "&wait=" + WAIT.toMillis());
-            patience = loop.schedule(revision < 0 ? GRACE : WAIT.plus(GRACE), () -> giveUp("discovery is silent"));
+                    + (revision < 0 ? "" : "?index=" + revision + "&wait=" + wait.toMillis());
+            patience = loop.schedule(revision < 0 ? pace.listPatience() : wait.plus(GRACE),
+                    () -> giveUp("discovery is silent"));
             HttpFields.Mutable fields = HttpFields.build();
             fields.put(HttpHeader.HOST, Addresses.format(address));
             write(() -> { }, Messages.request("GET", target, fields, new byte[0]));
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -39,8 +39,11 @@
     private static final Duration WINDING_DOWN = Duration.ofMillis(450);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
     private static final Duration LOOK_AGAIN = Duration.ofMillis(10);
-    /** With only the list of its last life a node serves if discovery says nothing for so long. */
-    private static final Duration PATIENCE = Duration.ofSeconds(1);
+    /**
+     * With only the list of its last life a node serves if discovery says nothing for so long. Short: while its front
+     * has no node to send to, all its clients' requests fail, and what is gone shows by its first refused connection.
+     */
+    private static final Duration PATIENCE = Duration.ofMillis(250);
 
     private final NodeConfig config;
     private final Loop loop;
@@ -75,12 +78,11 @@
         decisions.sendThrough(peers);
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
                 counters, this::ready);
-        watch = watch(config.discovery());
+        watch = watch(config.discovery(), config.known().members().isEmpty() ? -1 : config.known().revision());
     }
 
-    private DiscoveryWatch watch(InetSocketAddress address) {
-        return new DiscoveryWatch(address, config.site().zones(), config.site().connectTimeout(), loop,
-                counters, log, this::told);
+    private DiscoveryWatch watch(InetSocketAddress address, long revision) {
+        return new DiscoveryWatch(address, config.site(), config.seed(), revision, loop, counters, log, this::told);
     }
 
     private void told(DiscoveryWatch by, HostList list) {
@@ -117,7 +119,7 @@
                 nextWatch = null;
             }
             if (nextWatch == null && !address.equals(watch.address())) {
-                nextWatch = watch(address);
+                nextWatch = watch(address, -1);
                 nextWatch.start();
             }
             log.info("configuration read anew, discovery at " + Addresses.format(address));
