--- a/src/main/java/rowanplank/node/WarmUp.java
+++ b/src/main/java/rowanplank/node/WarmUp.java
@@ -22,7 +22,7 @@
  * node that is taken in cold: on its one core its first requests would wait for the compiler.
  */
 public final class WarmUp implements Actions {
-    /** As many calls as have a method compiled; with ten times as many a start took twice as long, and no less after it. */
+    /** As many calls as have a method compiled. With ten times as many a start took twice as long, for no gain. */
     private static final int REQUESTS = 200;
     private static final int SERVERS = 10;
     private static final double STEP_MS = 10;
--- a/src/main/java/rowanplank/subset/Subset.java
+++ b/src/main/java/rowanplank/subset/Subset.java
@@ -6,7 +6,7 @@
 /**
  * Which of the listed servers a node uses, where nodes are more than the places of a server. Guards against parts of
  * less than one place (a node that may hold 0.3 of a request at each of 60 servers spaces its sends and hears of each
- * once a second) and against each node's connections to every server. docs/fleet.md has the curve.
+ * once a second) and against each node's connections to every server. docs/fleet.md has what it gains.
  *
  * <p>A server's nodes follow from its id and the nodes' numbers alone: they are the same at every node, in every
  * process and whatever else is listed. With N nodes and n wanted a server, each server is used by a part p = n / N of
@@ -18,7 +18,9 @@
 public final class Subset {
     /** So many servers are enough to choose from, also when some fail or a zone is cut. */
     private static final double LEAST_SERVERS = 10;
+    /** Part of a node's servers in its own zone: argued from the price of crossing, not from a curve. */
     private static final double OWN_SHARE = 2.0 / 3;
+
     private final int nodes;
     private final int node;
     private final int own;
