Give the node one lifecycle, an operators' door, a drain, and a shared listener

Seen on the unchanged program: the second process of an upgrade ended with status 1, since the first held the address; a node could not be told to drain at all.

Change: lifecycle.Lifecycle holds the one state and says what /up, /api/ready, the listener, Connection: close and resting connections do; Node's and the queue's flags are gone, and today's stop moved into it. intake.admin is the door, on the node's one loop with 16 connections of its own. Where EDGE_FD is set the listener is descriptor 0, taken through System.inheritedChannel() in net: nothing is accepted before the node can serve, and nothing after SIGTERM, when each answer is its connection's last. The end of accepting does not close the channel, since the JDK then takes standard output away.

--- a/src/main/java/rowanplank/cli/Serve.java
+++ b/src/main/java/rowanplank/cli/Serve.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import rowanplank.config.ConfigException;
 import rowanplank.config.NodeConfig;
 import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
 import rowanplank.net.FileAccess;
+import rowanplank.net.InheritedListener;
 import rowanplank.net.SelectorLoop;
 import rowanplank.net.SystemClock;
 import rowanplank.node.Node;
@@ -47,6 +47,8 @@
             }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
             return 0;
+        } catch (InheritedListener.UnusableException e) {
+            return Status.failed(Status.USAGE, "EDGE_FD: " + e.getMessage());
         } catch (ConfigException e) {
             return Status.failed(Status.USAGE, e.getMessage());
         } catch (IOException e) {
@@ -58,23 +60,20 @@
         Clock clock = new SystemClock();
         RateLimitedLog log = new RateLimitedLog(clock, RateLimitedLog.Sink.system());
         SelectorLoop loop = new SelectorLoop(clock, e -> log.warn("unexpected failure in the event loop", e));
+        if (config.inheritsListener()) {
+            InheritedListener.check(config.listen()); // what can't be used is told before anything has begun
+        }
         Node node = new Node(config, loop, log);
-        WarmUp.run(config.site());
         loop.start();
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                node.start();
-                done.complete(null);
-            } catch (IOException | RuntimeException e) {
-                done.completeExceptionally(e);
-            }
+        loop.call(() -> {
+            node.openDoor(); // operators are answered from now on, while the code is being warmed up
+            return null;
+        });
+        WarmUp.run(config.site());
+        loop.call(() -> {
+            node.start();
+            return null;
         });
-        try {
-            done.get();
-        } catch (ExecutionException e) {
-            throw e.getCause() instanceof IOException io ? io : new IOException(e.getCause().toString(), e);
-        }
         return node;
     }
 
--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -12,11 +12,13 @@
 /**
  * What a node is told at its start.
  *
+ * @param admin where the node is asked and told by its operators; null where there is no such door
+ * @param inheritsListener whether the socket at {@code listen} is the platform's, inherited as descriptor 0
  * @param sockets how many file descriptors its process may hold
  * @param known the upstream group as this node last had it; may be old
  */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        HostList known, SiteSettings site) {
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin,
+        boolean inheritsListener, long seed, int sockets, HostList known, SiteSettings site) {
     /** A list of ten thousand peers fits. */
     private static final int MOST_BYTES = 2 << 20;
 
@@ -58,6 +60,7 @@
         return new NodeConfig(told(environment, "EDGE_NAME", o, "name"),
                 Addresses.parse(told(environment, "EDGE_LISTEN", o, "listen")),
                 Addresses.parse(told(environment, "EDGE_DISCOVERY", o, "discovery")),
+                admin(environment, o), inherits(environment),
                 seed(JsonFields.string(o, "seed", "0")),
                 JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
                 o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
@@ -69,6 +72,25 @@
         return value != null && !value.isEmpty() ? value : JsonFields.string(o, key);
     }
 
+    private static InetSocketAddress admin(Map<String, String> environment, JsonObject o) {
+        String variable = environment.get("EDGE_ADMIN_ADDR");
+        String text = variable != null && !variable.isEmpty() ? variable : JsonFields.string(o, "admin_addr", "");
+        try {
+            return text.isEmpty() ? null : Addresses.parse(text);
+        } catch (ConfigException e) {
+            throw new ConfigException("admin_addr: " + e.getMessage());
+        }
+    }
+
+    /** The JDK hands over descriptor 0 alone. */
+    private static boolean inherits(Map<String, String> environment) {
+        String descriptor = environment.getOrDefault("EDGE_FD", "");
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new ConfigException("EDGE_FD: only descriptor 0 can be inherited: " + descriptor);
+        }
+        return !descriptor.isEmpty();
+    }
+
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
--- /dev/null
+++ b/src/main/java/rowanplank/intake/admin/AdminConnection.java
@@ -0,0 +1,124 @@
+package rowanplank.intake.admin;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.http.Messages;
+import rowanplank.http.RequestReader;
+import rowanplank.net.LoopConnection;
+
+/** One operator's connection: one call, one answer, and its end. */
+final class AdminConnection extends LoopConnection {
+    private final AdminDoor door;
+    private final Instant opened;
+    private final RequestReader reader = new RequestReader();
+    private ByteBuffer unread = ByteBuffer.allocate(0);
+    private boolean answered;
+
+    AdminConnection(EndPoint endPoint, AdminDoor door, Instant opened) {
+        super(endPoint, door.loop);
+        this.door = door;
+        this.opened = opened;
+    }
+
+    Instant opened() {
+        return opened;
+    }
+
+    /** Makes room for a newcomer, but not over a call that has come and was not yet read. */
+    void giveWay() {
+        if (!answered) {
+            lastLook();
+        }
+        close();
+    }
+
+    void timeUp() {
+        if (answered) {
+            close();
+        } else {
+            answer(408, "no whole call has come\n", null);
+        }
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer bytes) {
+        if (answered) {
+            return;
+        }
+        unread = ByteBuffer.allocate(unread.remaining() + bytes.remaining()).put(unread).put(bytes).flip();
+        if (!reader.read(unread)) {
+            return;
+        }
+        if (reader.error() != 0) {
+            answer(reader.error(), "this can't be read as a call\n", null);
+        } else {
+            call(path());
+        }
+    }
+
+    private String path() {
+        try {
+            return HttpURI.from(reader.target()).getPath();
+        } catch (RuntimeException e) {
+            return null;
+        }
+    }
+
+    private void call(String path) {
+        switch (path == null ? "" : path) {
+            case "/api/ready" -> {
+                if (allowed("GET")) {
+                    answer(door.isReady() ? 200 : 503, door.state(), null);
+                }
+            }
+            case "/api/evacuate" -> {
+                if (allowed("POST")) {
+                    door.evacuate();
+                    answer(200, door.state(), null);
+                }
+            }
+            case "/api/rejoin" -> {
+                if (allowed("POST")) {
+                    door.rejoin();
+                    answer(200, door.state(), null);
+                }
+            }
+            case "" -> answer(400, "this can't be read as a call\n", null);
+            default -> answer(404, "there are /api/ready, /api/evacuate and /api/rejoin\n", null);
+        }
+    }
+
+    private boolean allowed(String method) {
+        if (!reader.method().equals(method)) {
+            answer(405, method + " is the method here\n", method);
+        }
+        return reader.method().equals(method);
+    }
+
+    private void answer(int status, String text, String allow) {
+        answered = true;
+        HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.CONNECTION, "close")
+                .put(HttpHeader.CONTENT_TYPE, text.startsWith("{") ? "application/json" : "text/plain; charset=utf-8");
+        if (allow != null) {
+            fields.put(HttpHeader.ALLOW, allow);
+        }
+        write(() -> getEndPoint().shutdownOutput(),
+                Messages.response(status, fields, text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** The other side has its answer, or wants none. */
+    @Override
+    protected void onEnd() {
+        close();
+    }
+
+    @Override
+    protected void onOver() {
+        door.over(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanplank/intake/admin/AdminDoor.java
@@ -0,0 +1,116 @@
+package rowanplank.intake.admin;
+
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import rowanplank.lifecycle.Lifecycle;
+import rowanplank.net.Clock;
+import rowanplank.net.Loop;
+
+/**
+ * Where operators ask and tell the node: ready, evacuate, rejoin. It has connections of its own, so that no crowd of
+ * clients keeps an operator out; where all are taken, the one that was opened first gives way, but for a last look at
+ * what it has sent. An accept and a call cost O(1).
+ */
+public final class AdminDoor {
+    /** So many connections are open at once; within the descriptors that no other side's connections have. */
+    static final int MOST_CONNECTIONS = 16;
+    private static final int BACKLOG = 128;
+    /** A call that has not come whole by then is answered with 408. */
+    private static final Duration SLOWEST_CALL = Duration.ofSeconds(5);
+    private static final Duration SWEEP = Duration.ofMillis(250);
+
+    /** What is open in the node, for a person who waits for a drain to end. */
+    public interface Open {
+        int connections();
+
+        int requests();
+
+        int tries();
+    }
+
+    final Loop loop;
+    private final Clock clock;
+    private final Lifecycle lifecycle;
+    private final Open open;
+    /** In the order of their opening. */
+    private final Set<AdminConnection> connections = new LinkedHashSet<>();
+
+    public AdminDoor(Loop loop, Lifecycle lifecycle, Open open) {
+        this.loop = loop;
+        clock = loop.clock();
+        this.lifecycle = lifecycle;
+        this.open = open;
+    }
+
+    /**
+     * Answers calls from now on, whether the node can serve or not; to be called on the loop's thread.
+     *
+     * @return where it listens
+     * @throws IOException if it can't listen there
+     */
+    public InetSocketAddress start(InetSocketAddress address) throws IOException {
+        Loop.Listening listening = loop.listen(address, BACKLOG, this::accept);
+        loop.schedule(SWEEP, this::sweep);
+        return listening.address();
+    }
+
+    private Connection accept(EndPoint endPoint) {
+        if (connections.size() >= MOST_CONNECTIONS) {
+            connections.iterator().next().giveWay();
+        }
+        AdminConnection connection = new AdminConnection(endPoint, this, clock.now());
+        connections.add(connection);
+        return connection;
+    }
+
+    private void sweep() {
+        Instant before = clock.now().minus(SLOWEST_CALL);
+        List<AdminConnection> late = new ArrayList<>();
+        for (AdminConnection c : connections) {
+            if (c.opened().isBefore(before)) {
+                late.add(c);
+            }
+        }
+        late.forEach(AdminConnection::timeUp);
+        loop.schedule(SWEEP, this::sweep);
+    }
+
+    void over(AdminConnection connection) {
+        connections.remove(connection);
+    }
+
+    boolean isReady() {
+        return lifecycle.isReady();
+    }
+
+    void evacuate() {
+        lifecycle.onEvacuate(clock.now());
+    }
+
+    void rejoin() {
+        lifecycle.onRejoin(clock.now());
+    }
+
+    /** What a person wants to know of the node now. */
+    String state() {
+        Instant now = clock.now();
+        JsonObject text = new JsonObject().add("state", lifecycle.state().name().toLowerCase(Locale.ROOT))
+                .add("up", lifecycle.isUp(now)).add("ready", lifecycle.isReady());
+        if (lifecycle.since() != null) {
+            text.add("since", lifecycle.since().toString())
+                    .add("for_ms", Duration.between(lifecycle.since(), now).toMillis());
+        }
+        return text.add("connections", open.connections()).add("requests", open.requests())
+                .add("tries", open.tries()).add("longest_turn_us", loop.longestTurn().toNanos() / 1000) + "\n";
+    }
+}
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -206,7 +206,7 @@
             intake.counters.add(Count.REQUESTS_MALFORMED);
             respondAndClose(400);
         } else if (path.equals("/up")) {
-            own(intake.ready() ? 200 : 503, intake.ready() ? "ready\n" : "not ready\n");
+            own(intake.isUp() ? 200 : 503, intake.isUp() ? "ready\n" : "not ready\n");
         } else if (path.equals("/metrics")) {
             own(200, intake.counters.text());
         } else {
--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -72,7 +72,6 @@
     private int size;
     private int served;
     private long joined;
-    private boolean closing;
 
     /**
      * @param mostConnections the most that the caller means to take; from a part of it on, connections at rest go soon
@@ -205,13 +204,14 @@
      * that have been at their stage for too long, the longest first, stage by stage.
      *
      * @param most so many are told at most
+     * @param rest how long a connection that owes nothing is kept now; null where only the stage's own time counts
      * @return how many were told
      */
-    int review(Instant now, int most) {
+    int review(Instant now, int most, Duration rest) {
         int told = 0;
         for (Stage stage : REVIEWED) {
             TreeSet<Place> at = places.get(stage);
-            while (told < most && isBefore(at, now.minus(longest(stage)))) {
+            while (told < most && isBefore(at, now.minus(longest(stage, rest)))) {
                 at.first().connection.timeUp();
                 told++;
             }
@@ -219,35 +219,30 @@
         return told;
     }
 
-    private Duration longest(Stage stage) {
+    private Duration longest(Stage stage, Duration rest) {
         return switch (stage) {
-            case SILENT -> closing ? FRESH : SLOWEST_REQUEST;
+            case SILENT -> shorter(SLOWEST_REQUEST, rest);
             case BEGINNING, GOING_ON -> SLOWEST_REQUEST;
             case WRITING -> SLOWEST_READER;
-            case RESTING -> closing ? FRESH : isCrowded() ? LONGEST_IDLE_CROWDED : LONGEST_IDLE;
+            case RESTING -> shorter(isCrowded() ? LONGEST_IDLE_CROWDED : LONGEST_IDLE, rest);
             case LINGERING -> LINGER;
             case WAITING -> throw new IllegalArgumentException("a request that waits is not reviewed");
         };
     }
 
+    private static Duration shorter(Duration own, Duration rest) {
+        return rest == null || own.compareTo(rest) < 0 ? own : rest;
+    }
+
     /** Whether so many are connected that those at rest must make room. */
     private boolean isCrowded() {
         return size > mostConnections / CROWDED_PART;
     }
 
-    /** From now on connections that owe nothing are not kept for long. */
-    void startClosing() {
-        closing = true;
-    }
-
     /** Closes all that owe nothing: a look at each. */
     void closeIdle() {
         for (Stage stage : List.of(Stage.SILENT, Stage.RESTING)) {
             List.copyOf(places.get(stage)).forEach(p -> p.connection.closeIfIdle());
         }
     }
-
-    boolean isClosing() {
-        return closing;
-    }
 }
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -7,12 +7,12 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Exchanges;
 import rowanplank.http.RequestReader;
+import rowanplank.lifecycle.Lifecycle;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
 import rowanplank.net.Clock;
@@ -46,7 +46,7 @@
     /** What a connection has of a request when it has nothing. */
     final ByteBuffer noBytes = ByteBuffer.allocate(0);
     private final int mostConnections;
-    private final BooleanSupplier ready;
+    private final Lifecycle lifecycle;
     private final ConnectionQueue connections;
     private final Deque<RequestReader> spareReaders = new ArrayDeque<>();
     private Loop.Listening listening;
@@ -55,26 +55,35 @@
 
     /**
      * @param mostServed how many connections of clients that were served are kept open for their next request
-     * @param ready whether the node can serve
+     * @param lifecycle says whether the node is up, which answer is a connection's last, and how long one may rest
      */
     public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, int mostServed, Loop loop,
-            Counters counters, BooleanSupplier ready) {
+            Counters counters, Lifecycle lifecycle) {
         this.site = site;
         this.exchanges = exchanges;
         this.mostConnections = mostConnections;
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
-        this.ready = ready;
+        this.lifecycle = lifecycle;
         connections = new ConnectionQueue(mostConnections, mostServed);
     }
 
-    /** Begins to listen; to be called on the loop's thread. */
-    public void start(InetSocketAddress address) throws IOException {
-        listening = loop.listen(address, BACKLOG, this::accept);
+    /** Begins to look after connections; to be called on the loop's thread, before any is accepted. */
+    public void start() {
         sweep();
     }
 
+    /** Accepts clients from now on, at an address of the node's own. */
+    public void listen(InetSocketAddress address) throws IOException {
+        listening = loop.listen(address, BACKLOG, this::accept);
+    }
+
+    /** Accepts clients from now on, from the platform's socket, which other processes may accept from too. */
+    public void listenInherited(InetSocketAddress address) throws IOException {
+        listening = loop.listenInherited(address, this::accept);
+    }
+
     /** Where it listens: of use where the port was left to the system. */
     public InetSocketAddress address() {
         return listening.address();
@@ -122,7 +131,7 @@
 
     private void sweep() {
         Instant now = clock.now();
-        boolean more = connections.review(now, MOST_A_SWEEP) == MOST_A_SWEEP;
+        boolean more = connections.review(now, MOST_A_SWEEP, lifecycle.longestRest(now)) == MOST_A_SWEEP;
         closeServed(now);
         loop.schedule(more ? SWEEP_ON : SWEEP, this::sweep);
     }
@@ -140,8 +149,8 @@
         }
     }
 
-    boolean ready() {
-        return ready.getAsBoolean();
+    boolean isUp() {
+        return lifecycle.isUp(clock.now());
     }
 
     /**
@@ -163,14 +172,23 @@
 
     /** Whether connections are closed with their answers. */
     boolean closing() {
-        return connections.isClosing();
+        return lifecycle.closesWithAnswers();
     }
 
-    /** Takes no more connections, and closes those there are as soon as they owe nothing. */
-    public void close() throws IOException {
-        connections.startClosing();
-        listening.acceptPending();
+    /**
+     * Takes no more connections.
+     *
+     * @param takeWaiting whether those that wait in the system's queue are taken first: closing would reset them
+     */
+    public void acceptNoMore(boolean takeWaiting) throws IOException {
+        if (takeWaiting) {
+            listening.acceptPending();
+        }
         listening.close();
+    }
+
+    /** Closes the connections that owe nothing. */
+    public void closeIdle() {
         connections.closeIdle();
     }
 
--- a/src/main/java/rowanplank/net/Loop.java
+++ b/src/main/java/rowanplank/net/Loop.java
@@ -91,6 +91,23 @@
     Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> onAccept)
             throws IOException;
 
+    /**
+     * Accepts connections from now on from the listening socket that the starter of this process holds, and that other
+     * processes may accept from too: to find that another was quicker is nothing unusual, and an end of the accepting
+     * here is none for them.
+     *
+     * @param address where it has to listen
+     */
+    default Listening listenInherited(InetSocketAddress address, Function<EndPoint, Connection> onAccept)
+            throws IOException {
+        throw new IOException("no socket is inherited here");
+    }
+
+    /** The longest time that the loop's thread was away from the sockets, so far; zero where that is not measured. */
+    default Duration longestTurn() {
+        return Duration.ZERO;
+    }
+
     /** Opens a connection; the connector hears of it later, and of failure after the time-out, 10 s at the latest. */
     Opening connect(InetSocketAddress address, Duration timeout, Connector connector);
 
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -64,6 +64,8 @@
     private volatile Thread thread;
     private volatile ManagedSelector selector;
     private Function<EndPoint, Connection> accepting;
+    private long selectedAt;
+    private long longestTurn;
 
     /** @param reports is told what goes wrong in a task */
     public SelectorLoop(Clock clock, Consumer<Throwable> reports) {
@@ -160,6 +162,20 @@
         }
     }
 
+    @Override
+    public Listening listenInherited(InetSocketAddress address, Function<EndPoint, Connection> onAccept)
+            throws IOException {
+        ServerSocketChannel channel = InheritedListener.take(address);
+        channel.configureBlocking(false);
+        listeners.put(channel, onAccept);
+        return new InheritedListening(channel, selectors.acceptor(channel));
+    }
+
+    @Override
+    public Duration longestTurn() {
+        return Duration.ofNanos(longestTurn);
+    }
+
     @Override
     public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
         OpeningConnection opening = new OpeningConnection(connector);
@@ -302,6 +318,32 @@
         }
     }
 
+    /** Its end must not close the channel: with it, the JDK takes away standard output and error. */
+    private final class InheritedListening implements Listening {
+        private final ServerSocketChannel channel;
+        private final Closeable acceptor;
+
+        InheritedListening(ServerSocketChannel channel, Closeable acceptor) {
+            this.channel = channel;
+            this.acceptor = acceptor;
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return (InetSocketAddress) channel.socket().getLocalSocketAddress();
+        }
+
+        /** What waits is for whoever accepts on. */
+        @Override
+        public void acceptPending() { }
+
+        @Override
+        public void close() throws IOException {
+            listeners.remove(channel);
+            acceptor.close();
+        }
+    }
+
     private static void closeQuietly(SelectableChannel channel) {
         try {
             if (channel != null) {
@@ -324,6 +366,15 @@
                 @Override
                 protected int nioSelect(Selector selector, boolean now) throws IOException {
                     runDue();
+                    endTurn();
+                    try {
+                        return look(selector, now);
+                    } finally {
+                        selectedAt = System.nanoTime();
+                    }
+                }
+
+                private int look(Selector selector, boolean now) throws IOException {
                     Duration idle = timers.untilNext();
                     if (now || !tasks.isEmpty() || idle != null && idle.isZero()) {
                         return selector.selectNow();
@@ -337,6 +388,12 @@
             return selector;
         }
 
+        private void endTurn() {
+            if (selectedAt != 0) {
+                longestTurn = Math.max(longestTurn, System.nanoTime() - selectedAt);
+            }
+        }
+
         /** Looks again and again until there is something to do; makes no garbage meanwhile. */
         private int stayAwake(Selector selector, Duration idle) throws IOException {
             long until = System.nanoTime() + idle.toNanos();
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -1,9 +1,9 @@
 package rowanplank.node;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.function.Supplier;
 import rowanplank.balancer.Balancer;
@@ -16,7 +16,9 @@
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
 import rowanplank.discovery.UpstreamGroup;
+import rowanplank.intake.admin.AdminDoor;
 import rowanplank.intake.http.Intake;
+import rowanplank.lifecycle.Lifecycle;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
 import rowanplank.metrics.RateLimitedLog;
@@ -30,20 +32,6 @@
     private static final int OTHER_SOCKETS = 64;
     /** Clients hold a third of a node's descriptors at most: so many are kept for them that some are always free. */
     private static final int SERVED_PART = 4;
-    /** So long after it was told to stop, new connections may still come. */
-    private static final Duration STILL_ACCEPTING = Duration.ofMillis(500);
-    private static final Duration LONGEST_DEADLINE = Duration.ofSeconds(3);
-    /** Beyond the longest deadline: 0.7 s are granted before the node is killed. */
-    private static final Duration STOPS_WITHIN = Duration.ofMillis(500);
-    /** The end of that time, in which connections are closed with their answers. */
-    private static final Duration WINDING_DOWN = Duration.ofMillis(450);
-    private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
-    private static final Duration LOOK_AGAIN = Duration.ofMillis(10);
-    /**
-     * With only the list of its last life a node serves if discovery says nothing for so long. Short: while its front
-     * has no node to send to, all its clients' requests fail, and what is gone shows by its first refused connection.
-     */
-    private static final Duration PATIENCE = Duration.ofMillis(250);
 
     private final NodeConfig config;
     private final Loop loop;
@@ -54,12 +42,10 @@
     private final Decisions decisions;
     private final Peers peers;
     private final Intake intake;
+    private final Lifecycle lifecycle;
     private DiscoveryWatch watch;
     /** Watches discovery at its new address until its whole list is in; null while there is none. */
     private DiscoveryWatch nextWatch;
-    private Instant started;
-    private boolean listed;
-    private boolean stopping;
     private Runnable whenStopped;
 
     public Node(NodeConfig config, Loop loop, RateLimitedLog log) {
@@ -76,8 +62,9 @@
         peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
         peers.show(module);
         decisions.sendThrough(peers);
+        lifecycle = new Lifecycle(lifecycleSettings(), new Life());
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
-                counters, this::ready);
+                counters, lifecycle);
         watch = watch(config.discovery(), config.known().members().isEmpty() ? -1 : config.known().revision());
     }
 
@@ -92,8 +79,8 @@
             nextWatch = null;
             log.info("discovery is now at " + Addresses.format(watch.address()));
         }
-        listed = true;
         apply(list, list.complete() ? ListKind.FULL : ListKind.DELTA);
+        lookAtPeers(true);
     }
 
     /**
@@ -126,24 +113,41 @@
         });
     }
 
+    /**
+     * Opens the operators' door, where there is to be one; to be called once, on the loop's thread, before the start.
+     *
+     * @throws IOException if the node can't listen there
+     */
+    public void openDoor() throws IOException {
+        if (config.admin() == null) {
+            return;
+        }
+        try {
+            InetSocketAddress address = new AdminDoor(loop, lifecycle, new Life()).start(config.admin());
+            log.info(config.name() + " answers operators at " + Addresses.format(address));
+        } catch (IOException e) {
+            throw new IOException("can't listen at " + Addresses.format(config.admin()) + ": " + e.getMessage(), e);
+        }
+    }
+
     /**
      * Starts the node; to be called once, on the loop's thread.
      *
      * @throws IOException if the node can't listen at its address
      */
     public void start() throws IOException {
-        started = clock.now();
         if (!config.known().members().isEmpty()) {
             apply(config.known(), ListKind.CACHED);
+            lookAtPeers(false);
         }
         watch.start();
         peers.start();
+        intake.start();
         try {
-            intake.start(config.listen());
-        } catch (IOException e) {
-            throw new IOException("can't listen at " + Addresses.format(config.listen()) + ": " + e.getMessage(), e);
+            lifecycle.onStart(clock.now());
+        } catch (UncheckedIOException e) {
+            throw new IOException(e.getMessage(), e.getCause());
         }
-        log.info(config.name() + " listens at " + Addresses.format(intake.address()));
     }
 
     /** Where the node listens, once it has started. */
@@ -176,67 +180,99 @@
         decisions.servers(kind, taken.stream().map(HostList.Member::server).toList());
     }
 
-    private boolean ready() {
-        boolean patient = Duration.between(started, clock.now()).compareTo(PATIENCE) < 0;
-        return !stopping && !group.isEmpty() && (listed || !patient);
+    private void lookAtPeers(boolean told) {
+        lifecycle.onPeers(clock.now(), !group.isEmpty(), told);
+    }
+
+    /** The node's state; to be told and asked on the loop's thread. */
+    public Lifecycle lifecycle() {
+        return lifecycle;
     }
 
     /**
-     * Stops the node: serves on while clients hold connections, then closes each one with its answer. Guards the
-     * clients that it has: for as long as their front takes the node for alive, they find no other one. May be called
-     * from any thread; a second call does nothing.
+     * Stops the node, as {@link Lifecycle} says. May be called from any thread; a second call does nothing.
      *
      * @param stopped run when nothing is open, and in any case before the node would be killed
      */
     public void stop(Runnable stopped) {
-        Duration longest = config.site().module().classes().stream().map(RequestClass::deadlineMs).map(Clock::span)
-                .max(Duration::compareTo).filter(d -> d.compareTo(LONGEST_DEADLINE) < 0).orElse(LONGEST_DEADLINE);
-        Duration all = longest.plus(STOPS_WITHIN);
         loop.execute(() -> {
-            if (stopping) {
-                return;
+            if (whenStopped == null) {
+                whenStopped = stopped;
+                log.info(config.name() + " was told to stop");
+                lifecycle.onTerminate(clock.now());
             }
-            stopping = true;
-            whenStopped = stopped;
-            log.info(config.name() + " was told to stop");
-            Instant atMost = clock.now().plus(all).minus(WINDING_DOWN);
-            loop.schedule(STILL_ACCEPTING, () -> awaitNoClients(atMost));
-            loop.schedule(all.minus(LAST_ANSWERS), decisions::rejectAll);
-            loop.schedule(all, () -> finish(" stopped with connections open; "));
         });
     }
 
-    private void finish(String how) {
-        if (whenStopped != null) {
-            log.info(config.name() + how + counters.line());
-            Runnable told = whenStopped;
-            whenStopped = null;
-            told.run();
-        }
+    private Lifecycle.Settings lifecycleSettings() {
+        Duration longest = config.site().module().classes().stream().map(RequestClass::deadlineMs).map(Clock::span)
+                .max(Duration::compareTo).orElse(Duration.ZERO);
+        return new Lifecycle.Settings(longest, config.inheritsListener());
     }
 
-    private void awaitNoClients(Instant atMost) {
-        if (intake.connectionCount() > 0 && clock.now().isBefore(atMost)) {
-            loop.schedule(LOOK_AGAIN, () -> awaitNoClients(atMost));
-        } else {
-            closeIntake();
+    /** What the lifecycle asks for, carried out. */
+    private final class Life implements Lifecycle.Actions, AdminDoor.Open {
+        @Override
+        public void accept() {
+            try {
+                if (config.inheritsListener()) {
+                    intake.listenInherited(config.listen());
+                } else {
+                    intake.listen(config.listen());
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(
+                        "can't listen at " + Addresses.format(config.listen()) + ": " + e.getMessage(), e);
+            }
+            log.info(config.name() + " listens at " + Addresses.format(intake.address()));
         }
-    }
 
-    private void closeIntake() {
-        try {
-            intake.close();
-        } catch (IOException e) {
-            log.warn("closing the listener", e);
+        @Override
+        public void acceptNoMore(boolean takeWaiting) {
+            try {
+                intake.acceptNoMore(takeWaiting);
+            } catch (IOException e) {
+                log.warn("closing the listener", e);
+            }
+            if (lifecycle.isWindingDown(clock.now())) {
+                intake.closeIdle();
+            }
+        }
+
+        @Override
+        public void rejectOpen() {
+            decisions.rejectAll();
+        }
+
+        @Override
+        public void end(boolean quiet) {
+            log.info(config.name() + (quiet ? " stopped; " : " stopped with connections open; ") + counters.line());
+            whenStopped.run();
+        }
+
+        @Override
+        public void wake(Duration after) {
+            loop.schedule(after, () -> lifecycle.onWake(clock.now()));
+        }
+
+        @Override
+        public int openCount() {
+            return decisions.openCount() + intake.connectionCount();
+        }
+
+        @Override
+        public int connections() {
+            return intake.connectionCount();
+        }
+
+        @Override
+        public int requests() {
+            return decisions.openCount();
         }
-        awaitQuiet();
-    }
 
-    private void awaitQuiet() {
-        if (decisions.openCount() == 0 && intake.connectionCount() == 0) {
-            finish(" stopped; ");
-        } else {
-            loop.schedule(LOOK_AGAIN, this::awaitQuiet);
+        @Override
+        public int tries() {
+            return peers.outCount();
         }
     }
 }
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -245,6 +245,11 @@
         }
     }
 
+    /** How many tries are out. */
+    public int outCount() {
+        return out.size();
+    }
+
     void over(PeerConnection connection) {
         connections--;
         if (connection.kept() != null) {
--- a/src/test/java/rowanplank/architecture/Rules.java
+++ b/src/test/java/rowanplank/architecture/Rules.java
@@ -45,9 +45,9 @@
     private static final List<List<String>> FLOORS = List.of(
             List.of("net", "metrics"),
             List.of("http"),
-            List.of("balancer", "route", "subset"),
+            List.of("balancer", "lifecycle", "route", "subset"),
             List.of("config", "exchange", "decision"),
-            List.of("discovery", "intake.http", "peer.http", "simhost"),
+            List.of("discovery", "intake.admin", "intake.http", "peer.http", "simhost"),
             List.of("node", "lab"),
             List.of("cli", ""));
 
@@ -68,7 +68,7 @@
     private static final Pattern CHANGES =
             Pattern.compile("(add|put|remove|clear|set|retain|replace|compute|merge|poll|pop|push|offer|sort).*");
 
-    private static final String[] CHOOSING = {"balancer", "route", "subset"};
+    private static final String[] CHOOSING = {"balancer", "lifecycle", "route", "subset"};
     private static final String[] CODECS = {"http"};
 
     private final String root;
@@ -87,7 +87,7 @@
                 .of(noClasses().that(in("intake")).should(dependOnClassesThat(in("peer"))))
                 .and(noClasses().that(in("peer")).should(dependOnClassesThat(in("intake")))));
         rules.put("choosing", classes().that(in(CHOOSING)).should().onlyDependOnClassesThat(in(CHOOSING)
-                .or(resideInAnyPackage("java.lang", "java.util", "java.util.function", "java.util.stream"))));
+                .or(resideInAnyPackage("java.lang", "java.time", "java.util", "java.util.function", "java.util.stream"))));
         rules.put("codecs", classes().that(in(CODECS)).should().onlyDependOnClassesThat(in(CODECS)
                 .or(resideInAnyPackage("java.lang", "java.io", "java.math", "java.nio", "java.time", "java.util",
                         "java.util.function", "java.util.regex", "java.util.stream",
--- a/src/test/java/rowanplank/intake/http/ConnectionQueueTest.java
+++ b/src/test/java/rowanplank/intake/http/ConnectionQueueTest.java
@@ -185,7 +185,7 @@
                 assertEquals(closed[0], closed[1]);
             } else {
                 List.copyOf(rule.connections).forEach(c -> c.review(crowded));
-                queue.review(now, Integer.MAX_VALUE);
+                queue.review(now, Integer.MAX_VALUE, null);
                 assertEquals(new TreeSet<>(rule.log), new TreeSet<>(log));
                 rule.log.clear();
                 log.clear();
@@ -233,9 +233,30 @@
             fake.place = queue.join(fake, now.plusMillis(5 - i));
         }
         now = now.plusSeconds(60);
-        assertEquals(2, queue.review(now, 2));
+        assertEquals(2, queue.review(now, 2, null));
         assertEquals(List.of("closed 4", "closed 3"), log);
-        assertEquals(3, queue.review(now, 9));
+        assertEquals(3, queue.review(now, 9, null));
+    }
+
+    /** Guards drains: what rests is closed by the lifecycle's time, and what is half-way through a request is not. */
+    @Test
+    void aShorterRestClosesThoseAtRestAndNoOthers() {
+        ConnectionQueue queue = new ConnectionQueue(1000, MOST_SERVED);
+        List<String> log = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Fake fake = new Fake(i, log);
+            fake.place = queue.join(fake, now);
+        }
+        Fake resting = new Fake(3, log);
+        resting.place = queue.join(resting, now);
+        resting.place.move(Stage.RESTING, now);
+        Fake reading = new Fake(4, log);
+        reading.place = queue.join(reading, now);
+        reading.place.begin(now);
+        now = now.plusMillis(300);
+        assertEquals(0, queue.review(now, 9, Duration.ofMillis(300)));
+        assertEquals(4, queue.review(now, 9, Duration.ofMillis(299)));
+        assertEquals(List.of("closed 0", "closed 1", "closed 2", "closed 3"), log);
     }
 
     /** Guards against a closed connection that is looked at for ever, or counted as one that was served. */
--- a/src/test/java/rowanplank/intake/http/IntakeTest.java
+++ b/src/test/java/rowanplank/intake/http/IntakeTest.java
@@ -30,6 +30,7 @@
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
+import rowanplank.lifecycle.LifecycleTest;
 import rowanplank.metrics.Counters;
 import rowanplank.metrics.RateLimitedLog;
 import rowanplank.net.Clock;
@@ -133,8 +134,9 @@
     @Test
     void aCrowdThatStopsHalfWayNeverHoldsMoreThanTheBound() throws Exception {
         Intake intake = new Intake(SettingsReader.parse("{\"classes\":[{\"name\":\"a\",\"aim_ms\":50,\"deadline_ms\":200}]}"),
-                new Nowhere(), MOST, MOST, loop, counters, () -> true);
-        intake.start(null);
+                new Nowhere(), MOST, MOST, loop, counters, LifecycleTest.serving());
+        intake.start();
+        intake.listen(null);
         for (int i = 0; i < 500; i++) {
             loop.connect("GET /a HTTP/1.1\r\nX-Half: ");
         }
@@ -153,8 +155,9 @@
         Decisions decisions = new Decisions(site, 1, loop, counters, new RateLimitedLog(loop.clock(), (w, l, c) -> { }));
         decisions.sendThrough(new Serving());
         decisions.servers(ListKind.FULL, List.of(new Server(1, 0, 0, Lifecycle.READY, 1, 0)));
-        Intake intake = new Intake(site, decisions, 64, 64, loop, counters, () -> true);
-        intake.start(null);
+        Intake intake = new Intake(site, decisions, 64, 64, loop, counters, LifecycleTest.serving());
+        intake.start();
+        intake.listen(null);
         for (int i = 0; i < 20; i++) {
             loop.connect("GET /a HTTP/1.1\r\nHost: x\r\nX-Request-ID: r" + i + "\r\n\r\n");
         }
--- a/src/test/java/rowanplank/lab/client/BadClientsTest.java
+++ b/src/test/java/rowanplank/lab/client/BadClientsTest.java
@@ -21,6 +21,7 @@
 import rowanplank.exchange.Exchanges;
 import rowanplank.exchange.RequestContext;
 import rowanplank.intake.http.Intake;
+import rowanplank.lifecycle.LifecycleTest;
 import rowanplank.lab.client.BadClients.Measures;
 import rowanplank.lab.client.Stage.Node;
 import rowanplank.lab.net.SimProcess;
@@ -58,8 +59,9 @@
         final List<String> taken = new ArrayList<>();
 
         void begin() throws IOException {
-            new Intake(SettingsReader.parse(SETTINGS), this, 200, 100, node, new Counters(), () -> true)
-                    .start(stage.targets.get(0).address());
+            Intake intake = new Intake(SettingsReader.parse(SETTINGS), this, 200, 100, node, new Counters(), LifecycleTest.serving());
+            intake.start();
+            intake.listen(stage.targets.get(0).address());
         }
 
         @Override
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -48,6 +48,8 @@
     private int port;
     private int sockets = 1024;
     private String heap = "-Xmx96m";
+    private boolean withDoor;
+    private int adminPort;
 
     @BeforeEach
     void startSite() throws IOException {
@@ -89,6 +91,9 @@
                 System.getProperty("java.class.path"), "rowanplank.Main", "serve").redirectErrorStream(true);
         builder.environment().putAll(java.util.Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0",
                 "EDGE_DISCOVERY", site.address(), "EDGE_CONFIG", config.toString()));
+        if (withDoor) {
+            builder.environment().put("EDGE_ADMIN_ADDR", "127.0.0.1:0");
+        }
         node = builder.start();
         log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
     }
@@ -539,6 +544,40 @@
         assertEquals(143, node.waitFor());
     }
 
+    private String admin(String method, String path) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", adminPort)) {
+            return ask(socket, method + " " + path + " HTTP/1.1\r\nHost: operator\r\n\r\n");
+        }
+    }
+
+    /** Guards drains: the node says so to its front, lets its clients go, and is back as soon as it is told. */
+    @Test
+    void aDrainedNodeServesWhatComesLetsItsClientsGoAndComesBack() throws Exception {
+        withDoor = true;
+        start(SETTINGS);
+        adminPort = Integer.parseInt(awaitLog(Pattern.compile("answers operators at 127\\.0\\.0\\.1:(\\d+)")).group(1));
+        port = Integer.parseInt(awaitLog(LISTENS).group(1));
+        assertEquals(503, status(admin("GET", "/api/ready")), "it has no list yet");
+        site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
+        awaitStatus("/up", 200);
+        assertEquals(200, status(admin("GET", "/api/ready")));
+        Socket resting = connect();
+        assertFalse(ask(resting, ARTICLE).contains("Connection: close"));
+        Socket silent = connect();
+        Socket later = connect();
+        assertEquals(200, status(admin("POST", "/api/evacuate")));
+        assertEquals(503, status(ask(get("/up", ""))));
+        String last = ask(later, ARTICLE);
+        assertTrue(last.endsWith("page") && last.contains("Connection: close"), last);
+        assertEquals(-1, later.getInputStream().read());
+        assertEquals(-1, resting.getInputStream().read());
+        assertEquals(-1, silent.getInputStream().read());
+        assertEquals(200, status(ask(ARTICLE)), "what still comes is served");
+        assertEquals(200, status(admin("POST", "/api/rejoin")));
+        assertEquals(200, status(ask(get("/up", ""))));
+        assertFalse(ask(connect(), ARTICLE).contains("Connection: close"));
+    }
+
     private void hangUp(StubSite discovery) throws Exception {
         writeConfig(SETTINGS, discovery.address());
         signalHangup();
