--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -15,12 +15,14 @@
  * @param admin where the node is asked and told by its operators; null where there is no such door
  * @param inheritsListener whether the socket at {@code listen} is the platform's, inherited as descriptor 0
  * @param sockets how many file descriptors its process may hold
+ * @param bodyBytes the longest body of a request that is taken
  * @param known the upstream group as this node last had it; may be old
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin,
-        boolean inheritsListener, long seed, int sockets, HostList known, SiteSettings site) {
+        boolean inheritsListener, long seed, int sockets, long bodyBytes, HostList known, SiteSettings site) {
     /** A list of ten thousand peers fits. */
     private static final int MOST_BYTES = 2 << 20;
+    private static final int MOST_BODY_BYTES = 32 << 20;
 
     /**
      * Reads the file of a running node anew. Here the file alone tells where discovery is: the environment still
@@ -63,6 +65,7 @@
                 admin(environment, o), inherits(environment),
                 seed(JsonFields.string(o, "seed", "0")),
                 JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
+                JsonFields.integer(JsonFields.object(o, "limits"), "body_bytes", MOST_BODY_BYTES),
                 o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
                 site);
     }
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -44,6 +44,9 @@
         Events create(Settings settings, long seed, Actions actions);
     }
 
+    /** An upload's answer is given up so long before its client does: the module still has to answer. */
+    private static final Duration LAST_ANSWER = Duration.ofMillis(20);
+
     /** A request that the module knows of. */
     private static final class Entry {
         final Exchange exchange;
@@ -51,6 +54,8 @@
         int sends;
         /** Tries whose outcome the module has not heard; until it has, it holds their place at the peer taken. */
         int untold;
+        /** Whether a large answer is still on its way to the client: until then its id stays taken. */
+        boolean transferring;
 
         Entry(Exchange exchange) {
             this.exchange = exchange;
@@ -124,6 +129,17 @@
         return Duration.between(clock.now(), context.deadline()).plus(guardSlack);
     }
 
+    @Override
+    public void uploaded(Exchange exchange) {
+        Entry entry = entries.get(exchange.number());
+        Duration left = Duration.between(clock.now(), exchange.deadline());
+        entry.guard.cancel();
+        entry.guard = loop.schedule(left.plus(guardSlack), () -> overdue(entry));
+        if (exchange.outstanding() != null) {
+            sender.limit(exchange.outstanding(), left.minus(LAST_ANSWER));
+        }
+    }
+
     /** Guards the deadline should the module let it pass: an answer is owed whatever it does. */
     private void overdue(Entry entry) {
         if (!entry.exchange.ended()) {
@@ -150,8 +166,42 @@
         return entries.size();
     }
 
+    /** To the module, the request ends here: what a server can do is measured by its first bytes. */
+    @Override
+    public void tryBegun(Exchange.Try attempt, Answer.Begun begun, Instant at) {
+        counters.add(counted(Outcome.OK));
+        counters.add(Count.TRANSFERS);
+        double latency = Clock.millis(Duration.between(attempt.started(), at));
+        deliver(() -> {
+            Exchange exchange = attempt.exchange();
+            Entry entry = entries.get(exchange.number());
+            entry.transferring = true;
+            if (!conclude(entry, begun)) {
+                begun.body().abandon();
+            }
+            entry.untold--;
+            balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), Outcome.OK, latency, exchange.ended());
+            forget(entry);
+        });
+    }
+
+    private void transferEnded(Exchange.Try attempt, Outcome outcome) {
+        if (outcome != Outcome.OK) {
+            counters.add(Count.TRANSFERS_BROKEN);
+        }
+        Entry entry = entries.get(attempt.exchange().number());
+        if (entry != null) {
+            entry.transferring = false;
+            forget(entry);
+        }
+    }
+
     @Override
     public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
+        if (attempt.begun()) {
+            deliver(() -> transferEnded(attempt, outcome));
+            return;
+        }
         counters.add(counted(outcome));
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
@@ -194,7 +244,7 @@
     private boolean conclude(Entry entry, Answer answer) {
         boolean first = entry.exchange.answer(answer);
         if (first) {
-            counters.add(answer instanceof Answer.Served ? Count.ANSWERS_SERVED
+            counters.add(answer instanceof Answer.Served || answer instanceof Answer.Begun ? Count.ANSWERS_SERVED
                     : answer instanceof Answer.Rejected ? Count.ANSWERS_REJECTED : Count.ANSWERS_FAILED);
         }
         forget(entry);
@@ -208,7 +258,7 @@
     private void forget(Entry entry) {
         if (entry.exchange.ended()) {
             entry.guard.cancel();
-            if (entry.untold == 0) {
+            if (entry.untold == 0 && !entry.transferring) {
                 entries.remove(entry.exchange.number());
                 ids.remove(entry.exchange.context().id());
             }
@@ -249,7 +299,8 @@
             }
             int number = entry.sends++;
             Instant now = clock.now();
-            Exchange.Try attempt = number >= site.module().limits().maxAttempts() ? null
+            Exchange.Try attempt = number >= site.module().limits().maxAttempts()
+                    || !entry.exchange.context().payload().isWhole() ? null
                     : entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs)));
             if (attempt == null) {
                 deliver(() -> balancer.onOutcome(nowMs(), request, number, Outcome.MOOT, 0, entry.exchange.ended()));
--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -32,7 +32,7 @@
     private static final Duration GRACE = Duration.ofMillis(1000);
     /** An answer of which no more has come for so long has stopped: what it was to tell counts as told meanwhile. */
     private static final Duration STALL = Duration.ofMillis(80);
-    private static final int MOST_ANSWER_BYTES = 4 * Messages.MOST_BODY_BYTES;
+    private static final int MOST_ANSWER_BYTES = 4 * Messages.MOST_HELD_BYTES;
 
     /** Who is told of the peers. */
     public interface Listener {
--- a/src/main/java/rowanplank/exchange/Answer.java
+++ b/src/main/java/rowanplank/exchange/Answer.java
@@ -12,6 +12,17 @@
         }
     }
 
+    /**
+     * A peer's answer of which the first part has come; the rest follows, or fails.
+     *
+     * @param length of the whole body, in bytes; -1 where the peer does not tell it
+     */
+    record Begun(List<Header> headers, long length, Transfer body) implements Answer {
+        public Begun {
+            headers = List.copyOf(headers);
+        }
+    }
+
     /** A reject: not served, and asking again is harmless, best after this time (zero: no advice). */
     record Rejected(Duration retryAfter) implements Answer { }
 
--- a/src/main/java/rowanplank/exchange/Exchange.java
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -16,9 +16,18 @@
 
     /** Who follows the request's life. */
     public interface Listener {
-        /** @param served what the peer answered where the outcome is OK, else null */
+        /**
+         * @param served what the peer answered where the outcome is OK, else null; also null where the answer had begun
+         *     before
+         */
         void tryEnded(Try attempt, Outcome outcome, Answer.Served served);
 
+        /** A large answer has begun to come; the try ends with its last byte. @param at when its head had come */
+        default void tryBegun(Try attempt, Answer.Begun begun, Instant at) { }
+
+        /** The last byte of an upload has come: its deadline counts from here. */
+        default void uploaded(Exchange exchange) { }
+
         /** The client has left; nothing is owed any more. */
         void departed(Exchange exchange);
     }
@@ -27,8 +36,9 @@
     public final class Try {
         private final int number;
         private final long peer;
-        private final Instant started;
         private final Instant until;
+        private Instant started;
+        private boolean begun;
         private boolean ended;
 
         private Try(int number, long peer, Instant started, Instant until) {
@@ -48,6 +58,21 @@
             listener.tryEnded(this, outcome, served);
         }
 
+        /** The first part of a large answer has come: there is no time-out and no other try any more. */
+        public void begin(Answer.Begun answer, Instant at) {
+            begun = true;
+            listener.tryBegun(this, answer, at);
+        }
+
+        public boolean begun() {
+            return begun;
+        }
+
+        /** The request's last byte has gone out: only from now on can the peer's time be told. */
+        public void sent(Instant now) {
+            started = now;
+        }
+
         public boolean ended() {
             return ended;
         }
@@ -64,6 +89,7 @@
             return peer;
         }
 
+        /** Since when the peer has had the request: since its sending began, or, of a large one, ended. */
         public Instant started() {
             return started;
         }
@@ -78,6 +104,7 @@
     private final RequestContext context;
     private final Client client;
     private final Listener listener;
+    private Instant deadline;
     private Try outstanding;
     private boolean ended;
 
@@ -85,6 +112,7 @@
     public Exchange(long number, RequestContext context, Client client, Listener listener) {
         this.number = number;
         this.context = context;
+        deadline = context.deadline();
         this.client = client;
         this.listener = listener;
     }
@@ -99,7 +127,7 @@
         if (ended || outstanding != null) {
             return null;
         }
-        Instant limit = until.isBefore(context.deadline()) ? until : context.deadline();
+        Instant limit = until.isBefore(deadline) ? until : deadline;
         outstanding = new Try(number, peer, now, limit);
         return outstanding;
     }
@@ -122,6 +150,19 @@
         }
     }
 
+    /** The last byte of an upload has come. */
+    public void uploaded(Instant now) {
+        if (!ended) {
+            deadline = now.plus(context.payload().upload().patience());
+            listener.uploaded(this);
+        }
+    }
+
+    /** When the client stops waiting. */
+    public Instant deadline() {
+        return deadline;
+    }
+
     public boolean ended() {
         return ended;
     }
--- a/src/main/java/rowanplank/exchange/RequestContext.java
+++ b/src/main/java/rowanplank/exchange/RequestContext.java
@@ -1,5 +1,6 @@
 package rowanplank.exchange;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 
@@ -9,16 +10,38 @@
  * @param id the client's own name for it, passed on to peers
  * @param classIndex its class, by its place in the settings
  * @param repeat the client says that it has asked before
- * @param deadline the client stops waiting then
+ * @param deadline the client stops waiting then; of an upload that is still coming, the latest that this can be
  * @param payload what is passed on to a peer without change
  */
 public record RequestContext(String id, int classIndex, boolean repeat, Instant arrived, Instant deadline,
         Payload payload) {
 
-    /** What a peer is to be sent; the core never looks inside. */
-    public record Payload(String method, String target, List<Header> headers, byte[] body) {
+    /**
+     * What a peer is to be sent; the core never looks inside.
+     *
+     * @param body the whole body, or its first part
+     * @param upload the rest of a body that is too large to be held; null where there is none
+     */
+    public record Payload(String method, String target, List<Header> headers, byte[] body, Upload upload) {
         public Payload {
             headers = List.copyOf(headers);
         }
+
+        public Payload(String method, String target, List<Header> headers, byte[] body) {
+            this(method, target, headers, body, null);
+        }
+
+        /** Whether it can still be sent from its start. */
+        public boolean isWhole() {
+            return upload == null || !upload.rest().isTouched();
+        }
     }
+
+    /**
+     * The rest of a body that is sent on as it comes.
+     *
+     * @param length of the whole body, in bytes; -1 where the client does not tell it
+     * @param patience how long the client waits, once its last byte has been sent
+     */
+    public record Upload(long length, Duration patience, Transfer rest) { }
 }
--- a/src/main/java/rowanplank/exchange/TrySender.java
+++ b/src/main/java/rowanplank/exchange/TrySender.java
@@ -1,5 +1,7 @@
 package rowanplank.exchange;
 
+import java.time.Duration;
+
 /** The peers' side, as the decisions drive it. Each try that it is given ends with one outcome. */
 public interface TrySender {
     void send(Exchange.Try attempt);
@@ -7,5 +9,8 @@
     /** Stops waiting for a try that is out; it ends as cancelled, and its connection is closed first. */
     void cancel(Exchange.Try attempt);
 
+    /** From now on a try that is out ends with a time-out after this time, unless its answer has begun. */
+    void limit(Exchange.Try attempt, Duration left);
+
     void closeIdle(long peer);
 }
--- a/src/main/java/rowanplank/http/MessageHandler.java
+++ b/src/main/java/rowanplank/http/MessageHandler.java
@@ -2,12 +2,16 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 
-/** Gathers a message's headers and its body, up to a bound, as Jetty's parser finds them. */
+/**
+ * Gathers a message's headers and its body, as Jetty's parser finds them: up to a bound the body is held here, and what
+ * is beyond goes on to whoever asked for it, piece by piece.
+ */
 public abstract class MessageHandler implements HttpParser.HttpHandler {
     private static final byte[] NOTHING = {};
     private static final int FIRST_ROOM = 4096;
@@ -17,9 +21,16 @@
     private final HttpFields.Mutable fields = HttpFields.build();
     private byte[] body = NOTHING;
     private int size;
-    private final int mostBytes;
+    private long total;
+    /** What came in one piece with the last byte that is held; null where there is nothing. */
+    private ByteBuffer beyond;
+    private Consumer<ByteBuffer> rest;
+    private final int mostHeld;
+    private final long mostBytes;
 
-    protected MessageHandler(int mostBytes) {
+    /** @param mostHeld so much of a body is held, in bytes @param mostBytes and so long may it be */
+    protected MessageHandler(int mostHeld, long mostBytes) {
+        this.mostHeld = mostHeld;
         this.mostBytes = mostBytes;
     }
 
@@ -42,11 +53,33 @@
         return size;
     }
 
+    /** Whether more has come than is held: nothing more is taken in until it is said where it goes. */
+    public boolean isLarge() {
+        return beyond != null;
+    }
+
+    /** Whether what is beyond the held part goes on. */
+    public boolean isPassedOn() {
+        return rest != null;
+    }
+
+    /** What of the body is not held goes there from now on, valid within the call only. */
+    public void passOn(Consumer<ByteBuffer> to) {
+        rest = to;
+        if (beyond != null) {
+            to.accept(beyond);
+            beyond = null;
+        }
+    }
+
     /** Keeps no room for a next body: connections are many, and most of them idle. */
     public void reset() {
         fields.clear();
         body = NOTHING;
         size = 0;
+        total = 0;
+        beyond = null;
+        rest = null;
     }
 
     @Override
@@ -60,24 +93,32 @@
 
     @Override
     public boolean content(ByteBuffer content) {
-        int more = content.remaining();
-        if (size + more > mostBytes) {
+        total += content.remaining();
+        if (total > mostBytes) {
             tooLong();
             return true;
         }
+        if (rest != null) {
+            rest.accept(content);
+            return false;
+        }
+        int more = Math.min(content.remaining(), mostHeld - size);
         if (size + more > body.length) {
             body = Arrays.copyOf(body, room(size + more));
         }
         content.get(body, size, more);
         size += more;
-        return false;
+        if (content.hasRemaining()) {
+            beyond = ByteBuffer.allocate(content.remaining()).put(content).flip();
+        }
+        return beyond != null;
     }
 
     /** Room grows with what has come, not with what was said to come; what is said saves the last copy. */
     private int room(int needed) {
         int room = Math.max(needed, Math.max(FIRST_ROOM, 2 * body.length));
         long said = fields.getLongField(HttpHeader.CONTENT_LENGTH);
-        return said >= needed && said < room ? (int) said : Math.min(room, mostBytes);
+        return said >= needed && said < room ? (int) said : Math.min(room, mostHeld);
     }
 
     @Override
--- a/src/main/java/rowanplank/http/RequestReader.java
+++ b/src/main/java/rowanplank/http/RequestReader.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpFields;
@@ -12,9 +13,9 @@
 
 /** Puts an HTTP request together from the pieces in which it comes, or says why it can't be taken. */
 public final class RequestReader {
-    private final Handler handler = new Handler();
-    private final HttpParser parser =
-            Messages.lean(new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110));
+    private final Handler handler;
+    private final HttpParser parser;
+    private final long mostBody;
     private String method;
     private String target;
     private HttpVersion version;
@@ -22,10 +23,23 @@
     private boolean whole;
     private int error;
 
+    /** Takes bodies that are held whole, and no larger ones. */
+    public RequestReader() {
+        this(Messages.MOST_HELD_BYTES);
+    }
+
+    /** @param mostBody the longest body that is taken, in bytes */
+    public RequestReader(long mostBody) {
+        this.mostBody = mostBody;
+        handler = new Handler();
+        parser = Messages.lean(new HttpParser(handler, Messages.MOST_HEADER_BYTES, HttpCompliance.RFC9110));
+    }
+
     /**
      * Reads on; what lies beyond the request's end stays in the buffer.
      *
-     * @return whether there is something to answer: a whole request, or an error
+     * @return whether there is something to do: a whole request, an error, or a body larger than what is held, of which
+     *     no more is read until it is said where it goes ({@link #passOn})
      */
     public boolean read(ByteBuffer bytes) {
         while (!done() && bytes.hasRemaining()) {
@@ -40,7 +54,37 @@
     }
 
     private boolean done() {
-        return whole || error != 0;
+        return whole || error != 0 || handler.isLarge();
+    }
+
+    /** Whether the body is larger than what is held of it. */
+    public boolean isLarge() {
+        return handler.isLarge();
+    }
+
+    /** What of the body is not held goes there, piece by piece. */
+    public void passOn(Consumer<ByteBuffer> rest) {
+        handler.passOn(rest);
+    }
+
+    /** Whether the request has come to its end without an error. */
+    public boolean isWhole() {
+        return whole;
+    }
+
+    /** The length of the body as the client tells it; -1 where it does not. */
+    public long length() {
+        return parser.getContentLength();
+    }
+
+    /** Whether the head is in, and its body has begun. */
+    public boolean inBody() {
+        return parser.inContentState();
+    }
+
+    /** Whether the client reads chunked answers. */
+    public boolean readsChunks() {
+        return version == HttpVersion.HTTP_1_1;
     }
 
     /** Makes ready for the next request on the same connection. */
@@ -97,7 +141,7 @@
 
     private final class Handler extends MessageHandler implements HttpParser.RequestHandler {
         Handler() {
-            super(Messages.MOST_BODY_BYTES);
+            super(Messages.MOST_HELD_BYTES, mostBody);
         }
 
         @Override
@@ -119,7 +163,7 @@
 
         @Override
         public boolean headerComplete() {
-            if (parser.getContentLength() > Messages.MOST_BODY_BYTES) {
+            if (parser.getContentLength() > mostBody) {
                 error = HttpStatus.PAYLOAD_TOO_LARGE_413;
             }
             // The parser undoes the last coding only: passed on, the others would no longer be told of.
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -15,6 +15,7 @@
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.Header;
 import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.Transfer;
 import rowanplank.http.Headers;
 import rowanplank.http.Messages;
 import rowanplank.http.RequestReader;
@@ -23,16 +24,22 @@
 import rowanplank.net.Clock;
 import rowanplank.net.LoopConnection;
 
-/** One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. */
-final class ClientConnection extends LoopConnection implements ConnectionQueue.Connection {
+/**
+ * One client's connection: reads a request, opens an exchange for it, writes the answer, and reads the next. Large bodies
+ * go through it piece by piece, in both directions.
+ */
+final class ClientConnection extends LoopConnection implements ConnectionQueue.Connection, Transfer.Source,
+        LargeAnswer.Connection {
+    /** No body takes longer than this: the bound of its length at the slowest pace. */
+    private static final Duration LONGEST_UPLOAD = Duration.ofSeconds(Messages.MOST_BODY_BYTES / BodyPace.SLOWEST);
     /** After this, a client that keeps sending ahead is served no more than what is open. */
     private static final Duration LONGEST_AHEAD = Duration.ofMillis(1500);
     /** So much of what a closed connection still sends is read: a body without end must not take the node's core. */
-    private static final int MOST_LINGER_BYTES = 4 * Messages.MOST_BODY_BYTES;
+    private static final int MOST_LINGER_BYTES = 4 * Messages.MOST_HELD_BYTES;
     /** What a client may always send, however much the others have sent. */
     private static final int LITTLE = Messages.MOST_HEADER_BYTES;
     /** What a client may send ahead while it waits for an answer. */
-    private static final int MOST_UNREAD = Messages.MOST_BODY_BYTES + Messages.MOST_HEADER_BYTES;
+    private static final int MOST_UNREAD = Messages.MOST_HELD_BYTES + Messages.MOST_HEADER_BYTES;
     /** When a client that found no room here may try again. */
     private static final Duration NO_ROOM = Duration.ofMillis(250);
     private static final byte[] NOTHING = {};
@@ -52,9 +59,15 @@
     private int dropped;
     private boolean advancing;
     private boolean continued;
+    private final BodyPace pace = new BodyPace();
     private boolean lastOne;
     private int held;
-    private int writes;
+    /** The large body of the request that is open; null where there is none. */
+    private Transfer upload;
+    /** Whether it is still coming. */
+    private boolean uploading;
+    /** The large answer that is being written; null while there is none. */
+    private LargeAnswer answering;
 
     /**
      * @param room whether the node has room for this connection; else it is closed
@@ -105,15 +118,36 @@
             case SILENT, RESTING -> closeIfIdle();
             case BEGINNING, GOING_ON -> {
                 lastLook();
-                if (isReading() && !isIdle()) {
-                    respondAndClose(408);
+                if (isReading() && !isIdle() && !isOver()) {
+                    slow();
                 }
             }
+            case SENDING -> stalled();
             case WRITING, LINGERING -> close();
             case WAITING -> { }
         }
     }
 
+    private void slow() {
+        Duration more = pace.more(intake.clock.now(), reader.bodySize());
+        if (more.isZero()) {
+            respondAndClose(408);
+        } else {
+            place.move(place.stage(), place.since().plus(more));
+        }
+    }
+
+    /** No piece of a large body has come for too long; but where the node has stopped the client, it is not its fault. */
+    private void stalled() {
+        Instant since = place.since();
+        lastLook();
+        if (isPaused()) {
+            place.move(Stage.SENDING, intake.clock.now());
+        } else if (uploading && place.since().equals(since)) {
+            breakOff(408);
+        }
+    }
+
     @Override
     protected void onBytes(ByteBuffer bytes) {
         if (place.stage() == Stage.LINGERING || lastOne) {
@@ -123,10 +157,11 @@
             }
             return;
         }
-        if (unread.remaining() + bytes.remaining() > MOST_UNREAD + Messages.MOST_BODY_BYTES) {
+        if (unread.remaining() + bytes.remaining() > MOST_UNREAD + Messages.MOST_HELD_BYTES) {
             close(); // sent ahead far more than a client has reason to
             return;
         }
+        pace.came(intake.clock.now());
         ByteBuffer joined = ByteBuffer.allocate(unread.remaining() + bytes.remaining());
         unread = joined.put(unread).put(bytes).flip();
         advance();
@@ -136,7 +171,7 @@
         if (!unread.hasRemaining()) {
             unread = intake.noBytes;
         }
-        if (!room && held > LITTLE) {
+        if (!room && held > LITTLE && upload == null) {
             giveUpReading();
         }
     }
@@ -163,12 +198,14 @@
         }
         advancing = true;
         try {
-            while (isReading() && unread.hasRemaining() && !isOver()) {
+            while ((isReading() || uploading) && unread.hasRemaining() && !isOver()) {
                 if (isIdle()) {
                     place.begin(intake.clock.now());
                     reader = intake.takeReader();
                 }
-                if (reader.read(unread)) {
+                if (uploading) {
+                    sendOn();
+                } else if (reader.read(unread)) {
                     take();
                 } else if (reader.expectsContinue() && !continued) {
                     continued = true;
@@ -185,6 +222,52 @@
         }
     }
 
+    /** A piece of a large body has come. */
+    private void sendOn() {
+        boolean over = reader.read(unread);
+        Instant now = intake.clock.now();
+        if (!uploading) {
+            unread = intake.noBytes; // its answer came first, and is the last here
+        } else if (over && reader.isWhole()) {
+            uploading = false;
+            place.move(Stage.WAITING, now);
+            exchange.uploaded(now);
+            upload.end();
+        } else if (over) {
+            intake.counters.add(Count.REQUESTS_MALFORMED);
+            breakOff(reader.error());
+        } else {
+            place.move(Stage.SENDING, now);
+        }
+    }
+
+    /** A large body does not come to its end: whoever waits for the rest of it is told so. */
+    private void breakOff(int status) {
+        Exchange left = exchange;
+        exchange = null;
+        left.depart();
+        dropUpload();
+        respondAndClose(status);
+    }
+
+    private void dropUpload() {
+        if (upload != null) {
+            upload.discard();
+            upload = null;
+            uploading = false;
+            resumeReading();
+        }
+    }
+
+    @Override
+    public void resume() {
+        resumeReading();
+    }
+
+    /** The peers' side never gives a body up: it ends its try, and the answer that follows is the last here. */
+    @Override
+    public void abandoned() { }
+
     private void take() {
         place.asked();
         if (reader.error() != 0) {
@@ -202,7 +285,9 @@
             target = null;
             path = null;
         }
-        if (path == null || !path.startsWith("/")) {
+        if (reader.method().equals("OPTIONS") && reader.target().equals("*")) {
+            respond(200, HttpFields.build().put(HttpHeader.ALLOW, "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"), NOTHING);
+        } else if (path == null || !path.startsWith("/")) {
             intake.counters.add(Count.REQUESTS_MALFORMED);
             respondAndClose(400);
         } else if (path.equals("/up")) {
@@ -216,10 +301,10 @@
 
     /** Answers a question about the node itself. */
     private void own(int status, String text) {
-        boolean get = reader.method().equals("GET");
+        boolean asks = asks(reader.method());
         HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
-        respond(get ? status : 405, get ? fields : fields.put(HttpHeader.ALLOW, "GET"),
-                get ? text.getBytes(StandardCharsets.UTF_8) : NOTHING);
+        respond(asks ? status : 405, asks ? fields : fields.put(HttpHeader.ALLOW, "GET, HEAD"),
+                asks ? text.getBytes(StandardCharsets.UTF_8) : NOTHING);
     }
 
     private void request(String target, String path) {
@@ -231,8 +316,8 @@
         }
         RequestClass type = intake.site.module().classes().get(index);
         boolean repeatable = type.effect() == Effect.REPEATABLE;
-        if (repeatable ? !reader.method().equals("GET") : !changes(reader.method())) {
-            String allowed = repeatable ? "GET" : "POST, PUT, PATCH, DELETE";
+        if (repeatable ? !asks(reader.method()) : !changes(reader.method())) {
+            String allowed = repeatable ? "GET, HEAD" : "POST, PUT, PATCH, DELETE";
             respond(405, HttpFields.build().put(HttpHeader.ALLOW, allowed), NOTHING);
             return;
         }
@@ -260,14 +345,39 @@
             reject(NO_ROOM);
             return;
         }
+        open(id, index, target, wait.compareTo(longest) < 0 ? wait : longest);
+    }
+
+    private void open(String id, int index, String target, Duration wait) {
         Instant now = intake.clock.now();
-        place.move(Stage.WAITING, now);
+        boolean large = reader.isLarge();
+        place.move(large ? Stage.SENDING : Stage.WAITING, now);
+        RequestContext.Upload rest = null;
+        if (large) {
+            intake.counters.add(Count.UPLOADS);
+            upload = new Transfer(intake.room, this);
+            uploading = true;
+            rest = new RequestContext.Upload(reader.length(), wait, upload);
+        }
         RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
-                now.plus(wait.compareTo(longest) < 0 ? wait : longest),
+                now.plus(large ? LONGEST_UPLOAD.plus(wait) : wait),
                 new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
-                        reader.body()));
+                        reader.body(), rest));
         Exchange opened = intake.exchanges.open(context, this::answer);
         exchange = opened.ended() ? null : opened;
+        if (upload != null) {
+            reader.passOn(this::passOn);
+        }
+    }
+
+    private void passOn(ByteBuffer piece) {
+        if (uploading && !upload.offer(piece)) {
+            pauseReading();
+        }
+    }
+
+    private static boolean asks(String method) {
+        return method.equals("GET") || method.equals("HEAD");
     }
 
     private static boolean changes(String method) {
@@ -282,8 +392,12 @@
         if (isOver()) {
             return;
         }
-        if (answer instanceof Answer.Served served && mayWrite(served.body().length)) {
+        lastOne |= uploading; // answered before its body's end, of which no more is taken
+        dropUpload();
+        if (answer instanceof Answer.Served served) {
             respond(200, Headers.fields(served.headers(), Header::name, Header::value), served.body());
+        } else if (answer instanceof Answer.Begun begun) {
+            begin(begun);
         } else if (answer instanceof Answer.Rejected rejected) {
             reject(rejected.retryAfter());
         } else {
@@ -291,10 +405,41 @@
         }
     }
 
-    /** Guards the heap: a large answer takes its room until the client has read it. */
-    private boolean mayWrite(int bytes) {
-        writes = bytes;
-        return intake.holdAnswers(bytes) || bytes <= Messages.MOST_BODY_BYTES;
+    private void begin(Answer.Begun begun) {
+        LargeAnswer.Framing framing = begun.length() >= 0 ? LargeAnswer.Framing.LENGTH
+                : reader.readsChunks() ? LargeAnswer.Framing.CHUNKED : LargeAnswer.Framing.UNTIL_CLOSE;
+        HttpFields.Mutable fields = Headers.fields(begun.headers(), Header::name, Header::value);
+        lastOne |= framing == LargeAnswer.Framing.UNTIL_CLOSE;
+        tellLastOne(fields);
+        answering = new LargeAnswer(begun.body(), framing, this);
+        answering.begin(framing == LargeAnswer.Framing.UNTIL_CLOSE ? Messages.responseHeadUntilClose(200, fields)
+                : Messages.responseHead(200, fields, begun.length()));
+    }
+
+    @Override
+    public void writePiece(Runnable written, ByteBuffer... piece) {
+        place.move(Stage.WRITING, intake.clock.now());
+        write(written, piece);
+    }
+
+    @Override
+    public void awaitsPiece() {
+        place.move(Stage.WAITING, intake.clock.now());
+    }
+
+    @Override
+    public void answerWritten() {
+        answering = null;
+        written();
+    }
+
+    @Override
+    public void answerBroken(LargeAnswer.Framing framing) {
+        if (framing == LargeAnswer.Framing.UNTIL_CLOSE) {
+            abort(); // by its framing it would pass for whole
+        } else {
+            close();
+        }
     }
 
     private void reject(Duration retryAfter) {
@@ -316,20 +461,28 @@
     }
 
     private void respond(int status, HttpFields.Mutable fields, byte[] body) {
-        Instant now = intake.clock.now();
+        tellLastOne(fields);
+        place.move(Stage.WRITING, intake.clock.now());
+        if (reader != null && "HEAD".equals(reader.method())) {
+            if (!fields.contains(HttpHeader.CONTENT_LENGTH)) {
+                fields.put(HttpHeader.CONTENT_LENGTH, body.length);
+            }
+            body = NOTHING;
+        }
+        write(this::written, Messages.response(status, fields, body));
+    }
+
+    /** Says whether this answer is the last here, and remembers it. */
+    private void tellLastOne(HttpFields.Mutable fields) {
         boolean aheadTooLong = aheadSince != null
-                && Duration.between(aheadSince, now).compareTo(LONGEST_AHEAD) > 0;
-        lastOne |= reader == null || !reader.keepsConnection() || intake.closing() || aheadTooLong;
+                && Duration.between(aheadSince, intake.clock.now()).compareTo(LONGEST_AHEAD) > 0;
+        lastOne |= reader == null || !reader.isWhole() || !reader.keepsConnection() || intake.closing() || aheadTooLong;
         if (lastOne) {
             fields.put(HttpHeader.CONNECTION, "close");
         }
-        place.move(Stage.WRITING, now);
-        write(this::written, Messages.response(status, fields, body));
     }
 
     private void written() {
-        intake.holdAnswers(-writes);
-        writes = 0;
         Instant now = intake.clock.now();
         if (lastOne || intake.closing()) {
             place.move(Stage.LINGERING, now);
@@ -341,6 +494,7 @@
         intake.hold(unread.remaining() - held);
         held = unread.remaining();
         continued = false;
+        pace.reset();
         place.move(Stage.RESTING, now);
         advance();
         intake.closeServed(now);
@@ -348,7 +502,7 @@
 
     @Override
     protected void onEnd() {
-        if (place.stage() != Stage.WRITING) {
+        if (place.stage() != Stage.WRITING && answering == null) {
             close();
         } else {
             lastOne = true; // the answer is still written out; then nothing is left to do
@@ -360,10 +514,12 @@
         place.leave();
         intake.hold(-held);
         held = 0;
-        intake.holdAnswers(-writes);
-        writes = 0;
+        if (answering != null) {
+            answering.abandon();
+        }
         if (exchange != null) {
             exchange.depart();
         }
+        dropUpload();
     }
 }
--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -22,6 +22,8 @@
         SILENT,
         /** Part of its first request has come. */
         BEGINNING,
+        /** A body too large to be held comes, and is sent on; since its last piece. */
+        SENDING,
         /** It owes an answer that is still to be decided; its deadline is kept by the core, and it is in no tree. */
         WAITING,
         /** Its answer is being written. */
@@ -43,7 +45,7 @@
          */
         boolean closeIfIdle();
 
-        /** It has been at its stage for too long; whatever this does, it does not stay there. */
+        /** It has been at its stage for too long; whatever this does, it is there anew, or no more. */
         void timeUp();
     }
 
@@ -52,7 +54,7 @@
     /** A client that asks one thing after the other has done so by then. */
     private static final Duration PAUSE = Duration.ofMillis(20);
     /** A request must come whole within this time of its first byte, and the first one of the connecting. */
-    private static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
+    static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
     private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
     private static final Duration LONGEST_IDLE = Duration.ofSeconds(120);
     /** And where connections are many: clients may ask once and keep their connection for good. */
@@ -63,7 +65,7 @@
     private static final int CROWDED_PART = 4;
 
     /** One that is found to have begun late is not ended in the same review. */
-    private static final List<Stage> REVIEWED = List.of(Stage.LINGERING, Stage.WRITING, Stage.GOING_ON, Stage.BEGINNING,
+    private static final List<Stage> REVIEWED = List.of(Stage.LINGERING, Stage.WRITING, Stage.SENDING, Stage.GOING_ON, Stage.BEGINNING,
             Stage.SILENT, Stage.RESTING);
 
     private final int mostConnections;
@@ -112,6 +114,11 @@
             }
         }
 
+        /** Since when it is at its stage. */
+        Instant since() {
+            return since;
+        }
+
         /** A whole request has come, or one that can't be taken. */
         void asked() {
             if (!asked && !left) {
@@ -222,7 +229,7 @@
     private Duration longest(Stage stage, Duration rest) {
         return switch (stage) {
             case SILENT -> shorter(SLOWEST_REQUEST, rest);
-            case BEGINNING, GOING_ON -> SLOWEST_REQUEST;
+            case BEGINNING, GOING_ON, SENDING -> SLOWEST_REQUEST;
             case WRITING -> SLOWEST_READER;
             case RESTING -> shorter(isCrowded() ? LONGEST_IDLE_CROWDED : LONGEST_IDLE, rest);
             case LINGERING -> LINGER;
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.config.SiteSettings;
 import rowanplank.exchange.Exchanges;
+import rowanplank.exchange.Transfer;
 import rowanplank.http.RequestReader;
 import rowanplank.lifecycle.Lifecycle;
 import rowanplank.metrics.Counters.Count;
@@ -25,7 +26,7 @@
 public final class Intake {
     private static final int BACKLOG = 512;
     /** What all clients' unfinished requests may take together, but for a little that each may always send. */
-    private static final long MOST_HELD = 8 << 20;
+    private static final long MOST_HELD = 6 << 20;
     private static final Duration SWEEP = Duration.ofMillis(100);
     /** So many connections are ended in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
@@ -43,6 +44,9 @@
     final Loop loop;
     final Clock clock;
     final Counters counters;
+    /** What large bodies may hold on their way, with all else that is passed on. */
+    final Transfer.Room room;
+    private final long mostBody;
     /** What a connection has of a request when it has nothing. */
     final ByteBuffer noBytes = ByteBuffer.allocate(0);
     private final int mostConnections;
@@ -51,14 +55,15 @@
     private final Deque<RequestReader> spareReaders = new ArrayDeque<>();
     private Loop.Listening listening;
     private long held;
-    private long heldAnswers;
 
     /**
      * @param mostServed how many connections of clients that were served are kept open for their next request
      * @param lifecycle says whether the node is up, which answer is a connection's last, and how long one may rest
+     * @param room what large bodies may hold, with all else that is passed on
+     * @param mostBody the longest body that is taken, in bytes
      */
     public Intake(SiteSettings site, Exchanges exchanges, int mostConnections, int mostServed, Loop loop,
-            Counters counters, Lifecycle lifecycle) {
+            Counters counters, Lifecycle lifecycle, Transfer.Room room, long mostBody) {
         this.site = site;
         this.exchanges = exchanges;
         this.mostConnections = mostConnections;
@@ -66,6 +71,8 @@
         clock = loop.clock();
         this.counters = counters;
         this.lifecycle = lifecycle;
+        this.room = room;
+        this.mostBody = mostBody;
         connections = new ConnectionQueue(mostConnections, mostServed);
     }
 
@@ -138,7 +145,7 @@
 
     RequestReader takeReader() {
         RequestReader spare = spareReaders.poll();
-        return spare == null ? new RequestReader() : spare;
+        return spare == null ? new RequestReader(mostBody) : spare;
     }
 
     /** @param reader has read a whole request without an error */
@@ -164,12 +171,6 @@
         return held <= MOST_HELD;
     }
 
-    /** The same for answers that clients have not read yet. */
-    boolean holdAnswers(int change) {
-        heldAnswers += change;
-        return heldAnswers <= MOST_HELD;
-    }
-
     /** Whether connections are closed with their answers. */
     boolean closing() {
         return lifecycle.closesWithAnswers();
--- a/src/main/java/rowanplank/lab/run/NodeText.java
+++ b/src/main/java/rowanplank/lab/run/NodeText.java
@@ -30,6 +30,9 @@
     private static final int WINDOW_MS = 5000;
     private static final int ASK_WITHIN_MS = 10_000;
 
+    /** Clients here send no more, but for bad ones; a server here reads no more either. */
+    private static final int MOST_BODY = 64 * 1024;
+
     private NodeText() { }
 
     /**
@@ -41,7 +44,7 @@
         JsonArray peers = Json.array().asArray();
         places.peers.forEach(p -> peers.add(Addresses.format(p)));
         JsonObject limits = Json.object().add("cores", day.nodes().cores()).add("memory_mb", MEMORY_MB)
-                .add("sockets", day.nodes().sockets());
+                .add("sockets", day.nodes().sockets()).add("body_bytes", MOST_BODY);
         JsonObject text = Json.object().add("name", name(node))
                 .add("listen", Addresses.format(places.listen.get(node)))
                 .add("discovery", Addresses.format(discovery)).add("seed", Long.toHexString(seed))
--- a/src/main/java/rowanplank/lab/run/Prober.java
+++ b/src/main/java/rowanplank/lab/run/Prober.java
@@ -148,7 +148,7 @@
     }
 
     private final class ProbeConnection extends LoopConnection {
-        private final ResponseReader reader = new ResponseReader(Messages.MOST_BODY_BYTES);
+        private final ResponseReader reader = new ResponseReader(Messages.MOST_HELD_BYTES);
         private final InetSocketAddress address;
         private Probe probe;
         private Loop.Timer idleUntil;
--- a/src/main/java/rowanplank/net/LoopConnection.java
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -1,9 +1,11 @@
 package rowanplank.net;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 
@@ -20,6 +22,9 @@
     private final Loop loop;
     private boolean over;
     private boolean paused;
+    /** Whether this will be called again by itself: reading is asked for, or queued. */
+    private boolean armed;
+    private boolean reading;
     private boolean writing;
     /** No side ever has more than one message waiting: an answer, after the leave to send a body. */
     private Runnable next;
@@ -41,16 +46,23 @@
     @Override
     public void onOpen() {
         super.onOpen();
-        fillInterested(fillable);
+        awaitMore();
     }
 
     @Override
     public void onFillable() {
+        armed = false;
+        reading = true;
+        read();
+        reading = false;
+    }
+
+    private void read() {
         ByteBuffer buffer = loop.readBuffer();
         try {
             for (int reads = 0; !over && !paused; reads++) {
                 if (reads == MOST_READS_A_TURN) {
-                    loop.execute(this::onFillable);
+                    readLater();
                     return;
                 }
                 buffer.clear().limit(0);
@@ -75,22 +87,54 @@
     }
 
     private void awaitMore() {
-        if (!over && !paused) {
+        if (!over && !paused && !armed) {
+            armed = true;
             fillInterested(fillable);
         }
     }
 
-    /** Reads no more: what else the other side sends waits there until the connection is closed. */
+    private void readLater() {
+        armed = true;
+        loop.execute(this::onFillable);
+    }
+
+    /** Reads no more: what else the other side sends waits there until reading is resumed, or for good. */
     protected void pauseReading() {
         paused = true;
     }
 
+    /** Reads on, soon and never within this call. */
+    protected void resumeReading() {
+        if (paused && !over) {
+            paused = false;
+            if (!armed && !reading) {
+                readLater();
+            }
+        }
+    }
+
+    protected boolean isPaused() {
+        return paused;
+    }
+
+    /** Ends the connection so that the other side sees that something is missing, whatever it has got. */
+    protected void abort() {
+        if (!over && getEndPoint() instanceof SocketChannelEndPoint machine) {
+            try {
+                machine.getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                // it is closed without
+            }
+        }
+        close();
+    }
+
     /** Reads what has come but was not yet seen, so that a connection is not closed over it. */
     protected void lastLook() {
         ByteBuffer buffer = loop.readBuffer();
         buffer.clear().limit(0);
         try {
-            if (!over && getEndPoint().fill(buffer) > 0) {
+            if (!over && !paused && getEndPoint().fill(buffer) > 0) {
                 onBytes(buffer);
             }
         } catch (IOException e) {
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -41,7 +41,7 @@
     /** So much queued work, and so many timers, are run before sockets are looked at again. */
     private static final int MOST_TASKS_A_ROUND = 256;
     /** All connections are read on one thread, and none keeps the buffer. */
-    private static final int READ_BYTES = 1 << 16;
+    private static final int READ_BYTES = 1 << 15;
     /** Each connection has a time-out of its own within this: Jetty keeps what it knows of one for so long. */
     private static final Duration LONGEST_CONNECT = Duration.ofSeconds(10);
 
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -16,6 +16,7 @@
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
 import rowanplank.discovery.UpstreamGroup;
+import rowanplank.exchange.Transfer;
 import rowanplank.intake.admin.AdminDoor;
 import rowanplank.intake.http.Intake;
 import rowanplank.lifecycle.Lifecycle;
@@ -57,14 +58,16 @@
         this.loop = loop;
         this.log = log;
         clock = loop.clock();
+        Transfer.Room room = new Transfer.Room();
         int sockets = Math.max(16, config.sockets() - OTHER_SOCKETS);
         decisions = new Decisions(config.site(), config.seed(), loop, counters, log, module);
-        peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters);
+        peers = new Peers(group, config.site().connIdle(), config.site().connectTimeout(), sockets / 3, loop, counters,
+                room);
         peers.show(module);
         decisions.sendThrough(peers);
         lifecycle = new Lifecycle(lifecycleSettings(), new Life());
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
-                counters, lifecycle);
+                counters, lifecycle, room, config.bodyBytes());
         watch = watch(config.discovery(), config.known().members().isEmpty() ? -1 : config.known().revision());
     }
 
--- a/src/main/java/rowanplank/node/WarmUp.java
+++ b/src/main/java/rowanplank/node/WarmUp.java
@@ -34,7 +34,7 @@
     public static void run(SiteSettings site) {
         new WarmUp().requests(site);
         byte[] body = new byte[512];
-        ResponseReader reader = new ResponseReader(Messages.MOST_BODY_BYTES);
+        ResponseReader reader = new ResponseReader(Messages.MOST_HELD_BYTES);
         for (int i = 0; i < REQUESTS; i++) {
             Messages.request("GET", "/warm/up?x=" + i, HttpFields.build().put("X-Request-ID", "" + i), body);
             for (ByteBuffer part : Messages.response(200, HttpFields.build(), body)) {
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -13,29 +15,48 @@
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Header;
 import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.Transfer;
 import rowanplank.http.Headers;
 import rowanplank.http.Messages;
 import rowanplank.http.ResponseReader;
+import rowanplank.net.Clock;
 import rowanplank.net.Loop;
 import rowanplank.net.LoopConnection;
 
-/** One connection to a peer: carries one try at a time, and tells its outcome from what comes back. */
-final class PeerConnection extends LoopConnection {
-    private final ResponseReader reader = new ResponseReader(Messages.MOST_ANSWER_BYTES);
+/**
+ * One connection to a peer: carries one try at a time, and tells its outcome from what comes back. Large bodies go
+ * through it piece by piece, in both directions.
+ */
+final class PeerConnection extends LoopConnection implements Transfer.Source {
+    /** An answer that does not tell its length is passed on once it has taken so long after its head. */
+    private static final Duration LONGEST_HELD_BACK = Duration.ofMillis(100);
+
+    /** A large body that has not moved for so long through no fault of its client's is given up. */
+    static final Duration STALLED = Duration.ofSeconds(10);
+
+    private final ResponseReader reader = new ResponseReader(Messages.MOST_HELD_BYTES, Messages.MOST_BODY_BYTES);
     private final ByteBuffer probe = ByteBuffer.allocate(1);
+    private final Loop loop;
     private final Peers peers;
     private final Member peer;
     private final Consumer<PeerConnection> opened;
+    private Clock clock;
     private Peers.Sending sending;
-    private int held;
+    private RequestContext.Upload upload;
+    /** A large answer on its way to the client; null while there is none. */
+    private Transfer answer;
+    private Instant headAt;
+    private boolean pieceOut;
     private boolean written;
     private boolean answered;
+    private boolean moved;
     /** Where it last rested; null before it has. */
     private IdleConnections.Kept<PeerConnection> kept;
 
     PeerConnection(EndPoint endPoint, Loop loop, Peers peers, Member peer,
             Consumer<PeerConnection> opened) {
         super(endPoint, loop);
+        this.loop = loop;
         this.peers = peers;
         this.peer = peer;
         this.opened = opened;
@@ -47,20 +68,92 @@
         opened.accept(this);
     }
 
-    void send(Peers.Sending next, Duration left) {
+    void send(Peers.Sending next, Duration left, Clock now) {
         sending = next;
+        clock = now;
         written = false;
         answered = false;
-        reader.reset();
+        headAt = null;
         RequestContext context = next.attempt.exchange().context();
         RequestContext.Payload payload = context.payload();
+        upload = payload.upload();
+        reader.reset(payload.method().equals("HEAD"));
         HttpFields.Mutable fields = Headers.fields(payload.headers(), Header::name, Header::value);
         if (!fields.contains(HttpHeader.HOST)) {
             fields.put(HttpHeader.HOST, Addresses.format(peer.address()));
         }
         fields.put("X-Request-ID", context.id());
-        fields.put("X-Timeout", Math.max(1, left.toNanos() / 1000) + "u");
-        write(() -> written = true, Messages.request(payload.method(), payload.target(), fields, payload.body()));
+        Duration wait = upload == null ? left : upload.patience();
+        fields.put("X-Timeout", Math.max(1, wait.toNanos() / 1000) + "u");
+        if (upload == null) {
+            write(() -> written = true, Messages.request(payload.method(), payload.target(), fields, payload.body()));
+        } else {
+            write(() -> { }, Messages.requestHead(payload.method(), payload.target(), fields, upload.length()));
+            writePiece(ByteBuffer.wrap(payload.body()));
+            loop.schedule(STALLED, this::lookAtUpload);
+        }
+    }
+
+    /** Guards sockets against peers that stop reading in the middle of a large body. */
+    private void lookAtUpload() {
+        if (upload != null && !isOver()) {
+            if (pieceOut && !moved) {
+                close();
+            } else {
+                moved = false;
+                loop.schedule(STALLED, this::lookAtUpload);
+            }
+        }
+    }
+
+    private void writePiece(ByteBuffer piece) {
+        pieceOut = true;
+        ByteBuffer[] framed = upload.length() >= 0 ? new ByteBuffer[] {piece} : Messages.chunk(piece);
+        write(() -> {
+            pieceOut = false;
+            moved = true;
+            if (upload != null && !upload.rest().isTouched()) {
+                upload.rest().drainTo(this::sendOn);
+            } else {
+                sendOn();
+            }
+        }, framed);
+    }
+
+    /** Writes the next piece of a large body, one at a time. */
+    private void sendOn() {
+        if (upload == null || pieceOut || isOver()) {
+            return;
+        }
+        Transfer rest = upload.rest();
+        ByteBuffer piece = rest.poll();
+        if (piece != null) {
+            writePiece(piece);
+        } else if (rest.isDone()) {
+            boolean chunked = upload.length() < 0;
+            upload = null;
+            if (chunked) {
+                write(this::sent, Messages.lastChunk());
+            } else {
+                sent();
+            }
+        } else if (rest.hasFailed()) {
+            close();
+        }
+    }
+
+    private void sent() {
+        written = true;
+        if (sending != null) {
+            sending.attempt.sent(clock.now());
+        }
+    }
+
+    /** Whether no byte of a large body has moved since this was last asked, though its client wants it to. */
+    boolean hasStalled() {
+        boolean stalled = !moved && !isPaused();
+        moved = false;
+        return stalled;
     }
 
     /** Whether the try's answer has come whole, so that the connection can be kept. */
@@ -97,25 +190,84 @@
             close(); // an answer that nobody asked for
             return;
         }
+        moved = true;
         ResponseReader.Progress progress = reader.read(bytes);
-        boolean room = hold(reader.bodySize());
-        switch (progress) {
-            case MORE -> {
-                if (!room && held > Messages.MOST_BODY_BYTES) {
-                    finish(Outcome.ERROR, null, false);
-                }
+        while (sending != null && progress == ResponseReader.Progress.MORE && answer == null && reader.isLarge()) {
+            if (reader.status() != 200) {
+                finish(outcome(), null, false); // whatever else it says, this is known
+                return;
             }
+            begin();
+            progress = sending == null ? progress : reader.read(bytes);
+        }
+        if (sending == null) {
+            return; // its client has left meanwhile
+        }
+        switch (progress) {
+            case MORE -> holdBackNoLonger();
             case BROKEN -> finish(Outcome.ERROR, null, false);
-            case WHOLE -> {
-                peers.answered(peer, reader::field);
-                boolean reusable = written && reader.keepsConnection() && !bytes.hasRemaining();
-                Outcome outcome = outcome();
-                finish(outcome, outcome != Outcome.OK ? null
-                        : new Answer.Served(Headers.endToEnd(reader.fields(), Header::new), reader.body()), reusable);
+            case WHOLE -> whole(written && reader.keepsConnection() && !bytes.hasRemaining());
+        }
+    }
+
+    private void whole(boolean reusable) {
+        peers.answered(peer, reader::field);
+        Outcome outcome = outcome();
+        boolean served = outcome == Outcome.OK && answer == null;
+        finish(outcome, served ? new Answer.Served(headers(), reader.body()) : null, reusable);
+    }
+
+    private List<Header> headers() {
+        List<Header> headers = Headers.endToEnd(reader.fields(), Header::new);
+        String length = reader.field("Content-Length");
+        if (reader.isToHead() && length != null) {
+            headers.add(new Header("Content-Length", length));
+        }
+        return headers;
+    }
+
+    /** Guards clients against waiting for a slow answer of unknown length; a short one can still be sent again. */
+    private void holdBackNoLonger() {
+        if (headAt == null && reader.hasHead()) {
+            headAt = clock.now();
+            if (answer == null && reader.isFramed() && reader.length() < 0) {
+                Peers.Sending of = sending;
+                loop.schedule(LONGEST_HELD_BACK, () -> {
+                    if (sending == of && answer == null && !isOver() && reader.status() == 200) {
+                        begin();
+                    }
+                });
             }
         }
     }
 
+    private void begin() {
+        answer = new Transfer(peers.room(), this);
+        answer.offer(ByteBuffer.wrap(reader.body()));
+        Answer.Begun begun = new Answer.Begun(headers(), reader.length(), answer);
+        sending.begin(begun, headAt == null ? clock.now() : headAt);
+        reader.passOn(this::passOn);
+    }
+
+    private void passOn(ByteBuffer piece) {
+        if (answer != null && !answer.offer(piece)) {
+            pauseReading();
+        }
+    }
+
+    @Override
+    public void resume() {
+        moved = true;
+        resumeReading();
+    }
+
+    @Override
+    public void abandoned() {
+        if (sending != null) {
+            finish(Outcome.CANCELLED, null, false);
+        }
+    }
+
     private Outcome outcome() {
         int status = reader.status();
         boolean neverRan = (status == 503 || status == 504) && "1".equals(reader.field("X-Not-Processed"));
@@ -125,34 +277,43 @@
     /** The connection is free, or closed, before the outcome is told: what follows may want to use it. */
     private void finish(Outcome outcome, Answer.Served served, boolean reusable) {
         Peers.Sending done = sending;
+        Transfer passed = answer;
         sending = null;
+        answer = null;
         answered = true;
-        hold(0);
+        upload = null; // what is not yet sent of it may go to another peer, if nothing of it was
         if (reusable) {
+            resumeReading();
             peers.keep(this);
         } else {
             close();
         }
+        if (passed != null && outcome == Outcome.OK) {
+            passed.end();
+        } else if (passed != null) {
+            passed.fail();
+        }
         done.end(outcome, served);
     }
 
+    /** An answer without framing ends so; any other is cut short. */
     @Override
     protected void onEnd() {
-        close();
-    }
-
-    private boolean hold(int bytes) {
-        int change = bytes - held;
-        held = bytes;
-        return peers.hold(change);
+        if (sending != null && written && reader.end() == ResponseReader.Progress.WHOLE) {
+            whole(false);
+        } else {
+            close();
+        }
     }
 
     @Override
     protected void onOver() {
-        hold(0);
         peers.over(this);
         Peers.Sending lost = sending;
         sending = null;
+        if (answer != null) {
+            answer.fail();
+        }
         if (lost != null) {
             lost.end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
         }
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -18,6 +18,7 @@
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.Onlooker;
+import rowanplank.exchange.Transfer;
 import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
@@ -37,8 +38,6 @@
     /** So many are closed in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
     private static final Duration SWEEP_ON = Duration.ofMillis(1);
-    /** What all unfinished answers may take together, but for the 64 KiB that each may always have. */
-    private static final long MOST_HELD = 8 << 20;
 
     private final UpstreamGroup group;
     private final Duration connIdle;
@@ -47,6 +46,7 @@
     private final Loop loop;
     private final Clock clock;
     private final Counters counters;
+    private final Transfer.Room room;
     private final Map<Exchange.Try, Sending> out = new LinkedHashMap<>();
     /** Those that wait for a connection, by peer, in the order of their sending. */
     private final Map<Long, Set<Sending>> opening = new LinkedHashMap<>();
@@ -54,14 +54,14 @@
     private final IdleConnections<PeerConnection> idle = new IdleConnections<>();
     private Onlooker onlooker = new Onlooker() { };
     private int connections;
-    private long held;
 
     /**
      * @param connIdle when peers close an idle connection at the latest
      * @param connectTimeout how long a connection may take to open
+     * @param room what large answers may hold, with all else that is passed on
      */
     public Peers(UpstreamGroup group, Duration connIdle, Duration connectTimeout, int mostConnections, Loop loop,
-            Counters counters) {
+            Counters counters, Transfer.Room room) {
         this.group = group;
         this.connIdle = connIdle.dividedBy(IDLE_PART);
         this.connectTimeout = connectTimeout;
@@ -69,6 +69,11 @@
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
+        this.room = room;
+    }
+
+    Transfer.Room room() {
+        return room;
     }
 
     /** One try on its way: first with a connection that is being opened, then on a connection. */
@@ -100,9 +105,25 @@
             attempt.end(outcome, served);
         }
 
+        /** A large answer has begun: no time is up for it any more, as long as it comes. */
+        void begin(Answer.Begun answer, Instant at) {
+            timer.cancel();
+            timer = loop.schedule(PeerConnection.STALLED, this::look);
+            attempt.begin(answer, at);
+        }
+
+        /** Guards sockets against bodies that have come to a stop, in either direction, through the peer. */
+        private void look() {
+            if (connection == null || connection.hasStalled()) {
+                end(Outcome.TIMEOUT, null);
+            } else {
+                timer = loop.schedule(PeerConnection.STALLED, this::look);
+            }
+        }
+
         private void goOut(PeerConnection on) {
             connection = on;
-            on.send(this, Duration.between(clock.now(), attempt.until()));
+            on.send(this, Duration.between(clock.now(), attempt.until()), clock);
         }
 
         private void open() {
@@ -184,6 +205,15 @@
         }
     }
 
+    @Override
+    public void limit(Exchange.Try attempt, Duration left) {
+        Sending sending = out.get(attempt);
+        if (sending != null && !attempt.begun()) {
+            sending.timer.cancel();
+            sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+        }
+    }
+
     @Override
     public void closeIdle(long peer) {
         for (Kept<PeerConnection> k; (k = idle.takeNewest(peer)) != null;) {
@@ -204,17 +234,6 @@
         }
     }
 
-    /**
-     * Guards the heap against large answers that come together, or stop half-way.
-     *
-     * @param change by how much a connection now holds more or less
-     * @return whether an answer may grow beyond the protocol's bound
-     */
-    boolean hold(int change) {
-        held += change;
-        return held <= MOST_HELD;
-    }
-
     /** The newest one first, so that those not needed grow old and are closed. */
     private PeerConnection takeIdle(Member peer) {
         Instant since = clock.now().minus(connIdle);
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -86,6 +86,9 @@
         }
     }
 
+    @Override
+    public void limit(Exchange.Try attempt, Duration left) { }
+
     @Override
     public void cancel(Exchange.Try attempt) {
         attempt.end(Outcome.CANCELLED, null);
--- a/src/test/java/rowanplank/http/RequestReaderTest.java
+++ b/src/test/java/rowanplank/http/RequestReaderTest.java
@@ -95,6 +95,19 @@
         assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n"));
     }
 
+    /** What two readers could take for different things is told so, and the connection is not kept. */
+    @Example
+    void linesThatCanBeReadInTwoWaysAreRefused() {
+        for (String bad : List.of("Content-Length : 3", " Content-Length: 3", "X-A: b\rContent-Length: 3", "X-A\r\n b: c",
+                "Content-Length: 3\r\nContent-Length: 3", "Content-Length: +3", "Content-Length: 3 3", "X A: b", ": b")) {
+            assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\n" + bad + "\r\n\r\nabc"), bad);
+        }
+        for (String bad : List.of("Transfer-Encoding: chunked\r\n\r\n3 3\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n\r\n")) {
+            assertTrue(error("POST /a HTTP/1.1\r\nHost: x\r\n" + bad) >= 400, bad);
+        }
+    }
+
     @Example
     void lengthsAndCodingsThatMakeNoSenseAreRefused() {
         for (String bad : List.of("Content-Length: 99999999999999999999", "Content-Length: 0x10", "Content-Length: ",
