--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * A node's client connections by what they are at, and since when: which of them makes room for others, and whose time
@@ -246,6 +247,12 @@
         return size > mostConnections / CROWDED_PART;
     }
 
+    /** How many have owed nothing since before that time: a look at each. */
+    int atRestCount(Instant before) {
+        return (int) Stream.of(Stage.SILENT, Stage.RESTING)
+                .flatMap(s -> places.get(s).stream()).filter(p -> p.since.isBefore(before)).count();
+    }
+
     /** Closes all that owe nothing: a look at each. */
     void closeIdle() {
         for (Stage stage : List.of(Stage.SILENT, Stage.RESTING)) {
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -26,8 +26,10 @@
 public final class Intake {
     private static final int BACKLOG = 512;
     /** What all clients' unfinished requests may take together, but for a little that each may always send. */
-    private static final long MOST_HELD = 6 << 20;
+    private static final long MOST_HELD = 4 << 20;
     private static final Duration SWEEP = Duration.ofMillis(100);
+    /** Beyond a drain's rest and a sweep. */
+    private static final Duration LONG_AT_REST = Duration.ofMillis(300);
     /** So many connections are ended in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
     private static final Duration SWEEP_ON = Duration.ofMillis(1);
@@ -193,6 +195,11 @@
         connections.closeIdle();
     }
 
+    /** How many owe nothing for longer than a drain leaves them; a look at each, for those who watch a drain. */
+    public int atRestCount() {
+        return connections.atRestCount(clock.now().minus(LONG_AT_REST));
+    }
+
     public int connectionCount() {
         return connections.size();
     }
--- a/src/main/java/rowanplank/lab/check/NodeHealth.java
+++ b/src/main/java/rowanplank/lab/check/NodeHealth.java
@@ -6,7 +6,8 @@
 /**
  * {@link Rule#NODE_HEALTH}: a node's code never throws where nothing was foreseen; its process ends only when it was
  * told to stop or is killed; and when all is at rest it holds no request, and no connection, descriptor or timer beyond
- * those of a node that has just started (the runner tells NODE_HELD of what is beyond them only).
+ * those of a node that has just started (the runner tells NODE_HELD of what is beyond them only). One that was drained 4 s
+ * ago says that it is not up, and keeps no client's connection at rest (the runner looks, and tells NODE_KEPT).
  */
 final class NodeHealth implements Check {
     private final Picture picture;
@@ -29,6 +30,8 @@
             }
             case NODE_HELD -> findings.broke(Rule.NODE_HEALTH, e.at(), e.node(), Event.NONE,
                     "when all is at rest it holds " + e.value() + " " + e.text() + " too many");
+            case NODE_KEPT -> findings.broke(Rule.NODE_HEALTH, e.at(), e.node(), Event.NONE,
+                    "drained for 4 s, it says that it is up, or keeps connections at rest: " + e.value());
             default -> { }
         }
     }
--- a/src/main/java/rowanplank/lab/client/Front.java
+++ b/src/main/java/rowanplank/lab/client/Front.java
@@ -50,9 +50,13 @@
      * @param oldestFirst whether a request takes the connection that rests for longest, so that all are in use
      * @param ahead how many connections are opened to each node before they are needed
      * @param openingAtOnce how many to a node are being opened at a time, at most
+     * @param watches whether a node in use is asked on: to one that says no, no new connections go after a moment
      */
-    public record Manner(String check, boolean oldestFirst, int ahead, int openingAtOnce) {
-        public static final Manner USUAL = new Manner("/up", false, 0, Integer.MAX_VALUE);
+    public record Manner(String check, boolean oldestFirst, int ahead, int openingAtOnce, boolean watches) {
+        public static final Manner USUAL = new Manner("/up", false, 0, Integer.MAX_VALUE, false);
+
+        /** One that goes on asking the nodes that it uses, since operators may drain them. */
+        public static final Manner WATCHING = new Manner("/up", false, 0, Integer.MAX_VALUE, true);
     }
 
     final Loop loop;
@@ -78,8 +82,13 @@
      */
     public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
             Works works, Lives lives, UniformRandomProvider notices, Duration lastWord) {
-        this(loop, witness, nodes, clients, classes, new PageWording(classes, works), lives, notices, lastWord,
-                Manner.USUAL);
+        this(loop, witness, nodes, clients, classes, works, lives, notices, lastWord, Manner.USUAL);
+    }
+
+    /** In another manner. */
+    public Front(Loop loop, Witness witness, List<Target> nodes, Day.Clients clients, List<RequestClass> classes,
+            Works works, Lives lives, UniformRandomProvider notices, Duration lastWord, Manner manner) {
+        this(loop, witness, nodes, clients, classes, new PageWording(classes, works), lives, notices, lastWord, manner);
     }
 
     /** With requests that read otherwise, or another manner. */
--- a/src/main/java/rowanplank/lab/client/NodePool.java
+++ b/src/main/java/rowanplank/lab/client/NodePool.java
@@ -26,6 +26,8 @@
     static final String NOT_IN_TIME = "not up in time";
 
     private static final Duration CHECK_PAUSE = Duration.ofMillis(100);
+    /** New connections still go to a node so long after it has said no. */
+    private static final Duration LET_GO_AFTER = Duration.ofMillis(200);
     private static final Duration AHEAD_TIMEOUT = Duration.ofSeconds(5);
     /** Of those ahead so many are opened, and so long later the next: 2,000 a second. */
     private static final int AHEAD_TOGETHER = 10;
@@ -44,6 +46,10 @@
     private boolean opensAhead;
     private int failedOpenings;
     private boolean inUse;
+    private boolean saysNo;
+    /** It has said no for a moment: no new connections go there, while those there are still serve. */
+    private boolean letGo;
+    private Loop.Timer watch;
     private Loop.Timer timer;
     private UpCheck check;
     /** Whether the front has it among those that can take a request. */
@@ -62,7 +68,7 @@
     }
 
     private boolean canOpen() {
-        return inUse && connections < mostConnections && opening < front.manner.openingAtOnce();
+        return inUse && !letGo && connections < mostConnections && opening < front.manner.openingAtOnce();
     }
 
     /** Puts the request on a connection at rest, or opens one for it. */
@@ -227,11 +233,24 @@
     private void takeOut() {
         timer = null;
         inUse = false;
+        letGo = false;
+        saysNo = false;
+        stopWatching();
         atRest.closeAll();
         takenAway.closeAll();
         check();
     }
 
+    private void stopWatching() {
+        if (watch != null) {
+            watch.cancel();
+        }
+        if (check != null) {
+            check.abandon();
+            check = null;
+        }
+    }
+
     void check() {
         timer = null;
         if (front.manner.check() == null) {
@@ -247,6 +266,9 @@
         if (ready) {
             inUse = true;
             front.ready(this);
+            if (front.manner.watches()) {
+                watch = front.loop.schedule(CHECK_PAUSE, this::watch);
+            }
             if (ahead > 0 && !opensAhead) {
                 opensAhead = true;
                 openAhead();
@@ -256,6 +278,27 @@
         }
     }
 
+    /** Asks a node in use whether it still is up; one that is taken out of use is checked as at the start. */
+    private void watch() {
+        check = new UpCheck(front.loop, target.address(), front.manner.check(), this::watched);
+        check.begin();
+    }
+
+    private void watched(boolean up) {
+        check = null;
+        if (!inUse) {
+            return;
+        }
+        saysNo = !up;
+        if (up) {
+            letGo = false;
+            front.offer(this);
+        } else {
+            front.loop.schedule(LET_GO_AFTER, () -> letGo = saysNo);
+        }
+        watch = front.loop.schedule(CHECK_PAUSE, this::watch);
+    }
+
     /** Closes what is at rest, and checks no more. */
     void close() {
         inUse = false;
@@ -263,9 +306,7 @@
         if (timer != null) {
             timer.cancel();
         }
-        if (check != null) {
-            check.abandon();
-        }
+        stopWatching();
         atRest.closeAll();
         takenAway.closeAll();
     }
--- a/src/main/java/rowanplank/lab/day/DayDraw.java
+++ b/src/main/java/rowanplank/lab/day/DayDraw.java
@@ -30,6 +30,7 @@
         OVERLOAD("more is asked than the servers can do, all day"),
         CRASHES("nodes and servers are killed and come back", Kind.NODE_KILLED, Kind.SERVER_KILLED),
         RESTARTS("planned restarts of nodes, drains of servers", Kind.NODE_RESTARTED, Kind.SERVER_DRAINED),
+        DRAINS("operators drain nodes and take them back to work", Kind.NODE_DRAINED),
         CHURN("servers are replaced by new ones, all day", Kind.SERVER_REPLACED),
         ROUGH_SERVERS("servers slow, pausing, failing, answering what can't be read", Kind.SLOW, Kind.PAUSES,
                 Kind.ERRORS, Kind.SPOILT, Kind.EXTRAS, Kind.REPORTS_LATE, Kind.REPORTS_BROKEN),
--- a/src/main/java/rowanplank/lab/day/Fault.java
+++ b/src/main/java/rowanplank/lab/day/Fault.java
@@ -65,6 +65,8 @@
         NODE_PAUSED(At.NODE, 0, 0),
         /** SIGHUP with a configuration; size 1: one that can't be used. */
         NODE_RELOADED(At.NODE, 0, 1),
+        /** Its operators drain it, and take it back to work after the fault's length. */
+        NODE_DRAINED(At.NODE, 0, 0),
         /** It has less of its core. size: the share that is left. */
         NODE_SHORT(At.NODE, 0.01, 1),
         /** Nothing passes from the first hall to the second. */
--- a/src/main/java/rowanplank/lab/day/FaultReader.java
+++ b/src/main/java/rowanplank/lab/day/FaultReader.java
@@ -25,7 +25,7 @@
     /** Each takes its target away, so that another such one at the same time has nothing to be at. */
     private static final List<Set<Kind>> TAKE_AWAY = List.of(
             EnumSet.of(Kind.SERVER_KILLED, Kind.SERVER_VANISHED, Kind.SERVER_DRAINED, Kind.SERVER_REPLACED),
-            EnumSet.of(Kind.NODE_KILLED, Kind.NODE_RESTARTED, Kind.NODE_VANISHED));
+            EnumSet.of(Kind.NODE_KILLED, Kind.NODE_RESTARTED, Kind.NODE_VANISHED, Kind.NODE_DRAINED));
     /** Sizes that say yes or no. */
     private static final Set<Kind> FLAGGED = EnumSet.of(Kind.SERVER_REPLACED, Kind.NODE_RELOADED);
     private static final List<String> KINDS = Arrays.stream(Kind.values()).map(FaultReader::name).toList();
--- a/src/main/java/rowanplank/lab/live/Unplayed.java
+++ b/src/main/java/rowanplank/lab/live/Unplayed.java
@@ -15,8 +15,8 @@
 
     boolean holds(Kind kind) {
         return switch (kind) {
-            case SERVER_VANISHED, NODE_VANISHED, NODE_PAUSED, NODE_SHORT, NODE_RELOADED, DISCOVERY_MOVED, CUT, LOSS,
-                    DELAY -> true;
+            case SERVER_VANISHED, NODE_VANISHED, NODE_PAUSED, NODE_SHORT, NODE_RELOADED, NODE_DRAINED, DISCOVERY_MOVED,
+                    CUT, LOSS, DELAY -> true;
             case NODE_KILLED, NODE_RESTARTED, SPIKE, SKEW, BAD_CLIENTS, SILENT_CLIENTS -> this == BY_THE_SITE_ALONE;
             default -> false;
         };
--- a/src/main/java/rowanplank/lab/load/LoadThread.java
+++ b/src/main/java/rowanplank/lab/load/LoadThread.java
@@ -55,7 +55,7 @@
                 plan.patience(), plan.heeds(), part(plan.connections(), parts), plan.askOnce(), NOTICE, NOTICE,
                 plan.keeps(), false);
         Front.Manner manner = new Front.Manner(plan.check().isEmpty() ? null : plan.check(), plan.oldestFirst(),
-                plan.ahead() == 0 ? 0 : part(plan.ahead(), parts), plan.opening());
+                plan.ahead() == 0 ? 0 : part(plan.ahead(), parts), plan.opening(), false);
         Witness witness = new Witness(loop.clock(), beginning, meter);
         World chance = new World(plan.seed());
         front = new Front(loop, witness, targets, habits, classes, new LoadWording(plan.classes(), run), new Lives(),
--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -186,9 +186,11 @@
                         SiteMap.clients(hall));
                 loops.add(machine.boot(Process.unbounded("clients " + hall), NodeHost::rethrow));
             }
+            boolean drains = day.faults().stream().anyMatch(f -> f.kind() == Fault.Kind.NODE_DRAINED);
+            Front.Manner manner = drains ? Front.Manner.WATCHING : Front.Manner.USUAL;
             for (int hall = 0; hall < day.halls().size(); hall++) {
                 fronts.add(new Front(loops.get(hall), witness, Target.of(hall, targets), day.clients(), day.classes(),
-                        works, lives, world.random("front " + hall), day.rules().answerSlack().plus(LAST_WORD)));
+                        works, lives, world.random("front " + hall), day.rules().answerSlack().plus(LAST_WORD), manner));
             }
             Arrivals arrivals = new Arrivals(day.clients(), day.classes(), fronts.size(), day.length(), world::random);
             badClients = new BadClients(loops.get(fronts.size()), witness, targets, day.classes(), works,
--- a/src/main/java/rowanplank/lab/run/NodeControl.java
+++ b/src/main/java/rowanplank/lab/run/NodeControl.java
@@ -41,6 +41,16 @@
         throw new UnsupportedOperationException("move");
     }
 
+    /** Its operators drain it. */
+    default void drain() {
+        throw new UnsupportedOperationException("drain");
+    }
+
+    /** They take it back to work. */
+    default void rejoin() {
+        throw new UnsupportedOperationException("rejoin");
+    }
+
     /** Its machine falls silent. */
     default void vanish() {
         throw new UnsupportedOperationException("vanish");
--- a/src/main/java/rowanplank/lab/run/NodeHost.java
+++ b/src/main/java/rowanplank/lab/run/NodeHost.java
@@ -17,6 +17,7 @@
 import rowanplank.lab.site.DiscoveryAgent;
 import rowanplank.lab.site.Roster;
 import rowanplank.lab.trace.Event.Kind;
+import rowanplank.lifecycle.Lifecycle;
 import rowanplank.metrics.RateLimitedLog;
 import rowanplank.node.Node;
 
@@ -27,6 +28,8 @@
     /** No SIGHUP comes in a node's first second. */
     private static final Duration FIRST = Duration.ofSeconds(1);
     private static final Duration LONGEST_DEADLINE = Duration.ofSeconds(3);
+    /** By then a drained node has let its clients go. */
+    private static final Duration DRAINED_AFTER = Duration.ofSeconds(4);
     /** SIGKILL comes so long after SIGTERM, and the longest deadline. */
     private static final Duration KILLED_AFTER = Duration.ofMillis(700);
     /** Core time of each KiB that it reads or writes, beside that of the task. */
@@ -250,6 +253,36 @@
         }
     }
 
+    @Override
+    public void drain() {
+        if (isRunning() && !stopping) {
+            stage.tell(Kind.NODE_TOLD_TO_DRAIN, number, 0, null);
+            Node told = node;
+            SimProcess of = process;
+            of.execute(() -> told.lifecycle().onEvacuate(of.clock().now()));
+            stage.world().after(DRAINED_AFTER, () -> lookAtDrain(told, of));
+        }
+    }
+
+    private void lookAtDrain(Node drained, SimProcess of) {
+        if (drained == node && drained.lifecycle().state() == Lifecycle.State.DRAINING) {
+            int kept = drained.clientsAtRest() + (drained.lifecycle().isUp(of.clock().now()) ? 1 : 0);
+            if (kept > 0) {
+                stage.tell(Kind.NODE_KEPT, number, kept, null);
+            }
+        }
+    }
+
+    @Override
+    public void rejoin() {
+        if (isRunning() && !stopping) {
+            stage.tell(Kind.NODE_TOLD_TO_REJOIN, number, 0, null);
+            Node told = node;
+            SimProcess of = process;
+            of.execute(() -> told.lifecycle().onRejoin(of.clock().now()));
+        }
+    }
+
     @Override
     public void vanish() {
         stage.tell(Kind.NODE_VANISHED, number, 0, null);
--- a/src/main/java/rowanplank/lab/run/Timeline.java
+++ b/src/main/java/rowanplank/lab/run/Timeline.java
@@ -122,6 +122,7 @@
             case NODE_VANISHED -> atNodes(f, NodeControl::vanish);
             case NODE_PAUSED -> atNodes(f, n -> n.pause(f.length()));
             case NODE_RELOADED -> atNodes(f, n -> n.reload(size == 0));
+            case NODE_DRAINED -> atNodes(f, NodeControl::drain);
             case NODE_SHORT -> atNodes(f, n -> n.cores(size));
             case CUT -> atLinks(f, l -> l.cut(true));
             case LOSS -> atLinks(f, l -> l.loss(size));
@@ -170,6 +171,7 @@
             case DISCOVERY_HALF -> atNodes(f, n -> n.agent().halves(0));
             case DISCOVERY_MALFORMED -> atNodes(f, n -> n.agent().malformed(0));
             case NODE_VANISHED -> atNodes(f, NodeControl::appear);
+            case NODE_DRAINED -> atNodes(f, NodeControl::rejoin);
             case NODE_SHORT -> atNodes(f, n -> n.cores(1));
             case CUT -> atLinks(f, l -> l.cut(false));
             case LOSS -> atLinks(f, l -> l.loss(0));
--- a/src/main/java/rowanplank/lab/trace/Event.java
+++ b/src/main/java/rowanplank/lab/trace/Event.java
@@ -111,6 +111,13 @@
         /** A probe came to a server. */
         PROBED,
         /** A datagram from one node to others. value: its bytes; request: how many it goes to. */
-        DATAGRAM
+        DATAGRAM,
+
+        /** A node's operators drain it. */
+        NODE_TOLD_TO_DRAIN,
+        /** They want it back at work. */
+        NODE_TOLD_TO_REJOIN,
+        /** It was drained 4 s ago, and keeps clients' connections at rest, or says that it is up. value: how many. */
+        NODE_KEPT
     }
 }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -168,6 +168,11 @@
         return counters;
     }
 
+    /** How many clients' connections owe nothing, and have not just been opened or answered. */
+    public int clientsAtRest() {
+        return intake.atRestCount();
+    }
+
     /** What is open now: zero once all that the node took has ended. */
     public int openCount() {
         return decisions.openCount();
