--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -35,8 +35,6 @@
     private static final double MOST_IN_FLIGHT = 4;
     /** And while requests of full rank are refused. */
     private static final double SATURATED = 3;
-    private static final double LEAST_LIVING = 0.25;
-    private static final double LEAST_LIVING_COLD = 0.5;
     /** So little lets a choked server come to rest, and still shows when it has. */
     private static final double LEAST_PART = 0.06;
     private static final double GROWTH = 0.05;
@@ -72,8 +70,6 @@
     private final Subset subset;
     /** Nodes that use a server. */
     private double sharers;
-    /** The part of all nodes that lives. */
-    private double living = 1;
     private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final List<Target> ready = new ArrayList<>();
     private final Map<Long, Open> open = new LinkedHashMap<>();
@@ -188,12 +184,6 @@
         if (!open.isEmpty()) keepTicking();
     }
 
-    public void onLiving(double nowMs, int nodes) {
-        now = nowMs;
-        living = (double) nodes / settings.nodes();
-        sendHeld();
-    }
-
     private void keepTicking() {
         if (ticking) return;
         ticking = true;
@@ -354,9 +344,7 @@
         double most = refusing && warmth == 1 ? SATURATED : MOST_IN_FLIGHT;
         // And a request that some zone can still take must not be refused for being another zone's.
         double parts = refusing ? 1 : route.parts(t.listed.zone());
-        // The living share what the dead leave. So do nodes that are merely cut off: least of cold servers.
-        double users = Math.max(1, sharers * Math.max(warmth < 1 ? LEAST_LIVING_COLD : LEAST_LIVING, living));
-        return most * parts / Math.min(sharers, users) * t.limit.part * cold;
+        return most * parts / sharers * t.limit.part * cold;
     }
 
     /** The lowest share of its capacity that a server started then can have now. */
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -155,9 +155,6 @@
         void onDeparture(double nowMs, long request);
 
         void onTimer(double nowMs, long token);
-
-        /** @param nodes instances of this tier that live, this one included; all of them until this is first called */
-        default void onLiving(double nowMs, int nodes) { }
     }
 
     /** What the balancer asks of the node. */
--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -1,13 +1,10 @@
 package rowanplank.config;
 
 import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.InvalidPathException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import rowanplank.net.FileAccess;
@@ -19,12 +16,10 @@
  * @param inheritsListener whether the socket at {@code listen} is the platform's, inherited as descriptor 0
  * @param sockets how many file descriptors its process may hold
  * @param bodyBytes the longest body of a request that is taken
- * @param fleet where it hears the other nodes; null where they may not speak to each other
  * @param known the upstream group as this node last had it; may be old
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin,
-        boolean inheritsListener, long seed, int sockets, long bodyBytes, FleetAddresses fleet, HostList known,
-        SiteSettings site) {
+        boolean inheritsListener, long seed, int sockets, long bodyBytes, HostList known, SiteSettings site) {
     /** A list of ten thousand peers fits. */
     private static final int MOST_BYTES = 2 << 20;
     private static final int MOST_BODY_BYTES = 32 << 20;
@@ -71,7 +66,7 @@
                 seed(JsonFields.string(o, "seed", "0")),
                 JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
                 JsonFields.integer(JsonFields.object(o, "limits"), "body_bytes", MOST_BODY_BYTES),
-                fleet(o, site), o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
+                o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
                 site);
     }
 
@@ -99,28 +94,6 @@
         return !descriptor.isEmpty();
     }
 
-    /** Null where the site does not allow it, or the file does not name all that it takes. */
-    private static FleetAddresses fleet(JsonObject o, SiteSettings site) {
-        boolean allowed = JsonFields.flag(JsonFields.object(JsonFields.object(o, "settings"), "ceilings"), "peers");
-        boolean named = o.get("peer_listen") != null && o.get("peers") != null && o.get("peers_all") != null;
-        if (!allowed || !named) {
-            return null;
-        }
-        List<InetSocketAddress> nodes = new ArrayList<>();
-        for (JsonValue peer : JsonFields.array(o, "peers")) {
-            if (!peer.isString()) {
-                throw new ConfigException("peers[] is no text: " + peer);
-            }
-            nodes.add(Addresses.parse(peer.asString()));
-        }
-        if (nodes.size() != site.module().nodes()) {
-            throw new ConfigException("peers names " + nodes.size() + " nodes, settings.balancers "
-                    + site.module().nodes());
-        }
-        return new FleetAddresses(Addresses.parse(JsonFields.string(o, "peer_listen")),
-                Addresses.parse(JsonFields.string(o, "peers_all")), nodes);
-    }
-
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -105,11 +105,6 @@
         deliver(() -> balancer.onServers(nowMs(), kind, servers));
     }
 
-    /** Tells the module how many nodes live, this one included. */
-    public void living(int nodes) {
-        deliver(() -> balancer.onLiving(nowMs(), nodes));
-    }
-
     @Override
     public Exchange open(RequestContext context, Exchange.Client client) {
         long number = ++requests;
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -17,7 +17,6 @@
 import rowanplank.discovery.DiscoveryWatch;
 import rowanplank.discovery.UpstreamGroup;
 import rowanplank.exchange.Transfer;
-import rowanplank.fleet.FleetLink;
 import rowanplank.intake.admin.AdminDoor;
 import rowanplank.intake.http.Intake;
 import rowanplank.lifecycle.Lifecycle;
@@ -45,8 +44,6 @@
     private final Peers peers;
     private final Intake intake;
     private final Lifecycle lifecycle;
-    /** Null where nodes may not speak to each other. */
-    private final FleetLink fleet;
     private DiscoveryWatch watch;
     /** Watches discovery at its new address until its whole list is in; null while there is none. */
     private DiscoveryWatch nextWatch;
@@ -71,8 +68,6 @@
         lifecycle = new Lifecycle(lifecycleSettings(), new Life());
         intake = new Intake(config.site(), decisions, sockets * 2 / 3, config.sockets() / SERVED_PART, loop,
                 counters, lifecycle, room, config.bodyBytes());
-        fleet = config.fleet() == null ? null : new FleetLink(config.fleet(), config.site().module().node(), loop,
-                counters, decisions::living);
         watch = watch(config.discovery(), config.known().members().isEmpty() ? -1 : config.known().revision());
     }
 
@@ -151,9 +146,6 @@
         watch.start();
         peers.start();
         intake.start();
-        if (fleet != null) {
-            fleet.start();
-        }
         try {
             lifecycle.onStart(clock.now());
         } catch (UncheckedIOException e) {
@@ -262,9 +254,6 @@
 
         @Override
         public void end(boolean quiet) {
-            if (fleet != null) {
-                fleet.close();
-            }
             log.info(config.name() + (quiet ? " stopped; " : " stopped with connections open; ") + counters.line());
             whenStopped.run();
         }
