--- a/src/test/java/rowanplank/node/LargeBodiesTest.java
+++ b/src/test/java/rowanplank/node/LargeBodiesTest.java
@@ -55,6 +55,7 @@
     private Process node;
     private BufferedReader log;
     private int port;
+    private int adminPort;
 
     private static StubSite site() {
         try {
@@ -131,23 +132,27 @@
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:MaxDirectMemorySize=8m",
                 "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), "rowanplank.Main", "serve")
                 .redirectErrorStream(true);
-        builder.environment().putAll(Map.of("EDGE_CONFIG", config.toString()));
+        builder.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "EDGE_ADMIN_ADDR", "127.0.0.1:0"));
         node = builder.start();
         log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
-        Pattern listens = Pattern.compile("listens at 127\\.0\\.0\\.1:(\\d+)");
-        for (String line; (line = log.readLine()) != null && port == 0;) {
-            Matcher m = listens.matcher(line);
-            port = m.find() ? Integer.parseInt(m.group(1)) : 0;
-            if (port != 0) {
-                break;
-            }
-        }
+        adminPort = told("answers operators at 127\\.0\\.0\\.1:(\\d+)");
+        port = told("listens at 127\\.0\\.0\\.1:(\\d+)");
         while (!head(connect("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").getInputStream()).startsWith("HTTP/1.1 200")) {
             Thread.sleep(5);
         }
         return peer;
     }
 
+    private int told(String pattern) throws IOException {
+        for (String line; (line = log.readLine()) != null;) {
+            Matcher m = Pattern.compile(pattern).matcher(line);
+            if (m.find()) {
+                return Integer.parseInt(m.group(1));
+            }
+        }
+        throw new IOException("the node has ended");
+    }
+
     private Socket connect(String sent) throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         opened.add(socket);
@@ -329,6 +334,44 @@
         assertEquals(1, peer.heads.size());
     }
 
+    /**
+     * Guards what is taken through a drain: an answer that began before it, and is read slowly, comes whole, and then its
+     * connection ends; half a request that was begun before it is served when the rest comes.
+     */
+    @Test
+    void aDrainCutsNeitherALargeAnswerNorHalfARequest() throws Exception {
+        start((head, in, out) -> answer(head, out));
+        Socket client = connect(get(0, "1.1"));
+        InputStream in = new BufferedInputStream(client.getInputStream());
+        String head = head(in);
+        assertFalse(head.contains("Connection: close"), head);
+        List<Socket> half = new ArrayList<>();
+        int got = check(0, head, in, place -> {
+            if (place == 20_000) {
+                half.add(connect("GET /article/3 HTTP/1.1\r\nHost: x\r\nX-Requ"));
+                admin("POST", "/api/evacuate");
+                half.get(0).getOutputStream().write("est-ID: r3\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                while (!admin("GET", "/api/ready").contains("\"connections\":2,")) {
+                    Thread.sleep(20); // those at rest, as the asker of /up, are let go
+                }
+            }
+        });
+        assertEquals(LARGE, got);
+        assertEquals(-1, in.read(), "its connection ends with it");
+        InputStream late = new BufferedInputStream(half.get(0).getInputStream());
+        String second = head(late);
+        assertTrue(second.startsWith("HTTP/1.1 200") && second.contains("Connection: close"), second);
+        assertEquals(LARGE, check(3, second, late, place -> { }));
+    }
+
+    private String admin(String method, String path) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", adminPort)) {
+            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: o\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
     /** A server may answer before the body's end; the client gets that answer, and it is the last there. */
     @Test
     void anEarlyAnswerEndsAnUpload() throws Exception {
