--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -66,8 +66,8 @@
     private static final int CROWDED_PART = 4;
 
     /** One that is found to have begun late is not ended in the same review. */
-    private static final List<Stage> REVIEWED = List.of(Stage.LINGERING, Stage.WRITING, Stage.SENDING, Stage.GOING_ON, Stage.BEGINNING,
-            Stage.SILENT, Stage.RESTING);
+    private static final List<Stage> REVIEWED = List.of(Stage.LINGERING, Stage.WRITING, Stage.SENDING, Stage.GOING_ON,
+            Stage.BEGINNING, Stage.SILENT, Stage.RESTING);
 
     private final int mostConnections;
     private final int mostServed;
--- a/src/test/java/rowanplank/http/RequestReaderTest.java
+++ b/src/test/java/rowanplank/http/RequestReaderTest.java
@@ -102,7 +102,8 @@
                 "Content-Length: 3\r\nContent-Length: 3", "Content-Length: +3", "Content-Length: 3 3", "X A: b", ": b")) {
             assertEquals(400, error("POST /a HTTP/1.1\r\nHost: x\r\n" + bad + "\r\n\r\nabc"), bad);
         }
-        for (String bad : List.of("Transfer-Encoding: chunked\r\n\r\n3 3\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n",
+        for (String bad : List.of("Transfer-Encoding: chunked\r\n\r\n3 3\r\nabc",
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n",
                 "Transfer-Encoding: chunked\r\n\r\n\r\n")) {
             assertTrue(error("POST /a HTTP/1.1\r\nHost: x\r\n" + bad) >= 400, bad);
         }
--- a/src/test/java/rowanplank/node/SharedListenerTest.java
+++ b/src/test/java/rowanplank/node/SharedListenerTest.java
@@ -158,7 +158,8 @@
         Socket kept = connect();
         assertFalse(ask(kept, ARTICLE).contains("Connection: close"));
         Socket waiting = connect();
-        waiting.getOutputStream().write(ARTICLE.replace("/7", "/held").replace("9b1f", "9b20").getBytes(StandardCharsets.ISO_8859_1));
+        waiting.getOutputStream().write(ARTICLE.replace("/7", "/held").replace("9b1f", "9b20")
+                .getBytes(StandardCharsets.ISO_8859_1));
         while (!peer.requests.take().contains("/held")) { }
 
         Version next = start();
