Name the variable or the key at fault, and bound the longest body that a file may set

Need: staff read these lines. Seen as a new user: a bad EDGE_ADMIN_ADDR was told as a fault of the file, a bad listen had no key, limits.body_bytes of -5 was taken and every body refused, and the socket of another node was told with Java's slashes.

Change: the environment is read by itself, each address is told with its variable or key, body_bytes is held within 1 byte and 32 MiB.

--- a/src/main/java/rowanplank/config/NodeConfig.java
+++ b/src/main/java/rowanplank/config/NodeConfig.java
@@ -38,12 +38,13 @@
 
     /** @throws ConfigException with one line that says what is missing or wrong */
     public static NodeConfig read(Map<String, String> environment, FileAccess files) {
+        Told told = Told.read(environment);
         String file = environment.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new ConfigException("EDGE_CONFIG is not set: it names the configuration file");
         }
         try {
-            return read(environment, JsonFields.object(BoundedJson.parse(files.read(file, MOST_BYTES)), "the document"));
+            return read(told, JsonFields.object(BoundedJson.parse(files.read(file, MOST_BYTES)), "the document"));
         } catch (IOException | InvalidPathException e) {
             throw new ConfigException("EDGE_CONFIG: can't read " + file + ": " + e);
         } catch (ParseException e) {
@@ -53,45 +54,70 @@
         }
     }
 
-    /** The variables go before the file, which holds the same. */
-    private static NodeConfig read(Map<String, String> environment, JsonObject o) {
+    /** What the environment says, null where it says nothing. It goes before the file, which holds the same. */
+    private record Told(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin,
+            boolean inheritsListener) {
+
+        static Told read(Map<String, String> environment) {
+            return new Told(text(environment, "EDGE_NAME"), address(environment, "EDGE_LISTEN"),
+                    address(environment, "EDGE_DISCOVERY"), address(environment, "EDGE_ADMIN_ADDR"),
+                    inherits(text(environment, "EDGE_FD")));
+        }
+
+        private static String text(Map<String, String> environment, String variable) {
+            String value = environment.get(variable);
+            return value == null || value.isEmpty() ? null : value;
+        }
+
+        private static InetSocketAddress address(Map<String, String> environment, String variable) {
+            String text = text(environment, variable);
+            return text == null ? null : named(variable, text);
+        }
+
+        /** The JDK hands over descriptor 0 alone. */
+        private static boolean inherits(String descriptor) {
+            if (descriptor != null && !descriptor.equals("0")) {
+                throw new ConfigException("EDGE_FD: only descriptor 0 can be inherited: " + descriptor);
+            }
+            return descriptor != null;
+        }
+    }
+
+    private static NodeConfig read(Told told, JsonObject o) {
         SiteSettings site = SettingsReader.read(JsonFields.object(o, "settings"));
         if (site.classNames().stream().anyMatch(String::isEmpty)) {
             throw new ConfigException("missing: classes[].name");
         }
-        return new NodeConfig(told(environment, "EDGE_NAME", o, "name"),
-                Addresses.parse(told(environment, "EDGE_LISTEN", o, "listen")),
-                Addresses.parse(told(environment, "EDGE_DISCOVERY", o, "discovery")),
-                admin(environment, o), inherits(environment),
+        return new NodeConfig(told.name() != null ? told.name() : JsonFields.string(o, "name"),
+                told.listen() != null ? told.listen() : named("listen", JsonFields.string(o, "listen")),
+                told.discovery() != null ? told.discovery() : named("discovery", JsonFields.string(o, "discovery")),
+                told.admin() != null ? told.admin() : admin(o), told.inheritsListener(),
                 seed(JsonFields.string(o, "seed", "0")),
                 JsonFields.integer(JsonFields.object(o, "limits"), "sockets", 1024),
-                JsonFields.integer(JsonFields.object(o, "limits"), "body_bytes", MOST_BODY_BYTES),
+                bodyBytes(JsonFields.object(o, "limits")),
                 o.get("known") == null ? HostList.EMPTY : HostList.read(JsonFields.object(o, "known"), site.zones()),
                 site);
     }
 
-    private static String told(Map<String, String> environment, String variable, JsonObject o, String key) {
-        String value = environment.get(variable);
-        return value != null && !value.isEmpty() ? value : JsonFields.string(o, key);
+    private static InetSocketAddress admin(JsonObject o) {
+        String text = JsonFields.string(o, "admin_addr", "");
+        return text.isEmpty() ? null : named("admin_addr", text);
     }
 
-    private static InetSocketAddress admin(Map<String, String> environment, JsonObject o) {
-        String variable = environment.get("EDGE_ADMIN_ADDR");
-        String text = variable != null && !variable.isEmpty() ? variable : JsonFields.string(o, "admin_addr", "");
+    private static InetSocketAddress named(String key, String text) {
         try {
-            return text.isEmpty() ? null : Addresses.parse(text);
+            return Addresses.parse(text);
         } catch (ConfigException e) {
-            throw new ConfigException("admin_addr: " + e.getMessage());
+            throw new ConfigException(key + ": " + e.getMessage());
         }
     }
 
-    /** The JDK hands over descriptor 0 alone. */
-    private static boolean inherits(Map<String, String> environment) {
-        String descriptor = environment.getOrDefault("EDGE_FD", "");
-        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
-            throw new ConfigException("EDGE_FD: only descriptor 0 can be inherited: " + descriptor);
+    private static int bodyBytes(JsonObject limits) {
+        int bytes = JsonFields.integer(limits, "body_bytes", MOST_BODY_BYTES);
+        if (bytes < 1 || bytes > MOST_BODY_BYTES) {
+            throw new ConfigException("limits.body_bytes is not within 1 and " + MOST_BODY_BYTES + ": " + bytes);
         }
-        return !descriptor.isEmpty();
+        return bytes;
     }
 
     private static long seed(String text) {
--- a/src/main/java/rowanplank/http/MessageHandler.java
+++ b/src/main/java/rowanplank/http/MessageHandler.java
@@ -58,11 +58,6 @@
         return beyond != null;
     }
 
-    /** Whether what is beyond the held part goes on. */
-    public boolean isPassedOn() {
-        return rest != null;
-    }
-
     /** What of the body is not held goes there from now on, valid within the call only. */
     public void passOn(Consumer<ByteBuffer> to) {
         rest = to;
--- a/src/main/java/rowanplank/http/RequestReader.java
+++ b/src/main/java/rowanplank/http/RequestReader.java
@@ -77,11 +77,6 @@
         return parser.getContentLength();
     }
 
-    /** Whether the head is in, and its body has begun. */
-    public boolean inBody() {
-        return parser.inContentState();
-    }
-
     /** Whether the client reads chunked answers. */
     public boolean readsChunks() {
         return version == HttpVersion.HTTP_1_1;
--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -55,7 +55,7 @@
     /** A client that asks one thing after the other has done so by then. */
     private static final Duration PAUSE = Duration.ofMillis(20);
     /** A request must come whole within this time of its first byte, and the first one of the connecting. */
-    static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
+    private static final Duration SLOWEST_REQUEST = Duration.ofMillis(2500);
     private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
     private static final Duration LONGEST_IDLE = Duration.ofSeconds(120);
     /** And where connections are many: clients may ask once and keep their connection for good. */
--- a/src/main/java/rowanplank/net/InheritedListener.java
+++ b/src/main/java/rowanplank/net/InheritedListener.java
@@ -46,9 +46,14 @@
         if (!(inherited instanceof ServerSocketChannel listener)) {
             throw new UnusableException("descriptor 0 is no listening socket");
         }
-        if (!address.equals(listener.getLocalAddress())) {
-            throw new UnusableException("descriptor 0 listens at " + listener.getLocalAddress() + ", not at " + address);
+        InetSocketAddress at = (InetSocketAddress) listener.getLocalAddress();
+        if (!address.equals(at)) {
+            throw new UnusableException("descriptor 0 listens at " + text(at) + ", not at " + text(address));
         }
         return listener;
     }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
 }
