Join what the tests of the node wrote again: processes, logs, calls and a loop that stands still

Change: RunningNode starts and reads a process, StubSite asks, StandingLoop is the loop of one side's tests; NodeTest, HangupTest, LargeBodiesTest, SharedListenerTest, IntakeTest and PeersTest use them. New: a socket that listens elsewhere than the configuration says is one line and status 2. No assertion is gone.

--- a/src/test/java/rowanplank/intake/http/IntakeTest.java
+++ b/src/test/java/rowanplank/intake/http/IntakeTest.java
@@ -4,13 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.function.Function;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
 import org.eclipse.jetty.io.Connection;
@@ -33,8 +29,7 @@
 import rowanplank.lifecycle.LifecycleTest;
 import rowanplank.metrics.Counters;
 import rowanplank.metrics.RateLimitedLog;
-import rowanplank.net.Clock;
-import rowanplank.net.Loop;
+import rowanplank.net.StandingLoop;
 
 class IntakeTest {
     private static final int MOST = 4;
@@ -43,76 +38,30 @@
     private final Accepting loop = new Accepting();
     private final Counters counters = new Counters();
 
-    /** A loop at which clients connect as the test says, and whose clock stands. */
-    private static final class Accepting implements Loop {
-        private final Queue<Runnable> tasks = new ArrayDeque<>();
-        private final ByteBuffer readBuffer = ByteBuffer.allocate(1 << 16);
+    /** A loop at which clients connect as the test says. */
+    private static final class Accepting extends StandingLoop {
         private final List<ByteArrayEndPoint> clients = new ArrayList<>();
         private Function<EndPoint, Connection> onAccept;
 
         void connect(String text) {
-            ByteArrayEndPoint endPoint = new ByteArrayEndPoint(null, 0, (byte[]) null, 1 << 16) {
-                @Override
-                protected void execute(Runnable task) {
-                    tasks.add(task);
-                }
-            };
+            ByteArrayEndPoint endPoint = endPoint();
             clients.add(endPoint);
-            Connection connection = onAccept.apply(endPoint);
-            endPoint.setConnection(connection);
-            connection.onOpen();
+            open(endPoint, onAccept.apply(endPoint));
             if (endPoint.isOpen()) {
                 endPoint.addInput(text);
             }
-            for (Runnable task; (task = tasks.poll()) != null;) {
-                task.run();
-            }
+            run();
         }
 
         long open() {
             return clients.stream().filter(EndPoint::isOpen).count();
         }
 
-        @Override
-        public Clock clock() {
-            return () -> Instant.EPOCH;
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            tasks.add(task);
-        }
-
-        @Override
-        public Timer schedule(Duration delay, Runnable task) {
-            return () -> true;
-        }
-
-        @Override
-        public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
-            throw new UnsupportedOperationException();
-        }
-
         @Override
         public Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> accepts) {
             onAccept = accepts;
             return null;
         }
-
-        @Override
-        public Datagrams datagrams(InetSocketAddress address, int mostBytes, Receiver receiver) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ByteBuffer readBuffer() {
-            return readBuffer;
-        }
-
-        @Override
-        public void report(Throwable failure) {
-            throw new IllegalStateException(failure);
-        }
     }
 
     private static final class Nowhere implements Exchanges {
--- a/src/test/java/rowanplank/node/HangupTest.java
+++ b/src/test/java/rowanplank/node/HangupTest.java
@@ -1,15 +1,12 @@
 package rowanplank.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,8 +26,7 @@
     @TempDir
     Path folder;
     private Path config;
-    private Process node;
-    private BufferedReader log;
+    private RunningNode node;
 
     @BeforeEach
     void write() throws IOException {
@@ -39,7 +35,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        node.destroyForcibly().waitFor();
+        node.close();
     }
 
     private static String run() throws IOException {
@@ -48,25 +44,13 @@
     }
 
     private void start(String line) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line).redirectErrorStream(true);
-        builder.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "TMPDIR", folder.toString(), "CLASSES",
-                System.getProperty("java.class.path")));
-        node = builder.start();
-        log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
-        await(" listens at ");
-    }
-
-    private String await(String text) throws IOException {
-        String line;
-        do {
-            line = log.readLine();
-            assertNotNull(line, "the node has ended");
-        } while (!line.contains(text));
-        return line;
+        node = new RunningNode(List.of("/bin/sh", "-c", line), Map.of("EDGE_CONFIG", config.toString(), "TMPDIR",
+                folder.toString(), "CLASSES", System.getProperty("java.class.path")));
+        node.await(" listens at ");
     }
 
     private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor());
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.process.pid())).start().waitFor());
     }
 
     /** Guards drains: a node that was started in the background, as nohup does, went on with the old discovery for good. */
@@ -74,13 +58,13 @@
     void aNodeHearsHangupsAlsoWhereItsStarterIgnoresThem() throws Exception {
         start("trap '' HUP; " + run());
         hangUp();
-        await("configuration read anew");
+        node.await("configuration read anew");
     }
 
     @Test
     void whereHangupsCannotBeHeardTheLogSaysSo() throws Exception {
         start("trap '' HUP; exec java -cp \"$CLASSES\" rowanplank.Main serve");
-        await("SIGHUP is ignored");
+        node.await("SIGHUP is ignored");
     }
 
     /** Guards the process: values of two characters take some eighty bytes each, and the heap has 56 MB. */
@@ -89,10 +73,10 @@
         start(run());
         Files.writeString(config, CONFIG.replace("}]}}", "}],\"zones\":[\n1" + ",1".repeat(1_000_000) + "]}}"));
         hangUp();
-        String line = await("the new configuration can't be used, the old one stands: ");
+        String line = node.await(".*the new configuration can't be used, the old one stands: .*").group();
         assertTrue(line.contains("config.json: line 3: more than 150000 values"), line);
         Files.writeString(config, CONFIG);
         hangUp();
-        await("configuration read anew");
+        node.await("configuration read anew");
     }
 }
--- a/src/test/java/rowanplank/node/LargeBodiesTest.java
+++ b/src/test/java/rowanplank/node/LargeBodiesTest.java
@@ -6,10 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedInputStream;
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -27,8 +25,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -52,8 +48,7 @@
     private final StubSite site = site();
     private final List<AutoCloseable> opened = new ArrayList<>();
     private final ExecutorService clients = Executors.newCachedThreadPool();
-    private Process node;
-    private BufferedReader log;
+    private RunningNode node;
     private int port;
     private int adminPort;
 
@@ -113,7 +108,7 @@
     @AfterEach
     void stop() throws Exception {
         if (node != null) {
-            node.destroyForcibly().waitFor();
+            node.close();
         }
         for (AutoCloseable o : opened) {
             o.close();
@@ -128,31 +123,16 @@
                 + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"ready\",\"size\":1.0,\"up_since_ms\":0}");
         Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\","
                 + "\"discovery\":\"" + site.address() + "\",\"limits\":{\"sockets\":512},\"settings\":" + SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:MaxDirectMemorySize=8m",
-                "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), "rowanplank.Main", "serve")
-                .redirectErrorStream(true);
-        builder.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "EDGE_ADMIN_ADDR", "127.0.0.1:0"));
-        node = builder.start();
-        log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
-        adminPort = told("answers operators at 127\\.0\\.0\\.1:(\\d+)");
-        port = told("listens at 127\\.0\\.0\\.1:(\\d+)");
+        node = new RunningNode(RunningNode.serve("-Xmx24m", "-XX:MaxDirectMemorySize=8m", "-XX:+ExitOnOutOfMemoryError"),
+                Map.of("EDGE_CONFIG", config.toString(), "EDGE_ADMIN_ADDR", "127.0.0.1:0"));
+        adminPort = node.number(RunningNode.DOOR);
+        port = node.number(RunningNode.LISTENS);
         while (!head(connect("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").getInputStream()).startsWith("HTTP/1.1 200")) {
             Thread.sleep(5);
         }
         return peer;
     }
 
-    private int told(String pattern) throws IOException {
-        for (String line; (line = log.readLine()) != null;) {
-            Matcher m = Pattern.compile(pattern).matcher(line);
-            if (m.find()) {
-                return Integer.parseInt(m.group(1));
-            }
-        }
-        throw new IOException("the node has ended");
-    }
-
     private Socket connect(String sent) throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         opened.add(socket);
@@ -277,7 +257,7 @@
         for (Future<Integer> f : read) {
             assertEquals(LARGE, f.get(80, TimeUnit.SECONDS));
         }
-        assertTrue(node.isAlive());
+        assertTrue(node.process.isAlive());
     }
 
     /** The same the other way, with a length or chunked; the server's answer comes after the last byte. */
@@ -308,7 +288,7 @@
             String answer = f.get(80, TimeUnit.SECONDS);
             assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\n" + LARGE), answer);
         }
-        assertTrue(node.isAlive());
+        assertTrue(node.process.isAlive());
     }
 
     /** Nothing is held back for the end, and once something has gone on there is no second try. */
@@ -365,11 +345,7 @@
     }
 
     private String admin(String method, String path) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", adminPort)) {
-            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: o\r\n\r\n")
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        return StubSite.ask(adminPort, method + " " + path + " HTTP/1.1\r\nHost: o\r\n\r\n");
     }
 
     /** A server may answer before the body's end; the client gets that answer, and it is the last there. */
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -6,15 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
@@ -36,22 +35,18 @@
              "ceilings": {"most_tries": 6, "may_cancel": true, "conn_idle_ms": 30000, "connect_timeout_ms": 250,
                "retry_after": true, "max_retry_after_ms": 2000},
              "rules": {"answer_slack_ms": 20, "cold_from": 0.1, "cold_ms": 20000, "fall_multiple": 2.5}}""";
-    private static final Pattern LISTENS = Pattern.compile("listens at 127\\.0\\.0\\.1:(\\d+)");
     /** A test's class path is of many files, and each is a descriptor; in service it is one. */
     private static final int OWN_FILES = 48;
-    private static final Pattern DOOR = Pattern.compile("answers operators at 127\\.0\\.0\\.1:(\\d+)");
     private static final String ARTICLE = get("/article/7?x=%20y", "X-Timeout: 15000m\r\n");
 
     @TempDir
     Path folder;
     private final List<AutoCloseable> opened = new ArrayList<>();
     private StubSite site;
-    private Process node;
-    private BufferedReader log;
+    private RunningNode node;
     private int port;
     private int sockets = 1024;
     private String heap = "-Xmx32m";
-    private boolean withDoor;
     private int adminPort;
 
     @BeforeEach
@@ -63,7 +58,7 @@
     @AfterEach
     void stop() throws Exception {
         if (node != null) {
-            node.destroyForcibly().waitFor();
+            node.close();
         }
         for (AutoCloseable o : opened) {
             o.close();
@@ -88,17 +83,11 @@
 
     private void start(String settings) throws IOException {
         Path config = writeConfig(settings, site.address());
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + (sockets + OWN_FILES) + "; exec \"$@\"",
-                "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", heap, "-cp",
-                System.getProperty("java.class.path"), "rowanplank.Main", "serve").redirectErrorStream(true);
-        builder.environment().putAll(java.util.Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0",
-                "EDGE_DISCOVERY", site.address(), "EDGE_CONFIG", config.toString()));
-        if (withDoor) {
-            builder.environment().put("EDGE_ADMIN_ADDR", "127.0.0.1:0");
-        }
-        node = builder.start();
-        log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
+        List<String> command = new ArrayList<>(
+                List.of("/bin/sh", "-c", "ulimit -n " + (sockets + OWN_FILES) + "; exec \"$@\"", "sh"));
+        command.addAll(RunningNode.serve(heap));
+        node = new RunningNode(command, Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0", "EDGE_ADMIN_ADDR",
+                "127.0.0.1:0", "EDGE_DISCOVERY", site.address(), "EDGE_CONFIG", config.toString()));
     }
 
     /** Starts the node, reads where it listens, and waits until it says that it can serve. */
@@ -109,17 +98,8 @@
 
     private void listen() throws IOException {
         start(SETTINGS);
-        port = Integer.parseInt(awaitLog(LISTENS).group(1));
-    }
-
-    private Matcher awaitLog(Pattern pattern) throws IOException {
-        for (String line; (line = log.readLine()) != null;) {
-            Matcher m = pattern.matcher(line);
-            if (m.find()) {
-                return m;
-            }
-        }
-        throw new IOException("the node has ended");
+        adminPort = node.number(RunningNode.DOOR);
+        port = node.number(RunningNode.LISTENS);
     }
 
     private Socket connect() throws IOException {
@@ -128,15 +108,8 @@
         return socket;
     }
 
-    private static String ask(Socket socket, String request) throws IOException {
-        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-        return StubSite.readMessage(socket.getInputStream());
-    }
-
     private String ask(String request) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            return ask(socket, request);
-        }
+        return StubSite.ask(port, request);
     }
 
     private static int status(String answer) {
@@ -169,7 +142,7 @@
         serve();
         Socket client = connect();
         for (int i = 0; i < 2; i++) {
-            String answer = ask(client, ARTICLE);
+            String answer = StubSite.ask(client, ARTICLE);
             assertEquals(200, status(answer));
             assertTrue(answer.endsWith("\r\n\r\npage") && answer.contains("Content-Type: text/plain"), answer);
             String passed = peer.requests.take();
@@ -178,7 +151,7 @@
             assertTrue(passed.matches("(?s).*\r\nX-Timeout: \\d+u\r\n.*"), passed);
         }
         String order = "POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a2\r\nContent-Length: 5\r\n\r\n1 cow";
-        assertEquals(200, status(ask(client, order)));
+        assertEquals(200, status(StubSite.ask(client, order)));
         assertTrue(peer.requests.take().endsWith("\r\n\r\n1 cow"));
         awaitCount("peer_connections", 1);
     }
@@ -197,7 +170,7 @@
         assertEquals(413, status(ask("POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 40000000\r\n\r\n")));
         assertEquals(431, status(ask(get("/article", "X-Long: " + "a".repeat(9000) + "\r\n"))));
         Socket client = connect();
-        assertTrue(ask(client, "GET / HTTP/1.1\r\nbad header\r\n\r\n").contains("Connection: close"));
+        assertTrue(StubSite.ask(client, "GET / HTTP/1.1\r\nbad header\r\n\r\n").contains("Connection: close"));
         assertEquals(-1, client.getInputStream().read());
         assertEquals(200, status(ask(ARTICLE)));
     }
@@ -242,18 +215,18 @@
         site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
         serve();
         Socket usual = connect();
-        assertEquals(200, status(ask(usual, ARTICLE)));
+        assertEquals(200, status(StubSite.ask(usual, ARTICLE)));
         for (int i = 0; i < 60; i++) {
             connect();
         }
         awaitCount("client_connections_evicted", 1);
         awaitCount("client_connections", 61); // which /metrics tells in any crowd
-        assertEquals(200, status(ask(usual, ARTICLE)));
+        assertEquals(200, status(StubSite.ask(usual, ARTICLE)));
         List<Socket> kept = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             Socket client = connect();
             kept.add(client);
-            ask(client, ARTICLE);
+            StubSite.ask(client, ARTICLE);
         }
         for (Socket client : kept.subList(0, 10)) {
             assertEquals(-1, client.getInputStream().read());
@@ -270,11 +243,11 @@
         for (int i = 0; i < 60; i++) {
             Socket client = connect();
             kept.add(client);
-            assertEquals(200, status(ask(client, ARTICLE)));
+            assertEquals(200, status(StubSite.ask(client, ARTICLE)));
         }
         awaitCount("client_connections_evicted", 12);
         assertEquals(-1, kept.get(0).getInputStream().read(), "the one that rested longest goes first");
-        assertEquals(200, status(ask(kept.get(59), ARTICLE)));
+        assertEquals(200, status(StubSite.ask(kept.get(59), ARTICLE)));
     }
 
     /** Guards the node's one core: what is turned away must not be read to its end. */
@@ -330,7 +303,7 @@
         for (Socket client : clients) {
             assertEquals(431, status(StubSite.readMessage(client.getInputStream())));
         }
-        assertTrue(node.isAlive());
+        assertTrue(node.process.isAlive());
     }
 
     /** Guards the heap: what many clients send ahead of an answer counts among the bytes of all, as their requests do. */
@@ -359,7 +332,7 @@
         site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
         serve();
         Socket client = connect();
-        String answer = ask(client, get("/up", "").repeat(500) + ARTICLE);
+        String answer = StubSite.ask(client, get("/up", "").repeat(500) + ARTICLE);
         for (int i = 0; i < 500; i++) {
             assertEquals(200, status(answer));
             answer = StubSite.readMessage(client.getInputStream());
@@ -378,7 +351,7 @@
             String answer = ask(get("/article", "X-Timeout: 400m\r\n"));
             assertEquals(503, status(answer), broken);
             assertTrue(answer.contains("Retry-After: "), answer);
-            node.destroyForcibly().waitFor();
+            node.close();
         }
     }
 
@@ -390,7 +363,7 @@
         serve();
         Socket client = connect();
         for (int i = 0; i < 3; i++) {
-            assertTrue(ask(client, ARTICLE).endsWith("\r\n\r\n" + page));
+            assertTrue(StubSite.ask(client, ARTICLE).endsWith("\r\n\r\n" + page));
         }
     }
 
@@ -521,11 +494,11 @@
         Socket client = connect();
         client.getOutputStream().write(ARTICLE.getBytes(StandardCharsets.ISO_8859_1));
         assertNotNull(slow.requests.poll(30, TimeUnit.SECONDS));
-        node.toHandle().destroy(); // SIGTERM, and the log stays open
-        awaitLog(Pattern.compile("n0 was told to stop"));
+        node.process.toHandle().destroy(); // SIGTERM, and the log stays open
+        node.await("n0 was told to stop");
         answer.countDown();
         assertTrue(StubSite.readMessage(client.getInputStream()).endsWith("late page"));
-        assertTrue(node.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(node.process.waitFor(30, TimeUnit.SECONDS));
     }
 
     /** Guards clients of a node that stops: their front knows of no other one yet. */
@@ -534,22 +507,20 @@
         site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
         serve();
         Socket client = connect();
-        assertEquals(200, status(ask(client, ARTICLE)));
-        node.toHandle().destroy();
-        awaitLog(Pattern.compile("n0 was told to stop"));
+        assertEquals(200, status(StubSite.ask(client, ARTICLE)));
+        node.process.toHandle().destroy();
+        node.await("n0 was told to stop");
         for (int i = 0; i < 15; i++) {
-            assertTrue(ask(client, ARTICLE).endsWith("page"));
+            assertTrue(StubSite.ask(client, ARTICLE).endsWith("page"));
             Thread.sleep(50); // beyond the half second in which new connections may still come
         }
         client.close();
-        awaitLog(Pattern.compile("n0 stopped; "));
-        assertEquals(143, node.waitFor());
+        node.await("n0 stopped; ");
+        assertEquals(143, node.process.waitFor());
     }
 
     private String admin(String method, String path) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", adminPort)) {
-            return ask(socket, method + " " + path + " HTTP/1.1\r\nHost: operator\r\n\r\n");
-        }
+        return StubSite.ask(adminPort, method + " " + path + " HTTP/1.1\r\nHost: operator\r\n\r\n");
     }
 
     private boolean isServed() {
@@ -567,12 +538,9 @@
      */
     @Test
     void aCrowdKeepsNeitherOperatorsNorRequestsOut() throws Exception {
-        withDoor = true;
         sockets = 160;
         site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
-        start(SETTINGS);
-        adminPort = Integer.parseInt(awaitLog(DOOR).group(1));
-        port = Integer.parseInt(awaitLog(LISTENS).group(1));
+        listen();
         awaitStatus("/up", 200);
         for (int i = 0; i < 300; i++) {
             Socket client = connect();
@@ -589,27 +557,24 @@
         assertEquals(200, status(admin("GET", "/api/ready")));
         assertTrue(admin("GET", "/api/ready").contains("\"state\":\"serving\""), "half a call drains nothing");
         while (!isServed()) { } // those who stop half-way are let go in time
-        assertTrue(node.isAlive());
+        assertTrue(node.process.isAlive());
     }
 
     /** Guards drains: the node says so to its front, lets its clients go, and is back as soon as it is told. */
     @Test
     void aDrainedNodeServesWhatComesLetsItsClientsGoAndComesBack() throws Exception {
-        withDoor = true;
-        start(SETTINGS);
-        adminPort = Integer.parseInt(awaitLog(DOOR).group(1));
-        port = Integer.parseInt(awaitLog(LISTENS).group(1));
+        listen();
         assertEquals(503, status(admin("GET", "/api/ready")), "it has no list yet");
         site.list(peer(r -> StubSite.ok("page")).member("s-1", "ready"));
         awaitStatus("/up", 200);
         assertEquals(200, status(admin("GET", "/api/ready")));
         Socket resting = connect();
-        assertFalse(ask(resting, ARTICLE).contains("Connection: close"));
+        assertFalse(StubSite.ask(resting, ARTICLE).contains("Connection: close"));
         Socket silent = connect();
         Socket later = connect();
         assertEquals(200, status(admin("POST", "/api/evacuate")));
         assertEquals(503, status(ask(get("/up", ""))));
-        String last = ask(later, ARTICLE);
+        String last = StubSite.ask(later, ARTICLE);
         assertTrue(last.endsWith("page") && last.contains("Connection: close"), last);
         assertEquals(-1, later.getInputStream().read());
         assertEquals(-1, resting.getInputStream().read());
@@ -617,7 +582,7 @@
         assertEquals(200, status(ask(ARTICLE)), "what still comes is served");
         assertEquals(200, status(admin("POST", "/api/rejoin")));
         assertEquals(200, status(ask(get("/up", ""))));
-        assertFalse(ask(connect(), ARTICLE).contains("Connection: close"));
+        assertFalse(StubSite.ask(connect(), ARTICLE).contains("Connection: close"));
     }
 
     private void hangUp(StubSite discovery) throws Exception {
@@ -626,7 +591,7 @@
     }
 
     private void signalHangup() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor());
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.process.pid())).start().waitFor());
     }
 
     /** Guards against a SIGHUP that ends the node, drops what it has open, or leaves it without a list. */
@@ -650,7 +615,7 @@
         opened.add(moved);
         moved.list(slow.member("s-1", "draining"), peer(r -> StubSite.ok("new")).member("s-3", "ready"));
         hangUp(moved);
-        awaitLog(Pattern.compile("discovery is now at " + moved.address()));
+        node.await("discovery is now at " + moved.address());
         silent.list(slow.member("s-1", "ready"));
         site.list(slow.member("s-1", "ready"));
         assertTrue(ask(ARTICLE.replace("9b1f", "9b2f")).endsWith("new"));
@@ -665,15 +630,15 @@
         serve();
         Files.writeString(folder.resolve("config.json"), "{\"settings\":");
         signalHangup();
-        awaitLog(Pattern.compile("the new configuration can't be used, the old one stands: EDGE_CONFIG"));
+        node.await("the new configuration can't be used, the old one stands: EDGE_CONFIG");
         Files.delete(folder.resolve("config.json"));
         signalHangup();
         awaitCount("reloads_unusable", 2);
         assertEquals(200, status(ask(ARTICLE)));
-        node.toHandle().destroy(); // SIGTERM with a SIGHUP right behind it
+        node.process.toHandle().destroy(); // SIGTERM with a SIGHUP right behind it
         signalHangup();
-        awaitLog(Pattern.compile("n0 stopped; "));
-        assertEquals(143, node.waitFor());
+        node.await("n0 stopped; ");
+        assertEquals(143, node.process.waitFor());
     }
 
     /** Guards draining peers: what discovery has begun to tell counts as told, also where its answer stops half-way. */
@@ -705,10 +670,10 @@
     void aBadConfigurationIsOneLineAndStatusTwo() throws Exception {
         for (String bad : List.of("{}", "{\"classes\":[{\"name\":\"a\",\"aim_ms\":-1}]}", "{\"classes\":7}", "nonsense")) {
             start(bad);
-            assertTrue(log.readLine().startsWith("rowanplank: EDGE_CONFIG: "));
-            assertNull(log.readLine());
-            assertEquals(2, node.waitFor());
+            assertTrue(node.log.readLine().startsWith("rowanplank: EDGE_CONFIG: "));
+            assertNull(node.log.readLine());
+            assertEquals(2, node.process.waitFor());
         }
-        assertFalse(node.isAlive());
+        assertFalse(node.process.isAlive());
     }
 }
--- a/src/test/java/rowanplank/node/SharedListenerTest.java
+++ b/src/test/java/rowanplank/node/SharedListenerTest.java
@@ -2,14 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -17,12 +14,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,9 +49,8 @@
     @TempDir
     Path folder;
     private final List<AutoCloseable> opened = new ArrayList<>();
-    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
     private final List<ProcessHandle> nodes = new ArrayList<>();
-    private Process platform;
+    private RunningNode platform;
     private StubSite site;
     private int port;
 
@@ -68,69 +61,54 @@
     void startPlatform() throws Exception {
         site = new StubSite();
         opened.add(site);
-        platform = new ProcessBuilder("perl", "-e", PLATFORM).redirectErrorStream(true).start();
-        BufferedReader log = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.UTF_8));
-        Thread reader = new Thread(() -> log.lines().forEach(lines::add));
-        reader.setDaemon(true);
-        reader.start();
-        port = number("^port (\\d+)");
+        platform = new RunningNode(List.of("perl", "-e", PLATFORM), Map.of());
+        port = platform.number("^port (\\d+)");
     }
 
     @AfterEach
     void stop() throws Exception {
-        platform.destroyForcibly().waitFor();
+        platform.close();
         nodes.forEach(ProcessHandle::destroyForcibly);
         for (AutoCloseable o : opened) {
             o.close();
         }
     }
 
-    private String await(String pattern) throws InterruptedException {
-        Pattern wanted = Pattern.compile(pattern);
-        String line;
-        do {
-            line = lines.poll(30, TimeUnit.SECONDS);
-            assertNotNull(line, "no line has " + pattern);
-        } while (!wanted.matcher(line).find());
-        return line;
+    private Version start() throws Exception {
+        startAt(port);
+        return new Version(process(), platform.number(RunningNode.DOOR));
     }
 
-    private int number(String pattern) throws InterruptedException {
-        Matcher m = Pattern.compile(pattern).matcher(await(pattern));
-        assertTrue(m.find());
-        return Integer.parseInt(m.group(1));
+    /** The socket of another node, or of none that the configuration names. */
+    @Test
+    void aSocketThatListensElsewhereIsOneLineAndStatusTwo() throws Exception {
+        startAt(port - 1);
+        ProcessHandle process = process();
+        platform.await("rowanplank: EDGE_FD: descriptor 0 listens at 127.0.0.1:" + port + ", not at 127.0.0.1:" + (port - 1));
+        process.onExit().get(30, TimeUnit.SECONDS);
     }
 
-    private Version start() throws Exception {
+    private ProcessHandle process() throws IOException {
+        ProcessHandle process = ProcessHandle.of(platform.number("^pid (\\d+)")).orElseThrow();
+        nodes.add(process);
+        return process;
+    }
+
+    private void startAt(int port) throws Exception {
         Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
                 + "\",\"discovery\":\"" + site.address() + "\",\"limits\":{\"sockets\":256},\"settings\":" + SETTINGS + "}");
         String line = "EDGE_FD=0 EDGE_ADMIN_ADDR=127.0.0.1:0 EDGE_CONFIG='" + config + "' TMPDIR='" + folder + "' exec '"
-                + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 "
-                + "-Xmx64m -cp '" + System.getProperty("java.class.path") + "' rowanplank.Main serve\n";
-        platform.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
-        platform.getOutputStream().flush();
-        ProcessHandle process = ProcessHandle.of(number("^pid (\\d+)")).orElseThrow();
-        nodes.add(process);
-        return new Version(process, number("answers operators at 127\\.0\\.0\\.1:(\\d+)"));
+                + String.join("' '", RunningNode.serve("-Xmx64m")) + "'\n";
+        platform.process.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
+        platform.process.getOutputStream().flush();
     }
 
     private void awaitReady(Version version) throws Exception {
-        while (!ask(version.admin(), "GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 200")) {
+        while (!StubSite.ask(version.admin(), "GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 200")) {
             Thread.sleep(5);
         }
     }
 
-    private static String ask(int port, String request) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            return ask(socket, request);
-        }
-    }
-
-    private static String ask(Socket socket, String request) throws IOException {
-        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-        return StubSite.readMessage(socket.getInputStream());
-    }
-
     private Socket connect() throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         opened.add(socket);
@@ -156,7 +134,7 @@
         Version old = start();
         awaitReady(old);
         Socket kept = connect();
-        assertFalse(ask(kept, ARTICLE).contains("Connection: close"));
+        assertFalse(StubSite.ask(kept, ARTICLE).contains("Connection: close"));
         Socket waiting = connect();
         waiting.getOutputStream().write(ARTICLE.replace("/7", "/held").replace("9b1f", "9b20")
                 .getBytes(StandardCharsets.ISO_8859_1));
@@ -165,17 +143,17 @@
         Version next = start();
         awaitReady(next);
         old.process().destroy();
-        await("n0 was told to stop");
-        String last = ask(kept, ARTICLE);
+        platform.await("n0 was told to stop");
+        String last = StubSite.ask(kept, ARTICLE);
         assertTrue(last.endsWith("page") && last.contains("Connection: close"), last);
         for (int i = 0; i < 20; i++) {
-            assertFalse(ask(port, ARTICLE).contains("Connection: close"), "a new connection is the new process's");
+            assertFalse(StubSite.ask(port, ARTICLE).contains("Connection: close"), "a new connection is the new process's");
         }
         answer.countDown();
         assertTrue(StubSite.readMessage(waiting.getInputStream()).endsWith("page"));
-        await("n0 stopped; ");
+        platform.await("n0 stopped; ");
         old.process().onExit().get(30, TimeUnit.SECONDS);
-        assertTrue(ask(port, ARTICLE).endsWith("page"), "the end of one must not shut the socket for the other");
+        assertTrue(StubSite.ask(port, ARTICLE).endsWith("page"), "the end of one must not shut the socket for the other");
         assertTrue(next.process().isAlive());
     }
 
@@ -185,7 +163,7 @@
         StubSite.Peer peer = new StubSite.Peer(r -> StubSite.ok("page"));
         opened.add(peer);
         Version waits = start(); // discovery has told no list
-        assertTrue(ask(waits.admin(), "GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 503"));
+        assertTrue(StubSite.ask(waits.admin(), "GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 503"));
         Socket early = connect();
         early.getOutputStream().write(ARTICLE.getBytes(StandardCharsets.ISO_8859_1));
         early.setSoTimeout(300);
@@ -206,28 +184,24 @@
         Version dies = start();
         dies.process().destroyForcibly();
         dies.process().onExit().get(30, TimeUnit.SECONDS);
-        assertTrue(ask(port, ARTICLE).endsWith("page"));
+        assertTrue(StubSite.ask(port, ARTICLE).endsWith("page"));
         Version next = start();
         awaitReady(next);
         old.process().destroyForcibly();
         old.process().onExit().get(30, TimeUnit.SECONDS);
         for (int i = 0; i < 5; i++) {
-            assertTrue(ask(port, ARTICLE).endsWith("page"));
+            assertTrue(StubSite.ask(port, ARTICLE).endsWith("page"));
         }
     }
 
     private String firstLineOf(String descriptor, int status) throws Exception {
         Path config = Files.writeString(folder.resolve("bad.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\","
                 + "\"discovery\":\"127.0.0.1:1\",\"settings\":" + SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "rowanplank.Main", "serve").redirectErrorStream(true);
-        builder.environment().put("EDGE_CONFIG", config.toString());
-        builder.environment().put("EDGE_FD", descriptor);
-        Process process = builder.start();
-        try (BufferedReader log = process.inputReader(StandardCharsets.UTF_8)) {
-            String line = log.readLine();
-            assertNull(log.readLine());
-            assertEquals(status, process.waitFor());
+        try (RunningNode node = new RunningNode(RunningNode.serve(), Map.of("EDGE_CONFIG", config.toString(), "EDGE_FD",
+                descriptor))) {
+            String line = node.log.readLine();
+            assertNull(node.log.readLine());
+            assertEquals(status, node.process.waitFor());
             return line;
         }
     }
@@ -235,6 +209,6 @@
     @Test
     void aDescriptorThatCannotBeUsedIsOneLineAndStatusTwo() throws Exception {
         assertEquals("rowanplank: EDGE_FD: descriptor 0 is no listening socket", firstLineOf("0", 2));
-        assertTrue(firstLineOf("5", 2).contains("EDGE_FD: only descriptor 0 can be inherited: 5"));
+        assertEquals("rowanplank: EDGE_FD: only descriptor 0 can be inherited: 5", firstLineOf("5", 2));
     }
 }
--- a/src/test/java/rowanplank/node/StubSite.java
+++ b/src/test/java/rowanplank/node/StubSite.java
@@ -132,6 +132,19 @@
         return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Sends the text and reads one message. */
+    static String ask(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return readMessage(socket.getInputStream());
+    }
+
+    /** The same on a connection of its own. */
+    static String ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            return ask(socket, request);
+        }
+    }
+
     /** A message's head and the body that its Content-Length tells; null at the end of the stream. */
     static String readMessage(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
--- a/src/test/java/rowanplank/peer/http/PeersTest.java
+++ b/src/test/java/rowanplank/peer/http/PeersTest.java
@@ -3,20 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.TreeMap;
-import java.util.function.Function;
 import java.util.stream.LongStream;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
-import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.io.EndPoint;
 import org.junit.jupiter.api.Test;
 import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.balancer.BalancerApi.Outcome;
@@ -29,8 +23,7 @@
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.Transfer;
 import rowanplank.metrics.Counters;
-import rowanplank.net.Clock;
-import rowanplank.net.Loop;
+import rowanplank.net.StandingLoop;
 
 class PeersTest {
     private static final Instant NOW = Instant.EPOCH;
@@ -42,70 +35,18 @@
                     new Transfer.Room());
     private long requests;
 
-    /** A loop whose connections all come up at once, and whose clock stands. */
-    private static final class OpeningLoop implements Loop {
-        private final Queue<Runnable> tasks = new ArrayDeque<>();
-        private final ByteBuffer readBuffer = ByteBuffer.allocate(1 << 16);
+    /** A loop whose connections all come up at once. */
+    private static final class OpeningLoop extends StandingLoop {
         /** By the port. */
         final Map<Integer, ByteArrayEndPoint> opened = new TreeMap<>();
 
-        void run() {
-            for (Runnable task; (task = tasks.poll()) != null;) {
-                task.run();
-            }
-        }
-
-        @Override
-        public Clock clock() {
-            return () -> NOW;
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            tasks.add(task);
-        }
-
-        @Override
-        public Timer schedule(Duration delay, Runnable task) {
-            return () -> true;
-        }
-
         @Override
         public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
-            ByteArrayEndPoint endPoint = new ByteArrayEndPoint(null, 0, (byte[]) null, 1 << 16) {
-                @Override
-                protected void execute(Runnable task) {
-                    tasks.add(task);
-                }
-            };
+            ByteArrayEndPoint endPoint = endPoint();
             opened.put(address.getPort(), endPoint);
-            execute(() -> {
-                Connection connection = connector.connected(endPoint);
-                endPoint.setConnection(connection);
-                connection.onOpen();
-            });
+            execute(() -> open(endPoint, connector.connected(endPoint)));
             return () -> { };
         }
-
-        @Override
-        public Listening listen(InetSocketAddress address, int backlog, Function<EndPoint, Connection> onAccept) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Datagrams datagrams(InetSocketAddress address, int mostBytes, Receiver receiver) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ByteBuffer readBuffer() {
-            return readBuffer;
-        }
-
-        @Override
-        public void report(Throwable failure) {
-            throw new IllegalStateException(failure);
-        }
     }
 
     private final class Ignored implements Exchange.Listener {
