Tell the module of a body that is still coming, so that its server is not held for silent

A server of which nothing is heard for twice the aim is ejected as silent; while a client sends a large body slowly there is nothing to be heard, and where traffic is thin the server was ejected for its client.

Change: the driver tells onStreamStarted for a try whose body is still coming, as it is meant for what neither time-out nor deadline ends; the module reviews such a request again once the try has its outcome. Before, one whose stream failed and that found no server waited without end.

Measured: DecisionsTest and BalancerTest fail without it (no such event; a request held for ever).

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -154,6 +154,7 @@
         if (r == null || attempt >= r.attempts.size() || !r.attempts.get(attempt).pending) return;
         Attempt a = r.attempts.get(attempt);
         a.pending = false;
+        r.streaming = false;
         a.neverRan = outcome.neverRan();
         if (--a.target.limit.inFlight == 0) left.remove(a.target.listed.id(), a.target);
         if (a.trial) a.target.trialOut = false;
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -144,7 +144,11 @@
         /** From here on the balancer owes the request one final answer: an OK outcome, a refusal or a failure. */
         void onRequest(double nowMs, Request request);
 
-        /** A streamed answer has begun: it belongs to the client now, and neither time-out nor deadline ends it. */
+        /**
+         * An attempt's body is on its way, in either direction: a streamed answer has begun and belongs to the client,
+         * or the client still sends its request. Until the attempt's outcome neither time-out nor deadline ends it, and
+         * that nothing is heard from its server says nothing of it.
+         */
         void onStreamStarted(double nowMs, long request, int attempt);
 
         /** @param concluded the request has ended, by this outcome or before */
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -308,6 +308,9 @@
             }
             counters.add(Count.TRIES_SENT);
             entry.untold++;
+            if (entry.exchange.context().payload().isComing()) {
+                deliver(() -> balancer.onStreamStarted(nowMs(), request, number));
+            }
             sender.send(attempt);
         }
 
--- a/src/main/java/rowanplank/exchange/RequestContext.java
+++ b/src/main/java/rowanplank/exchange/RequestContext.java
@@ -35,6 +35,11 @@
         public boolean isWhole() {
             return upload == null || !upload.rest().isTouched();
         }
+
+        /** Whether its client is still sending it. */
+        public boolean isComing() {
+            return upload != null && !upload.rest().hasEnded();
+        }
     }
 
     /**
--- a/src/main/java/rowanplank/exchange/Transfer.java
+++ b/src/main/java/rowanplank/exchange/Transfer.java
@@ -146,6 +146,11 @@
         return touched;
     }
 
+    /** Whether all of it has come. */
+    public boolean hasEnded() {
+        return ended;
+    }
+
     /** Whether all of it has been taken. */
     public boolean isDone() {
         return ended && !failed && waiting.isEmpty();
--- a/src/test/java/rowanplank/balancer/BalancerTest.java
+++ b/src/test/java/rowanplank/balancer/BalancerTest.java
@@ -645,6 +645,28 @@
         assertEquals(60, h.sent.stream().map(Harness.Sent::server).distinct().count());
     }
 
+    /** Guards servers: while a client still sends its body there is nothing to be heard from the one that takes it. */
+    @Test
+    void aServerIsNotSilentWhileABodyIsOnItsWay() {
+        Harness h = new Harness(Harness.settings(1, Harness.LIMITS, Harness.UNSAFE)).servers(1);
+        h.request(1, CLASS, h.now + 60_000);
+        h.balancer.onStreamStarted(h.now, 1, 0);
+        h.advance(5000);
+        assertEquals(List.of(), h.log);
+        assertFalse(h.ended(1));
+    }
+
+    /** Once that try has failed the request is one like any other: it waits for a server no longer than it may. */
+    @Test
+    void aRequestWhoseStreamFailedIsAnsweredInTime() {
+        Harness h = new Harness(Harness.settings(1, Harness.LIMITS, Harness.UNSAFE)).servers(1);
+        h.request(1, CLASS, h.now + 60_000);
+        h.balancer.onStreamStarted(h.now, 1, 0);
+        h.outcome(h.last(), Outcome.CONNECT_FAILED);
+        h.advance(2000);
+        assertEquals(List.of(1L), h.refused);
+    }
+
     @Test
     void whileRequestsAreRefusedLessIsHeldAtAServer() {
         Harness h = new Harness(Harness.settings(1, Harness.LIMITS, Harness.SAFE)).servers(1);
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -28,6 +28,7 @@
 import rowanplank.exchange.Answer;
 import rowanplank.exchange.Exchange;
 import rowanplank.exchange.RequestContext;
+import rowanplank.exchange.Transfer;
 import rowanplank.exchange.TrySender;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.Counters;
@@ -136,6 +137,39 @@
         assertEquals(2, tried.size());
     }
 
+    /** The module takes a server for silent that it hears nothing of; it has to know that a body is still on its way. */
+    @Test
+    void theModuleHearsOfABodyThatIsStillComingAndOnlyOfSuch() throws Exception {
+        List<String> events = new ArrayList<>();
+        Decisions told = new Decisions(SettingsReader.parse(SETTINGS), 1, loop, counters, log, (site, seed, actions) -> {
+            Balancer module = new Balancer(site, seed, actions);
+            return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
+                    (proxy, event, arguments) -> {
+                        events.add(event.getName());
+                        return event.invoke(module, arguments);
+                    });
+        });
+        loop.call(() -> {
+            stays = true;
+            told.sendThrough(this);
+            told.servers(ListKind.FULL, List.of(server(1), server(2)));
+            open(told, "held", null);
+            open(told, "comes", new Transfer(new Transfer.Room(), null));
+            Transfer whole = new Transfer(new Transfer.Room(), null);
+            whole.end();
+            open(told, "has come", whole);
+            return null;
+        });
+        assertEquals(List.of("onServers", "onRequest", "onRequest", "onStreamStarted", "onRequest"), events);
+    }
+
+    private void open(Decisions at, String id, Transfer rest) {
+        Instant now = clock.now();
+        at.open(new RequestContext(id, 0, false, now, now.plusSeconds(20),
+                new RequestContext.Payload("POST", "/a", List.of(), new byte[9], rest == null ? null
+                        : new RequestContext.Upload(-1, Duration.ofSeconds(1), rest))), answers::add);
+    }
+
     /** Guards against places that stay taken: a client leaves, its try is withdrawn, and the module must hear of it. */
     @Test
     void theOutcomeOfATryWhoseClientLeftIsTold() throws Exception {
