Join the crowds of the node's tests, and hold unanswered bodies to the bound that is in force

Need: four tests made their crowds each in its own way, and the one of unfinished bodies still asked for the bound of 8 MiB, which is 4 since the heap went to 32 MB: it would have passed with half of the crowd let in.

--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -37,6 +37,8 @@
              "rules": {"answer_slack_ms": 20, "cold_from": 0.1, "cold_ms": 20000, "fall_multiple": 2.5}}""";
     /** A test's class path is of many files, and each is a descriptor; in service it is one. */
     private static final int OWN_FILES = 48;
+    /** That of deploy/balancer.toml. */
+    private static final String HEAP = "-Xmx32m";
     private static final String ARTICLE = get("/article/7?x=%20y", "X-Timeout: 15000m\r\n");
 
     @TempDir
@@ -46,7 +48,6 @@
     private RunningNode node;
     private int port;
     private int sockets = 1024;
-    private String heap = "-Xmx32m";
     private int adminPort;
 
     @BeforeEach
@@ -85,7 +86,7 @@
         Path config = writeConfig(settings, site.address());
         List<String> command = new ArrayList<>(
                 List.of("/bin/sh", "-c", "ulimit -n " + (sockets + OWN_FILES) + "; exec \"$@\"", "sh"));
-        command.addAll(RunningNode.serve(heap));
+        command.addAll(RunningNode.serve(HEAP));
         node = new RunningNode(command, Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0", "EDGE_ADMIN_ADDR",
                 "127.0.0.1:0", "EDGE_DISCOVERY", site.address(), "EDGE_CONFIG", config.toString()));
     }
@@ -108,6 +109,16 @@
         return socket;
     }
 
+    /** So many clients send this at once, each request of theirs with an id of its own. */
+    private List<Socket> crowd(int count, String request) throws IOException {
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(connect());
+            clients.get(i).getOutputStream().write(request.replace("9b1f", "r" + i).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return clients;
+    }
+
     private String ask(String request) throws IOException {
         return StubSite.ask(port, request);
     }
@@ -278,10 +289,8 @@
         serve();
         String unfinished = "POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nContent-Length: 65536\r\n\r\n"
                 + "x".repeat(65000);
-        for (int i = 0; i < 200; i++) {
-            connect().getOutputStream().write(unfinished.getBytes(StandardCharsets.ISO_8859_1));
-        }
-        awaitCount("requests_turned_away", 200 - (8 << 20) / 65000);
+        crowd(200, unfinished);
+        awaitCount("requests_turned_away", 200 - (4 << 20) / 65000);
         assertEquals(200, status(ask(ARTICLE)));
     }
 
@@ -291,16 +300,8 @@
         CountDownLatch never = new CountDownLatch(1);
         site.list(peer(r -> await(never)).member("s-1", "ready"));
         sockets = 384;
-        heap = "-Xmx32m";
         serve();
-        List<Socket> clients = new ArrayList<>();
-        for (int i = 0; i < 190; i++) {
-            Socket client = connect();
-            clients.add(client);
-            client.getOutputStream().write(get("/article/7", "a:b\r\n".repeat(1550)).replace("9b1f", "r" + i)
-                    .getBytes(StandardCharsets.ISO_8859_1));
-        }
-        for (Socket client : clients) {
+        for (Socket client : crowd(190, get("/article/7", "a:b\r\n".repeat(1550)))) {
             assertEquals(431, status(StubSite.readMessage(client.getInputStream())));
         }
         assertTrue(node.process.isAlive());
@@ -311,17 +312,9 @@
     void whatIsSentAheadOfAnAnswerDoesNotFillTheHeap() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
         site.list(peer(r -> await(never)).member("s-1", "ready"));
-        sockets = 1024;
-        heap = "-Xmx32m";
         serve();
-        byte[] ahead = ("GET /up HTTP/1.1\r\nX-Long: " + "a".repeat(7000) + "\r\n\r\n").repeat(18)
-                .getBytes(StandardCharsets.ISO_8859_1);
-        for (int i = 0; i < 600; i++) {
-            Socket client = connect();
-            client.getOutputStream().write(get("/article/7", "").replace("9b1f", "r" + i)
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            client.getOutputStream().write(ahead);
-        }
+        String ahead = ("GET /up HTTP/1.1\r\nX-Long: " + "a".repeat(7000) + "\r\n\r\n").repeat(18);
+        crowd(600, get("/article/7", "") + ahead);
         awaitCount("requests_taken", 600);
         assertEquals(200, status(ask(get("/up", ""))));
     }
@@ -376,11 +369,8 @@
             members.add(peer(r -> half).member("s-" + i, "ready"));
         }
         site.list(members.toArray(String[]::new));
-        heap = "-Xmx32m";
         serve();
-        for (int i = 0; i < 60; i++) {
-            connect().getOutputStream().write(ARTICLE.replace("9b1f", "r" + i).getBytes(StandardCharsets.ISO_8859_1));
-        }
+        crowd(60, ARTICLE);
         awaitCount("requests_taken", 60);
         awaitCount("transfers", 60);
         assertEquals(200, status(ask(get("/up", ""))));
