--- a/src/main/java/rowanplank/cli/FleetStatusCommand.java
+++ b/src/main/java/rowanplank/cli/FleetStatusCommand.java
@@ -48,6 +48,7 @@
                         + l.get("fence"));
             }
         }
+        Door.array(o, "budgets").forEach(b -> text.append(FleetBudgetCommand.text(b.asObject())));
         for (JsonValue v : Door.array(o, "members")) {
             JsonObject m = v.asObject();
             line(text, "member", m.getString("name", "") + " at " + m.getString("at", "") + " is " + m.getString("state", "")
@@ -58,6 +59,11 @@
             line(text, "holds", l.getString("lease", "") + " under fence " + l.get("fence") + " for "
                     + l.get("left_ms") + " ms more");
         }
+        for (JsonValue v : Door.array(o, "parts")) {
+            JsonObject p = v.asObject();
+            line(text, "uses", p.get("open") + " of " + p.getString("budget", "") + ", may use " + p.get("usable") + " for "
+                    + p.get("left_ms") + " ms more; refused " + p.get("refused") + " times");
+        }
         return text.toString();
     }
 
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -23,11 +23,12 @@
  * @param leases also that of the picture, where there is to be one
  * @param tasks also the picture's
  * @param pictures where the fleet's picture is written; null where it is not
+ * @param sharing budgets, and what uses them
  */
 public record FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
         Map<String, InetSocketAddress> voters, Map<String, InetSocketAddress> peers,
         Map<String, InetSocketAddress> members, String directory, Timing timing, List<Lease> leases, List<Task> tasks,
-        String pictures) {
+        String pictures, Sharing sharing) {
     /** The lease, and the task, of whoever writes the fleet's picture. */
     public static final String PICTURE = "fleet-picture";
 
@@ -64,6 +65,58 @@
     public record Task(String name, String lease, List<String> command, Duration every, boolean once,
             Duration longest, Duration allowance) { }
 
+    /**
+     * Budgets of the whole fleet.
+     *
+     * @param part how long a node's parts last without a renewal
+     */
+    public record Sharing(Duration part, List<Budget> budgets, List<Worker> workers) {
+        public static final Sharing NONE = new Sharing(Duration.ofSeconds(4), List.of(), List.of());
+
+        public Sharing {
+            budgets = List.copyOf(budgets);
+            workers = List.copyOf(workers);
+        }
+
+        /** After how long a use is over that was looked for now. */
+        public Duration longestUse() {
+            return workers.stream().map(w -> w.longest().plus(w.allowance())).max(Duration::compareTo).orElse(Duration.ZERO);
+        }
+
+        /** For how long a node may stand still between its look at a budget and the use. */
+        public Duration allowance(String budget) {
+            return workers.stream().filter(w -> w.budget().equals(budget)).map(Worker::allowance).max(Duration::compareTo)
+                    .orElse(Duration.ZERO);
+        }
+    }
+
+    /**
+     * A bound for all nodes together.
+     *
+     * @param rate whether it is so many uses a second; if not, so many at once
+     * @param burst of a rate, in uses
+     * @param fixed set aside for each node, which it may use though it reaches nobody; of a rate with a burst of one use
+     * @param nodes how many nodes have that at the most
+     */
+    public record Budget(String name, boolean rate, long whole, long burst, long fixed, int nodes) { }
+
+    /** A command that all nodes run, as often as a budget allows. @param copies so many at once at this node at the most */
+    public record Worker(String name, String budget, int copies, Duration pause, Duration longest, Duration allowance,
+            List<String> command) {
+        public Worker {
+            command = List.copyOf(command);
+        }
+    }
+
+    /** One without budgets. */
+    public FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
+            Map<String, InetSocketAddress> voters, Map<String, InetSocketAddress> peers,
+            Map<String, InetSocketAddress> members, String directory, Timing timing, List<Lease> leases, List<Task> tasks,
+            String pictures) {
+        this(name, node, listen, advertised, voters, peers, members, directory, timing, leases, tasks, pictures,
+                Sharing.NONE);
+    }
+
     public FleetConfig {
         voters = Collections.unmodifiableMap(new LinkedHashMap<>(voters));
         peers = Collections.unmodifiableMap(new LinkedHashMap<>(peers));
@@ -88,6 +141,9 @@
         } else if (!Objects.equals(directory, other.directory) || isVoter() != other.isVoter()) {
             return "state.dir, or whether this node may vote";
         }
+        if (!sharing.part().equals(other.sharing.part()) || !sharing.budgets().equals(other.sharing.budgets())) {
+            return "fleet.budgets or a [[budget]]; fleet budget set changes a whole";
+        }
         return timing.equals(other.timing) ? null : "one of fleet.election, heartbeat, drift, session, probe, snapshot";
     }
 
@@ -123,7 +179,7 @@
         String pictures = picture(fleet.section("picture"), fleet.has("picture"), votes, leases, tasks);
         InetSocketAddress listen = fleet.address("listen", null);
         return new FleetConfig(name(fleet, "name", "fleet"), node, listen, fleet.address("advertise", listen), voters,
-                peers, members, directory, timing(fleet), leases, tasks, pictures);
+                peers, members, directory, timing(fleet), leases, tasks, pictures, SharingReader.read(root, fleet));
     }
 
     private static Timing timing(TomlSection fleet) {
@@ -157,7 +213,7 @@
         return wanted && votes ? directory : null;
     }
 
-    private static String name(TomlSection section, String key, String otherwise) {
+    static String name(TomlSection section, String key, String otherwise) {
         String name = section.text(key, otherwise);
         if (!name.matches(NAME)) {
             section.fault(key, "must be of 1 to 64 letters, digits, dots, dashes and underlines");
@@ -227,12 +283,17 @@
         } else if (length != null && length.multipliedBy(2).dividedBy(3).compareTo(longest.plus(allowance)) < 0) {
             s.fault("longest", "with the allowance it must be at most two thirds of its lease's length");
         }
+        List<String> command = command(s);
+        boolean once = s.has("once_in");
+        return new Task(name(s, "name", "task"), lease, command, once ? onceIn(s) : every(s), once, longest, allowance);
+    }
+
+    static List<String> command(TomlSection s) {
         List<String> command = s.texts("command", List.of());
         if (s.has("command") && (command.isEmpty() || command.size() > MOST_WORDS)) {
             s.fault("command", "must be 1 to " + MOST_WORDS + " words");
         }
-        boolean once = s.has("once_in");
-        return new Task(name(s, "name", "task"), lease, command, once ? onceIn(s) : every(s), once, longest, allowance);
+        return command;
     }
 
     private static Duration onceIn(TomlSection s) {
--- /dev/null
+++ b/src/main/java/rowanplank/config/SharingReader.java
@@ -0,0 +1,97 @@
+package rowanplank.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import rowanplank.config.FleetConfig.Budget;
+import rowanplank.config.FleetConfig.Sharing;
+import rowanplank.config.FleetConfig.Worker;
+
+/** Reads {@code [fleet.budgets]}, {@code [[budget]]} and {@code [[worker]]}; faults are the file's. */
+final class SharingReader {
+    private static final String NAME = "[A-Za-z0-9._/-]{1,32}";
+    private static final int MOST = 100;
+    private static final int MOST_COPIES = 100;
+    private static final long MOST_WHOLE = 1_000_000_000;
+    private static final int MOST_NODES = 1000;
+
+    private SharingReader() { }
+
+    static Sharing read(TomlSection root, TomlSection fleet) {
+        Duration part = fleet.section("budgets").duration("part", Duration.ofMillis(200), Duration.ofHours(1),
+                Sharing.NONE.part());
+        List<TomlSection> sections = root.sections("budget");
+        List<Budget> budgets = new ArrayList<>();
+        TreeSet<String> names = new TreeSet<>();
+        for (TomlSection s : sections) {
+            Budget b = budget(s);
+            if (!names.add(b.name()) && s.has("name")) {
+                s.fault("name", "stands twice: " + b.name());
+            }
+            budgets.add(b);
+        }
+        List<Worker> workers = new ArrayList<>();
+        for (TomlSection s : root.sections("worker")) {
+            workers.add(worker(s, names));
+        }
+        if (budgets.size() > MOST || workers.size() > MOST) {
+            root.fault(budgets.size() > MOST ? "budget" : "worker", "more than " + MOST);
+        }
+        Sharing sharing = new Sharing(part, budgets, workers);
+        for (int i = 0; i < budgets.size(); i++) {
+            burst(sections.get(i), budgets.get(i), sharing.allowance(budgets.get(i).name()));
+        }
+        return sharing;
+    }
+
+    private static Budget budget(TomlSection s) {
+        s.require("name");
+        s.require("whole");
+        String name = s.text("name", "budget");
+        if (!name.matches(NAME)) {
+            s.fault("name", "must be of 1 to 32 letters, digits, dots, dashes, strokes and underlines");
+        }
+        boolean rate = s.oneOf("kind", List.of("count", "rate"), "count").equals("rate");
+        long whole = s.whole("whole", 0, MOST_WHOLE, 0);
+        long fixed = s.whole("fixed", 0, MOST_WHOLE, 0);
+        int nodes = s.integer("nodes", 1, MOST_NODES, 1);
+        if (rate) {
+            s.require("burst");
+        } else if (s.has("burst")) {
+            s.fault("burst", "only a rate has one");
+        }
+        if (fixed > 0) {
+            s.require("nodes");
+        }
+        if (fixed * nodes > whole) {
+            s.fault("fixed", "for " + nodes + " nodes it is more than the whole");
+        }
+        return new Budget(name, rate, whole, rate ? s.whole("burst", 1, MOST_WHOLE, 1) : 0, fixed, nodes);
+    }
+
+    /** What a node may begin late moves into a window that it was not looked at in: that much of the burst is held back. */
+    private static void burst(TomlSection s, Budget b, Duration allowance) {
+        double late = b.whole() * (allowance.toNanos() / 1e9);
+        long fixed = b.fixed() > 0 ? b.nodes() : 0;
+        if (b.rate() && s.has("burst") && b.burst() < late + Math.max(1, fixed)) {
+            s.fault("burst", "must be at least " + (long) Math.ceil(late + Math.max(1, fixed))
+                    + ": the rate times its workers' allowance, and one use for each fixed part");
+        }
+    }
+
+    private static Worker worker(TomlSection s, TreeSet<String> budgets) {
+        s.require("name");
+        s.require("budget");
+        s.require("command");
+        String budget = s.text("budget", "");
+        if (s.has("budget") && !budgets.contains(budget)) {
+            s.fault("budget", "there is no [[budget]] of that name: " + budget);
+        }
+        return new Worker(FleetConfig.name(s, "name", "worker"), budget, s.integer("copies", 0, MOST_COPIES, 1),
+                s.duration("pause", Duration.ofMillis(1), Duration.ofHours(1), Duration.ofSeconds(1)),
+                s.duration("longest", Duration.ofMillis(10), Duration.ofHours(1), Duration.ofSeconds(10)),
+                s.duration("allowance", Duration.ZERO, Duration.ofMinutes(1), Duration.ofMillis(200)),
+                FleetConfig.command(s));
+    }
+}
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -24,6 +24,7 @@
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Ask;
 import rowanplank.ledger.Asker;
+import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
@@ -61,6 +62,10 @@
     private final EnvelopeForm form;
     private final Turns turns;
     private final LeaseHolder holder;
+    /** Its session's number of this process: no other one's is below zero. */
+    private final long budgetsIncarnation;
+    private final BudgetHolder budgets;
+    private final WorkerRunner workers;
     private final Asker asker;
     private final Membership members;
     private final TaskRunner tasks;
@@ -100,12 +105,18 @@
         LeaseHolder.Settings settings = new LeaseHolder.Settings(config.node(), incarnation,
                 List.copyOf(config.addresses().keySet()), RETRY, PARK, config.timing().session());
         holder = parts.holder(settings, loop.clock().now(), new Holding());
+        budgetsIncarnation = -incarnation;
+        budgets = parts.budgetHolder(new BudgetHolder.Settings(config.node(), budgetsIncarnation,
+                List.copyOf(config.addresses().keySet()), RETRY, config.sharing().part(), config.sharing().longestUse(),
+                config.timing().drift()), loop.clock().now(), new Sharers());
         asker = new Asker(settings, PATIENCE, new Asking());
         members = parts.membership(new Membership.Settings(config.node(), Addresses.format(config.advertised()),
                 incarnation, reached(), config.timing().probe(), incarnation), loop.clock().now(), new Meeting());
         Programs programs = new PictureProgram(() -> this.config.pictures(), this::status, machine.pictures(),
                 machine.log(), machine.programs());
         tasks = new TaskRunner(config, loop, programs, machine.log(), parts, holder, () -> turns.run(this::runTasks));
+        workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), budgets,
+                () -> turns.run(this::runTasks));
     }
 
     /** Where this node reaches others, whatever they say of themselves. */
@@ -140,6 +151,17 @@
         machine.log().info(config.node() + " takes part in fleet " + config.name() + " at "
                 + Addresses.format(socket.address()) + (voter == null ? "" : " as a voter"));
         turns.run(() -> config.leases().forEach(l -> holder.want(loop.clock().now(), l.name(), l.length())));
+        turns.run(this::share);
+    }
+
+    /** Budgets and workers as the file has them now. */
+    private void share() {
+        Instant now = loop.clock().now();
+        FleetConfig.Sharing sharing = config.sharing();
+        budgets.budgets(now, Sharing.byName(sharing), sharing.longestUse());
+        WorkerRunner.wishes(sharing.budgets(), sharing.workers()).forEach((name, wish) -> budgets.wish(now, name, wish));
+        workers.replace(now, sharing.workers());
+        turns.then(this::runTasks);
     }
 
     /**
@@ -151,10 +173,11 @@
         whenStopped = done;
         loop.schedule(most, this::end);
         turns.run(members::leave);
-        tasks.finish(() -> turns.run(() -> {
+        tasks.finish(() -> workers.finish(() -> turns.run(() -> {
             finished = true;
             holder.leaveAll(loop.clock().now());
-        }));
+            budgets.leave(loop.clock().now());
+        })));
     }
 
     private void endWhenIdle() {
@@ -215,11 +238,12 @@
         if (stopped) {
             return;
         }
-        if (finished && holder.isIdle() && !ending) {
+        if (finished && holder.isIdle() && budgets.isIdle() && !ending) {
             ending = true;
             loop.execute(this::endWhenIdle);
         }
         Instant due = earlier(earlier(holder.due(), asker.due()), earlier(tasks.due(), members.due()));
+        due = earlier(due, earlier(budgets.due(), workers.due()));
         due = earlier(due, voter == null || halted != null ? null : voter.due());
         if (due != null) {
             timer = loop.schedule(Duration.between(loop.clock().now(), due), this::wake);
@@ -236,6 +260,7 @@
         turns.run(() -> {
             holder.onTime(now);
             asker.onTime(now);
+            budgets.onTime(now);
             members.serves(serves.getAsBoolean());
             members.onTime(now);
             turns.then(this::runTasks);
@@ -246,7 +271,9 @@
     }
 
     private void runTasks() {
-        tasks.onTime(loop.clock().now());
+        Instant now = loop.clock().now();
+        tasks.onTime(now);
+        workers.onTime(now);
     }
 
     // ---- datagrams
@@ -277,7 +304,9 @@
     }
 
     private void take(Instant now, Ask.Answer answer) {
-        if (answer.number() >= Asker.FIRST_NUMBER) {
+        if (answer.incarnation() == budgetsIncarnation) {
+            budgets.onAnswer(now, answer);
+        } else if (answer.number() >= Asker.FIRST_NUMBER) {
             asker.onAnswer(now, answer);
         } else {
             holder.onAnswer(now, answer);
@@ -294,11 +323,15 @@
     }
 
     private void answer(Ask ask, Ask.Answer answer) {
-        if (ask.incarnation() == incarnation) {
+        tell(answer);
+    }
+
+    private void tell(Ask.Answer answer) {
+        if (Math.abs(answer.incarnation()) == incarnation) {
             turns.then(() -> take(loop.clock().now(), answer));
             return;
         }
-        InetSocketAddress to = askers.get(ask.incarnation());
+        InetSocketAddress to = askers.get(answer.incarnation());
         if (to != null) {
             socket.send(to, form.write(Envelope.of(config.node(), incarnation, parts.knows(), answer)));
         }
@@ -318,6 +351,11 @@
             Fleet.this.answer(ask, answer);
         }
 
+        @Override
+        public void tell(Ask.Answer answer) {
+            Fleet.this.tell(answer);
+        }
+
         @Override
         public void halt(String why) {
             Fleet.this.halt(why);
@@ -333,7 +371,22 @@
         if (target.equals(config.node())) {
             turns.then(() -> asked(loop.clock().now(), ask));
         } else {
-            socket.send(config.addresses().get(target), form.write(Envelope.of(config.node(), incarnation, parts.knows(), ask)));
+            socket.send(config.addresses().get(target), form.write(Envelope.of(config.node(), ask.incarnation(), parts.knows(), ask)));
+        }
+    }
+
+    private final class Sharers implements BudgetHolder.Actions {
+        @Override
+        public void ask(String target, Ask ask) {
+            Fleet.this.ask(target, ask);
+        }
+
+        @Override
+        public void more(String budget) {
+            turns.then(() -> {
+                workers.more(loop.clock().now(), budget);
+                runTasks();
+            });
         }
     }
 
@@ -445,6 +498,8 @@
                 }
             }
             tasks.replace(now, fresh.tasks());
+            budgets.voters(names);
+            share();
             fresh.leases().stream().filter(l -> !before.leases().contains(l))
                     .forEach(l -> holder.want(now, l.name(), l.length()));
         });
@@ -510,8 +565,7 @@
      */
     public String changeVoters(String name, boolean add) {
         if (voter == null || halted != null || !voter.agreement().isEstablished()) {
-            String leader = voter == null || halted != null ? null : voter.agreement().leader();
-            return "this node does not lead" + (leader == null ? "" : "; ask " + leader);
+            return notLeading();
         }
         if (add && !config.addresses().containsKey(name)) {
             return "no address of " + name + " is known here: it has to stand in [fleet.peers] at all nodes";
@@ -526,6 +580,28 @@
                 : "the change before it is not decided yet: ask again";
     }
 
+    /**
+     * Changes the whole of a budget; in force once enough has come back.
+     *
+     * @return null where the change was taken; else why not
+     */
+    public String resize(String name, long whole) {
+        if (voter == null || halted != null || !voter.agreement().isEstablished()) {
+            return notLeading();
+        }
+        for (FleetConfig.Budget b : config.sharing().budgets()) {
+            if (b.name().equals(name)) {
+                return voter.resize(name, Sharing.whole(b, whole, config.sharing()));
+            }
+        }
+        return "there is no budget of that name in this node's file: " + name;
+    }
+
+    private String notLeading() {
+        String leader = voter == null || halted != null ? null : voter.agreement().leader();
+        return "this node does not lead" + (leader == null ? "" : "; ask " + leader);
+    }
+
     /** All that a person wants to know of this node's part, as of now at this node. */
     public JsonObject status() {
         Instant now = loop.clock().now();
@@ -556,6 +632,9 @@
                         .add("left_ms", Duration.between(now, holder.until(l.name())).toMillis()));
             }
         }
+        if (!config.sharing().budgets().isEmpty()) {
+            o.add("parts", Sharing.has(budgets, config.sharing(), now)).add("workers_begun", workers.begun());
+        }
         return o.add("holds", held).add("runs_begun", tasks.begun()).add("runs_ended", tasks.ended());
     }
 
@@ -582,6 +661,6 @@
         JsonArray runs = new JsonArray();
         l.runs().forEach(r -> runs.add(new JsonObject().add("task", r.task()).add("period", r.period())
                 .add("fence", r.fence())));
-        o.add("leases", leases).add("runs", runs);
+        o.add("leases", leases).add("runs", runs).add("budgets", Sharing.status(l));
     }
 }
--- a/src/main/java/rowanplank/fleet/Parts.java
+++ b/src/main/java/rowanplank/fleet/Parts.java
@@ -5,6 +5,8 @@
 import rowanplank.agreement.Agreement;
 import rowanplank.agreement.Saved;
 import rowanplank.fleet.wire.LedgerForm;
+import rowanplank.ledger.BudgetDesk;
+import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.Desk;
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
@@ -25,6 +27,14 @@
         return new Desk(settings, ledger, actions);
     }
 
+    public BudgetDesk budgetDesk(double drift, Ledger ledger, BudgetDesk.Actions actions) {
+        return new BudgetDesk(drift, ledger, actions);
+    }
+
+    public BudgetHolder budgetHolder(BudgetHolder.Settings settings, Instant now, BudgetHolder.Actions actions) {
+        return new BudgetHolder(settings, now, actions);
+    }
+
     public LeaseHolder holder(LeaseHolder.Settings settings, Instant now, LeaseHolder.Actions actions) {
         return new LeaseHolder(settings, now, actions);
     }
--- /dev/null
+++ b/src/main/java/rowanplank/fleet/Sharing.java
@@ -0,0 +1,88 @@
+package rowanplank.fleet;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import rowanplank.config.FleetConfig;
+import rowanplank.ledger.BudgetHolder;
+import rowanplank.ledger.Budgets;
+import rowanplank.ledger.Command;
+import rowanplank.ledger.Ledger;
+import rowanplank.ledger.Share;
+
+/** Budgets between the words of the operator's file, those of the ledger, and those that staff read. */
+final class Sharing {
+    private Sharing() { }
+
+    /** Those of the file, as the ledger is to know them. */
+    static List<Command.Define> defined(FleetConfig.Sharing sharing) {
+        List<Command.Define> defined = new ArrayList<>();
+        for (FleetConfig.Budget b : sharing.budgets()) {
+            defined.add(new Command.Define(b.name(), b.rate(), whole(b, b.whole(), sharing), fixed(b), b.nodes()));
+        }
+        return defined;
+    }
+
+    static Map<String, Command.Define> byName(FleetConfig.Sharing sharing) {
+        Map<String, Command.Define> all = new TreeMap<>();
+        defined(sharing).forEach(d -> all.put(d.name(), d));
+        return all;
+    }
+
+    private static Share fixed(FleetConfig.Budget b) {
+        return b.rate() ? new Share(b.fixed() * Share.USE, b.fixed() > 0 ? Share.USE : 0) : new Share(b.fixed(), 0);
+    }
+
+    /** Of a rate's burst, what its uses may begin late moves into a window that they were not looked at in. */
+    static Share whole(FleetConfig.Budget b, long whole, FleetConfig.Sharing sharing) {
+        double late = whole * (sharing.allowance(b.name()).toNanos() / 1e9);
+        return b.rate() ? new Share(whole * Share.USE, (long) Math.floor((b.burst() - late) * Share.USE))
+                : new Share(whole, 0);
+    }
+
+    private static double uses(boolean rate, long amount) {
+        return rate ? amount / (double) Share.USE : amount;
+    }
+
+    /** What a voter knows. */
+    static JsonArray status(Ledger ledger) {
+        JsonArray all = new JsonArray();
+        Budgets budgets = ledger.budgets();
+        for (Budgets.Whole w : budgets.wholes()) {
+            Budgets.Figures f = budgets.figures(w);
+            JsonArray parts = new JsonArray();
+            for (Budgets.Part p : budgets.partsOf(w.name())) {
+                Budgets.Member m = budgets.member(p.session());
+                parts.add(new JsonObject().add("node", ledger.session(p.session()).node())
+                        .add("amount", uses(w.rate(), p.amount().amount())).add("target", uses(w.rate(), p.target().amount()))
+                        .add("epoch", m.epoch()));
+            }
+            JsonObject o = new JsonObject().add("name", w.name()).add("kind", w.rate() ? "rate" : "count")
+                    .add("whole", uses(w.rate(), f.whole().amount())).add("asked", uses(w.rate(), w.asked().amount()))
+                    .add("free", uses(w.rate(), f.free().amount())).add("promised", uses(w.rate(), f.promised().amount()))
+                    .add("giving_back", uses(w.rate(), f.givingBack().amount()))
+                    .add("set_aside", uses(w.rate(), f.setAside().amount())).add("parts", parts);
+            if (w.rate()) {
+                o.add("burst", uses(true, f.whole().burst())).add("burst_free", uses(true, f.free().burst()));
+            }
+            all.add(o);
+        }
+        return all;
+    }
+
+    /** What this node has. */
+    static JsonArray has(BudgetHolder holder, FleetConfig.Sharing sharing, Instant now) {
+        JsonArray all = new JsonArray();
+        for (BudgetHolder.Has h : holder.has(now)) {
+            boolean rate = sharing.budgets().stream().anyMatch(b -> b.rate() && b.name().equals(h.budget()));
+            all.add(new JsonObject().add("budget", h.budget()).add("epoch", h.epoch())
+                    .add("amount", uses(rate, h.amount().amount())).add("usable", uses(rate, h.target().amount()))
+                    .add("open", h.open()).add("refused", h.refused()).add("left_ms", h.left().toMillis()));
+        }
+        return all;
+    }
+}
--- a/src/main/java/rowanplank/fleet/Voter.java
+++ b/src/main/java/rowanplank/fleet/Voter.java
@@ -18,9 +18,13 @@
 import rowanplank.fleet.wire.LedgerForm;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Ask;
+import rowanplank.ledger.BudgetDesk;
+import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Desk;
 import rowanplank.ledger.Ledger;
+import rowanplank.ledger.Result;
+import rowanplank.ledger.Share;
 import rowanplank.net.StateFile;
 
 /**
@@ -39,6 +43,8 @@
 
         void answer(Ask ask, Ask.Answer answer);
 
+        void tell(Ask.Answer answer);
+
         void halt(String why);
 
         Instant now();
@@ -54,6 +60,7 @@
     private final Agreement agreement;
     private final Ledger ledger;
     private final Desk desk;
+    private final BudgetDesk budgets;
     private int chain;
     private long audited;
     /** To which level this voter, as a leader, has asked to raise the ledger's. */
@@ -77,6 +84,8 @@
             throw new IOException("the state in " + config.directory() + " can't be used: " + e.getMessage(), e);
         }
         desk = parts.desk(new Desk.Settings(config.timing().drift(), config.timing().session(), PARK), ledger, new AtTheDesk());
+        budgets = parts.budgetDesk(config.timing().drift(), ledger, new AtTheDesk());
+        budgets.budgets(Sharing.defined(config.sharing()));
     }
 
     Agreement agreement() {
@@ -93,13 +102,17 @@
 
     Instant due() {
         Instant a = agreement.due();
-        Instant b = desk.due();
+        return earlier(earlier(a, desk.due()), budgets.due());
+    }
+
+    private static Instant earlier(Instant a, Instant b) {
         return a == null || b != null && b.isBefore(a) ? b : a;
     }
 
     void onTime(Instant now) {
         turns.run(() -> agreement.onTime(now));
         turns.run(() -> desk.onTime(now));
+        turns.run(() -> budgets.onTime(now));
     }
 
     void onMessage(Instant now, String from, Message message) {
@@ -146,7 +159,14 @@
         if (!desk.leads()) {
             return false;
         }
-        turns.run(() -> desk.onAsk(now, ask));
+        turns.run(() -> {
+            if (BudgetDesk.isMeant(ask.what())) {
+                desk.onHeard(now, ask.session());
+                budgets.onAsk(now, ask);
+            } else {
+                desk.onAsk(now, ask);
+            }
+        });
         return true;
     }
 
@@ -194,17 +214,20 @@
         public void leads(long term) {
             raised = 0;
             turns.then(() -> desk.onLeads(outside.now()));
+            turns.then(() -> budgets.onLeads(outside.now()));
             turns.then(Voter.this::raise);
         }
 
         @Override
         public void leadsNoMore() {
             turns.then(desk::onLeadsNoMore);
+            turns.then(budgets::onLeadsNoMore);
         }
 
         @Override
         public void confirmed(long round) {
             turns.then(() -> desk.onConfirmed(round));
+            turns.then(() -> budgets.onConfirmed(round));
         }
     }
 
@@ -218,7 +241,9 @@
                     throw new MalformedException("all others know version " + r.level() + ", and this one "
                             + parts.knows());
                 }
-                desk.onApplied(outside.now(), entry.index(), command, ledger.apply(entry.index(), command));
+                Result result = ledger.apply(entry.index(), command);
+                desk.onApplied(outside.now(), entry.index(), command, result);
+                budgets.onApplied(outside.now(), entry.index(), command, result);
             } catch (MalformedException e) {
                 halted("entry " + entry.index() + " can't be understood: " + e.getMessage());
                 return;
@@ -239,7 +264,20 @@
         }
     }
 
-    private final class AtTheDesk implements Desk.Actions {
+    /** @return null where it was taken; else why not */
+    String resize(String name, Share whole) {
+        Budgets.Whole w = ledger.budgets().whole(name);
+        if (w == null) {
+            return "there is no budget of that name: " + name;
+        } else if (!whole.covers(w.setAside()) || w.rate() && whole.burst() < w.setAside().burst() + Share.USE) {
+            return "that is less than what is set aside, or too fast for its burst";
+        }
+        long[] index = new long[1];
+        turns.run(() -> index[0] = agreement.propose(outside.now(), LedgerForm.command(new Command.Resize(name, whole))));
+        return index[0] > 0 ? null : "it can't be taken now: ask again";
+    }
+
+    private final class AtTheDesk implements Desk.Actions, BudgetDesk.Actions {
         @Override
         public boolean isKnown(Command command) {
             return LedgerForm.versionOf(command) <= ledger.level();
@@ -259,5 +297,10 @@
         public void answer(Ask ask, Ask.Answer answer) {
             outside.answer(ask, answer);
         }
+
+        @Override
+        public void tell(Ask.Answer answer) {
+            outside.tell(answer);
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/rowanplank/fleet/WorkerRunner.java
@@ -0,0 +1,193 @@
+package rowanplank.fleet;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import rowanplank.config.FleetConfig;
+import rowanplank.ledger.BudgetHolder;
+import rowanplank.ledger.Share;
+import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.Loop;
+import rowanplank.net.Programs;
+
+/**
+ * Runs commands at every node of the fleet, as many as their budgets allow: of a count so many at once, of a rate so many
+ * starts a second. Each finds in its environment {@code FLEET_NODE}, {@code FLEET_WORKER}, {@code FLEET_BUDGET},
+ * {@code FLEET_EPOCH} and {@code FLEET_LONGEST_MS}. It is asked to end, then ended, when its longest time is over, which is
+ * what a part's holder has said of it; a part that is over ends nothing that runs.
+ *
+ * <p>A look costs O(copies of all workers).
+ */
+final class WorkerRunner {
+    /** Of its longest time, a command is asked to end when so much is left, one part in so many. */
+    private static final int ASKED_BEFORE = 5;
+    /** What may not begin is looked at again after so long, where nothing says sooner that more may. */
+    private static final Duration AGAIN = Duration.ofMillis(250);
+
+    private static final class Copy {
+        final FleetConfig.Worker worker;
+        Instant next;
+        Programs.Running running;
+        boolean gone;
+
+        Copy(FleetConfig.Worker worker, Instant now) {
+            this.worker = worker;
+            next = now;
+        }
+    }
+
+    private final String node;
+    private final Loop loop;
+    private final Programs programs;
+    private final RateLimitedLog log;
+    private final BudgetHolder holder;
+    private final Runnable changed;
+    private final List<Copy> copies = new ArrayList<>();
+    private Runnable whenFinished;
+    private long begun;
+
+    /** @param changed run when {@link #due} may have come nearer by itself */
+    WorkerRunner(String node, Loop loop, Programs programs, RateLimitedLog log, BudgetHolder holder, Runnable changed) {
+        this.node = node;
+        this.loop = loop;
+        this.programs = programs;
+        this.log = log;
+        this.holder = holder;
+        this.changed = changed;
+    }
+
+    long begun() {
+        return begun;
+    }
+
+    /** What of each budget these workers would use at the most. */
+    static Map<String, Long> wishes(List<FleetConfig.Budget> budgets, List<FleetConfig.Worker> workers) {
+        Map<String, Long> wishes = new TreeMap<>();
+        budgets.forEach(b -> wishes.put(b.name(), 0L));
+        for (FleetConfig.Worker w : workers) {
+            boolean rate = budgets.stream().anyMatch(b -> b.rate() && b.name().equals(w.budget()));
+            double each = rate ? Share.USE * 1e9 / Math.max(w.pause().toNanos(), 1_000_000) : 1;
+            wishes.merge(w.budget(), (long) (w.copies() * each), Long::sum);
+        }
+        return wishes;
+    }
+
+    /** These from now on: copies that are too many are asked to end. */
+    void replace(Instant now, List<FleetConfig.Worker> workers) {
+        for (FleetConfig.Worker w : workers) {
+            long there = copies.stream().filter(c -> !c.gone && c.worker.equals(w)).count();
+            for (long n = there; n < w.copies(); n++) {
+                copies.add(new Copy(w, now));
+            }
+        }
+        for (Copy c : List.copyOf(copies)) {
+            if (!c.gone && !workers.contains(c.worker)) {
+                c.gone = true;
+                if (c.running == null) {
+                    copies.remove(c);
+                } else {
+                    c.running.stop();
+                }
+            }
+        }
+    }
+
+    /** Begins nothing more, and asks what runs to end. @param done run once nothing runs, maybe within this call */
+    void finish(Runnable done) {
+        whenFinished = done;
+        copies.stream().filter(c -> c.running != null).forEach(c -> c.running.stop());
+        finishIfDone();
+    }
+
+    private void finishIfDone() {
+        if (whenFinished != null && copies.stream().allMatch(c -> c.running == null)) {
+            Runnable done = whenFinished;
+            whenFinished = null;
+            copies.clear();
+            done.run();
+        }
+    }
+
+    /** When {@link #onTime} is to be called next; null where nothing is due. */
+    Instant due() {
+        Instant due = null;
+        for (Copy c : whenFinished != null ? List.<Copy>of() : copies) {
+            if (c.running == null && !c.gone) {
+                due = due == null || c.next.isBefore(due) ? c.next : due;
+            }
+        }
+        return due;
+    }
+
+    /** More may begin of a budget than before. */
+    void more(Instant now, String budget) {
+        copies.stream().filter(c -> c.running == null && c.worker.budget().equals(budget) && c.next.isAfter(now)
+                && c.next.isBefore(now.plus(AGAIN))).forEach(c -> c.next = now);
+    }
+
+    void onTime(Instant now) {
+        for (Copy c : whenFinished != null ? List.<Copy>of() : List.copyOf(copies)) {
+            if (c.running == null && !c.gone && !now.isBefore(c.next)) {
+                begin(now, c);
+            }
+        }
+    }
+
+    private void begin(Instant now, Copy c) {
+        FleetConfig.Worker w = c.worker;
+        long epoch = holder.begin(now, w.budget());
+        if (epoch < 0) {
+            Instant ready = holder.ready(now, w.budget());
+            Instant again = now.plus(AGAIN);
+            c.next = ready != null && ready.isBefore(again) ? ready : again;
+            return;
+        }
+        Map<String, String> environment = new TreeMap<>();
+        environment.put("FLEET_NODE", node);
+        environment.put("FLEET_WORKER", w.name());
+        environment.put("FLEET_BUDGET", w.budget());
+        environment.put("FLEET_EPOCH", Long.toString(epoch));
+        environment.put("FLEET_LONGEST_MS", Long.toString(w.longest().toMillis()));
+        try {
+            begun++;
+            Programs.Running[] started = new Programs.Running[1];
+            started[0] = programs.start(w.command(), environment, status -> ended(c, status));
+            c.running = started[0];
+            Duration asked = w.longest().minus(w.longest().dividedBy(ASKED_BEFORE));
+            loop.schedule(asked, () -> stillRuns(c, started[0], false));
+            loop.schedule(w.longest(), () -> stillRuns(c, started[0], true));
+        } catch (IOException e) {
+            log.warn("worker " + w.name() + " can't be started: " + e.getMessage());
+            holder.end(now, w.budget());
+            c.next = now.plus(w.longest());
+        }
+    }
+
+    private void stillRuns(Copy c, Programs.Running which, boolean end) {
+        if (c.running == which && end) {
+            log.warn("worker " + c.worker.name() + " took longer than it may, and is ended");
+            which.kill();
+        } else if (c.running == which) {
+            which.stop();
+        }
+    }
+
+    private void ended(Copy c, int status) {
+        Instant now = loop.clock().now();
+        c.running = null;
+        c.next = now.plus(c.worker.pause());
+        holder.end(now, c.worker.budget());
+        if (c.gone) {
+            copies.remove(c);
+        }
+        if (status != 0) {
+            log.warn("worker " + c.worker.name() + " ended with status " + status);
+        }
+        finishIfDone();
+        changed.run();
+    }
+}
--- a/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
+++ b/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.zip.CRC32C;
 import net.openhft.hashing.LongHashFunction;
 import rowanplank.agreement.Message;
@@ -21,6 +22,8 @@
     public static final int MOST_NAME = 64;
     private static final int VERSION = 1;
     private static final int CHECKSUM = Integer.BYTES;
+    private static final int ANSWER = 32;
+    private static final int ANSWER_WITH_PARTS = 63;
 
     private final long fleet;
 
@@ -38,8 +41,12 @@
         } else if (e.note() != null) {
             NoteForm.write(out, e.note());
         } else {
-            out.octet(32).int64(e.answer().incarnation()).number(e.answer().number());
+            boolean parts = !e.answer().parts().isEmpty();
+            out.octet(parts ? ANSWER_WITH_PARTS : ANSWER).int64(e.answer().incarnation()).number(e.answer().number());
             LedgerForm.result(out, e.answer().result());
+            if (parts) {
+                BudgetForm.told(out, e.answer().parts());
+            }
         }
         byte[] bytes = out.done();
         return ByteBuffer.allocate(bytes.length + CHECKSUM).put(bytes).putInt(checksum(ByteBuffer.wrap(bytes))).flip();
@@ -87,10 +94,12 @@
                     .number(w.period());
         } else if (a.what() instanceof Ask.Read w) {
             head(out, 20, a).text(w.lease());
+        } else {
+            BudgetForm.ask(out, a);
         }
     }
 
-    private static Packer head(Packer out, int kind, Ask a) {
+    static Packer head(Packer out, int kind, Ask a) {
         return out.octet(kind).number(a.session()).number(a.floor()).number(a.number());
     }
 
@@ -131,8 +140,9 @@
             long number = in.number();
             return Envelope.of(sender, incarnation, knows, new Ask(sender, incarnation, session, floor, number, what(kind, in)));
         }
-        if (kind == 32) {
-            return Envelope.of(sender, incarnation, knows, new Ask.Answer(in.int64(), in.number(), LedgerForm.result(in)));
+        if (kind == ANSWER || kind == ANSWER_WITH_PARTS) {
+            return Envelope.of(sender, incarnation, knows, new Ask.Answer(in.int64(), in.number(), LedgerForm.result(in),
+                    kind == ANSWER ? List.of() : BudgetForm.told(in)));
         }
         return Envelope.of(sender, incarnation, knows, NoteForm.read(kind, in));
     }
@@ -168,7 +178,7 @@
             case 19 -> new Ask.Release(in.text(), in.number());
             case 20 -> new Ask.Read(in.text());
             case 21 -> new Ask.Claim(in.text(), in.number(), in.text(), Duration.ofNanos(in.number()), in.number());
-            default -> throw new MalformedException("a message of kind " + kind + ", which this version does not know");
+            default -> BudgetForm.what(kind, in);
         };
     }
 }
--- a/src/main/java/rowanplank/fleet/wire/LedgerForm.java
+++ b/src/main/java/rowanplank/fleet/wire/LedgerForm.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
+import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
@@ -16,7 +17,9 @@
  */
 public final class LedgerForm {
     /** The latest that is known here, of commands and of pictures; what an earlier one knew is written as its. */
-    public static final int VERSION = 2;
+    public static final int VERSION = 3;
+    /** From here on runs once in a period; from {@link #VERSION} on budgets. */
+    private static final int RUNS = 2;
     /** What all versions understand. */
     public static final int FIRST = 1;
 
@@ -24,7 +27,13 @@
 
     /** Which version a voter has to know to understand it. */
     public static int versionOf(Command command) {
-        return command instanceof Command.Claim ? VERSION : FIRST;
+        return command instanceof Command.Claim ? RUNS : isOfBudgets(command) ? VERSION : FIRST;
+    }
+
+    private static boolean isOfBudgets(Command c) {
+        return c instanceof Command.Define || c instanceof Command.Resize || c instanceof Command.Join
+                || c instanceof Command.Divide || c instanceof Command.Give || c instanceof Command.Leave
+                || c instanceof Command.Lapse;
     }
 
     public static byte[] command(Command command) {
@@ -48,6 +57,8 @@
         } else if (command instanceof Command.Claim c) {
             out.octet(7).number(c.session()).number(c.floor()).number(c.number()).text(c.lease()).number(c.fence())
                     .text(c.task()).number(c.period());
+        } else {
+            BudgetForm.command(out, command);
         }
         return out.done();
     }
@@ -71,7 +82,7 @@
             case 7 -> new Command.Claim(in.number(), in.number(), in.number(), in.text(), in.number(), in.text(),
                     in.number());
             case 8 -> new Command.Raise((int) in.number());
-            default -> throw new MalformedException("a command of kind " + kind + ", which this version does not know");
+            default -> BudgetForm.command(kind, in);
         };
         in.end();
         return command;
@@ -106,7 +117,7 @@
     }
 
     public static byte[] picture(Ledger.Picture p) {
-        int version = p.level() < VERSION ? FIRST : VERSION;
+        int version = Math.max(FIRST, Math.min(p.level(), VERSION));
         Packer out = new Packer().octet(version).number(p.applied()).int64(p.chain()).number(p.lastFence());
         out.number(p.sessions().size());
         for (Ledger.Session s : p.sessions()) {
@@ -121,6 +132,9 @@
             out.number(p.level()).number(p.runs().size());
             p.runs().forEach(r -> out.text(r.task()).number(r.period()).number(r.fence()));
         }
+        if (version > RUNS) {
+            BudgetForm.picture(out, p.budgets());
+        }
         return out.done();
     }
 
@@ -147,8 +161,9 @@
         for (int left = version > FIRST ? in.count() : 0; left > 0; left--) {
             runs.add(new Ledger.Run(in.text(), in.number(), in.number()));
         }
+        Budgets.Picture budgets = version > RUNS ? BudgetForm.picture(in) : Budgets.Picture.empty();
         in.end();
-        return new Ledger.Picture(applied, chain, lastFence, level, sessions, leases, runs);
+        return new Ledger.Picture(applied, chain, lastFence, level, sessions, leases, runs, budgets);
     }
 
     private static Map<Long, Result> results(Unpacker in) throws MalformedException {
--- a/src/main/java/rowanplank/intake/admin/AdminConnection.java
+++ b/src/main/java/rowanplank/intake/admin/AdminConnection.java
@@ -19,6 +19,7 @@
     private static final String RELEASE = "/release/";
     private static final String ADD = "/voters/add/";
     private static final String REMOVE = "/voters/remove/";
+    private static final String BUDGET = "/budget/[A-Za-z0-9._/-]{1,32}/[0-9]{1,10}";
     private static final String NAME = "[A-Za-z0-9._-]{1,64}";
 
     private final AdminDoor door;
@@ -125,15 +126,23 @@
         } else if (what.matches(ADD + NAME) || what.matches(REMOVE + NAME)) {
             if (allowed("POST")) {
                 boolean add = what.startsWith(ADD);
-                String refused = door.fleet().changeVoters(what.substring(add ? ADD.length() : REMOVE.length()), add);
-                answer(refused == null ? 202 : 409, refused == null ? "{\"taken\":true}\n" : refused + "\n", null);
+                taken(door.fleet().changeVoters(what.substring(add ? ADD.length() : REMOVE.length()), add));
+            }
+        } else if (what.matches(BUDGET)) {
+            if (allowed("POST")) {
+                int last = what.lastIndexOf('/');
+                taken(door.fleet().resize(what.substring(what.indexOf('/', 1) + 1, last), Long.parseLong(what.substring(last + 1))));
             }
         } else {
-            answer(404, "there are /api/fleet, and in it lease/NAME, release/NAME, voters/add/NAME, voters/remove/NAME\n",
-                    null);
+            answer(404, "there are /api/fleet, and in it lease/NAME, release/NAME, voters/add/NAME, voters/remove/NAME, "
+                    + "budget/NAME/WHOLE\n", null);
         }
     }
 
+    private void taken(String refused) {
+        answer(refused == null ? 202 : 409, refused == null ? "{\"taken\":true}\n" : refused + "\n", null);
+    }
+
     private void told(JsonObject holder) {
         if (!answered && !isOver()) {
             answer(holder == null ? 503 : 200, holder == null ? "no leader could be found in time\n" : holder + "\n", null);
--- a/src/main/java/rowanplank/intake/admin/AdminDoor.java
+++ b/src/main/java/rowanplank/intake/admin/AdminDoor.java
@@ -49,6 +49,9 @@
         /** Has a node vote, or not any more. @return null where the change was taken; else why not */
         String changeVoters(String name, boolean add);
 
+        /** Changes the whole of a budget. @return null where the change was taken; else why not */
+        String resize(String budget, long whole);
+
         /** Has the node give the lease back. @return whether it holds it */
         boolean release(String lease);
     }
--- a/src/main/java/rowanplank/ledger/Ask.java
+++ b/src/main/java/rowanplank/ledger/Ask.java
@@ -1,6 +1,7 @@
 package rowanplank.ledger;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * What a node asks of the leader.
@@ -33,6 +34,51 @@
     /** Who holds it, as of a moment after the asking. */
     public record Read(String lease) implements What { }
 
-    /** The answer's way back. @param number of the ask */
-    public record Answer(long incarnation, long number, Result result) { }
+    /**
+     * To have parts of budgets from now on, under a new epoch.
+     *
+     * @param length how long they last without a renewal
+     * @param lasting after how long a use is over that was begun under one
+     */
+    public record Join(Duration length, Duration lasting) implements What { }
+
+    /**
+     * All parts, from the moment of asking on.
+     *
+     * @param known all changes of its parts up to this number have been heard of
+     * @param wishes what of each budget would be used
+     */
+    public record Parts(long epoch, long known, List<Wish> wishes) implements What {
+        public Parts {
+            wishes = List.copyOf(wishes);
+        }
+    }
+
+    /** So much of a part is used at the most from now on. */
+    public record Give(long epoch, String budget, Share most) implements What { }
+
+    /** No parts any more: all uses are over. */
+    public record Leave() implements What { }
+
+    /** @param amount in uses; of a rate in thousandths of a use a second */
+    public record Wish(String budget, long amount) { }
+
+    /** A part, as its holder is told of it. @param change the number of its last change */
+    public record Told(String budget, long epoch, Share amount, Share target, long change) { }
+
+    /**
+     * The answer's way back.
+     *
+     * @param number of the ask; 0 where nothing was asked, and parts have changed
+     * @param parts what has changed of parts; mostly nothing
+     */
+    public record Answer(long incarnation, long number, Result result, List<Told> parts) {
+        public Answer {
+            parts = List.copyOf(parts);
+        }
+
+        public Answer(long incarnation, long number, Result result) {
+            this(incarnation, number, result, List.of());
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -0,0 +1,413 @@
+package rowanplank.ledger;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import rowanplank.ledger.Ask.Answer;
+import rowanplank.ledger.Ask.Told;
+import rowanplank.ledger.Result.Kind;
+
+/**
+ * The leader's side of budgets: takes what holders ask, divides by what they wish, and says when a holder's parts are
+ * over. The ledger holds whatever it divides to the whole ({@link Budgets}); what rests on this class is the time.
+ *
+ * <p><b>The rule of time</b>, as for leases ({@link Desk}), with the longest life of a use on top. For parts of length L,
+ * uses that last U at the most, and clocks at a rate within 1 - d and 1 + d of true time:
+ * <pre>
+ *   the holder may begin uses  until  asked + L                        by its own clock, asked being when it first asked to
+ *                                                                      join, or asked for a renewal that was confirmed;
+ *                                                                      never revived: it joins anew
+ *   the leader waits           until  from + (L + U) (1 + d) / (1 - d) by its own clock, from being the latest of: a renewal
+ *                                                                      came in, the joining was decided, it became leader
+ * </pre>
+ * Asked lies before from in true time. The holder's last use begins at most L / (1 - d) of true time after asked, and is
+ * over at most U / (1 - d) later; in that time the leader's clock advances by at most (L + U) (1 + d) / (1 - d).
+ *
+ * <p>Bounds: {@value #MOST_WAITING} requests wait for a decision, as many for a round; an entry or an
+ * answer has {@value #MOST_BYTES} bytes of parts at the most. A request costs O(log n), and O(parts of the asker); a division, ten times a second at the
+ * most and only where something has changed, O(members) for each budget.
+ */
+public class BudgetDesk {
+    private static final int MOST_WAITING = 4096;
+    /** Bytes of parts in one entry or one answer, and of one part beside its name. */
+    private static final int MOST_BYTES = 900;
+    private static final int PART_BYTES = 40;
+    private static final int MOST_LAPSED_AT_ONCE = 16;
+    private static final Duration LOOK = Duration.ofMillis(10);
+    private static final Duration DIVIDE = Duration.ofMillis(100);
+    /** What was proposed and not heard of is proposed again after so long. */
+    private static final Duration AGAIN = Duration.ofSeconds(1);
+    /** A part of a rate within one part in so many of its fair one is left as it is. */
+    private static final int SLACK = 16;
+
+    /** What it asks of its owner; none of these calls back into it. */
+    public interface Actions {
+        /** Whether all voters understand it: only then may it be written. */
+        boolean isKnown(Command command);
+
+        /** @return the entry's index; 0 where it can't be taken now */
+        long propose(Command command);
+
+        /** @return the round whose confirmation is told by {@link #onConfirmed}; 0 where this voter doesn't lead */
+        long confirm();
+
+        void answer(Ask ask, Answer answer);
+
+        /** To a process that asked nothing just now. */
+        void tell(Answer answer);
+    }
+
+    private record Confirming(long round, Ask ask) { }
+
+    /** What is known of a member beside what the ledger knows; lost with the leadership. */
+    private static final class Heard {
+        Instant renewed;
+        final Map<String, Long> wishes = new TreeMap<>();
+    }
+
+    private final double drift;
+    private final Ledger ledger;
+    private final Actions actions;
+    private List<Command.Define> budgets = List.of();
+    private boolean leads;
+    private Instant since;
+    private final Map<Long, Heard> heard = new TreeMap<>();
+    private final Map<Long, Instant> joined = new TreeMap<>();
+    private final Map<Long, Ask> proposed = new TreeMap<>();
+    private final Deque<Confirming> confirming = new ArrayDeque<>();
+    /** Epochs that entries on their way end, and since when. */
+    private final Map<Long, Instant> ending = new TreeMap<>();
+    /** Entries of a division that were not applied yet. */
+    private final TreeSet<Long> dividing = new TreeSet<>();
+    private boolean changed;
+    /** Changes up to this one were told of when they were made. */
+    private long toldOf;
+    private Instant nextLook;
+    private Instant nextDivision;
+    private Instant defined;
+
+    /** @param drift how far any clock's rate is from true time at the most */
+    public BudgetDesk(double drift, Ledger ledger, Actions actions) {
+        this.drift = drift;
+        this.ledger = ledger;
+        this.actions = actions;
+    }
+
+    /** Those that the operator's file names: entered in the ledger where it does not know them. */
+    public void budgets(List<Command.Define> all) {
+        budgets = List.copyOf(all);
+        defined = null;
+    }
+
+    /** Null where nothing is due. */
+    public Instant due() {
+        if (!leads) {
+            return null;
+        }
+        return changed && nextDivision.isBefore(nextLook) ? nextDivision : nextLook;
+    }
+
+    public void onLeads(Instant now) {
+        leads = true;
+        since = now;
+        toldOf = ledger.budgets().changes();
+        nextLook = now;
+        nextDivision = now;
+        defined = null;
+        changed = true;
+    }
+
+    /** What was asked and not answered is left to be asked again, elsewhere. */
+    public void onLeadsNoMore() {
+        leads = false;
+        heard.clear();
+        joined.clear();
+        proposed.clear();
+        confirming.clear();
+        ending.clear();
+        dividing.clear();
+    }
+
+    // ---- asked
+
+    /** Whether it is for this desk. */
+    public static boolean isMeant(Ask.What what) {
+        return what instanceof Ask.Join || what instanceof Ask.Parts || what instanceof Ask.Give || what instanceof Ask.Leave;
+    }
+
+    public void onAsk(Instant now, Ask ask) {
+        if (ledger.session(ask.session()) == null) {
+            confirm(ask); // only who leads may say that there is none
+            return;
+        }
+        Heard h = heard.computeIfAbsent(ask.session(), s -> new Heard());
+        h.renewed = now;
+        if (ask.what() instanceof Ask.Parts p) {
+            wish(h, p.wishes());
+            renew(ask);
+        } else if (ask.what() instanceof Ask.Join j) {
+            propose(ask, new Command.Join(ask.session(), ask.floor(), ask.number(), j.length(), j.lasting()));
+        } else if (ask.what() instanceof Ask.Give g) {
+            propose(ask, new Command.Give(ask.session(), ask.floor(), ask.number(), g.epoch(), g.budget(), g.most()));
+        } else {
+            propose(ask, new Command.Leave(ask.session(), ask.floor(), ask.number()));
+        }
+    }
+
+    /** Answered once a round has confirmed that no other voter leads: else that one may have taken the parts back. */
+    protected void renew(Ask ask) {
+        confirm(ask);
+    }
+
+    private void wish(Heard h, List<Ask.Wish> wishes) {
+        for (Ask.Wish w : wishes) {
+            Long before = h.wishes.put(w.budget(), Math.max(0, w.amount()));
+            changed |= before == null || before != w.amount();
+        }
+        while (h.wishes.size() > Budgets.MOST) {
+            h.wishes.remove(h.wishes.keySet().iterator().next());
+        }
+    }
+
+    private void propose(Ask ask, Command command) {
+        if (!actions.isKnown(command)) {
+            answer(ask, Result.of(Kind.TOO_NEW));
+            return;
+        }
+        long index = proposed.size() >= MOST_WAITING ? 0 : actions.propose(command);
+        if (index > 0) {
+            proposed.put(index, ask);
+        } // else it is asked again
+    }
+
+    private void confirm(Ask ask) {
+        long round = confirming.size() >= MOST_WAITING ? 0 : actions.confirm();
+        if (round > 0) {
+            confirming.add(new Confirming(round, ask));
+        }
+    }
+
+    private void answer(Ask ask, Result result) {
+        actions.answer(ask, new Answer(ask.incarnation(), ask.number(), result));
+    }
+
+    // ---- told
+
+    public void onConfirmed(long round) {
+        while (!confirming.isEmpty() && confirming.peek().round() <= round) {
+            answerRenewal(confirming.poll().ask());
+        }
+    }
+
+    protected final void answerRenewal(Ask ask) {
+        Budgets.Member m = ledger.budgets().member(ask.session());
+        if (ledger.session(ask.session()) == null) {
+            answer(ask, Result.of(Kind.NO_SESSION));
+        } else if (m == null || !(ask.what() instanceof Ask.Parts p) || m.epoch() != p.epoch()) {
+            answer(ask, Result.of(Kind.NOT_JOINED));
+        } else {
+            actions.answer(ask, told(ask.incarnation(), ask.number(), m, p.known()));
+        }
+    }
+
+    /** What has changed since, the oldest first; if not all of it fits, the value says how far it goes. */
+    private Answer told(long incarnation, long number, Budgets.Member m, long known) {
+        List<Told> all = new ArrayList<>();
+        for (Budgets.Part p : ledger.budgets().partsOf(m.session())) {
+            if (p.change() > known) {
+                all.add(new Told(p.budget(), m.epoch(), p.amount(), p.target(), p.change()));
+            }
+        }
+        all.sort(Comparator.comparingLong(Told::change));
+        int most = fitting(all.stream().map(Told::budget).toList());
+        long upTo = most < all.size() ? all.get(most - 1).change() : ledger.budgets().changes();
+        return new Answer(incarnation, number, Result.of(Kind.PARTS, upTo), all.subList(0, most));
+    }
+
+    /** How many of them one entry, or one answer, has room for; at least one. */
+    private static int fitting(List<String> names) {
+        int room = MOST_BYTES;
+        for (int i = 0; i < names.size(); i++) {
+            room -= names.get(i).length() + PART_BYTES;
+            if (room < 0) {
+                return Math.max(1, i);
+            }
+        }
+        return names.size();
+    }
+
+    /** An entry was handed to the ledger, at whichever voter; to be told at all of them. */
+    public void onApplied(Instant now, long index, Command command, Result result) {
+        if (!leads) {
+            return;
+        }
+        if (command instanceof Command.Join c && result.kind() == Kind.JOINED) {
+            joined.put(c.session(), now);
+            lookBy(now.plus(LOOK));
+        }
+        Ask ask = proposed.remove(index);
+        if (ask != null) {
+            answer(ask, result);
+        }
+        dividing.remove(index);
+        if (command instanceof Command.Lapse c) {
+            c.gone().forEach(g -> ending.remove(g.epoch()));
+        }
+        tellChanged();
+        changed |= command instanceof Command.Define || command instanceof Command.Join || command instanceof Command.Leave
+                || command instanceof Command.Lapse || command instanceof Command.Resize;
+    }
+
+    /** Those whose parts an entry has changed hear of it at once, and not only with their next renewal. */
+    private void tellChanged() {
+        long before = toldOf;
+        toldOf = ledger.budgets().changes();
+        for (Budgets.Member m : toldOf == before ? List.<Budgets.Member>of() : ledger.budgets().members()) {
+            if (ledger.budgets().partsOf(m.session()).stream().anyMatch(p -> p.change() > before)) {
+                actions.tell(told(ledger.session(m.session()).incarnation(), 0, m, before));
+            }
+        }
+    }
+
+    // ---- time
+
+    /** How long a leader waits for what takes so long by another clock: see the rule of time. */
+    protected Duration wait(Budgets.Member m) {
+        return longest(m.length().plus(m.lasting()), drift);
+    }
+
+    /** The longest that one clock can show while another one advances by this. */
+    public static Duration longest(Duration other, double drift) {
+        return Duration.ofNanos((long) Math.ceil(other.toNanos() * ((1 + drift) / (1 - drift))) + 1);
+    }
+
+    /** From when a leader waits that does not know of any renewal. */
+    protected Instant since() {
+        return since;
+    }
+
+    private void lookBy(Instant time) {
+        nextLook = time.isBefore(nextLook) ? time : nextLook;
+    }
+
+    public void onTime(Instant now) {
+        if (!leads) {
+            return;
+        }
+        if (!now.isBefore(nextLook)) {
+            nextLook = now.plus(AGAIN);
+            define(now);
+            endParts(now);
+            Instant soonest = now.plus(LOOK);
+            nextLook = nextLook.isBefore(soonest) ? soonest : nextLook;
+        }
+        if (changed && !now.isBefore(nextDivision)) {
+            nextDivision = now.plus(DIVIDE);
+            if (dividing.isEmpty()) {
+                changed = false;
+                divide(now);
+            }
+        }
+    }
+
+    private void define(Instant now) {
+        if (defined != null && now.isBefore(defined.plus(AGAIN))) {
+            return;
+        }
+        defined = now;
+        for (Command.Define d : budgets) {
+            if (ledger.budgets().whole(d.name()) == null && actions.isKnown(d)) {
+                actions.propose(d);
+            }
+        }
+    }
+
+    private static Instant later(Instant a, Instant b) {
+        return b != null && b.isAfter(a) ? b : a;
+    }
+
+    private void endParts(Instant now) {
+        heard.keySet().removeIf(s -> ledger.session(s) == null);
+        joined.keySet().removeIf(s -> ledger.budgets().member(s) == null);
+        List<Command.Gone> over = new ArrayList<>();
+        for (Budgets.Member m : ledger.budgets().members()) {
+            Heard h = heard.get(m.session());
+            Instant from = later(later(since(), h == null ? null : h.renewed), joined.get(m.session()));
+            Instant end = from.plus(wait(m));
+            Instant asked = ending.get(m.epoch());
+            if (end.isAfter(now)) {
+                lookBy(end);
+            } else if ((asked == null || !now.isBefore(asked.plus(AGAIN))) && over.size() < MOST_LAPSED_AT_ONCE) {
+                over.add(new Command.Gone(m.session(), m.epoch()));
+            } else {
+                lookBy(now.plus(LOOK));
+            }
+        }
+        if (!over.isEmpty()) {
+            lookBy(now.plus(LOOK));
+            if (actions.propose(new Command.Lapse(over)) > 0) {
+                over.forEach(g -> ending.put(g.epoch(), now));
+            }
+        }
+    }
+
+    // ---- dividing
+
+    /** Who has renewed lately: only to them parts are worth giving; what others have is not to be had anyway. */
+    private boolean isHere(Instant now, Budgets.Member m) {
+        Heard h = heard.get(m.session());
+        return h != null && h.renewed.plus(m.length()).isAfter(now);
+    }
+
+    private void divide(Instant now) {
+        List<Command.Target> lower = new ArrayList<>();
+        List<Command.Target> raise = new ArrayList<>();
+        for (Budgets.Whole w : ledger.budgets().wholes()) {
+            divide(now, w, lower, raise);
+        }
+        lower.addAll(raise);
+        for (int i = 0, n; i < lower.size(); i += n) {
+            List<Command.Target> rest = lower.subList(i, lower.size());
+            n = fitting(rest.stream().map(Command.Target::budget).toList());
+            Command.Divide entry = new Command.Divide(rest.subList(0, n));
+            long index = actions.isKnown(entry) ? actions.propose(entry) : 0;
+            if (index == 0) {
+                changed = true; // the rest with the next division
+                return;
+            }
+            dividing.add(index);
+        }
+    }
+
+    private void divide(Instant now, Budgets.Whole w, List<Command.Target> lower, List<Command.Target> raise) {
+        List<Budgets.Part> parts = new ArrayList<>();
+        Share whole = w.asked().minus(w.setAside());
+        for (Budgets.Member m : ledger.budgets().members()) {
+            Budgets.Part p = ledger.budgets().part(w.name(), m.session());
+            if (isHere(now, m)) {
+                parts.add(p);
+            } else {
+                whole = whole.minus(p.amount());
+            }
+        }
+        whole = whole.most(Share.NONE);
+        long[] wishes = parts.stream().mapToLong(p -> heard.get(p.session()).wishes.getOrDefault(w.name(), 0L)).toArray();
+        long[] targets = parts.stream().mapToLong(p -> p.target().amount()).toArray();
+        long[] next = Division.next(whole.amount(), targets, Division.fair(whole.amount(), wishes), w.rate() ? SLACK : 0);
+        long[] bursts = w.rate() ? Division.bursts(whole.burst(), next) : new long[next.length];
+        for (int i = 0; i < next.length; i++) {
+            Budgets.Part p = parts.get(i);
+            Share target = new Share(next[i], bursts[i]);
+            if (!target.equals(p.target())) {
+                (p.target().covers(target) ? lower : raise).add(new Command.Target(w.name(), p.session(), target));
+            }
+        }
+    }
+}
--- a/src/main/java/rowanplank/ledger/Command.java
+++ b/src/main/java/rowanplank/ledger/Command.java
@@ -47,4 +47,41 @@
 
     /** A lease as it was granted once. */
     record Holding(String lease, long fence) { }
+
+    // ---- budgets
+
+    /** A budget that is not known yet; of one that is, nothing changes. */
+    record Define(String name, boolean rate, Share whole, Share fixed, int nodes) implements Command { }
+
+    /** Another whole of a budget. */
+    record Resize(String name, Share whole) implements Command { }
+
+    /** A process may have parts, under a new epoch: the entry's index. */
+    record Join(long session, long floor, long number, Duration length, Duration lasting) implements Command { }
+
+    /** What parts are to be, as the leader has divided. */
+    record Divide(List<Target> targets) implements Command {
+        public Divide {
+            targets = List.copyOf(targets);
+        }
+    }
+
+    /** Its holder uses no more than that of its part any more. */
+    record Give(long session, long floor, long number, long epoch, String budget, Share most) implements Command { }
+
+    /** A process has ended all its uses and wants no parts any more. */
+    record Leave(long session, long floor, long number) implements Command { }
+
+    /** The parts of these are over, where they have not joined anew. */
+    record Lapse(List<Gone> gone) implements Command {
+        public Lapse {
+            gone = List.copyOf(gone);
+        }
+    }
+
+    /** What one part is to be. */
+    record Target(String budget, long session, Share target) { }
+
+    /** A process as it joined once. */
+    record Gone(long session, long epoch) { }
 }
--- a/src/main/java/rowanplank/ledger/Desk.java
+++ b/src/main/java/rowanplank/ledger/Desk.java
@@ -114,6 +114,13 @@
         return leads;
     }
 
+    /** A process was heard of elsewhere. */
+    public void onHeard(Instant now, long session) {
+        if (leads) {
+            renewed.put(session, now);
+        }
+    }
+
     // ---- asked
 
     public void onAsk(Instant now, Ask ask) {
@@ -325,6 +332,7 @@
         renewed.keySet().removeIf(id -> ledger.session(id) == null);
         TreeSet<Long> holding = new TreeSet<>();
         ledger.leases().forEach(l -> holding.add(l.session()));
+        ledger.budgets().members().forEach(m -> holding.add(m.session()));
         for (Ledger.Session s : ledger.sessions()) {
             Instant end = later(since(), renewed.get(s.id())).plus(wait(settings.session()));
             if (end.isAfter(now)) {
--- a/src/main/java/rowanplank/ledger/Ledger.java
+++ b/src/main/java/rowanplank/ledger/Ledger.java
@@ -43,15 +43,21 @@
 
     /** All of it, to be written down and taken up again. */
     public record Picture(long applied, long chain, long lastFence, int level, List<Session> sessions,
-            List<Lease> leases, List<Run> runs) {
+            List<Lease> leases, List<Run> runs, Budgets.Picture budgets) {
         public Picture {
             sessions = List.copyOf(sessions);
             leases = List.copyOf(leases);
             runs = List.copyOf(runs);
         }
 
+        /** One without budgets. */
+        public Picture(long applied, long chain, long lastFence, int level, List<Session> sessions, List<Lease> leases,
+                List<Run> runs) {
+            this(applied, chain, lastFence, level, sessions, leases, runs, Budgets.Picture.empty());
+        }
+
         public static Picture empty() {
-            return new Picture(0, 0, 0, 1, List.of(), List.of(), List.of());
+            return new Picture(0, 0, 0, 1, List.of(), List.of(), List.of(), Budgets.Picture.empty());
         }
     }
 
@@ -68,6 +74,7 @@
     private final Map<String, Long> sessionByProcess = new TreeMap<>();
     private final Map<String, Lease> leases = new TreeMap<>();
     private final Map<String, Run> runs = new TreeMap<>();
+    private final Budgets budgets;
     private int level;
     private final long[] chains = new long[CHAINS];
     private final long[] chained = new long[CHAINS];
@@ -76,6 +83,12 @@
     private long lastFence;
 
     public Ledger(Picture picture) {
+        this(picture, new Budgets());
+    }
+
+    /** @param budgets to be filled from the picture, and this ledger's from then on */
+    public Ledger(Picture picture, Budgets budgets) {
+        this.budgets = budgets;
         restore(picture);
     }
 
@@ -91,6 +104,7 @@
             leases.put(l.name(), l);
         }
         picture.runs().forEach(r -> runs.put(r.task(), r));
+        budgets.restore(picture.budgets());
         applied = picture.applied();
         chain = picture.chain();
         lastFence = picture.lastFence();
@@ -100,7 +114,7 @@
 
     public Picture picture() {
         return new Picture(applied, chain, lastFence, level, new ArrayList<>(sessions.values()),
-                new ArrayList<>(leases.values()), new ArrayList<>(runs.values()));
+                new ArrayList<>(leases.values()), new ArrayList<>(runs.values()), budgets.picture());
     }
 
     public long applied() {
@@ -134,6 +148,10 @@
         return runs.values();
     }
 
+    public Budgets budgets() {
+        return budgets;
+    }
+
     /** Null where there is none. */
     public Session session(long id) {
         return sessions.get(id);
@@ -196,7 +214,24 @@
             c.holdings().forEach(h -> free(h.lease(), h.fence()));
             return Result.of(Kind.RELEASED);
         }
-        return audit((Command.Audit) command);
+        return command instanceof Command.Audit c ? audit(c) : divide(index, command);
+    }
+
+    private Result divide(long index, Command command) {
+        if (command instanceof Command.Define c) {
+            return budgets.define(index, c);
+        } else if (command instanceof Command.Resize c) {
+            return budgets.resize(c);
+        } else if (command instanceof Command.Join c) {
+            return once(c.session(), c.floor(), c.number(), () -> budgets.join(index, c));
+        } else if (command instanceof Command.Divide c) {
+            return budgets.divide(c);
+        } else if (command instanceof Command.Give c) {
+            return once(c.session(), c.floor(), c.number(), () -> budgets.give(c));
+        } else if (command instanceof Command.Leave c) {
+            return once(c.session(), c.floor(), c.number(), () -> budgets.leave(c.session()));
+        }
+        return budgets.lapse((Command.Lapse) command);
     }
 
     private static String process(String node, long incarnation) {
@@ -226,7 +261,7 @@
         if (s == null) {
             return Result.of(Kind.NO_SESSION);
         }
-        if (leases.values().stream().anyMatch(l -> l.session() == id)) {
+        if (budgets.member(id) != null || leases.values().stream().anyMatch(l -> l.session() == id)) {
             return Result.of(Kind.HELD);
         }
         sessions.remove(id);
--- a/src/main/java/rowanplank/ledger/Result.java
+++ b/src/main/java/rowanplank/ledger/Result.java
@@ -39,7 +39,19 @@
         /** That period is still to come, by the leader's clock. */
         AHEAD,
         /** Not all voters understand this yet: some are of an earlier version. */
-        TOO_NEW
+        TOO_NEW,
+        /** A budget is as asked for; the value is a figure of it. */
+        SET,
+        /** The whole would be less than what is set aside, or there is no such budget. */
+        TOO_SMALL,
+        /** Parts may be had under this epoch, which is the value. */
+        JOINED,
+        /** The asker has no parts, or not under this epoch. */
+        NOT_JOINED,
+        /** It was taken back; the value is the change's number. */
+        GIVEN,
+        /** What has changed of parts, up to the change whose number is the value. */
+        PARTS
     }
 
     public static Result of(Kind kind) {
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -245,6 +245,11 @@
         public String changeVoters(String name, boolean add) {
             return fleet.changeVoters(name, add);
         }
+
+        @Override
+        public String resize(String budget, long whole) {
+            return fleet.resize(budget, whole);
+        }
     }
 
     private Lifecycle.Settings lifecycleSettings() {
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -73,4 +73,58 @@
         assertEquals(3, faults(example().replace("length = \"4s\"", "length = 4").replace("kind = \"http\"", "kind = \"ftp\"")
                 .replace("longest = \"1s\"", "longest = 1")).size());
     }
+
+    private static final String SHARED = """
+            [fleet.budgets]
+            part = "1s"
+            [[budget]]
+            name = "exports"
+            whole = 12
+            fixed = 2
+            nodes = 3
+            [[budget]]
+            name = "calls"
+            kind = "rate"
+            whole = 10
+            burst = 4
+            [[worker]]
+            name = "export"
+            budget = "exports"
+            copies = 4
+            pause = "20ms"
+            longest = "300ms"
+            allowance = "100ms"
+            command = ["true"]
+            """;
+
+    private static String shared(String what) throws Exception {
+        return example().replace("[fleet.voters]", what + "[fleet.voters]");
+    }
+
+    @Test
+    void budgetsAndWorkersAreRead() throws Exception {
+        FleetConfig.Sharing sharing = OperatorFile.read("f", shared(SHARED)).fleet().sharing();
+        assertEquals(List.of(new FleetConfig.Budget("exports", false, 12, 0, 2, 3),
+                new FleetConfig.Budget("calls", true, 10, 4, 0, 1)), sharing.budgets());
+        assertEquals(Duration.ofMillis(400), sharing.longestUse());
+        assertEquals(Duration.ofSeconds(1), sharing.part());
+        assertEquals(FleetConfig.Sharing.NONE, OperatorFile.read("f", example()).fleet().sharing());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "nodes = 3 | nodes = 7 | fixed: for 7 nodes it is more than the whole",
+        "nodes = 3 | | budget[0].nodes: is missing",
+        "fixed = 2 | burst = 2 | burst: only a rate has one",
+        "burst = 4 | | budget[1].burst: is missing",
+        "name = \"calls\" | name = \"exports\" | name: stands twice: exports",
+        "budget = \"exports\" | budget = \"none\" | there is no [[budget]] of that name: none",
+        "whole = 10 | whole = 10~fixed = 3~nodes = 5 | burst: must be at least 5",
+        "kind = \"rate\" | kind = \"some\" | kind: must be one of count, rate",
+        "whole = 12 | whole = -1 | whole: must be a whole number from 0",
+        "part = \"1s\" | part = \"1ms\" | fleet.budgets.part: must be a time from"})
+    void eachFaultOfABudgetIsOneLineWithItsPlace(String line, String instead, String told) throws Exception {
+        List<String> faults = faults(shared(SHARED.replace(line, instead == null ? "" : instead.replace("~", "\n"))));
+        assertTrue(faults.stream().anyMatch(f -> f.matches("f:[0-9]+:[0-9]+: .*") && f.contains(told)), faults::toString);
+    }
 }
--- a/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
+++ b/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
@@ -9,9 +9,11 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
+import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
+import rowanplank.ledger.Share;
 
 class LedgerFormTest {
     private static Ledger.Picture picture(int level, List<Ledger.Run> runs) {
@@ -44,4 +46,29 @@
                 () -> LedgerForm.command(LedgerForm.command(claim), 1));
         assertEquals("version 2, and this one knows 1 to 1", told.getMessage());
     }
+
+    /** Budgets, as they came with version 3: whole there and back, cut at every byte refused, and kept from older builds. */
+    @Test
+    void budgetsAreWrittenForThoseThatKnowThem() throws Exception {
+        Share some = new Share(9000, 2500);
+        Budgets.Picture budgets = new Budgets.Picture(7, List.of(new Budgets.Whole("starts", true, some, some, Share.NONE, 3)),
+                List.of(new Budgets.Member(3, 77, Duration.ofSeconds(1), Duration.ofMillis(400))),
+                List.of(new Budgets.Part("starts", 3, some, Share.NONE, 7)));
+        Ledger.Picture p = new Ledger.Picture(90, -7, 41, 3, List.of(new Ledger.Session(3, "n1", -50, 4, Map.of())),
+                List.of(), List.of(), budgets);
+        byte[] whole = LedgerForm.picture(p);
+        assertEquals(p, LedgerForm.picture(whole));
+        for (int length = 1; length < whole.length; length++) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThrows(MalformedException.class, () -> LedgerForm.picture(cut), length + " bytes");
+        }
+        for (Command c : List.of(new Command.Define("starts", true, some, Share.NONE, 3), new Command.Resize("starts", some),
+                new Command.Join(3, 1, 5, Duration.ofSeconds(1), Duration.ofMillis(400)),
+                new Command.Divide(List.of(new Command.Target("starts", 3, some))),
+                new Command.Give(3, 1, 5, 77, "starts", some), new Command.Leave(3, 1, 5),
+                new Command.Lapse(List.of(new Command.Gone(3, 77))))) {
+            assertEquals(c, LedgerForm.command(LedgerForm.command(c), 3));
+            assertThrows(MalformedException.class, () -> LedgerForm.command(LedgerForm.command(c), 2));
+        }
+    }
 }
