Divide places at page servers among the fleet's nodes, where the file says so

A bound at a page server was each node's own. With [fleet.budgets] places it is one for all nodes: a budget for each server that discovery lists, defined when a node first wishes for it, retired when nobody does. A try takes a place through Decisions before it is sent, and holds it to its first answer, or for linger more where it was given up; the module asks for its part at each choice (Actions.places) and chooses as before.

--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -181,6 +181,14 @@
         /** Asks for list changes from now on; answered by one {@link Events#onServers}. */
         void watchServers();
 
+        /**
+         * How many tries may be out at a server at once, where that is a part of the fleet's bound and not the module's own
+         * choice; below zero where it is. It is asked at every choice, and answers at once.
+         */
+        default double places(long server) {
+            return -1;
+        }
+
         /** Closes this node's idle connections to a server. */
         void closeIdle(long server);
 
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -69,9 +69,10 @@
      * Budgets of the whole fleet.
      *
      * @param part how long a node's parts last without a renewal
+     * @param places at each page server; null where each node keeps to its own bound
      */
-    public record Sharing(Duration part, List<Budget> budgets, List<Worker> workers) {
-        public static final Sharing NONE = new Sharing(Duration.ofSeconds(4), List.of(), List.of());
+    public record Sharing(Duration part, List<Budget> budgets, List<Worker> workers, Places places) {
+        public static final Sharing NONE = new Sharing(Duration.ofSeconds(4), List.of(), List.of(), null);
 
         public Sharing {
             budgets = List.copyOf(budgets);
@@ -80,7 +81,9 @@
 
         /** After how long a use is over that was looked for now. */
         public Duration longestUse() {
-            return workers.stream().map(w -> w.longest().plus(w.allowance())).max(Duration::compareTo).orElse(Duration.ZERO);
+            Duration workers = this.workers.stream().map(w -> w.longest().plus(w.allowance())).max(Duration::compareTo)
+                    .orElse(Duration.ZERO);
+            return places == null || places.longest().compareTo(workers) < 0 ? workers : places.longest();
         }
 
         /** For how long a node may stand still between its look at a budget and the use. */
@@ -100,6 +103,16 @@
      */
     public record Budget(String name, boolean rate, long whole, long burst, long fixed, int nodes) { }
 
+    /**
+     * Places at each page server.
+     *
+     * @param whole so many tries at once of all nodes
+     * @param fixed of these, set aside for each of so many nodes
+     * @param linger a try that was given up holds its place for so long more: by then the server has heard of it
+     * @param longest after so long a try is over, at the server too
+     */
+    public record Places(long whole, long fixed, int nodes, Duration linger, Duration longest) { }
+
     /** A command that all nodes run, as often as a budget allows. @param copies so many at once at this node at the most */
     public record Worker(String name, String budget, int copies, Duration pause, Duration longest, Duration allowance,
             List<String> command) {
@@ -141,7 +154,8 @@
         } else if (!Objects.equals(directory, other.directory) || isVoter() != other.isVoter()) {
             return "state.dir, or whether this node may vote";
         }
-        if (!sharing.part().equals(other.sharing.part()) || !sharing.budgets().equals(other.sharing.budgets())) {
+        if (!sharing.part().equals(other.sharing.part()) || !sharing.budgets().equals(other.sharing.budgets())
+                || !Objects.equals(sharing.places(), other.sharing.places())) {
             return "fleet.budgets or a [[budget]]; fleet budget set changes a whole";
         }
         return timing.equals(other.timing) ? null : "one of fleet.election, heartbeat, drift, session, probe, snapshot";
--- a/src/main/java/rowanplank/config/SharingReader.java
+++ b/src/main/java/rowanplank/config/SharingReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeSet;
 import rowanplank.config.FleetConfig.Budget;
+import rowanplank.config.FleetConfig.Places;
 import rowanplank.config.FleetConfig.Sharing;
 import rowanplank.config.FleetConfig.Worker;
 
@@ -19,8 +20,8 @@
     private SharingReader() { }
 
     static Sharing read(TomlSection root, TomlSection fleet) {
-        Duration part = fleet.section("budgets").duration("part", Duration.ofMillis(200), Duration.ofHours(1),
-                Sharing.NONE.part());
+        TomlSection own = fleet.section("budgets");
+        Duration part = own.duration("part", Duration.ofMillis(200), Duration.ofHours(1), Sharing.NONE.part());
         List<TomlSection> sections = root.sections("budget");
         List<Budget> budgets = new ArrayList<>();
         TreeSet<String> names = new TreeSet<>();
@@ -38,13 +39,26 @@
         if (budgets.size() > MOST || workers.size() > MOST) {
             root.fault(budgets.size() > MOST ? "budget" : "worker", "more than " + MOST);
         }
-        Sharing sharing = new Sharing(part, budgets, workers);
+        Sharing sharing = new Sharing(part, budgets, workers, places(own, own.has("places")));
         for (int i = 0; i < budgets.size(); i++) {
             burst(sections.get(i), budgets.get(i), sharing.allowance(budgets.get(i).name()));
         }
         return sharing;
     }
 
+    /** A try lasts as long as a client may wait, and its node may stand still. */
+    private static Places places(TomlSection s, boolean wanted) {
+        long whole = s.whole("places", 1, MOST_WHOLE, 1);
+        long fixed = s.whole("places_fixed", 0, MOST_WHOLE, 0);
+        int nodes = s.integer("nodes", 1, MOST_NODES, 1);
+        Duration linger = s.duration("linger", Duration.ZERO, Duration.ofSeconds(10), Duration.ofMillis(50));
+        Duration longest = s.duration("longest_try", Duration.ofMillis(50), Duration.ofHours(1), Duration.ofSeconds(4));
+        if (fixed * nodes > whole) {
+            s.fault("places_fixed", "for " + nodes + " nodes it is more than the whole");
+        }
+        return wanted ? new Places(whole, fixed, nodes, linger, longest) : null;
+    }
+
     private static Budget budget(TomlSection s) {
         s.require("name");
         s.require("whole");
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -78,6 +78,7 @@
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean delivering;
     private TrySender sender;
+    private Places places = Places.NONE;
     private long requests;
 
     public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log) {
@@ -95,6 +96,11 @@
         balancer = module.create(site.module(), seed, new ModuleActions());
     }
 
+    /** To be called before the first list of peers, where tries at them are bounded for the whole fleet. */
+    public void bound(Places bound) {
+        places = bound;
+    }
+
     /** To be called once, before the first request. */
     public void sendThrough(TrySender sender) {
         this.sender = sender;
@@ -102,6 +108,9 @@
 
     /** Tells the module of the peers. */
     public void servers(ListKind kind, List<Server> servers) {
+        if (kind != ListKind.FAILED) {
+            places.servers(servers, kind != ListKind.DELTA);
+        }
         deliver(() -> balancer.onServers(nowMs(), kind, servers));
     }
 
@@ -171,6 +180,7 @@
     public void tryBegun(Exchange.Try attempt, Answer.Begun begun, Instant at) {
         counters.add(counted(Outcome.OK));
         counters.add(Count.TRANSFERS);
+        places.end(attempt.peer(), true);
         double latency = Clock.millis(Duration.between(attempt.started(), at));
         deliver(() -> {
             Exchange exchange = attempt.exchange();
@@ -203,6 +213,7 @@
             return;
         }
         counters.add(counted(outcome));
+        places.end(attempt.peer(), outcome != Outcome.TIMEOUT && outcome != Outcome.CANCELLED);
         double latency = Clock.millis(Duration.between(attempt.started(), clock.now()));
         deliver(() -> {
             Exchange exchange = attempt.exchange();
@@ -299,9 +310,12 @@
             }
             int number = entry.sends++;
             Instant now = clock.now();
-            Exchange.Try attempt = number >= site.module().limits().maxAttempts()
-                    || !entry.exchange.context().payload().isWhole() ? null
-                    : entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs)));
+            boolean begun = number < site.module().limits().maxAttempts() && entry.exchange.context().payload().isWhole()
+                    && places.begin(server);
+            Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
+            if (begun && attempt == null) {
+                places.end(server, true);
+            }
             if (attempt == null) {
                 deliver(() -> balancer.onOutcome(nowMs(), request, number, Outcome.MOOT, 0, entry.exchange.ended()));
                 return;
@@ -345,6 +359,11 @@
             loop.schedule(Clock.span(delayMs), () -> deliver(() -> balancer.onTimer(nowMs(), token)));
         }
 
+        @Override
+        public double places(long server) {
+            return places.at(server);
+        }
+
         @Override
         public void watchServers() {
             // the node watches discovery from its start on, at every site
--- /dev/null
+++ b/src/main/java/rowanplank/decision/Places.java
@@ -0,0 +1,41 @@
+package rowanplank.decision;
+
+import java.util.List;
+import rowanplank.balancer.BalancerApi.Server;
+
+/**
+ * How many tries this node may have at each peer at once, where that is not the module's own choice: its parts of the
+ * fleet's budgets. Each question is answered at once, at constant cost.
+ */
+public interface Places {
+    /** None: the module keeps to its own bound. */
+    Places NONE = new Places() {
+        @Override
+        public double at(long server) {
+            return -1;
+        }
+
+        @Override
+        public boolean begin(long server) {
+            return true;
+        }
+
+        @Override
+        public void end(long server, boolean heard) { }
+
+        @Override
+        public void servers(List<Server> changed, boolean complete) { }
+    };
+
+    /** So many at once; below zero where the module keeps to its own bound. */
+    double at(long server);
+
+    /** Whether a try may begin now: if so, {@link #end} follows. */
+    boolean begin(long server);
+
+    /** A try is over. @param heard whether the peer knows: it answered, or never had it */
+    void end(long server, boolean heard);
+
+    /** Peers as discovery tells of them. @param complete whether they are all */
+    void servers(List<Server> changed, boolean complete);
+}
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -19,12 +19,14 @@
 import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
 import rowanplank.config.FleetConfig;
+import rowanplank.decision.Places;
 import rowanplank.fleet.wire.Envelope;
 import rowanplank.fleet.wire.EnvelopeForm;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Ask;
 import rowanplank.ledger.Asker;
 import rowanplank.ledger.BudgetHolder;
+import rowanplank.ledger.Command;
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
@@ -66,6 +68,8 @@
     private final long budgetsIncarnation;
     private final BudgetHolder budgets;
     private final WorkerRunner workers;
+    /** Null where places at page servers are not shared. */
+    private final PlaceKeeper places;
     private final Asker asker;
     private final Membership members;
     private final TaskRunner tasks;
@@ -115,6 +119,9 @@
         Programs programs = new PictureProgram(() -> this.config.pictures(), this::status, machine.pictures(),
                 machine.log(), machine.programs());
         tasks = new TaskRunner(config, loop, programs, machine.log(), parts, holder, () -> turns.run(this::runTasks));
+        places = config.sharing().places() == null ? null
+                : new PlaceKeeper(config.sharing().places(), loop, budgets, () -> turns.run(this::share),
+                        () -> turns.run(() -> budgets.onTime(loop.clock().now())));
         workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), budgets,
                 () -> turns.run(this::runTasks));
     }
@@ -127,6 +134,11 @@
         return reached;
     }
 
+    /** What bounds this node's tries at page servers. */
+    public Places places() {
+        return places == null ? Places.NONE : places;
+    }
+
     /** What says whether this node takes clients; to be told before the start. */
     public void servesBy(BooleanSupplier ready) {
         serves = ready;
@@ -158,8 +170,14 @@
     private void share() {
         Instant now = loop.clock().now();
         FleetConfig.Sharing sharing = config.sharing();
-        budgets.budgets(now, Sharing.byName(sharing), sharing.longestUse());
-        WorkerRunner.wishes(sharing.budgets(), sharing.workers()).forEach((name, wish) -> budgets.wish(now, name, wish));
+        Map<String, Command.Define> used = Sharing.byName(sharing);
+        used.putAll(places == null ? new TreeMap<>() : places.budgets(sharing));
+        budgets.budgets(now, used, sharing.longestUse());
+        WorkerRunner.wishes(sharing.budgets(), sharing.workers()).forEach(budgets::wish);
+        if (places != null) {
+            places.wish();
+        }
+        budgets.onTime(now);
         workers.replace(now, sharing.workers());
         turns.then(this::runTasks);
     }
@@ -244,6 +262,7 @@
         }
         Instant due = earlier(earlier(holder.due(), asker.due()), earlier(tasks.due(), members.due()));
         due = earlier(due, earlier(budgets.due(), workers.due()));
+        due = earlier(due, places == null || finished ? null : places.due());
         due = earlier(due, voter == null || halted != null ? null : voter.due());
         if (due != null) {
             timer = loop.schedule(Duration.between(loop.clock().now(), due), this::wake);
@@ -260,6 +279,9 @@
         turns.run(() -> {
             holder.onTime(now);
             asker.onTime(now);
+            if (places != null) {
+                places.onTime(now);
+            }
             budgets.onTime(now);
             members.serves(serves.getAsBoolean());
             members.onTime(now);
@@ -272,6 +294,7 @@
 
     private void runTasks() {
         Instant now = loop.clock().now();
+        budgets.onTime(now); // what has ended may be given back
         tasks.onTime(now);
         workers.onTime(now);
     }
--- a/src/main/java/rowanplank/fleet/Sharing.java
+++ b/src/main/java/rowanplank/fleet/Sharing.java
@@ -16,6 +16,9 @@
 
 /** Budgets between the words of the operator's file, those of the ledger, and those that staff read. */
 final class Sharing {
+    /** The budgets of page servers are called so, and their ids. */
+    static final String PLACES = "place/";
+
     private Sharing() { }
 
     /** Those of the file, as the ledger is to know them. */
@@ -33,6 +36,13 @@
         return all;
     }
 
+    /** Null where it is not a page server's, or places are not shared. */
+    static Command.Define placesOf(FleetConfig.Sharing sharing, String name) {
+        FleetConfig.Places p = sharing.places();
+        return p == null || !name.startsWith(PLACES) ? null
+                : new Command.Define(name, false, new Share(p.whole(), 0), new Share(p.fixed(), 0), p.nodes());
+    }
+
     private static Share fixed(FleetConfig.Budget b) {
         return b.rate() ? new Share(b.fixed() * Share.USE, b.fixed() > 0 ? Share.USE : 0) : new Share(b.fixed(), 0);
     }
--- a/src/main/java/rowanplank/fleet/Voter.java
+++ b/src/main/java/rowanplank/fleet/Voter.java
@@ -85,7 +85,7 @@
         }
         desk = parts.desk(new Desk.Settings(config.timing().drift(), config.timing().session(), PARK), ledger, new AtTheDesk());
         budgets = parts.budgetDesk(config.timing().drift(), ledger, new AtTheDesk());
-        budgets.budgets(Sharing.defined(config.sharing()));
+        budgets.budgets(Sharing.defined(config.sharing()), name -> Sharing.placesOf(config.sharing(), name));
     }
 
     Agreement agreement() {
--- a/src/main/java/rowanplank/fleet/WorkerRunner.java
+++ b/src/main/java/rowanplank/fleet/WorkerRunner.java
@@ -162,7 +162,7 @@
             loop.schedule(w.longest(), () -> stillRuns(c, started[0], true));
         } catch (IOException e) {
             log.warn("worker " + w.name() + " can't be started: " + e.getMessage());
-            holder.end(now, w.budget());
+            holder.end(w.budget());
             c.next = now.plus(w.longest());
         }
     }
@@ -180,7 +180,7 @@
         Instant now = loop.clock().now();
         c.running = null;
         c.next = now.plus(c.worker.pause());
-        holder.end(now, c.worker.budget());
+        holder.end(c.worker.budget());
         if (c.gone) {
             copies.remove(c);
         }
--- a/src/main/java/rowanplank/fleet/wire/BudgetForm.java
+++ b/src/main/java/rowanplank/fleet/wire/BudgetForm.java
@@ -46,6 +46,9 @@
         } else if (command instanceof Command.Lapse c) {
             out.octet(15).number(c.gone().size());
             c.gone().forEach(g -> out.number(g.session()).number(g.epoch()));
+        } else if (command instanceof Command.Retire c) {
+            out.octet(16);
+            LogForm.names(out, c.names());
         }
     }
 
@@ -58,6 +61,7 @@
             case 13 -> new Command.Give(in.number(), in.number(), in.number(), in.number(), in.text(), share(in));
             case 14 -> new Command.Leave(in.number(), in.number(), in.number());
             case 15 -> new Command.Lapse(gone(in));
+            case 16 -> new Command.Retire(LogForm.names(in));
             default -> throw new MalformedException("a command of kind " + kind + ", which this version does not know");
         };
     }
--- a/src/main/java/rowanplank/fleet/wire/LedgerForm.java
+++ b/src/main/java/rowanplank/fleet/wire/LedgerForm.java
@@ -33,7 +33,7 @@
     private static boolean isOfBudgets(Command c) {
         return c instanceof Command.Define || c instanceof Command.Resize || c instanceof Command.Join
                 || c instanceof Command.Divide || c instanceof Command.Give || c instanceof Command.Leave
-                || c instanceof Command.Lapse;
+                || c instanceof Command.Lapse || c instanceof Command.Retire;
     }
 
     public static byte[] command(Command command) {
--- a/src/main/java/rowanplank/ledger/BudgetDesk.java
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -8,8 +8,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Function;
 import rowanplank.ledger.Ask.Answer;
 import rowanplank.ledger.Ask.Told;
 import rowanplank.ledger.Result.Kind;
@@ -44,6 +46,8 @@
     private static final Duration DIVIDE = Duration.ofMillis(100);
     /** What was proposed and not heard of is proposed again after so long. */
     private static final Duration AGAIN = Duration.ofSeconds(1);
+    /** A new leader knows of all wishes by then. */
+    private static final Duration RETIRE = Duration.ofSeconds(10);
     /** A part of a rate within one part in so many of its fair one is left as it is. */
     private static final int SLACK = 16;
 
@@ -76,6 +80,7 @@
     private final Ledger ledger;
     private final Actions actions;
     private List<Command.Define> budgets = List.of();
+    private Function<String, Command.Define> wished = name -> null;
     private boolean leads;
     private Instant since;
     private final Map<Long, Heard> heard = new TreeMap<>();
@@ -100,9 +105,14 @@
         this.actions = actions;
     }
 
-    /** Those that the operator's file names: entered in the ledger where it does not know them. */
-    public void budgets(List<Command.Define> all) {
+    /**
+     * Those that the operator's file names: entered in the ledger where it does not know them.
+     *
+     * @param wished what a budget is to be that the file does not name and a member wishes for; null where there is none
+     */
+    public void budgets(List<Command.Define> all, Function<String, Command.Define> wished) {
         budgets = List.copyOf(all);
+        this.wished = wished;
         defined = null;
     }
 
@@ -170,6 +180,9 @@
         for (Ask.Wish w : wishes) {
             Long before = h.wishes.put(w.budget(), Math.max(0, w.amount()));
             changed |= before == null || before != w.amount();
+            if (w.amount() > 0 && ledger.budgets().whole(w.budget()) == null && wished.apply(w.budget()) != null) {
+                nextLook = earlier(nextLook, defined == null ? nextLook : defined.plus(DIVIDE));
+            }
         }
         while (h.wishes.size() > Budgets.MOST) {
             h.wishes.remove(h.wishes.keySet().iterator().next());
@@ -318,15 +331,43 @@
     }
 
     private void define(Instant now) {
-        if (defined != null && now.isBefore(defined.plus(AGAIN))) {
+        if (defined != null && now.isBefore(defined.plus(DIVIDE))) {
             return;
         }
         defined = now;
-        for (Command.Define d : budgets) {
+        Map<String, Command.Define> all = new TreeMap<>();
+        Set<String> wanted = new TreeSet<>();
+        heard.values().forEach(h -> h.wishes.forEach((name, wish) -> {
+            if (wish > 0 && wanted.add(name) && wished.apply(name) != null) {
+                all.put(name, wished.apply(name));
+            }
+        }));
+        budgets.forEach(d -> all.put(d.name(), d));
+        for (Command.Define d : all.values()) {
             if (ledger.budgets().whole(d.name()) == null && actions.isKnown(d)) {
                 actions.propose(d);
             }
         }
+        if (!now.isBefore(since().plus(RETIRE))) {
+            retire(all.keySet());
+        }
+    }
+
+    /** What nobody wishes for or has any part of any more, and no file names. */
+    private void retire(Set<String> needed) {
+        List<String> names = new ArrayList<>();
+        for (Budgets.Whole w : ledger.budgets().wholes()) {
+            if (!needed.contains(w.name()) && wished.apply(w.name()) != null && ledger.budgets().partsOf(w.name()).isEmpty()) {
+                names.add(w.name());
+            }
+        }
+        if (!names.isEmpty()) {
+            actions.propose(new Command.Retire(names.subList(0, fitting(names))));
+        }
+    }
+
+    private static Instant earlier(Instant a, Instant b) {
+        return b.isBefore(a) ? b : a;
     }
 
     private static Instant later(Instant a, Instant b) {
@@ -369,8 +410,12 @@
     private void divide(Instant now) {
         List<Command.Target> lower = new ArrayList<>();
         List<Command.Target> raise = new ArrayList<>();
+        Map<Long, Long> sums = new TreeMap<>();
         for (Budgets.Whole w : ledger.budgets().wholes()) {
-            divide(now, w, lower, raise);
+            ledger.budgets().partsOf(w.name()).forEach(p -> sums.merge(p.session(), p.target().amount(), Long::sum));
+        }
+        for (Budgets.Whole w : ledger.budgets().wholes()) {
+            divide(now, w, sums, lower, raise);
         }
         lower.addAll(raise);
         for (int i = 0, n; i < lower.size(); i += n) {
@@ -386,7 +431,9 @@
         }
     }
 
-    private void divide(Instant now, Budgets.Whole w, List<Command.Target> lower, List<Command.Target> raise) {
+    /** @param sums what each session is to have of all budgets */
+    private void divide(Instant now, Budgets.Whole w, Map<Long, Long> sums, List<Command.Target> lower,
+            List<Command.Target> raise) {
         List<Budgets.Part> parts = new ArrayList<>();
         Share whole = w.asked().minus(w.setAside());
         for (Budgets.Member m : ledger.budgets().members()) {
@@ -400,14 +447,21 @@
         whole = whole.most(Share.NONE);
         long[] wishes = parts.stream().mapToLong(p -> heard.get(p.session()).wishes.getOrDefault(w.name(), 0L)).toArray();
         long[] targets = parts.stream().mapToLong(p -> p.target().amount()).toArray();
-        long[] next = Division.next(whole.amount(), targets, Division.fair(whole.amount(), wishes), w.rate() ? SLACK : 0);
+        long[] fair = Division.fair(whole.amount(), wishes, parts.stream().mapToLong(p -> place(p, sums)).toArray());
+        long[] next = Division.next(whole.amount(), targets, fair, w.rate() ? SLACK : 0);
         long[] bursts = w.rate() ? Division.bursts(whole.burst(), next) : new long[next.length];
         for (int i = 0; i < next.length; i++) {
             Budgets.Part p = parts.get(i);
             Share target = new Share(next[i], bursts[i]);
+            sums.merge(p.session(), next[i] - p.target().amount(), Long::sum);
             if (!target.equals(p.target())) {
                 (p.target().covers(target) ? lower : raise).add(new Command.Target(w.name(), p.session(), target));
             }
         }
     }
+
+    /** Where units are left: who has some of this keeps it, and else whoever has the fewest of all budgets has the next. */
+    private static long place(Budgets.Part p, Map<Long, Long> sums) {
+        return p.target().amount() > 0 ? -p.target().amount() : sums.getOrDefault(p.session(), 0L);
+    }
 }
--- a/src/main/java/rowanplank/ledger/BudgetHolder.java
+++ b/src/main/java/rowanplank/ledger/BudgetHolder.java
@@ -68,6 +68,8 @@
         final String name;
         final boolean rate;
         final Share fixed;
+        /** Nothing of it is begun here any more. */
+        boolean dropped;
         long wish;
         /** What was said last of it, and with which renewal. */
         long wishTold = -1;
@@ -152,7 +154,7 @@
      */
     public long begin(Instant now, String budget) {
         Part p = parts.get(budget);
-        if (p == null || leaving) {
+        if (p == null || p.dropped || leaving) {
             return -1;
         }
         if (p.rate) {
@@ -170,15 +172,20 @@
         return lasts(now) ? epoch : 0;
     }
 
-    /** A count's use is over. */
-    public void end(Instant now, String budget) {
+    /** A count's use is over. @return whether {@link #onTime} is to be called, since something may be given back now */
+    public boolean end(String budget) {
         Part p = parts.get(budget);
-        if (p != null && p.open > 0) {
-            p.open--;
-            if (!p.target.covers(p.amount)) {
-                onTime(now);
-            }
+        if (p == null || p.open == 0) {
+            return false;
         }
+        p.open--;
+        return !p.target.covers(p.amount);
+    }
+
+    /** So many uses of a count may be open here now; -1 where it is not among the budgets. */
+    public long limit(Instant now, String budget) {
+        Part p = parts.get(budget);
+        return p == null || p.dropped || leaving ? -1 : limit(now, p);
     }
 
     /** When a use of a rate may begin, if nothing changes; null where it never may. */
@@ -239,9 +246,10 @@
 
     // ---- told by its owner
 
-    /** These are used here from now on; what was and is not named any more is not. @param all by name */
+    /** These are used here from now on; what was and is not named any more is not, and is given back. @param all by name */
     public void budgets(Instant now, Map<String, Command.Define> all, Duration longestUse) {
-        parts.keySet().removeIf(name -> !all.containsKey(name) && parts.get(name).open == 0);
+        parts.values().forEach(p -> p.dropped = !all.containsKey(p.name));
+        parts.values().stream().filter(p -> p.dropped).forEach(p -> p.target = Share.NONE);
         known = parts.keySet().containsAll(all.keySet()) ? known : 0; // of new ones nothing was heard yet
         all.forEach((name, d) -> parts.computeIfAbsent(name, n -> new Part(n, d.rate(), d.fixed(), now)));
         if (longestUse.compareTo(lasting) > 0) { // what is begun from now on lasts longer than was said
@@ -251,14 +259,16 @@
         onTime(now);
     }
 
-    /** So much of it would be used here: of a count at once, of a rate thousandths of a use a second. */
-    public void wish(Instant now, String budget, long amount) {
+    /**
+     * So much of it would be used here: of a count at once, of a rate thousandths of a use a second. To be followed by
+     * {@link #onTime}, once for all.
+     */
+    public void wish(String budget, long amount) {
         Part p = parts.get(budget);
         if (p != null && p.wish != amount) {
             p.wish = amount;
             Instant soon = renewed.plus(SPACING);
             renewAt = soon.isBefore(renewAt) ? soon : renewAt;
-            onTime(now);
         }
     }
 
@@ -364,12 +374,20 @@
 
     private void take(Instant now, List<Told> told) {
         for (Told t : told) {
+            if (end == null || t.epoch() != epoch) {
+                continue;
+            }
             Part p = parts.get(t.budget());
-            if (p != null && end != null && t.epoch() == epoch && isNews(t, p.change)) {
+            if (p == null && !t.amount().equals(Share.NONE)) { // it was used here once: what there is has to be given back
+                p = new Part(t.budget(), false, Share.NONE, now);
+                p.dropped = true;
+                parts.put(p.name, p);
+            }
+            if (p != null && isNews(t, p.change)) {
                 fill(now, p);
                 boolean more = !p.usable().covers(t.amount().least(t.target()));
                 p.amount = t.amount();
-                p.target = t.target();
+                p.target = p.dropped ? Share.NONE : t.target();
                 p.change = t.change();
                 fill(now, p);
                 if (more) {
@@ -410,6 +428,7 @@
 
     /** Nothing is held any more; what comes of anything asked before is not heard any more. */
     private void lapse(Instant now) {
+        parts.values().removeIf(p -> p.dropped && p.open == 0);
         parts.values().forEach(p -> {
             fill(now, p);
             p.amount = Share.NONE;
@@ -517,7 +536,7 @@
             if (room >= 0) {
                 p.toldIn = numbers;
                 p.wishTold = p.wish;
-                wishes.add(new Ask.Wish(p.name, leaving ? 0 : p.wish));
+                wishes.add(new Ask.Wish(p.name, leaving || p.dropped ? 0 : p.wish));
             }
         }
         return wishes;
@@ -525,6 +544,7 @@
 
     /** Says of each part above its target that no more than the target is used, where that is so. */
     private void giveBack(Instant now) {
+        parts.values().removeIf(p -> p.dropped && p.open == 0 && p.giving == 0 && p.amount.equals(Share.NONE));
         int underWay = (int) parts.values().stream().filter(p -> p.giving != 0).count();
         for (Part p : parts.values()) {
             if (p.giving == 0 && underWay < MOST_AT_ONCE && !p.target.covers(p.amount) && fits(now, p)) {
--- a/src/main/java/rowanplank/ledger/Budgets.java
+++ b/src/main/java/rowanplank/ledger/Budgets.java
@@ -223,6 +223,15 @@
         return Result.of(Kind.RELEASED, members.size());
     }
 
+    protected Result retire(Command.Retire c) {
+        for (String name : c.names()) {
+            if (partsOf(name).isEmpty()) {
+                wholes.remove(name);
+            }
+        }
+        return Result.of(Kind.RELEASED, wholes.size());
+    }
+
     private void remove(long session) {
         members.remove(session);
         for (Part p : new ArrayList<>(partsOf(session))) {
--- a/src/main/java/rowanplank/ledger/Command.java
+++ b/src/main/java/rowanplank/ledger/Command.java
@@ -79,6 +79,13 @@
         }
     }
 
+    /** Budgets of which nobody has a part are known no more. */
+    record Retire(List<String> names) implements Command {
+        public Retire {
+            names = List.copyOf(names);
+        }
+    }
+
     /** What one part is to be. */
     record Target(String budget, long session, Share target) { }
 
--- a/src/main/java/rowanplank/ledger/Division.java
+++ b/src/main/java/rowanplank/ledger/Division.java
@@ -1,6 +1,8 @@
 package rowanplank.ledger;
 
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.IntStream;
 
 /**
  * How a whole is divided among those who want some of it: max-min fair (progressive filling, Bertsekas and Gallager, Data
@@ -8,26 +10,41 @@
  * <pre>
  *   part i = min(wish i, level), with the highest level at which the parts sum to no more than the whole
  * </pre>
- * In whole units: what is left below one unit each goes to the first ones. Costs O(n log n).
+ * In whole units: what is left below one unit each goes to those who come first. Costs O(n log n).
  *
  * <p>What stands is moved as little as that needs: while the whole does, nobody loses anything.
  */
 public final class Division {
     private Division() { }
 
-    /** @param whole at least 0 @param wishes each at least 0 */
-    public static long[] fair(long whole, long[] wishes) {
-        long[] parts = new long[wishes.length];
-        Integer[] order = new Integer[wishes.length];
-        Arrays.setAll(order, i -> i);
-        Arrays.sort(order, (a, b) -> Long.compare(wishes[a], wishes[b]));
+    /**
+     * @param whole at least 0
+     * @param wishes each at least 0
+     * @param first who comes first where units are left that do not do for all: the least goes before
+     */
+    public static long[] fair(long whole, long[] wishes, long[] first) {
+        long[] sorted = wishes.clone();
+        Arrays.sort(sorted);
         long left = whole;
-        for (int k = 0; k < order.length; k++) {
-            int i = order[k];
-            long each = left / (order.length - k);
-            boolean one = left % (order.length - k) > 0;
-            parts[i] = Math.min(wishes[i], each + (one ? 1 : 0));
-            left -= parts[i];
+        long level = 0;
+        for (int k = 0; k < sorted.length; k++) {
+            level = left / (sorted.length - k);
+            if (sorted[k] > level) {
+                left -= level * (sorted.length - k);
+                break;
+            }
+            left -= sorted[k];
+            level = sorted[k];
+        }
+        long[] parts = new long[wishes.length];
+        for (int i = 0; i < parts.length; i++) {
+            parts[i] = Math.min(wishes[i], level);
+        }
+        long all = level;
+        int[] order = IntStream.range(0, wishes.length).filter(i -> wishes[i] > all).boxed()
+                .sorted(Comparator.comparingLong(i -> first[i])).mapToInt(i -> i).toArray();
+        for (int k = 0; k < order.length && k < left; k++) {
+            parts[order[k]]++;
         }
         return parts;
     }
--- a/src/main/java/rowanplank/ledger/Ledger.java
+++ b/src/main/java/rowanplank/ledger/Ledger.java
@@ -231,7 +231,7 @@
         } else if (command instanceof Command.Leave c) {
             return once(c.session(), c.floor(), c.number(), () -> budgets.leave(c.session()));
         }
-        return budgets.lapse((Command.Lapse) command);
+        return command instanceof Command.Lapse c ? budgets.lapse(c) : budgets.retire((Command.Retire) command);
     }
 
     private static String process(String node, long incarnation) {
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -125,6 +125,7 @@
     public void join(Fleet part) {
         fleet = part;
         part.servesBy(lifecycle::isReady);
+        decisions.bound(part.places());
     }
 
     /**
--- a/src/test/java/rowanplank/ledger/BudgetHolderTest.java
+++ b/src/test/java/rowanplank/ledger/BudgetHolderTest.java
@@ -65,6 +65,12 @@
         holder.onAnswer(at(ms), new Answer(-5, 0, Result.of(Kind.PARTS, told.change()), List.of(told)));
     }
 
+    private void end(long ms) {
+        if (holder.end("places")) {
+            holder.onTime(at(ms));
+        }
+    }
+
     private int begin(long ms, int wanted) {
         int begun = 0;
         while (begun < wanted && holder.begin(at(ms), "places") >= 0) {
@@ -78,12 +84,12 @@
         tell(10, places(EPOCH, 3, 3, 1));
         assertEquals(3, begin(20, 9));
         assertEquals(1, begin(409, 9), "the fixed part, 400 ms and the clocks' bound after the start");
-        holder.end(at(500), "places");
+        end(500);
         assertEquals(1, begin(999, 9));
-        holder.end(at(1000), "places");
+        end(1000);
         assertEquals(0, begin(1000, 9), "the part is over: 3 are open, and 1 may be");
         for (int i = 0; i < 3; i++) {
-            holder.end(at(1001), "places");
+            end(1001);
         }
         assertEquals(1, begin(1002, 9));
     }
@@ -111,7 +117,7 @@
         answer(900, last(Ask.Parts.class), Result.of(Kind.PARTS, 1));
         assertEquals(2, begin(1330, 2), "the renewal was asked for at 0 or later, at the latest at 400");
         for (int i = 0; i < 2; i++) {
-            holder.end(at(1340), "places");
+            end(1340);
         }
         assertEquals(1, begin(1400, 9));
     }
@@ -123,8 +129,8 @@
         tell(30, places(EPOCH, 5, 2, 2));
         assertFalse(has(Ask.Give.class), "4 are open, and 2 will be left");
         assertEquals(0, begin(40, 9));
-        holder.end(at(50), "places");
-        holder.end(at(60), "places");
+        end(50);
+        end(60);
         Ask give = last(Ask.Give.class);
         assertEquals(new Ask.Give(EPOCH, "places", new Share(2, 0)), give.what());
         tell(70, places(EPOCH, 5, 5, 3)); // of before the giving back
--- a/src/test/java/rowanplank/ledger/BudgetsTest.java
+++ b/src/test/java/rowanplank/ledger/BudgetsTest.java
@@ -175,7 +175,7 @@
             @ForAll @Size(min = 1, max = 12) List<@IntRange(min = 0, max = 60) Integer> wished,
             @ForAll @Size(min = 12, max = 12) List<@IntRange(min = 0, max = 40) Integer> had) {
         long[] wishes = wished.stream().mapToLong(w -> w).toArray();
-        long[] fair = Division.fair(whole, wishes);
+        long[] fair = Division.fair(whole, wishes, had.stream().mapToLong(h -> h).toArray());
         assertEquals(Math.min(whole, Arrays.stream(wishes).sum()), Arrays.stream(fair).sum(), "nothing is kept back");
         for (int i = 0; i < fair.length; i++) {
             assertTrue(fair[i] <= wishes[i]);
