Give each trial a loopback host of its own, so that those at once can't share a port

A node of a trial binds its port long after it was chosen, and again after it was down, so two trials that ran at once could choose one: in two of 24 trials a node did not come up. A trial now holds a host of 127.64.0.0/16 by a socket that listens there until it ends; whoever looks next takes another one.

--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -68,6 +68,8 @@
     /** Whose file has no daily lease now. */
     private final BitSet withoutDaily = new BitSet();
     private final BitSet standsIn = new BitSet();
+    /** Its own until it ends: a node that was down binds the same ports much later. */
+    private final Ports ports = Ports.apart();
     /** Nodes that have answered since they were started. */
     private final BitSet hears = new BitSet();
     /** Ended by the trial, or being ended, and to be started again. */
@@ -138,6 +140,7 @@
                 return null;
             });
             loop.stop();
+            ports.close();
             Files.write(folder.resolve("history.txt"), history.stream().map(Event::line).toList());
         }
     }
@@ -145,7 +148,6 @@
     // ---- the beginning
 
     private void begin() throws IOException {
-        Ports ports = Ports.free(plan.seed());
         List<InetSocketAddress> sockets = new ArrayList<>();
         List<String> voters = new ArrayList<>();
         for (int n = 0; n < plan.nodes(); n++) {
--- a/src/main/java/rowanplank/net/Ports.java
+++ b/src/main/java/rowanplank/net/Ports.java
@@ -12,34 +12,67 @@
  *
  * <p>Nothing keeps another program from taking a port between its look and its use; whoever listens hears of that.
  */
-public final class Ports {
+public final class Ports implements AutoCloseable {
     /** Linux takes ports of outgoing connections from here on, other systems from 49,152. */
     public static final int BOUND = 32_768;
 
     private static final int FIRST = 10_000;
+    /** Loopback addresses that are tried for {@link #apart}. */
+    private static final int HOSTS = 1000;
 
+    private final InetAddress host;
     private final boolean exact;
+    /** Keeps others from the same host; null where its ports are shared. */
+    private final ServerSocket claim;
     private int next;
 
-    private Ports(int first, boolean exact) {
+    private Ports(InetAddress host, ServerSocket claim, int first, boolean exact) {
+        this.host = host;
+        this.claim = claim;
         next = first;
         this.exact = exact;
     }
 
     /** Exactly those from this port on. */
     public static Ports from(int first) {
-        return new Ports(first, true);
+        return new Ports(InetAddress.getLoopbackAddress(), null, first, true);
     }
 
     /** Whichever are free. Processes begin at different places, since many may look at once. */
     public static Ports free() {
-        return free(0);
+        return new Ports(InetAddress.getLoopbackAddress(), null,
+                FIRST + (int) (ProcessHandle.current().pid() * 97 % (BOUND - 2 * FIRST)), false);
     }
 
-    /** The same, for several that look at once in one process. @param lane those of different ones begin elsewhere */
-    public static Ports free(long lane) {
-        return new Ports(FIRST + (int) ((ProcessHandle.current().pid() * 97 + Math.floorMod(lane, 1000) * 613)
-                % (BOUND - 2 * FIRST)), false);
+    /**
+     * For addresses that are used long after they were chosen: all of a loopback host that nobody else is given until
+     * {@link #close}, in this process or another. Where the system has no such hosts it is as with {@link #free}.
+     */
+    public static Ports apart() {
+        long begin = ProcessHandle.current().pid(); // whoever looks at once begins elsewhere
+        for (int n = 0; n < HOSTS; n++) {
+            int number = (int) ((begin + n) % HOSTS);
+            try {
+                InetAddress host = InetAddress.getByAddress(
+                        new byte[] {127, 64, (byte) (number / 250), (byte) (number % 250 + 1)});
+                return new Ports(host, new ServerSocket(FIRST, 1, host), FIRST + 1, false);
+            } catch (IOException e) {
+                // somebody has it, or the system does not know it
+            }
+        }
+        return free();
+    }
+
+    /** Others may be given what was held for this one. */
+    @Override
+    public void close() {
+        try {
+            if (claim != null) {
+                claim.close();
+            }
+        } catch (IOException e) {
+            // it ends with the process
+        }
     }
 
     /** @throws IOException if the port that would be next is in use, or none is left */
@@ -48,7 +81,7 @@
             if (next >= 1 << 16) {
                 throw new IOException("no port is left below " + (1 << 16));
             }
-            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), next++);
+            InetSocketAddress address = new InetSocketAddress(host, next++);
             if (isFree(address)) {
                 return address;
             }
