Judge the history of a trial of budgets: within the whole, the rate, the sums

The judge reads events only and shares no code with the ledger that it judges. Uses at one instant are held against the whole that may be in force (what the voter that has applied most says, or more where staff asked for more and no voter has shown yet what came of it), starts against a leaky bucket, the figures of voters against each other and their sums, epochs of a node against those before, and the end against the max-min fair division of what the nodes' files ask. What holds of every fleet's history (alive, one-leader, one-log, no-lost-memory, knows-who-lives) moved from LeaseJudge to FleetRules, as it was. Each rule is kept by a hair and broken by one in BudgetJudgeTest.

--- a/src/main/java/rowanplank/lab/trial/judge/Event.java
+++ b/src/main/java/rowanplank/lab/trial/judge/Event.java
@@ -5,15 +5,15 @@
  *
  * @param at microseconds since the trial began, by the trial's clock
  * @param node whose; empty where it is nobody's
- * @param name a lease's, or what a node is doing
- * @param number a fence, a term, or a status
+ * @param name a lease's or a budget's, or what a node is doing
+ * @param number a fence, an epoch, a term, or a status
  * @param other a process's number, or up to where a log was applied
  * @param text what a person reads, a digest, or the period of an act that must be the only one in it
  */
 public record Event(long at, Kind kind, String node, String name, long number, long other, String text) {
     /** What happened. */
     public enum Kind {
-        /** An act of {@code name} under the fence {@code number} by the process {@code other} began, ended. */
+        /** An act of {@code name} under the fence or epoch {@code number} by the process {@code other} began, ended. */
         BEGIN, END,
         /** A node says: role {@code name}, term {@code number}, applied {@code other}, digest {@code text}. */
         STATUS,
@@ -38,7 +38,13 @@
         /** No fault from here on, and all that was stopped runs again. */
         QUIET,
         /** The trial is over. */
-        OVER
+        OVER,
+        /** A voter that has applied {@code other} entries says {@code text} of budget {@code name}: see {@link Told}. */
+        BUDGET,
+        /** Staff ask, as number {@code other}, that the whole of budget {@code name} be {@code number}; or it came to nothing. */
+        WHOLE,
+        /** A node's file says from now on that it wants {@code number} copies of what uses budget {@code name}. */
+        DEMAND
     }
 
     /** As one line: tabs between the fields. */
--- a/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
@@ -1,12 +1,9 @@
 package rowanplank.lab.trial.judge;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import rowanplank.lab.trial.judge.Event.Kind;
 
 /**
@@ -31,11 +28,10 @@
  * act acts late. Such an act, begun at most 250 ms after the stall's end, is no breach of the first two rules: it
  * is counted in {@link #lateActs}, and a recorder that checks fences would have refused it if a later one had acted.
  */
-public final class LeaseJudge {
+public final class LeaseJudge implements Judge {
     private static final int MOST_FINDINGS = 20;
     /** An act that was held up by a stall begins soon after it. */
     private static final long LATE_MICROS = 250_000;
-    private static final long ASKED_LATELY = 1_500_000;
 
     private record Act(Event begin, Event end) {
         /** One that was ended outright, and could not say so, counts for the moment of its beginning. */
@@ -61,6 +57,7 @@
     }
 
     /** At most {@value #MOST_FINDINGS} findings; none if all rules were kept. */
+    @Override
     public List<Finding> judge() {
         Map<String, List<Act>> acts = acts();
         acts.forEach((lease, list) -> {
@@ -68,21 +65,19 @@
             fences(lease);
         });
         reads();
-        leaders();
-        logs();
         periods();
-        lives();
-        knows();
+        new FleetRules(history, goesOnMicros, findings::add).judge();
         goesOn(acts);
         return findings.subList(0, Math.min(MOST_FINDINGS, findings.size()));
     }
 
+    @Override
     public int lateActs() {
         return lateActs;
     }
 
     private void found(String rule, String what, Event... shown) {
-        findings.add(new Finding(rule, what, Arrays.stream(shown).filter(Objects::nonNull).toList()));
+        findings.add(Finding.of(rule, what, shown));
     }
 
     private Map<String, List<Act>> acts() {
@@ -168,30 +163,6 @@
         }
     }
 
-    private void leaders() {
-        Map<Long, Event> byTerm = new TreeMap<>();
-        for (Event e : history) {
-            if (e.kind() == Kind.STATUS && e.name().equals("leader")) {
-                Event first = byTerm.putIfAbsent(e.number(), e);
-                if (first != null && !first.node().equals(e.node())) {
-                    found("one-leader", "two leaders of term " + e.number(), first, e);
-                }
-            }
-        }
-    }
-
-    private void logs() {
-        Map<Long, Event> byApplied = new TreeMap<>();
-        for (Event e : history) {
-            if (e.kind() == Kind.STATUS && !e.text().isEmpty()) {
-                Event first = byApplied.putIfAbsent(e.other(), e);
-                if (first != null && !first.text().equals(e.text())) {
-                    found("one-log", "two ledgers after entry " + e.other(), first, e);
-                }
-            }
-        }
-    }
-
     private void periods() {
         Map<String, Event> firsts = new TreeMap<>();
         for (Event e : history) {
@@ -204,84 +175,6 @@
         }
     }
 
-    /** Of what is thought at the end, by nodes that run and were asked lately. */
-    private void knows() {
-        Map<String, Event> runs = new TreeMap<>();
-        Map<String, Event> asked = new TreeMap<>();
-        Map<String, Event> seen = new TreeMap<>();
-        Event over = null;
-        for (Event e : history) {
-            switch (e.kind()) {
-                case STARTED, ENDED -> {
-                    runs.put(e.node(), e);
-                    seen.keySet().removeIf(k -> k.startsWith(e.node() + " ")); // a new process knows of nobody yet
-                }
-                case SEEN -> {
-                    asked.put(e.node(), e);
-                    if (!e.name().isEmpty()) {
-                        seen.put(e.node() + " " + e.name(), e);
-                    }
-                }
-                case OVER -> over = e;
-                default -> { }
-            }
-        }
-        if (over == null || asked.isEmpty()) {
-            return;
-        }
-        for (String viewer : asked.keySet()) {
-            if (runs.get(viewer).kind() == Kind.STARTED && asked.get(viewer).at() > over.at() - ASKED_LATELY) {
-                for (Map.Entry<String, Event> of : runs.entrySet()) {
-                    if (!of.getKey().equals(viewer)) {
-                        knows(viewer, of.getValue(), seen.get(viewer + " " + of.getKey()), over);
-                    }
-                }
-            }
-        }
-    }
-
-    private void knows(String viewer, Event last, Event thinks, Event over) {
-        boolean alive = thinks != null && thinks.text().equals("alive");
-        boolean forLong = last.at() < over.at() - goesOnMicros;
-        if (forLong && last.kind() == Kind.STARTED && !alive || forLong && last.kind() == Kind.ENDED && alive) {
-            found("knows-who-lives", viewer + " thinks " + last.node() + " " + (thinks == null ? "unknown" : thinks.text()),
-                    last, thinks);
-        }
-    }
-
-    private void lives() {
-        TreeSet<String> killed = new TreeSet<>();
-        Map<String, Long> fullUntil = new TreeMap<>();
-        TreeSet<String> spoilt = new TreeSet<>();
-        for (Event e : history) {
-            switch (e.kind()) {
-                case STARTED -> {
-                    killed.remove(e.node());
-                    fullUntil.computeIfPresent(e.node(), (n, until) -> e.at() < until ? until : null);
-                }
-                case FULL -> fullUntil.merge(e.node(), e.at() + e.number(), Math::max);
-                case KILLED -> killed.add(e.node());
-                case SPOILT -> spoilt.add(e.node());
-                case ENDED -> {
-                    if (!killed.contains(e.node()) && !spoilt.contains(e.node())) {
-                        found("alive", e.node() + " ended by itself with status " + e.number(), e);
-                    }
-                }
-                case STATUS -> {
-                    if (spoilt.contains(e.node())) {
-                        found("no-lost-memory", e.node() + " takes part with a spoilt state", e);
-                    }
-                }
-                case HALTED -> {
-                    if (!fullUntil.containsKey(e.node())) {
-                        found("alive", e.node() + ": " + e.text(), e);
-                    }
-                }
-                default -> { }
-            }
-        }
-    }
-
     private void goesOn(Map<String, List<Act>> acts) {
         Event quiet = history.stream().filter(e -> e.kind() == Kind.QUIET).findFirst().orElse(null);
         Event over = history.stream().filter(e -> e.kind() == Kind.OVER).findFirst().orElse(null);
