Let a trial be about more than leases: what it is about is a subject of its own

What stands in the files, what is read of the status, what changes all the time, which judge and which figures: a Subject says it, and the trial does it, among real processes and in virtual time alike. Wishes are the config's own records; FleetText writes them for real nodes.

--- a/src/main/java/rowanplank/cli/CommandLines.java
+++ b/src/main/java/rowanplank/cli/CommandLines.java
@@ -13,7 +13,7 @@
     private CommandLines() { }
 
     static CommandLine commands() {
-        return new CommandLine(new RootCommand())
+        return new CommandLine(new RootCommand()).setCaseInsensitiveEnumValuesAllowed(true)
                 .setParameterExceptionHandler((e, args) -> misused(e))
                 .setExecutionExceptionHandler(CommandLines::failed);
     }
--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -13,6 +13,7 @@
 import picocli.CommandLine.Spec;
 import rowanplank.lab.trial.Plants;
 import rowanplank.lab.trial.Trial;
+import rowanplank.lab.trial.TrialKind;
 import rowanplank.lab.trial.TrialPlan;
 import rowanplank.lab.trial.TrialResult;
 import rowanplank.lab.trial.Trouble;
@@ -27,8 +28,8 @@
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--kind", paramLabel = "KIND", defaultValue = "leases", description = "What is tried: leases.")
-    private String kind;
+    @Option(names = "--kind", paramLabel = "KIND", defaultValue = "leases", description = "What is tried: ${COMPLETION-CANDIDATES}.")
+    private TrialKind kind;
     @Option(names = "--nodes", paramLabel = "N", defaultValue = "3", description = "How many; the first 3 or 5 vote.")
     private int nodes;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "What breaks, and when, is drawn from it.")
@@ -59,7 +60,7 @@
         Path folder = out == null ? Files.createTempDirectory("rowanplank-trial-") : Files.createDirectories(out);
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
-        Trial trial = new Trial(new TrialPlan(nodes, seed, length, quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter,
+        Trial trial = new Trial(new TrialPlan(kind, nodes, seed, length, quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter,
                 Duration.ofMillis(lease), faults, Duration.ofMillis(gap), plant == null ? NodeCommand.ofFile() : NodeCommand.planted(plant),
                 plant == null ? NodeCommand.standIn() : List.of(), folder.toString()));
         Thread end = new Thread(trial::end, "end");
@@ -72,9 +73,6 @@
     }
 
     private void check() {
-        if (!List.of("leases").contains(kind)) {
-            throw new ParameterException(spec.commandLine(), "--kind: there is leases, and not " + kind);
-        }
         if (nodes < 1 || nodes > MOST_NODES) {
             throw new ParameterException(spec.commandLine(), "--nodes: 1 to " + MOST_NODES + ", and not " + nodes);
         }
--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -14,17 +14,20 @@
 import picocli.CommandLine.Spec;
 import rowanplank.fleet.Parts;
 import rowanplank.lab.trial.Plants;
+import rowanplank.lab.trial.TrialKind;
 import rowanplank.lab.trial.TrialPlan;
 import rowanplank.lab.trial.TrialResult;
 import rowanplank.lab.trial.Trouble;
 import rowanplank.lab.trial.VirtualTrial;
 import rowanplank.lab.trial.judge.Event;
 
-@Command(name = "fleet", description = {"Plays trials of leases in virtual time, one for each seed, with the nodes, the",
+@Command(name = "fleet", description = {"Plays trials in virtual time, one for each seed, with the nodes, the",
     "faults and the judge of fleet trial, and disks and clocks that fail besides. Status 3: a rule was broken."})
 final class LabFleetCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+    @Option(names = "--kind", paramLabel = "KIND", defaultValue = "leases", description = "What is tried: ${COMPLETION-CANDIDATES}.")
+    private TrialKind kind;
     @Option(names = "--nodes", paramLabel = "N", defaultValue = "3", description = "How many; the first 3 or 5 vote.")
     private int nodes;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "The first one.")
@@ -97,7 +100,7 @@
 
     private TrialResult play(long s) {
         Duration length = Duration.ofSeconds(seconds);
-        TrialPlan plan = new TrialPlan(nodes, s, length, Duration.ofSeconds(4), Duration.ofSeconds(1), faults, Trouble.GAP,
+        TrialPlan plan = new TrialPlan(kind, nodes, s, length, Duration.ofSeconds(4), Duration.ofSeconds(1), faults, Trouble.GAP,
                 List.of(), List.of(), "");
         return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, plant == null ? new Parts() : Plants.parts(plant)))
                 .play();
--- /dev/null
+++ b/src/main/java/rowanplank/lab/trial/FleetText.java
@@ -0,0 +1,51 @@
+package rowanplank.lab.trial;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import rowanplank.config.FleetConfig;
+
+/** What a trial's nodes wish, as it stands in an operator's file. */
+final class FleetText {
+    private final StringBuilder text = new StringBuilder();
+
+    private FleetText() { }
+
+    static String of(Subject.Wishes wishes) {
+        FleetText t = new FleetText();
+        wishes.leases().forEach(l -> t.head("lease").put("name", l.name()).put("length", l.length()));
+        wishes.tasks().forEach(t::task);
+        return t.text.toString();
+    }
+
+    private void task(FleetConfig.Task task) {
+        head("task").put("name", task.name()).put("lease", task.lease()).put(task.once() ? "once_in" : "every", task.every())
+                .put("longest", task.longest()).put("allowance", task.allowance()).put("command", task.command());
+    }
+
+    private FleetText head(String kind) {
+        text.append("[[").append(kind).append("]]\n");
+        return this;
+    }
+
+    private FleetText bare(String key, String value) {
+        text.append(key).append(" = ").append(value).append('\n');
+        return this;
+    }
+
+    private static String quoted(String word) {
+        return '"' + word.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+    }
+
+    private FleetText put(String key, String value) {
+        return bare(key, quoted(value));
+    }
+
+    private FleetText put(String key, Duration value) {
+        return put(key, value.toMillis() + "ms");
+    }
+
+    private FleetText put(String key, List<String> value) {
+        return bare(key, value.stream().map(FleetText::quoted).collect(Collectors.joining(", ", "[", "]")));
+    }
+}
--- a/src/main/java/rowanplank/lab/trial/Recorder.java
+++ b/src/main/java/rowanplank/lab/trial/Recorder.java
@@ -7,6 +7,7 @@
 import java.io.RandomAccessFile;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -41,10 +42,16 @@
         }
     }
 
-    /** What a task runs to act on it: at most a moment, and when it is asked to end it says so and ends. */
-    String command() {
-        String tell = "echo \"$1 $FLEET_LEASE $FLEET_FENCE $FLEET_NODE $$ ${FLEET_PERIOD:--}\" > '" + pipe + "'";
-        return "tell() { " + tell + "; }; trap 'tell end; exit 0' TERM; tell begin; sleep 0.02 & wait $!; tell end";
+    /**
+     * What a task or a worker runs to act on it: when it is asked to end it says so and ends.
+     *
+     * @param takes how many seconds it takes, as the shell reads it
+     */
+    List<String> command(String takes) {
+        String tell = "echo \"$1 ${FLEET_LEASE:-$FLEET_BUDGET} ${FLEET_FENCE:-$FLEET_EPOCH} $FLEET_NODE $$ ${FLEET_PERIOD:--}\" > '"
+                + pipe + "'";
+        return List.of("sh", "-c", "tell() { " + tell + "; }; trap 'tell end; exit 0' TERM; tell begin; sleep " + takes
+                + " & wait $!; tell end");
     }
 
     void close() throws IOException {
--- /dev/null
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -0,0 +1,80 @@
+package rowanplank.lab.trial;
+
+import com.eclipsesource.json.JsonObject;
+import java.time.Duration;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import rowanplank.config.FleetConfig;
+import rowanplank.lab.trial.judge.Event;
+import rowanplank.lab.trial.judge.Judge;
+
+/**
+ * What a trial is about: what the nodes' files say, what is read of their status, what changes in all of it, and by which
+ * rules the history is judged. The trial does what it says, among real processes or in virtual time. One is of one trial.
+ */
+interface Subject {
+    /** Where what it reads and does is written down. */
+    interface Notes {
+        void tell(Event.Kind kind, String node, String name, long number, long other, String text);
+    }
+
+    /** What stands in a node's file beside where it is and who votes. */
+    record Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks) { }
+
+    /** A whole that staff ask for. */
+    record Whole(String budget, long whole) { }
+
+    /** @param command what its tasks and workers run */
+    Wishes wishes(int node, List<String> command);
+
+    /** A node's file, as it is from now on, was written. */
+    default void written(int node, Notes notes) { }
+
+    /** The node's file is to say something else from now on. */
+    void change(int node, UniformRandomProvider chance);
+
+    /** For the end all files are to say what is judged then. @return whose do not yet */
+    List<Integer> settle();
+
+    /** What staff ask for next; null where there is nothing of the kind. */
+    default Whole whole(UniformRandomProvider chance) {
+        return null;
+    }
+
+    /** How late a node starts. */
+    default Duration startsAfter(int node) {
+        return Duration.ZERO;
+    }
+
+    /** The longest that an act may take. */
+    Duration longest();
+
+    /** What one act takes, in the shell of real processes: seconds. */
+    String takes();
+
+    /** Whether who acts under this name is the one that trouble seeks out, as the holder. */
+    boolean isHeld(String name);
+
+    /** The lease that somebody asks after all the time; null where there is none. */
+    default String asked() {
+        return null;
+    }
+
+    /** What may break where the plan names nothing. */
+    List<Trouble.Kind> faults();
+
+    /** What happens all the time beside the faults, where the plan names none. */
+    default List<Trouble.Kind> stir() {
+        return List.of();
+    }
+
+    /** What a node that votes said of itself. */
+    default void read(String node, JsonObject status, Notes notes) { }
+
+    /** The node begins anew, and what it said before is past. */
+    default void started(String node) { }
+
+    Judge judge(List<Event> history, Duration goesOn);
+
+    TrialResult.Figures figures(List<Event> history);
+}
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -20,9 +20,10 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import rowanplank.config.Addresses;
+import rowanplank.lab.trial.judge.BudgetJudge;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
-import rowanplank.lab.trial.judge.LeaseJudge;
+import rowanplank.lab.trial.judge.Judge;
 import rowanplank.net.ChildProcesses;
 import rowanplank.net.DoorCalls;
 import rowanplank.net.Loop;
@@ -52,6 +53,7 @@
     }
 
     private final TrialPlan plan;
+    private final Subject subject;
     private final Path folder;
     private final SystemClock clock = new SystemClock();
     private final Instant began = clock.now();
@@ -65,8 +67,7 @@
     /** Who is asked: apart from what breaks, which must not hang on how often somebody was asked. */
     private final UniformRandomProvider readers;
     private final UniformRandomProvider standIns;
-    /** Whose file has no daily lease now. */
-    private final BitSet withoutDaily = new BitSet();
+    private final UniformRandomProvider stirs;
     private final BitSet standsIn = new BitSet();
     /** Its own until it ends: a node that was down binds the same ports much later. */
     private final Ports ports = Ports.apart();
@@ -80,11 +81,12 @@
     private final Map<String, String> seen = new TreeMap<>();
     private Recorder recorder;
     private Relays relays;
-    private Trouble trouble;
+    private final List<Trouble> troubles = new ArrayList<>();
     private int leader = -1;
     private int holder = -1;
     private Instant playing;
     private long reads;
+    private long wholes;
     private long passedBefore;
     private long bytesBefore;
     private Duration processorBefore;
@@ -93,9 +95,11 @@
 
     public Trial(TrialPlan plan) {
         this.plan = plan;
+        subject = plan.kind().subject(plan);
         folder = Path.of(plan.folder()).toAbsolutePath();
         chance = RandomSource.XO_SHI_RO_256_PP.create(plan.seed());
         readers = RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 2);
+        stirs = RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 4);
         standIns = RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 3);
         loop = new SelectorLoop(clock, this::unforeseen);
     }
@@ -159,14 +163,14 @@
         relays = new Relays(loop, RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 1), ports, sockets);
         for (int n = 0; n < plan.nodes(); n++) {
             TrialNode node = new TrialNode(TrialPlan.name(n), folder, ports.next(), ports.next(),
-                    fleet(n, true), command(n));
+                    fleet(n), command(n));
             nodes.add(node);
             if (n < plan.voters()) {
                 node.makeState(FLEET, voters);
             }
         }
         for (int n = 0; n < plan.nodes(); n++) {
-            start(n);
+            startAfter(n, subject.startsAfter(n));
         }
         loop.schedule(BEGINS_WITHIN, () -> {
             if (playing == null) {
@@ -188,8 +192,9 @@
         return command;
     }
 
-    /** @param daily whether it is to hold the lease of the task that runs once in a period; if not, the other task differs */
-    private String fleet(int node, boolean daily) {
+    /** What its file says now of its fleet, and of what it wishes there. */
+    private String fleet(int node) {
+        subject.written(node, this::tell);
         InetSocketAddress listen = relays.front(node, node);
         StringBuilder text = new StringBuilder("[fleet]\nname = \"" + FLEET + "\"\nlisten = \""
                 + Addresses.format(listen) + "\"\nelection = \"300ms\"\nheartbeat = \"75ms\"\nsession = \"3s\"\n"
@@ -204,18 +209,7 @@
                 text.append(TrialPlan.name(m)).append(" = \"").append(Addresses.format(relays.front(node, m))).append("\"\n");
             }
         }
-        if (daily) {
-            text.append("[[lease]]\nname = \"" + TrialPlan.DAILY + "\"\nlength = \"").append(plan.lease().toMillis())
-                    .append("ms\"\n").append(task("once", TrialPlan.DAILY, "once_in = \"" + TrialPlan.PERIOD.toMillis() + "ms\""));
-        }
-        return text.append("[[lease]]\nname = \"" + TrialPlan.LEASE + "\"\nlength = \"").append(plan.lease().toMillis())
-                .append("ms\"\n").append(task("act", TrialPlan.LEASE, "every = \"" + (daily ? 30 : 40) + "ms\"")).toString();
-    }
-
-    private String task(String name, String lease, String when) {
-        return "[[task]]\nname = \"" + name + "\"\nlease = \"" + lease + "\"\n" + when + "\nlongest = \""
-                + TrialPlan.LONGEST.toMillis() + "ms\"\nallowance = \"" + TrialPlan.ALLOWANCE.toMillis()
-                + "ms\"\ncommand = [\"sh\", \"-c\", \"" + recorder.command().replace("\"", "\\\"") + "\"]\n";
+        return text.append(FleetText.of(subject.wishes(node, recorder.command(subject.takes())))).toString();
     }
 
     /** The first act: from here on the trial counts, and things break. */
@@ -224,8 +218,12 @@
         passedBefore = relays.passed();
         bytesBefore = relays.bytes();
         processorBefore = processorTime();
-        trouble = new Trouble(new Scene(), plan, chance);
-        trouble.begin(plan.length().minus(plan.quiet()));
+        List<Trouble.Kind> faults = plan.faults().isEmpty() ? subject.faults() : plan.faults();
+        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), chance));
+        if (plan.faults().isEmpty() && !subject.stir().isEmpty()) {
+            troubles.add(new Trouble(new Scene(), subject.stir(), Trouble.STIR_GAP, plan.lease(), stirs));
+        }
+        troubles.forEach(t -> t.begin(plan.length().minus(plan.quiet())));
         loop.schedule(plan.length().minus(plan.quiet()), this::mend);
     }
 
@@ -235,11 +233,11 @@
     }
 
     private void mend() {
-        trouble.end();
+        troubles.forEach(Trouble::end);
         relays.mendAll();
         try {
-            for (int n = withoutDaily.nextSetBit(0); n >= 0; n = withoutDaily.nextSetBit(n + 1)) {
-                nodes.get(n).reload(fleet(n, true), hears.get(n));
+            for (int n : subject.settle()) {
+                nodes.get(n).reload(fleet(n), hears.get(n));
             }
         } catch (IOException e) {
             unforeseen(e);
@@ -302,7 +300,7 @@
         }
         tell(new Event(at, words[0].equals("begin") ? Kind.BEGIN : Kind.END, words[3], words[1],
                 Long.parseLong(words[2]), Long.parseLong(words[4]), words[5].equals("-") ? "" : words[5]));
-        if (!words[1].equals(TrialPlan.LEASE)) {
+        if (!subject.isHeld(words[1])) {
             return;
         }
         holder = Integer.parseInt(words[3].substring(1)) - 1;
@@ -311,6 +309,14 @@
         }
     }
 
+    private void startAfter(int n, Duration delay) {
+        restarting.set(n);
+        loop.schedule(delay, () -> {
+            restarting.clear(n);
+            start(n);
+        });
+    }
+
     private void start(int n) {
         TrialNode node = nodes.get(n);
         if (node.runs()) {
@@ -320,6 +326,7 @@
             tell(Kind.STARTED, node.name(), "", 0, 0, "");
             hears.clear(n);
             seen.keySet().removeIf(k -> k.startsWith(node.name() + " "));
+            subject.started(node.name());
             node.remember();
             node.start(children, status -> loop.execute(() -> ended(n, status)));
         } catch (IOException e) {
@@ -368,12 +375,13 @@
                         reply -> loop.execute(() -> answered(node, reply)));
             }
         }
-        if (playing != null) {
+        String lease = subject.asked();
+        if (playing != null && lease != null) {
             int reader = readers.nextInt(nodes.size());
             if (nodes.get(reader).runs()) {
                 long number = ++reads;
-                tell(Kind.ASKED, nodes.get(reader).name(), TrialPlan.LEASE, 0, number, "");
-                doors.call(nodes.get(reader).door(), "GET", "/api/fleet/lease/" + TrialPlan.LEASE, Duration.ofSeconds(4),
+                tell(Kind.ASKED, nodes.get(reader).name(), lease, 0, number, "");
+                doors.call(nodes.get(reader).door(), "GET", "/api/fleet/lease/" + lease, Duration.ofSeconds(4),
                         reply -> loop.execute(() -> read(reader, number, reply)));
             }
         }
@@ -383,7 +391,7 @@
     private void read(int reader, long number, DoorCalls.Reply reply) {
         if (reply != null && reply.status() == 200 && over.getCount() > 0) {
             JsonObject o = Json.parse(reply.body()).asObject();
-            tell(Kind.READ, nodes.get(reader).name(), TrialPlan.LEASE, o.getLong("fence", 0), number,
+            tell(Kind.READ, nodes.get(reader).name(), subject.asked(), o.getLong("fence", 0), number,
                     o.getBoolean("held", false) ? "held" : "free");
         }
     }
@@ -409,6 +417,7 @@
                 String role = o.getString("role", "");
                 tell(Kind.STATUS, name, role, o.getLong("term", 0), o.getLong("applied", 0), o.getString("chain", ""));
                 leader = role.equals("leader") ? n : leader == n ? -1 : leader;
+                subject.read(name, o, this::tell);
             }
         } catch (ParseException | UnsupportedOperationException e) {
             tell(Kind.HALTED, nodes.get(n).name(), "", 0, 0, "its status can't be read: " + reply.body());
@@ -470,13 +479,6 @@
             whenEnded(n, () -> startAfter(n, restartAfter));
         }
 
-        private void startAfter(int n, Duration delay) {
-            loop.schedule(delay, () -> {
-                restarting.clear(n);
-                start(n);
-            });
-        }
-
         @Override
         public void stall(int n, Duration length) throws IOException {
             tell(Kind.STALLED, nodes.get(n).name(), "", length.toNanos() / 1000, 0, "");
@@ -519,8 +521,25 @@
             if (!hears.get(n)) {
                 return; // a process that has only just begun would end at the signal
             }
-            withoutDaily.flip(n);
-            nodes.get(n).reload(fleet(n, !withoutDaily.get(n)), true);
+            subject.change(n, stirs);
+            nodes.get(n).reload(fleet(n), true);
+        }
+
+        @Override
+        public void changeWhole() {
+            Subject.Whole asked = leader < 0 ? null : subject.whole(stirs);
+            if (asked == null) {
+                return;
+            }
+            long number = ++wholes;
+            String asks = nodes.get(leader).name();
+            tell(Kind.WHOLE, asks, asked.budget(), asked.whole(), number, "");
+            doors.call(nodes.get(leader).door(), "POST", "/api/fleet/budget/" + asked.budget() + "/" + asked.whole(),
+                    ANSWERED_WITHIN, reply -> loop.execute(() -> {
+                        if (reply != null && reply.status() != 200) {
+                            tell(Kind.WHOLE, asks, asked.budget(), asked.whole(), number, BudgetJudge.REFUSED);
+                        }
+                    }));
         }
 
         @Override
@@ -592,26 +611,10 @@
         List<Event> sorted = new ArrayList<>(history);
         sorted.sort((a, b) -> Long.compare(a.at(), b.at()));
         Duration goesOn = plan.quiet().minus(Duration.ofMillis(200));
-        LeaseJudge judge = new LeaseJudge(sorted, TrialPlan.ALLOWANCE.toNanos() / 1000, goesOn.toNanos() / 1000);
-        return new TrialResult(plan, sorted, judge.judge(), judge.lateActs(), gaps(sorted),
+        Judge judge = subject.judge(sorted, goesOn);
+        return new TrialResult(plan, sorted, judge.judge(), judge.lateActs(), subject.figures(sorted),
                 relays.passed() - passedBefore, relays.bytes() - bytesBefore,
                 Duration.between(playing, clock.now()).toNanos() / 1e9,
                 sorted.stream().anyMatch(e -> e.kind() == Kind.ENDED) ? -1 : processorUsed.toNanos() / 1e9, List.of());
     }
-
-    static List<Long> gaps(List<Event> history) {
-        List<Long> gaps = new ArrayList<>();
-        Event last = null;
-        for (Event e : history) {
-            if (!e.name().equals(TrialPlan.LEASE)) {
-                continue;
-            }
-            if (e.kind() == Kind.BEGIN && last != null && last.number() != e.number()) {
-                gaps.add(Math.max(0, e.at() - last.at()) / 1000);
-            }
-            last = e.kind() == Kind.BEGIN || e.kind() == Kind.END ? e : last;
-        }
-        gaps.sort(null);
-        return gaps;
-    }
 }
--- /dev/null
+++ b/src/main/java/rowanplank/lab/trial/TrialKind.java
@@ -0,0 +1,21 @@
+package rowanplank.lab.trial;
+
+import java.util.Locale;
+
+/** What a trial can be about. */
+public enum TrialKind {
+    LEASES {
+        @Override
+        Subject subject(TrialPlan plan) {
+            return new LeaseSubject(plan);
+        }
+    };
+
+    /** A new one, of this plan's trial. */
+    abstract Subject subject(TrialPlan plan);
+
+    @Override
+    public String toString() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/rowanplank/lab/trial/TrialPlan.java
+++ b/src/main/java/rowanplank/lab/trial/TrialPlan.java
@@ -6,16 +6,18 @@
 /**
  * What a trial is to be.
  *
+ * @param kind what it is about
  * @param command starts a node: the operator's file is put behind it
  * @param standIn starts a node whose disk can be slow or full and whose clock runs at another rate, put behind this
  *     before the file; empty where there is to be none
  * @param folder where all that it writes goes
+ * @param lease its length, or that of a part of a budget
  * @param faults what may break; all where none is named
  * @param gap how far apart faults are on average
  * @param quiet at the end nothing breaks for so long
  */
-public record TrialPlan(int nodes, long seed, Duration length, Duration quiet, Duration lease, List<Trouble.Kind> faults,
-        Duration gap, List<String> command, List<String> standIn, String folder) {
+public record TrialPlan(TrialKind kind, int nodes, long seed, Duration length, Duration quiet, Duration lease,
+        List<Trouble.Kind> faults, Duration gap, List<String> command, List<String> standIn, String folder) {
     /** The stalls that the acts' bound includes. */
     static final Duration ALLOWANCE = Duration.ofMillis(200);
     /** The longest that an act may take. */
--- a/src/main/java/rowanplank/lab/trial/TrialResult.java
+++ b/src/main/java/rowanplank/lab/trial/TrialResult.java
@@ -11,29 +11,27 @@
 /**
  * What a trial showed.
  *
- * @param gapsMs without a holder, between the last act of one and the first of the next, in order of length
+ * @param figures of what it is about
  * @param datagrams between nodes, in all
  * @param processorSeconds of all nodes together; -1 where some have ended meanwhile, or it is virtual time
  * @param log what the nodes wrote, where it is not in files
  */
-public record TrialResult(TrialPlan plan, List<Event> history, List<Finding> findings, int lateActs, List<Long> gapsMs,
+public record TrialResult(TrialPlan plan, List<Event> history, List<Finding> findings, int lateActs, Figures figures,
         long datagrams, long bytes, double seconds, double processorSeconds,
         List<String> log) {
+    /** @param line without its end */
+    public record Figures(String line, JsonObject json) { }
+
     public TrialResult {
         log = List.copyOf(log);
         history = List.copyOf(history);
         findings = List.copyOf(findings);
-        gapsMs = List.copyOf(gapsMs);
     }
 
     public long count(Kind kind) {
         return history.stream().filter(e -> e.kind() == kind).count();
     }
 
-    private long gap(double share) {
-        return gapsMs.isEmpty() ? 0 : gapsMs.get((int) Math.min(gapsMs.size() - 1L, (long) (gapsMs.size() * share)));
-    }
-
     private double perNodeAndSecond(long count) {
         return count / Math.max(seconds, 1e-3) / plan.nodes();
     }
@@ -41,11 +39,10 @@
     public String text() {
         StringBuilder text = new StringBuilder();
         findings.forEach(f -> text.append(f.text()));
-        text.append(String.format(Locale.ROOT, "%d nodes, %d of them voters, seed %d, %.1f s: %d acts, %d takeovers, "
+        text.append(String.format(Locale.ROOT, "%d nodes, %d of them voters, seed %d, %.1f s: %d acts, "
                 + "%d late acts after long stalls, %d faults%n", plan.nodes(), plan.voters(), plan.seed(), seconds,
-                count(Kind.BEGIN), gapsMs.size(), lateActs, faults()));
-        text.append(String.format(Locale.ROOT, "without a holder at a takeover: median %d ms, 99 %% %d ms, lease %d ms%n",
-                gap(0.5), gap(0.99), plan.lease().toMillis()));
+                count(Kind.BEGIN), lateActs, faults()));
+        text.append(figures.line()).append('\n');
         text.append(String.format(Locale.ROOT, "between nodes: %.1f datagrams, %.0f bytes a node and second%n",
                 perNodeAndSecond(datagrams), perNodeAndSecond(bytes)));
         if (processorSeconds >= 0) {
@@ -62,12 +59,14 @@
     public JsonObject json() {
         JsonArray broken = new JsonArray();
         findings.forEach(f -> broken.add(new JsonObject().add("rule", f.rule()).add("what", f.what())));
-        return new JsonObject().add("nodes", plan.nodes()).add("voters", plan.voters()).add("seed", plan.seed())
-                .add("seconds", seconds).add("acts", count(Kind.BEGIN)).add("takeovers", gapsMs.size())
-                .add("late_acts", lateActs).add("faults", faults()).add("gap_ms_median", gap(0.5))
-                .add("gap_ms_99", gap(0.99)).add("lease_ms", plan.lease().toMillis())
+        JsonObject o = new JsonObject().add("kind", plan.kind().toString())
+                .add("nodes", plan.nodes()).add("voters", plan.voters()).add("seed", plan.seed())
+                .add("seconds", seconds).add("acts", count(Kind.BEGIN))
+                .add("late_acts", lateActs).add("faults", faults())
                 .add("datagrams_node_s", perNodeAndSecond(datagrams)).add("bytes_node_s", perNodeAndSecond(bytes))
                 .add("core_share_node", processorSeconds < 0 ? -1 : processorSeconds / seconds / plan.nodes())
                 .add("broken", broken);
+        figures.json().forEach(f -> o.add(f.getName(), f.getValue()));
+        return o;
     }
 }
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -17,6 +16,9 @@
     /** Usually faults are this far apart on average, so that some lie over others. */
     public static final Duration GAP = Duration.ofMillis(700);
 
+    /** What happens all the time is this far apart. */
+    static final Duration STIR_GAP = Duration.ofMillis(500);
+
     /** The trial, as trouble sees it. */
     interface Scene {
         int nodes();
@@ -45,7 +47,7 @@
         /** Staff tell the leader, if there is one, that a node is to vote, or not any more. */
         void changeVoters(int voter, boolean add);
 
-        /** Staff take a lease and its task from its file, or put them there again, and have it read the file. */
+        /** Its file says something else, and it is told to read it. */
         void reload(int node) throws IOException;
 
         /** Staff tell it to give the lease back. */
@@ -60,6 +62,9 @@
         /** Nothing can be written there for so long; then it is killed and started. @return whether that can be done here */
         boolean fullDisk(int node, Duration length);
 
+        /** Staff ask the leader, if there is one, for another whole of a budget. */
+        void changeWhole();
+
         void after(Duration delay, Runnable task);
 
         void tell(String fault);
@@ -70,6 +75,8 @@
         NOTHING, LEADER_GONE, HOLDER_GONE, RELEASE, ONE_WAY, PAIR, SICK, ISOLATED, DEAF_LEADER, HALVES, THIRDS, LEADER_AND_HOLDER, STALL, LONG_STALL, HELD_START, KILL, KILL_SEVERAL,
         TERMINATE, SLOW_DISK, FULL_DISK, VOTERS, RELOAD,
         TORN, FLIPPED, LOST,
+        /** Of budgets alone. */
+        WHOLE,
         /** A voter's state is put back to what it was: against what is assumed, so it comes only where it is named. */
         OLDER
     }
@@ -85,14 +92,16 @@
     private boolean spoiltOne;
     private int removed = -1;
 
-    /** @param plan says what may break, and how far apart faults are on average */
-    Trouble(Scene scene, TrialPlan plan, UniformRandomProvider chance) {
+    /**
+     * @param gap how far apart faults are on average
+     * @param lease faults last as long as this a few times
+     */
+    Trouble(Scene scene, List<Kind> kinds, Duration gap, Duration lease, UniformRandomProvider chance) {
         this.scene = scene;
-        kinds = plan.faults().isEmpty() ? Arrays.stream(Kind.values()).filter(k -> k != Kind.OLDER).toList()
-                : plan.faults();
-        gap = plan.gap();
+        this.kinds = kinds;
+        this.gap = gap;
         this.chance = chance;
-        lease = plan.lease();
+        this.lease = lease;
     }
 
     /** @param length all that is broken is mended by then, but for what is killed at its very end */
@@ -171,6 +180,7 @@
                 }
             }
             case VOTERS -> voters();
+            case WHOLE -> scene.changeWhole();
             case RELOAD -> {
                 int n = victim();
                 scene.tell(TrialPlan.name(n) + "'s file changes");
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -26,7 +26,7 @@
 import rowanplank.lab.net.SimProcess;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
-import rowanplank.lab.trial.judge.LeaseJudge;
+import rowanplank.lab.trial.judge.Judge;
 import rowanplank.lab.world.World;
 import rowanplank.ledger.Result;
 import rowanplank.metrics.RateLimitedLog;
@@ -64,16 +64,18 @@
 
     private final Setting setting;
     private final TrialPlan plan;
+    private final Subject subject;
     private final World world;
     private final UniformRandomProvider chance;
     private final UniformRandomProvider readers;
+    private final UniformRandomProvider stirs;
     private final List<Event> history = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
     private final Way[][] ways;
     /** What each node thinks of each other one, as was heard last. */
     private final Map<String, String> seen = new TreeMap<>();
     private final List<String> log = new ArrayList<>();
-    private Trouble trouble;
+    private final List<Trouble> troubles = new ArrayList<>();
     private int leader = -1;
     private int holder = -1;
     private long pids = 100;
@@ -85,8 +87,10 @@
     public VirtualTrial(Setting setting) {
         this.setting = setting;
         plan = setting.plan();
+        subject = plan.kind().subject(plan);
         world = new World(plan.seed());
         chance = world.random("trial");
+        stirs = world.random("stirs");
         readers = world.random("readers");
         ways = new Way[plan.nodes()][plan.nodes()];
     }
@@ -100,8 +104,6 @@
         VirtualLoop loop;
         Fleet fleet;
         boolean spoilt;
-        /** Its file has no daily lease now. */
-        boolean withoutDaily;
         long stalledUntil;
         /** What was on its disk as it started last. */
         byte[] remembered;
@@ -128,6 +130,7 @@
             }
             tell(Kind.STARTED, name(), "", 0, 0, "");
             seen.keySet().removeIf(k -> k.startsWith(name() + " "));
+            subject.started(name());
             remembered = disk.content();
             SimProcess process = machine.boot(Process.unbounded(name()), e -> {
                 log.add(micros() + " " + name() + ": " + e);
@@ -151,25 +154,16 @@
         }
 
         private FleetConfig config() {
+            Subject.Wishes wishes = subject.wishes(number, List.of("act"));
             List<FleetConfig.Lease> leases = new ArrayList<>(setting.more());
-            leases.add(new FleetConfig.Lease(TrialPlan.LEASE, plan.lease()));
-            List<FleetConfig.Task> tasks = new ArrayList<>();
-            tasks.add(task("act", TrialPlan.LEASE, Duration.ofMillis(withoutDaily ? 40 : 30), false));
-            if (!withoutDaily) {
-                leases.add(new FleetConfig.Lease(TrialPlan.DAILY, plan.lease()));
-                tasks.add(task("once", TrialPlan.DAILY, TrialPlan.PERIOD, true));
-            }
+            leases.addAll(wishes.leases());
             return new FleetConfig(FLEET, name(), address, address, voters(), new TreeMap<>(), new TreeMap<>(), name(),
                     new FleetConfig.Timing(Duration.ofMillis(300), Duration.ofMillis(75), DRIFT, Duration.ofSeconds(3),
-                            Duration.ofMillis(200), plan.snapshot()), leases, tasks, null);
-        }
-
-        private FleetConfig.Task task(String name, String lease, Duration every, boolean once) {
-            return new FleetConfig.Task(name, lease, List.of(name), every, once, TrialPlan.LONGEST, TrialPlan.ALLOWANCE);
+                            Duration.ofMillis(200), plan.snapshot()), leases, wishes.tasks(), null);
         }
 
-        void reload(boolean daily) {
-            withoutDaily = !daily;
+        void reload() {
+            subject.written(number, VirtualTrial.this::tell);
             if (loop != null) {
                 Fleet running = fleet;
                 loop.execute(() -> running.reload(config()));
@@ -235,7 +229,7 @@
         private final Node node;
         private final SimProcess process;
         private final long pid;
-        private final String lease;
+        private final String name;
         private final long fence;
         private final String period;
         private final IntConsumer ended;
@@ -246,8 +240,8 @@
             this.node = node;
             this.process = process;
             this.pid = pid;
-            lease = environment.get("FLEET_LEASE");
-            fence = Long.parseLong(environment.get("FLEET_FENCE"));
+            name = environment.getOrDefault("FLEET_LEASE", environment.get("FLEET_BUDGET"));
+            fence = Long.parseLong(environment.getOrDefault("FLEET_FENCE", environment.get("FLEET_EPOCH")));
             period = environment.getOrDefault("FLEET_PERIOD", "");
             this.ended = ended;
         }
@@ -255,10 +249,10 @@
         void begin() {
             if (!over) {
                 begun = true;
-                holder = lease.equals(TrialPlan.LEASE) ? node.number : holder;
-                tell(Kind.BEGIN, node.name(), lease, fence, pid, period);
+                holder = subject.isHeld(name) ? node.number : holder;
+                tell(Kind.BEGIN, node.name(), name, fence, pid, period);
                 boolean slow = chance.nextInt(20) == 0; // it takes all the time that it has, and then ends by itself
-                world.after(slow ? TrialPlan.LONGEST : Duration.ofMillis(5 + chance.nextInt(60)), () -> end(0));
+                world.after(slow ? subject.longest() : Duration.ofMillis(5 + chance.nextInt(60)), () -> end(0));
             }
         }
 
@@ -268,7 +262,7 @@
             }
             over = true;
             if (begun) {
-                tell(Kind.END, node.name(), lease, fence, pid, "");
+                tell(Kind.END, node.name(), name, fence, pid, "");
             }
             process.execute(() -> ended.accept(status)); // nobody hears it where the node is no more
         }
@@ -333,21 +327,32 @@
             }
             nodes.add(new Node(a, network));
         }
-        nodes.forEach(Node::start);
+        for (Node n : nodes) {
+            subject.written(n.number, this::tell);
+            Duration late = subject.startsAfter(n.number);
+            if (late.isZero()) {
+                n.start();
+            } else {
+                world.after(late, n::start);
+            }
+        }
         ask();
-        trouble = new Trouble(new Scene(), plan, chance);
-        world.after(CALM, () -> trouble.begin(plan.length().minus(QUIET).minus(CALM)));
+        List<Trouble.Kind> faults = plan.faults().isEmpty() ? subject.faults() : plan.faults();
+        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), chance));
+        if (plan.faults().isEmpty() && !subject.stir().isEmpty()) {
+            troubles.add(new Trouble(new Scene(), subject.stir(), Trouble.STIR_GAP, plan.lease(), stirs));
+        }
+        world.after(CALM, () -> troubles.forEach(t -> t.begin(plan.length().minus(QUIET).minus(CALM))));
         world.after(plan.length().minus(QUIET), this::quiet);
         world.runUntil(plan.length().toNanos());
         tell(Kind.OVER, "", "", 0, 0, "");
-        long goesOn = QUIET.minus(Duration.ofMillis(200)).toNanos() / 1000;
-        LeaseJudge judge = new LeaseJudge(history, TrialPlan.ALLOWANCE.toNanos() / 1000, goesOn);
-        return new TrialResult(plan, history, judge.judge(), judge.lateActs(), Trial.gaps(history), passed, bytes,
+        Judge judge = subject.judge(history, QUIET.minus(Duration.ofMillis(200)));
+        return new TrialResult(plan, history, judge.judge(), judge.lateActs(), subject.figures(history), passed, bytes,
                 plan.length().toNanos() / 1e9, -1, log);
     }
 
     private void quiet() {
-        trouble.end();
+        troubles.forEach(Trouble::end);
         for (Way[] row : ways) {
             for (Way w : row) {
                 w.mend();
@@ -355,7 +360,7 @@
         }
         nodes.forEach(n -> n.heldStart = Duration.ZERO);
         nodes.forEach(n -> n.disk.slower(Duration.ZERO));
-        nodes.stream().filter(n -> n.withoutDaily).forEach(n -> n.reload(true));
+        subject.settle().forEach(n -> nodes.get(n).reload());
         nodes.stream().filter(n -> !n.spoilt).forEach(Node::start);
         tell(Kind.QUIET, "", "", 0, 0, "");
     }
@@ -374,19 +379,21 @@
                     String role = o.getString("role", "");
                     tell(Kind.STATUS, n.name(), role, o.getLong("term", 0), o.getLong("applied", 0),
                             o.getString("chain", ""));
+                    subject.read(n.name(), o, this::tell);
                     leader = role.equals("leader") ? n.number : leader == n.number ? -1 : leader;
                 }
             }
         }
         Node reader = nodes.get(readers.nextInt(nodes.size()));
-        if (reader.fleet != null) {
+        String lease = subject.asked();
+        if (reader.fleet != null && lease != null) {
             long number = ++reads;
             Fleet asked = reader.fleet;
             reader.loop.execute(() -> {
-                tell(Kind.ASKED, reader.name(), TrialPlan.LEASE, 0, number, "");
-                asked.read(TrialPlan.LEASE, r -> {
+                tell(Kind.ASKED, reader.name(), lease, 0, number, "");
+                asked.read(lease, r -> {
                     if (r != null) {
-                        tell(Kind.READ, reader.name(), TrialPlan.LEASE, r.value(), number,
+                        tell(Kind.READ, reader.name(), lease, r.value(), number,
                                 r.kind() == Result.Kind.HELD ? "held" : "free");
                     }
                 });
@@ -500,9 +507,13 @@
 
         @Override
         public void reload(int n) {
-            nodes.get(n).reload(nodes.get(n).withoutDaily);
+            subject.change(n, stirs);
+            nodes.get(n).reload();
         }
 
+        @Override
+        public void changeWhole() { }
+
         @Override
         public void release(int n) {
             Fleet fleet = nodes.get(n).fleet;
--- a/src/test/java/rowanplank/lab/trial/TrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialTest.java
@@ -28,7 +28,7 @@
             throws Exception {
         List<String> command = java(program);
         List<String> standIn = command.contains("serve") ? java("rowanplank.cli.StandInNode") : List.of();
-        Trial trial = new Trial(new TrialPlan(nodes, seed, Duration.ofSeconds(12), Duration.ofSeconds(5),
+        Trial trial = new Trial(new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(12), Duration.ofSeconds(5),
                 lease, faults, Trouble.GAP, command, standIn, Files.createTempDirectory(folder, "trial").toString()));
         try {
             return trial.play();
--- a/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
@@ -21,7 +21,7 @@
 @Timeout(value = 150, threadMode = Timeout.ThreadMode.SEPARATE_THREAD) // a node that is always due at once ends nothing
 class VirtualTrialTest {
     private static TrialPlan plan(int nodes, long seed, Duration gap, Trouble.Kind... faults) {
-        return new TrialPlan(nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(4), Duration.ofSeconds(1),
+        return new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(4), Duration.ofSeconds(1),
                 List.of(faults), gap, List.of(), List.of(), "");
     }
 
