Hold up starts among real processes too, and plant faults in stand-in nodes

`HELD_START` was left out among real processes, since a signal can't be timed; a stand-in now stands still between its look at the lease and the command's start when a file beside its own says so, and tells the trial by the file's name. Nodes with a planted fault are all stand-ins now: sick disks, clocks off by up to 1 % and held starts meet each fault.

--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -61,8 +61,8 @@
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
         Trial trial = new Trial(new TrialPlan(kind, nodes, seed, length, quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter,
-                Duration.ofMillis(lease), faults, Duration.ofMillis(gap), plant == null ? NodeCommand.ofFile() : NodeCommand.planted(plant),
-                plant == null ? NodeCommand.standIn() : List.of(), folder.toString()));
+                Duration.ofMillis(lease), faults, Duration.ofMillis(gap), plant == null ? NodeCommand.ofFile() : List.of(),
+                plant == null ? NodeCommand.standIn() : NodeCommand.planted(plant), folder.toString()));
         Thread end = new Thread(trial::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
         TrialResult result = trial.play();
--- a/src/main/java/rowanplank/cli/NodeCommand.java
+++ b/src/main/java/rowanplank/cli/NodeCommand.java
@@ -22,12 +22,12 @@
         return java(SMALL, "rowanplank.Main", "serve", ServeCommand.END_WITH_INPUT, "--config");
     }
 
-    /** One with a planted fault, whose operator's file is put behind this. */
+    /** A stand-in with a planted fault; the rate of its clock and its operator's file are put behind this. */
     static List<String> planted(String plant) {
         return java(SMALL, PlantedNode.class.getName(), plant);
     }
 
-    /** One whose disk can be slow or full; the rate of its clock and its operator's file are put behind this. */
+    /** One whose disk can be sick, and so on; the rate of its clock and its operator's file are put behind this. */
     static List<String> standIn() {
         return java(SMALL, StandInNode.class.getName());
     }
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -39,6 +39,7 @@
     private static final Duration ASK_EVERY = Duration.ofMillis(150);
     private static final Duration ANSWERED_WITHIN = Duration.ofMillis(600);
     private static final Duration BEGINS_WITHIN = Duration.ofSeconds(40);
+    private static final Duration HOLD_SEEN_WITHIN = Duration.ofMillis(10);
     private static final int MOST_EVENTS = 1_000_000;
     private static final String FLEET = "trial";
     private static final double DRIFT = 0.01;
@@ -181,9 +182,12 @@
         ask();
     }
 
-    /** A third of the nodes stand on a disk that can be sick, and have a clock at a rate of their own. */
+    /**
+     * A third of the nodes, or all where there is nothing else, stand on a disk that can be sick, have a clock at a rate of
+     * their own, and can be held up as they begin a task.
+     */
     private List<String> command(int n) {
-        if (plan.standIn().isEmpty() || standIns.nextInt(3) > 0) {
+        if (plan.standIn().isEmpty() || !plan.command().isEmpty() && standIns.nextInt(3) > 0) {
             return plan.command();
         }
         standsIn.set(n);
@@ -547,10 +551,35 @@
             doors.call(nodes.get(node).door(), "POST", "/api/fleet/release/" + TrialPlan.LEASE, ANSWERED_WITHIN, reply -> { });
         }
 
-        /** A signal comes when it comes. */
+        /** A signal comes when it comes: only a stand-in stands still at just that moment. */
         @Override
-        public boolean holdNextStart(int node, Duration length) {
-            return false;
+        public boolean holdNextStart(int n, Duration length) {
+            if (!standsIn.get(n) || !nodes.get(n).runs()) {
+                return false;
+            }
+            try {
+                nodes.get(n).holdNextStart(length);
+            } catch (IOException e) {
+                unforeseen(e);
+            }
+            tell(TrialPlan.name(n) + "'s next start is held up for " + length.toMillis() + " ms");
+            watchHold(n);
+            return true;
+        }
+
+        /** The history has the stall from when it began: an act after a long one is late, and no breach. */
+        private void watchHold(int n) {
+            try {
+                boolean waits = nodes.get(n).isToBeHeld();
+                Duration held = nodes.get(n).wasHeld();
+                if (!held.isZero()) {
+                    tell(Kind.STALLED, nodes.get(n).name(), "", held.toNanos() / 1000, 0, "between look and start");
+                } else if (waits && over.getCount() > 0) {
+                    loop.schedule(HOLD_SEEN_WITHIN, () -> watchHold(n));
+                }
+            } catch (IOException e) {
+                unforeseen(e);
+            }
         }
 
         @Override
--- a/src/main/java/rowanplank/lab/trial/TrialNode.java
+++ b/src/main/java/rowanplank/lab/trial/TrialNode.java
@@ -75,6 +75,7 @@
     }
 
     void start(ChildProcesses children, IntConsumer ended) throws IOException {
+        Files.deleteIfExists(hold(StandInParts.HOLD));
         child = children.start(command, new TreeMap<>(), folder.resolve(name + ".log").toString(), ended);
     }
 
@@ -144,6 +145,33 @@
         }
     }
 
+    /** Its next command starts so much later than it looked at the lease. Only for stand-ins. */
+    void holdNextStart(Duration length) throws IOException {
+        Path fresh = folder.resolve(name + ".hold.new");
+        Files.writeString(fresh, Long.toString(length.toMillis()));
+        Files.move(fresh, hold(StandInParts.HOLD), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** For how long it stands still now, or did since the last question; zero where it did not. */
+    Duration wasHeld() throws IOException {
+        Path held = hold(StandInParts.HELD);
+        if (!Files.exists(held)) {
+            return Duration.ZERO;
+        }
+        long ms = Long.parseLong(Files.readString(held));
+        Files.delete(held);
+        return Duration.ofMillis(ms);
+    }
+
+    /** Whether a start is still to be held up. */
+    boolean isToBeHeld() {
+        return Files.exists(hold(StandInParts.HOLD));
+    }
+
+    private Path hold(String which) {
+        return Path.of(file + which);
+    }
+
     /** One bit of what was synced is another one now: this voter must not come up any more. */
     void flip(double where) throws IOException {
         byte[] content = Files.readAllBytes(log());
--- a/src/main/java/rowanplank/lab/trial/TrialPlan.java
+++ b/src/main/java/rowanplank/lab/trial/TrialPlan.java
@@ -7,9 +7,9 @@
  * What a trial is to be.
  *
  * @param kind what it is about
- * @param command starts a node: the operator's file is put behind it
- * @param standIn starts a node whose disk can be slow or full and whose clock runs at another rate, put behind this
- *     before the file; empty where there is to be none
+ * @param command starts a node: the operator's file is put behind it; empty where all are stand-ins
+ * @param standIn starts a node whose disk can be slow or full, which can be held up as it begins a task, and whose clock
+ *     runs at another rate, put behind this before the file; empty where there is to be none
  * @param folder where all that it writes goes
  * @param lease its length, or that of a part of a budget
  * @param faults what may break; all where none is named
--- a/src/test/java/rowanplank/lab/trial/TrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialTest.java
@@ -26,8 +26,9 @@
 
     private TrialResult play(int nodes, long seed, Duration lease, List<Trouble.Kind> faults, String... program)
             throws Exception {
-        List<String> command = java(program);
-        List<String> standIn = command.contains("serve") ? java("rowanplank.cli.StandInNode") : List.of();
+        boolean serves = program[1].equals("serve");
+        List<String> command = serves ? java(program) : List.of();
+        List<String> standIn = java(serves ? new String[] {"rowanplank.cli.StandInNode"} : program);
         Trial trial = new Trial(new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(12), Duration.ofSeconds(5),
                 lease, faults, Trouble.GAP, command, standIn, Files.createTempDirectory(folder, "trial").toString()));
         try {
