--- a/src/main/java/rowanplank/lab/trial/SickFiles.java
+++ b/src/main/java/rowanplank/lab/trial/SickFiles.java
@@ -12,10 +12,13 @@
 
 /**
  * Stands in for a disk that is slow or full, between a real node and the machine's: a file beside the state says which,
- * {@code slow 200} for 200 ms more at each write, {@code full} for no room. Without that file it does nothing.
+ * {@code slow 200} for 200 ms more at each write, {@code full} for no room. Without that file it does nothing, and what
+ * waits goes at once.
  */
 public record SickFiles(StateFile.Files machine) implements StateFile.Files {
     static final String NAME = "sick";
+    /** While writes wait, it looks so often whether the disk is well again. */
+    private static final Duration LOOK = Duration.ofMillis(10);
 
     @Override
     public void create(String directory, byte[] content) throws IOException {
@@ -27,13 +30,14 @@
         return new Sick(machine.open(directory, loop, failed), Path.of(directory, NAME), loop, failed);
     }
 
+    private record Write(Instant due, Runnable job) { }
+
     private static final class Sick implements StateFile {
         private final StateFile file;
         private final Path word;
         private final Loop loop;
         private final Failed failed;
-        private final Deque<Runnable> waiting = new ArrayDeque<>();
-        private Instant busyUntil;
+        private final Deque<Write> waiting = new ArrayDeque<>();
         private boolean over;
 
         Sick(StateFile file, Path word, Loop loop, Failed failed) {
@@ -41,7 +45,6 @@
             this.word = word;
             this.loop = loop;
             this.failed = failed;
-            busyUntil = loop.clock().now();
         }
 
         @Override
@@ -76,20 +79,27 @@
             }
             Instant now = loop.clock().now();
             Duration more = how.startsWith("slow ") ? Duration.ofMillis(Long.parseLong(how.substring(5))) : Duration.ZERO;
-            busyUntil = (busyUntil.isAfter(now) ? busyUntil : now).plus(more);
-            if (waiting.isEmpty() && !busyUntil.isAfter(now)) {
+            if (waiting.isEmpty() && more.isZero()) {
                 job.run();
-            } else {
-                waiting.add(job);
-                loop.schedule(Duration.between(now, busyUntil), this::first);
+                return;
+            }
+            waiting.add(new Write((waiting.isEmpty() ? now : waiting.getLast().due()).plus(more), job));
+            if (waiting.size() == 1) {
+                loop.schedule(LOOK, this::look);
             }
         }
 
-        /** Whichever timer comes first: guards against a write that goes past one whose timer is due and has not run. */
-        private void first() {
-            Runnable job = waiting.poll();
-            if (!over) {
-                job.run();
+        /**
+         * One line, which guards against a write that goes past another; and a line that ends with the sickness, which
+         * guards the trial's end: many writes of a second each would take longer than that.
+         */
+        private void look() {
+            Instant now = loop.clock().now();
+            while (!over && !waiting.isEmpty() && (!waiting.peek().due().isAfter(now) || !how().startsWith("slow "))) {
+                waiting.poll().job().run();
+            }
+            if (!over && !waiting.isEmpty()) {
+                loop.schedule(LOOK, this::look);
             }
         }
 
