Try budgets: two of them, workers, wholes that change, nodes that come and go

The trial in virtual time counted its quiet from before all was well: nodes that were asked to end were still ending, and stalls that lay over one another outlasted it.

--- a/src/main/java/rowanplank/lab/trial/FleetText.java
+++ b/src/main/java/rowanplank/lab/trial/FleetText.java
@@ -15,9 +15,29 @@
         FleetText t = new FleetText();
         wishes.leases().forEach(l -> t.head("lease").put("name", l.name()).put("length", l.length()));
         wishes.tasks().forEach(t::task);
+        t.sharing(wishes.sharing());
         return t.text.toString();
     }
 
+    private void sharing(FleetConfig.Sharing sharing) {
+        if (sharing.budgets().isEmpty()) {
+            return;
+        }
+        text.append("[fleet.budgets]\n");
+        put("part", sharing.part());
+        for (FleetConfig.Budget b : sharing.budgets()) {
+            head("budget").put("name", b.name()).put("kind", b.rate() ? "rate" : "count").bare("whole", b.whole());
+            bare("fixed", b.fixed()).bare("nodes", b.nodes());
+            if (b.rate()) {
+                bare("burst", b.burst());
+            }
+        }
+        for (FleetConfig.Worker w : sharing.workers()) {
+            head("worker").put("name", w.name()).put("budget", w.budget()).bare("copies", w.copies()).put("pause", w.pause())
+                    .put("longest", w.longest()).put("allowance", w.allowance()).put("command", w.command());
+        }
+    }
+
     private void task(FleetConfig.Task task) {
         head("task").put("name", task.name()).put("lease", task.lease()).put(task.once() ? "once_in" : "every", task.every())
                 .put("longest", task.longest()).put("allowance", task.allowance()).put("command", task.command());
@@ -28,7 +48,7 @@
         return this;
     }
 
-    private FleetText bare(String key, String value) {
+    private FleetText bare(String key, Object value) {
         text.append(key).append(" = ").append(value).append('\n');
         return this;
     }
--- a/src/main/java/rowanplank/lab/trial/LeaseSubject.java
+++ b/src/main/java/rowanplank/lab/trial/LeaseSubject.java
@@ -40,7 +40,7 @@
             leases.add(new FleetConfig.Lease(TrialPlan.DAILY, plan.lease()));
             tasks.add(task("once", TrialPlan.DAILY, TrialPlan.PERIOD, true, command));
         }
-        return new Wishes(leases, tasks);
+        return new Wishes(leases, tasks, FleetConfig.Sharing.NONE);
     }
 
     private static FleetConfig.Task task(String name, String lease, Duration every, boolean once, List<String> command) {
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -19,7 +19,7 @@
     }
 
     /** What stands in a node's file beside where it is and who votes. */
-    record Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks) { }
+    record Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks, FleetConfig.Sharing sharing) { }
 
     /** A whole that staff ask for. */
     record Whole(String budget, long whole) { }
@@ -49,6 +49,11 @@
     /** The longest that an act may take. */
     Duration longest();
 
+    /** What one act takes in virtual time at the most, in ms, but for those that take all that they may. */
+    default int mostMillis() {
+        return 65;
+    }
+
     /** What one act takes, in the shell of real processes: seconds. */
     String takes();
 
--- a/src/main/java/rowanplank/lab/trial/TrialKind.java
+++ b/src/main/java/rowanplank/lab/trial/TrialKind.java
@@ -9,6 +9,12 @@
         Subject subject(TrialPlan plan) {
             return new LeaseSubject(plan);
         }
+    },
+    BUDGETS {
+        @Override
+        Subject subject(TrialPlan plan) {
+            return new BudgetSubject(plan);
+        }
     };
 
     /** A new one, of this plan's trial. */
