--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -60,8 +60,8 @@
         Path folder = out == null ? Files.createTempDirectory("rowanplank-trial-") : Files.createDirectories(out);
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
-        Trial trial = new Trial(new TrialPlan(kind, nodes, seed, length, quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter,
-                Duration.ofMillis(lease), faults, Duration.ofMillis(gap), plant == null ? NodeCommand.ofFile() : List.of(),
+        Trial trial = new Trial(new TrialPlan(kind, nodes, seed, length,
+                quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter, Duration.ofMillis(lease), faults, Duration.ofMillis(gap), plant == null ? NodeCommand.ofFile() : List.of(),
                 plant == null ? NodeCommand.standIn() : NodeCommand.planted(plant), folder.toString()));
         Thread end = new Thread(trial::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -79,6 +79,11 @@
             workers = List.copyOf(workers);
         }
 
+        /** One whose places at page servers are not shared. */
+        public Sharing(Duration part, List<Budget> budgets, List<Worker> workers) {
+            this(part, budgets, workers, null);
+        }
+
         /** After how long a use is over that was looked for now. */
         public Duration longestUse() {
             Duration workers = this.workers.stream().map(w -> w.longest().plus(w.allowance())).max(Duration::compareTo)
--- a/src/main/java/rowanplank/lab/trial/BudgetSubject.java
+++ b/src/main/java/rowanplank/lab/trial/BudgetSubject.java
@@ -56,7 +56,7 @@
         wholes.put(STARTS, nodes * fixed + 2 * nodes + chance.nextInt(4 * nodes));
         burst = nodes * (fixed + 2) + wholes.get(STARTS) / 5 + 1 + chance.nextInt(2 * nodes);
         for (String budget : wholes.keySet()) {
-            past.put(budget, new TreeSet<>(Set.of(wholes.get(budget))));
+            past.put(budget, new TreeSet<>(List.of(wholes.get(budget))));
             copies.put(budget, chance.ints(nodes, 0, MOST_COPIES + 1).toArray());
         }
         late = new Duration[nodes];
