--- a/src/main/java/rowanplank/lab/live/LiveSiteRun.java
+++ b/src/main/java/rowanplank/lab/live/LiveSiteRun.java
@@ -1,6 +1,7 @@
 package rowanplank.lab.live;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -129,6 +130,11 @@
         return String.join(" ", variables);
     }
 
+    /** Where a node finds its agent of discovery; after {@link #start}. */
+    public InetSocketAddress discovery(int node) {
+        return site.agent(node).address();
+    }
+
     /** Waits until the day is over or it is stopped. @return lines for people: what came of it */
     public List<String> await() throws IOException, InterruptedException {
         stopped.await(day.length().toMillis(), TimeUnit.MILLISECONDS);
--- a/src/main/java/rowanplank/lab/trial/BudgetSubject.java
+++ b/src/main/java/rowanplank/lab/trial/BudgetSubject.java
@@ -150,6 +150,15 @@
 
     @Override
     public void read(String node, JsonObject status, Notes notes) {
+        tellBudgets(node, status, (kind, from, name, number, applied, text) -> {
+            if (!(applied + text).equals(said.put(from + " " + name, applied + text))) {
+                notes.tell(kind, from, name, number, applied, text);
+            }
+        });
+    }
+
+    /** What a voter's status says of budgets. */
+    static void tellBudgets(String node, JsonObject status, Notes notes) {
         JsonValue budgets = status.get("budgets");
         if (budgets == null) {
             return;
@@ -164,11 +173,7 @@
             }
             String text = new Told(b.getDouble("whole", -1), b.getDouble("asked", -1), b.getDouble("free", -1),
                     b.getDouble("promised", -1), b.getDouble("giving_back", -1), b.getDouble("set_aside", -1), parts).text();
-            long applied = status.getLong("applied", 0);
-            String name = b.getString("name", "");
-            if (!(applied + text).equals(said.put(node + " " + name, applied + text))) {
-                notes.tell(Kind.BUDGET, node, name, 0, applied, text);
-            }
+            notes.tell(Kind.BUDGET, node, b.getString("name", ""), 0, status.getLong("applied", 0), text);
         }
     }
 
--- a/src/main/java/rowanplank/lab/trial/FleetText.java
+++ b/src/main/java/rowanplank/lab/trial/FleetText.java
@@ -20,11 +20,16 @@
     }
 
     private void sharing(FleetConfig.Sharing sharing) {
-        if (sharing.budgets().isEmpty()) {
+        if (sharing.budgets().isEmpty() && sharing.places() == null) {
             return;
         }
         text.append("[fleet.budgets]\n");
         put("part", sharing.part());
+        if (sharing.places() != null) {
+            bare("places", sharing.places().whole()).bare("places_fixed", sharing.places().fixed());
+            bare("nodes", sharing.places().nodes()).put("linger", sharing.places().linger());
+            put("longest_try", sharing.places().longest());
+        }
         for (FleetConfig.Budget b : sharing.budgets()) {
             head("budget").put("name", b.name()).put("kind", b.rate() ? "rate" : "count").bare("whole", b.whole());
             bare("fixed", b.fixed()).bare("nodes", b.nodes());
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -1,12 +1,19 @@
 package rowanplank.lab.trial;
 
 import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.config.FleetConfig;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Judge;
+import rowanplank.net.Loop;
+import rowanplank.net.Ports;
 
 /**
  * What a trial is about: what the nodes' files say, what is read of their status, what changes in all of it, and by which
@@ -27,6 +34,24 @@
     /** @param command what its tasks and workers run */
     Wishes wishes(int node, List<String> command);
 
+    /**
+     * Among real processes: what is to be there before the nodes, on the trial's loop.
+     *
+     * @param notes may be told from any thread
+     */
+    default void begin(Ports ports, Path folder, Loop loop, Notes notes) throws IOException { }
+
+    /** Where a node finds discovery; where there is none, nobody answers. */
+    default InetSocketAddress discovery(int node) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    }
+
+    /** The nodes begin. @param nodes where clients reach each */
+    default void listens(IntFunction<InetSocketAddress> nodes) { }
+
+    /** What {@link #begin} began ends; after the judging. */
+    default void close() { }
+
     /** A node's file, as it is from now on, was written. */
     default void written(int node, Notes notes) { }
 
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -145,6 +145,7 @@
                 return null;
             });
             loop.stop();
+            subject.close();
             ports.close();
             Files.write(folder.resolve("history.txt"), history.stream().map(Event::line).toList());
         }
@@ -162,8 +163,9 @@
             voters.add(TrialPlan.name(v));
         }
         relays = new Relays(loop, RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 1), ports, sockets);
+        subject.begin(ports, folder.resolve("site"), loop, this::tellFromAnywhere);
         for (int n = 0; n < plan.nodes(); n++) {
-            TrialNode node = new TrialNode(TrialPlan.name(n), folder, ports.next(), ports.next(),
+            TrialNode node = new TrialNode(TrialPlan.name(n), folder, ports.next(), ports.next(), subject.discovery(n),
                     fleet(n), command(n));
             nodes.add(node);
             if (n < plan.voters()) {
@@ -173,6 +175,7 @@
         for (int n = 0; n < plan.nodes(); n++) {
             startAfter(n, subject.startsAfter(n));
         }
+        subject.listens(n -> nodes.get(n).front());
         loop.schedule(BEGINS_WITHIN, () -> {
             if (playing == null) {
                 unplayable = "no task has acted within " + BEGINS_WITHIN.toSeconds() + " s: see the logs in " + folder;
@@ -295,6 +298,17 @@
         }
     }
 
+    /** The time is that of the call. */
+    private void tellFromAnywhere(Kind kind, String node, String name, long number, long other, String text) {
+        Event event = new Event(micros(), kind, node, name, number, other, text);
+        loop.execute(() -> {
+            tell(event);
+            if (kind == Kind.BEGIN) {
+                acted(node);
+            }
+        });
+    }
+
     private void recorded(long at, String line) {
         String[] words = line.split(" ");
         if (words.length != 6 || !words[0].equals("begin") && !words[0].equals("end")) {
@@ -307,7 +321,11 @@
         if (!subject.isHeld(words[1])) {
             return;
         }
-        holder = Integer.parseInt(words[3].substring(1)) - 1;
+        acted(words[3]);
+    }
+
+    private void acted(String node) {
+        holder = Integer.parseInt(node.substring(1)) - 1;
         if (playing == null) {
             playing();
         }
--- a/src/main/java/rowanplank/lab/trial/TrialKind.java
+++ b/src/main/java/rowanplank/lab/trial/TrialKind.java
@@ -15,6 +15,13 @@
         Subject subject(TrialPlan plan) {
             return new BudgetSubject(plan);
         }
+    },
+    /** Among real processes only: their requests go to page servers on loopback. */
+    PLACES {
+        @Override
+        Subject subject(TrialPlan plan) {
+            return new PlaceSubject(plan);
+        }
     };
 
     /** A new one, of this plan's trial. */
--- a/src/main/java/rowanplank/lab/trial/TrialNode.java
+++ b/src/main/java/rowanplank/lab/trial/TrialNode.java
@@ -22,6 +22,7 @@
     private final String name;
     private final Path folder;
     private final InetSocketAddress door;
+    private final InetSocketAddress front;
     private final List<String> command;
     private final Path file;
     private final String head;
@@ -31,14 +32,15 @@
     private byte[] remembered;
 
     /** @param fleet what stands in its file of fleet, leases and tasks */
-    TrialNode(String name, Path folder, InetSocketAddress door, InetSocketAddress front, String fleet,
-            List<String> command) throws IOException {
+    TrialNode(String name, Path folder, InetSocketAddress door, InetSocketAddress front, InetSocketAddress discovery,
+            String fleet, List<String> command) throws IOException {
         this.name = name;
         this.folder = folder;
         this.door = door;
+        this.front = front;
         file = folder.resolve(name + ".toml");
         head = "[node]\nname = \"" + name + "\"\nadmin = \"" + Addresses.format(door) + "\"\n"
-                + "[[front]]\nlisten = \"" + Addresses.format(front) + "\"\ndiscovery = \"127.0.0.1:1\"\n"
+                + "[[front]]\nlisten = \"" + Addresses.format(front) + "\"\ndiscovery = \"" + Addresses.format(discovery) + "\"\n"
                 + "[[class]]\nname = \"article\"\n[state]\ndir = \"" + state() + "\"\n";
         Files.writeString(file, head + fleet);
         this.command = new ArrayList<>(command);
@@ -53,6 +55,11 @@
         return door;
     }
 
+    /** Where clients connect. */
+    InetSocketAddress front() {
+        return front;
+    }
+
     private Path state() {
         return folder.resolve(name + ".state");
     }
--- a/src/main/java/rowanplank/net/DoorCalls.java
+++ b/src/main/java/rowanplank/net/DoorCalls.java
@@ -9,13 +9,24 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 
-/** Calls at operators' doors, from a program that is no node. May be used from any thread. */
+/** Calls at operators' doors, and as a node's client, from a program that is no node. May be used from any thread. */
 public final class DoorCalls {
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     /** What came back. */
     public record Reply(int status, String body) { }
 
+    /**
+     * Asks a node for a page, as a client that waits for so long.
+     *
+     * @param done told the reply, on a thread of the system's; null where none came in time
+     */
+    public void page(InetSocketAddress node, String path, String id, Duration timeout, Consumer<Reply> done) {
+        HttpRequest request = HttpRequest.newBuilder(request(node, "GET", path, timeout), (name, value) -> true)
+                .header("X-Request-ID", id).header("X-Timeout", timeout.toMillis() + "m").build();
+        send(request, done);
+    }
+
     private static HttpRequest request(InetSocketAddress door, String method, String path, Duration timeout) {
         String host = door.getAddress().getHostAddress();
         URI uri = URI.create("http://" + (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + door.getPort() + path);
@@ -36,7 +47,11 @@
 
     /** @param done told the reply, on a thread of the system's; null where nothing answered within the time */
     public void call(InetSocketAddress door, String method, String path, Duration timeout, Consumer<Reply> done) {
-        client.sendAsync(request(door, method, path, timeout), HttpResponse.BodyHandlers.ofString())
+        send(request(door, method, path, timeout), done);
+    }
+
+    private void send(HttpRequest request, Consumer<Reply> done) {
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                 .whenComplete((reply, failure) ->
                         done.accept(failure != null ? null : new Reply(reply.statusCode(), reply.body())));
     }
--- a/src/test/java/rowanplank/lab/trial/StandInPartsTest.java
+++ b/src/test/java/rowanplank/lab/trial/StandInPartsTest.java
@@ -37,7 +37,7 @@
     /** Guards the trial of acts that are held up: the stall lies behind the look, once, and the history has it. */
     @Test
     void aStartIsHeldUpOnceAndTheTrialHearsOfIt() throws Exception {
-        TrialNode node = new TrialNode("n1", folder, address(), address(), "", List.of());
+        TrialNode node = new TrialNode("n1", folder, address(), address(), address(), "", List.of());
         node.holdNextStart(HELD);
         take(false);
         assertTrue(node.isToBeHeld());
