Let a failure of any kind end a fleet's turn, not the node: an Error had kept all later ones waiting

Seen as a program's file was replaced under three running nodes: a class that could not be loaded any more left the fleet's turns marked as running, so that nothing of the fleet ran again, what waited grew without bound, its status was never answered and the process did not end when told to. TurnsTest fails before. An end is now told whatever closing throws.

--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -263,8 +263,11 @@
     private void end() {
         if (!stopped) {
             stopped = true;
-            close();
-            whenStopped.run();
+            try {
+                close();
+            } finally {
+                whenStopped.run();
+            }
         }
     }
 
@@ -291,10 +294,10 @@
     }
 
     /** What must never be: a voter that has seen it takes no part any more; what it holds it may renew elsewhere. */
-    private void failed(RuntimeException e) {
+    private void failed(Throwable e) {
         machine.log().warn("the fleet's part failed", e);
         if (voter != null) {
-            halt(e.getMessage() + "; this voter takes no part any more");
+            halt(e + "; this voter takes no part any more");
         }
     }
 
--- a/src/main/java/rowanplank/fleet/Turns.java
+++ b/src/main/java/rowanplank/fleet/Turns.java
@@ -8,14 +8,14 @@
 final class Turns {
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private final Runnable afterAll;
-    private final Consumer<RuntimeException> failed;
+    private final Consumer<Throwable> failed;
     private boolean running;
 
     /**
      * @param afterAll run each time when nothing waits any more
      * @param failed told what was never to happen; what waited is dropped
      */
-    Turns(Runnable afterAll, Consumer<RuntimeException> failed) {
+    Turns(Runnable afterAll, Consumer<Throwable> failed) {
         this.afterAll = afterAll;
         this.failed = failed;
     }
@@ -31,11 +31,12 @@
             for (Runnable next; (next = waiting.poll()) != null;) {
                 next.run();
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) { // also a class that is not there any more, as its file was replaced
             waiting.clear();
             failed.accept(e);
+        } finally {
+            running = false;
         }
-        running = false;
         afterAll.run();
     }
 
--- /dev/null
+++ b/src/test/java/rowanplank/fleet/TurnsTest.java
@@ -0,0 +1,22 @@
+package rowanplank.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TurnsTest {
+    /** Guards a node whose program's file was replaced under it: what fails once must not keep all that comes later waiting. */
+    @Test
+    void whatFailsIsToldAndKeepsNothingWaiting() {
+        List<String> told = new ArrayList<>();
+        Turns turns = new Turns(() -> told.add("all done"), e -> told.add("failed: " + e.getMessage()));
+        turns.run(() -> {
+            turns.then(() -> told.add("dropped"));
+            throw new NoClassDefFoundError("Peer");
+        });
+        turns.run(() -> told.add("later"));
+        assertEquals(List.of("failed: Peer", "all done", "later", "all done"), told);
+    }
+}
