Write a trial's faults down, play them again, and shrink the first trial that breaks a rule

A broken seed of lab fleet showed some twenty faults, most of which had nothing to do with it, and there was no way to play less than all of them: faults were only drawn on the way.

Trouble now makes each fault a record (TrialFault) before it brings it about, and can be given such a list instead of drawing.

Seeds move with the new source; the test of an older build among newer ones now says when that node is killed.

--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -1,5 +1,8 @@
 package rowanplank.cli;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
@@ -13,7 +16,10 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import rowanplank.fleet.Parts;
+import rowanplank.lab.hunt.TrialShrink;
 import rowanplank.lab.trial.Plants;
+import rowanplank.lab.trial.TrialCase;
+import rowanplank.lab.trial.TrialFile;
 import rowanplank.lab.trial.TrialKind;
 import rowanplank.lab.trial.TrialPlan;
 import rowanplank.lab.trial.TrialResult;
@@ -24,6 +30,8 @@
 @Command(name = "fleet", description = {"Plays trials in virtual time, one for each seed, with the nodes, the",
     "faults and the judge of fleet trial, and disks and clocks that fail besides. Status 3: a rule was broken."})
 final class LabFleetCommand implements Callable<Integer> {
+    private static final int MOST_SHRINKING_PLAYS = 400;
+
     @Spec
     private CommandSpec spec;
     @Option(names = "--kind", paramLabel = "KIND", defaultValue = "leases", description = "What is tried: ${COMPLETION-CANDIDATES}.")
@@ -46,6 +54,10 @@
     @Option(names = "--history", description = "Prints the whole history of the first broken trial, and what its nodes wrote.")
     private boolean history;
 
+    @Option(names = "--shrink", paramLabel = "FILE", description = {"Makes the first broken trial smaller as long as it breaks",
+        "the same rule, prints it, and writes it to FILE for lab replay."})
+    private Path shrink;
+
     @Override
     public Integer call() throws Exception {
         if (plant != null && !Plants.all().containsKey(plant)) {
@@ -71,6 +83,9 @@
                 sum.first.history().forEach(e -> System.out.println(e.line().replace('\t', ' ')));
                 sum.first.log().forEach(System.out::println);
             }
+            if (shrink != null) {
+                shrink(sum.first);
+            }
         }
         System.out.printf(Locale.ROOT, "%d of %d trials broke a rule; %d acts, %d late ones after long stalls; %.1f datagrams, "
                 + "%.0f bytes a node and second%n", sum.broken, sum.played, sum.acts, sum.late,
@@ -78,6 +93,16 @@
         return sum.broken == 0 && sum.played == seeds ? Status.DONE : Status.RULE_BROKEN;
     }
 
+    private void shrink(TrialResult first) throws IOException {
+        TrialCase found = TrialCase.drawn(first.plan(), drift, plant == null ? "" : plant, first.findings().get(0).rule());
+        TrialShrink.Smaller smaller = TrialShrink.shrink(found, MOST_SHRINKING_PLAYS);
+        System.out.printf(Locale.ROOT, "made smaller in %d plays, from %d faults to %d, written to %s:%n", smaller.plays(),
+                found.faults().size(), smaller.trial().faults().size(), shrink);
+        String text = TrialFile.write(smaller.trial());
+        System.out.print(text);
+        Files.writeString(shrink, text);
+    }
+
     /** What all trials came to; of the histories only that of the lowest broken seed is kept. */
     private static final class Sum {
         private long played;
--- a/src/main/java/rowanplank/lab/hunt/Shrink.java
+++ b/src/main/java/rowanplank/lab/hunt/Shrink.java
@@ -14,9 +14,7 @@
 /**
  * Makes a day smaller that breaks a rule, as long as it breaks the same one: fewer faults, a shorter day, fewer nodes,
  * servers, halls, classes and clients, in that order, over and over until nothing more can go. Each step keeps what
- * was found, so that whatever ends it early, the result still breaks the rule. After Zeller and Hildebrandt,
- * "Simplifying and Isolating Failure-Inducing Input", IEEE TSE 28(2), 2002, section 3: faults are taken out by halves,
- * then quarters, down to one.
+ * was found, so that whatever ends it early, the result still breaks the rule.
  */
 public final class Shrink {
     private static final int MOST_ROUNDS = 6;
@@ -84,23 +82,8 @@
     }
 
     private boolean faults() {
-        boolean gone = false;
-        for (int size = Math.max(1, best.faults().size() / 2); size >= 1 && !best.faults().isEmpty(); size /= 2) {
-            for (int from = 0; from < best.faults().size();) {
-                if (keeps(without(from, Math.min(from + size, best.faults().size())))) {
-                    gone = true;
-                } else {
-                    from += size;
-                }
-            }
-        }
-        return gone;
-    }
-
-    private Day without(int from, int to) {
-        List<Fault> faults = new ArrayList<>(best.faults());
-        faults.subList(from, to).clear();
-        return DayEdit.withFaults(best, faults);
+        int before = best.faults().size();
+        return Fewer.of(best.faults(), fewer -> keeps(DayEdit.withFaults(best, fewer))).size() < before;
     }
 
     private boolean length() {
--- /dev/null
+++ b/src/main/java/rowanplank/lab/trial/TrialCase.java
@@ -0,0 +1,72 @@
+package rowanplank.lab.trial;
+
+import java.time.Duration;
+import java.util.List;
+import rowanplank.fleet.Parts;
+
+/**
+ * One trial in virtual time with all that it hangs on: played again it gives the same history and the same verdict, on
+ * the same build.
+ *
+ * @param kind what it is about
+ * @param length 7 s at the least: 2 s in which nothing breaks yet, and 4 s in which nothing breaks any more
+ * @param drift how far clocks run fast or slow at the most
+ * @param plant the fault that its nodes have; empty where they have none
+ * @param rule which it was kept for
+ * @param faults in order of time
+ */
+public record TrialCase(TrialKind kind, int nodes, long seed, Duration length, Duration lease, double drift, String plant,
+        String rule, List<TrialFault> faults) {
+    public static final Duration SHORTEST = Duration.ofSeconds(7);
+    /** Of its length nothing breaks in so much. */
+    private static final Duration WITHOUT = Duration.ofSeconds(6);
+
+    public TrialCase {
+        faults = List.copyOf(faults);
+    }
+
+    /** The trial that a seed draws, with what it drew. */
+    public static TrialCase drawn(TrialPlan plan, double drift, String plant, String rule) {
+        VirtualTrial trial = new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts(plant)));
+        trial.play();
+        return new TrialCase(plan.kind(), plan.nodes(), plan.seed(), plan.length(), plan.lease(), drift, plant, rule, trial.faults());
+    }
+
+    private static Parts parts(String plant) {
+        return plant.isEmpty() ? new Parts() : Plants.parts(plant);
+    }
+
+    public TrialResult play() {
+        TrialPlan plan = new TrialPlan(kind, nodes, seed, length, Duration.ofSeconds(4), lease, List.of(), Trouble.GAP,
+                List.of(), List.of(), "");
+        return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts(plant)), faults).play();
+    }
+
+    /** Whether a trial broke the rule that this one was kept for. */
+    public boolean breaks(TrialResult played) {
+        return played.findings().stream().anyMatch(f -> f.rule().equals(rule));
+    }
+
+    public TrialCase with(List<TrialFault> others) {
+        return new TrialCase(kind, nodes, seed, length, lease, drift, plant, rule, others);
+    }
+
+    /** A shorter one: what would come later is left out, what would last longer ends sooner. */
+    public TrialCase lasting(Duration other) {
+        long end = other.minus(WITHOUT).toMillis();
+        return new TrialCase(kind, nodes, seed, other, lease, drift, plant, rule, faults.stream().filter(f -> f.atMs() < end)
+                .map(f -> f.lasting(Math.min(f.ms(), end - f.atMs()))).toList());
+    }
+
+    /** One of fewer nodes: what befalls others is left out. */
+    public TrialCase among(int fewer) {
+        return new TrialCase(kind, fewer, seed, length, lease, drift, plant, rule, faults.stream()
+                .filter(f -> isThere(f.node(), fewer)).map(f -> f.on(f.ways().stream()
+                        .filter(w -> isThere(w.split(">")[0], fewer) && isThere(w.split(">")[1], fewer)).toList()))
+                .filter(f -> !f.node().isEmpty() || !f.ways().isEmpty()).toList());
+    }
+
+    private static boolean isThere(String node, int nodes) {
+        return !node.matches("n[0-9]+") || Integer.parseInt(node.substring(1)) <= nodes;
+    }
+}
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.TreeSet;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * What breaks in a trial, drawn from its seed: one fault after the other, or beside one another, each mended after its
- * time. Kinds are drawn evenly; of the victims, the leader and the holder are chosen more often than others.
+ * time. Kinds are drawn evenly; of the victims, the leader and the holder are chosen more often than others. What was
+ * drawn is kept as a list, and such a list can be played instead of drawing.
  */
 public final class Trouble {
     /** Usually faults are this far apart on average, so that some lie over others. */
@@ -86,6 +88,10 @@
     private final Duration gap;
     private final UniformRandomProvider chance;
     private final Duration lease;
+    /** What is still to be played; null where it is drawn. */
+    private final List<TrialFault> script;
+    private final List<TrialFault> brought = new ArrayList<>();
+    private long elapsedMs;
     /** So much of it is still to come: no fault lasts longer. */
     private long leftMs;
     private boolean over;
@@ -97,21 +103,38 @@
      * @param lease faults last as long as this a few times
      */
     Trouble(Scene scene, List<Kind> kinds, Duration gap, Duration lease, UniformRandomProvider chance) {
+        this(scene, kinds, gap, lease, chance, null);
+    }
+
+    /** @param script what is to break, in order of time; null where it is to be drawn */
+    Trouble(Scene scene, List<Kind> kinds, Duration gap, Duration lease, UniformRandomProvider chance,
+            List<TrialFault> script) {
         this.scene = scene;
         this.kinds = kinds;
         this.gap = gap;
         this.chance = chance;
         this.lease = lease;
+        this.script = script == null ? null : new ArrayList<>(script);
     }
 
     /** @param length all that is broken is mended by then, but for what is killed at its very end */
     void begin(Duration length) {
         leftMs = length.toMillis();
-        nextAfter(Duration.ofMillis(chance.nextInt((int) gap.toMillis())));
+        nextAfter(script == null ? Duration.ofMillis(chance.nextInt((int) gap.toMillis())) : untilNext());
+    }
+
+    /** Whatever has broken so far, in order. */
+    List<TrialFault> brought() {
+        return List.copyOf(brought);
+    }
+
+    private Duration untilNext() {
+        return Duration.ofMillis(script.isEmpty() ? leftMs : Math.max(0, script.get(0).atMs() - elapsedMs));
     }
 
     private void nextAfter(Duration pause) {
         leftMs -= pause.toMillis();
+        elapsedMs += pause.toMillis();
         if (leftMs > 0) {
             scene.after(pause, this::next);
         }
@@ -126,11 +149,127 @@
             return;
         }
         try {
-            bring(kinds.get(chance.nextInt(kinds.size())));
+            if (script == null) {
+                draw(kinds.get(chance.nextInt(kinds.size())));
+                nextAfter(Duration.ofMillis(50 + (long) (chance.nextDouble() * 2 * gap.toMillis())));
+            } else {
+                bring(script.remove(0));
+                nextAfter(untilNext());
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        nextAfter(Duration.ofMillis(50 + (long) (chance.nextDouble() * 2 * gap.toMillis())));
+    }
+
+    // ---- brought about, drawn or not
+
+    /** What can't be done now, as to a node that does not run, is left out. */
+    private void bring(TrialFault f) throws IOException {
+        brought.add(f);
+        if (f.node().isEmpty()) {
+            breakWays(f);
+            return;
+        }
+        int n = number(f.node());
+        if (n < 0 || n >= scene.nodes()) {
+            return;
+        }
+        Duration length = Duration.ofMillis(f.ms());
+        switch (f.what()) {
+            case SLOW_DISK -> tellIf(scene.slowDisk(n, Duration.ofMillis(Math.round(f.figures().get(0))), length), f);
+            case FULL_DISK -> tellIf(scene.runs(n) && scene.fullDisk(n, length), f);
+            case HELD_START -> scene.holdNextStart(n, length);
+            case RELOAD -> {
+                tellIf(true, f);
+                scene.reload(n);
+            }
+            case OUT, IN -> {
+                tellIf(true, f);
+                scene.changeVoters(n, f.what() == TrialFault.What.IN);
+            }
+            default -> {
+                if (scene.runs(n)) {
+                    strike(f, n, length);
+                }
+            }
+        }
+    }
+
+    private void strike(TrialFault f, int n, Duration length) throws IOException {
+        switch (f.what()) {
+            case STALL -> scene.stall(n, length);
+            case KILL -> scene.kill(n, length);
+            case STOP -> scene.stop(n, length);
+            case RELEASE -> {
+                tellIf(true, f);
+                scene.release(n);
+            }
+            default -> scene.spoil(n, Kind.valueOf(f.what().name()), length);
+        }
+    }
+
+    private void tellIf(boolean done, TrialFault f) {
+        if (done && !f.note().isEmpty()) {
+            scene.tell(f.note());
+        }
+    }
+
+    private void breakWays(TrialFault f) {
+        List<Way> ways = ways(f.ways());
+        scene.tell(f.note());
+        if (f.what() == TrialFault.What.CUT) {
+            ways.forEach(w -> w.cut = true);
+            scene.after(Duration.ofMillis(f.ms()), () -> ways.forEach(w -> w.cut = false));
+            return;
+        }
+        for (Way w : ways) {
+            w.loss = f.figures().get(0);
+            w.doubled = f.figures().get(1);
+            w.shortened = f.figures().get(2);
+            w.delay = Duration.ofMillis(Math.round(f.figures().get(3)));
+            w.spread = Duration.ofMillis(Math.round(f.figures().get(4)));
+        }
+        scene.after(Duration.ofMillis(f.ms()), () -> ways.forEach(Way::mend));
+    }
+
+    private List<Way> ways(List<String> named) {
+        List<Way> ways = new ArrayList<>();
+        for (String way : named) {
+            String[] ends = way.split(">");
+            for (int from : numbers(ends[0])) {
+                for (int to : numbers(ends[1])) {
+                    if (from != to) {
+                        ways.add(scene.way(from, to));
+                    }
+                }
+            }
+        }
+        return ways;
+    }
+
+    private TreeSet<Integer> numbers(String name) {
+        TreeSet<Integer> numbers = new TreeSet<>();
+        for (int n = 0; n < scene.nodes(); n++) {
+            if (name.equals("*") || n == number(name)) {
+                numbers.add(n);
+            }
+        }
+        return numbers;
+    }
+
+    private int number(String name) {
+        return name.equals(TrialFault.LEADER) ? scene.leader() : name.equals(TrialFault.HOLDER) ? scene.holder()
+                : Integer.parseInt(name.substring(1)) - 1;
+    }
+
+    // ---- drawn
+
+    private void bring(TrialFault.What what, int node, Duration length, String note) throws IOException {
+        bring(new TrialFault(elapsedMs, what, TrialPlan.name(node), length.toMillis(), List.of(), List.of(), note));
+    }
+
+    private static String way(int from, int to) {
+        return TrialPlan.name(from) + ">" + TrialPlan.name(to);
     }
 
     private Duration span(long leastMs, long mostMs) {
@@ -147,7 +286,7 @@
         return chosen >= 0 ? chosen : chance.nextInt(scene.nodes());
     }
 
-    private void bring(Kind kind) throws IOException {
+    private void draw(Kind kind) throws IOException {
         switch (kind) {
             case NOTHING -> { }
             case HOLDER_GONE -> kill(scene.holder() < 0 ? List.of() : List.of(scene.holder()));
@@ -165,7 +304,8 @@
             case LONG_STALL -> stall(span(lease.toMillis(), 3 * lease.toMillis()));
             case HELD_START -> {
                 if (scene.holder() >= 0) {
-                    scene.holdNextStart(scene.holder(), chance.nextBoolean() ? span(10, 190) : upToLeases(3));
+                    bring(TrialFault.What.HELD_START, scene.holder(),
+                            chance.nextBoolean() ? span(10, 190) : upToLeases(3), "");
                 }
             }
             case KILL -> kill(List.of(victim()));
@@ -175,22 +315,22 @@
             case FULL_DISK -> {
                 int v = victim() % scene.voters();
                 Duration length = span(100, 2 * lease.toMillis());
-                if (scene.runs(v) && scene.fullDisk(v, length)) {
-                    scene.tell("the disk of " + TrialPlan.name(v) + " is full for " + length.toMillis() + " ms");
+                if (scene.runs(v)) {
+                    bring(TrialFault.What.FULL_DISK, v, length,
+                            "the disk of " + TrialPlan.name(v) + " is full for " + length.toMillis() + " ms");
                 }
             }
             case VOTERS -> voters();
             case WHOLE -> scene.changeWhole();
             case RELOAD -> {
                 int n = victim();
-                scene.tell(TrialPlan.name(n) + "'s file changes");
-                scene.reload(n);
+                bring(TrialFault.What.RELOAD, n, Duration.ZERO, TrialPlan.name(n) + "'s file changes");
             }
             default -> spoil(kind);
         }
     }
 
-    private void leaderAndHolder() {
+    private void leaderAndHolder() throws IOException {
         List<Integer> both = new ArrayList<>();
         both.add(Math.max(0, scene.leader()));
         if (scene.holder() >= 0 && !both.contains(scene.holder())) {
@@ -200,14 +340,14 @@
     }
 
     /** Nothing passes to those from all others, and nothing back where it is both ways. */
-    private void isolate(String what, List<Integer> those, boolean bothWays) {
-        List<Way> ways = new ArrayList<>();
+    private void isolate(String what, List<Integer> those, boolean bothWays) throws IOException {
+        List<String> ways = new ArrayList<>();
         for (int n = 0; n < scene.nodes(); n++) {
             for (int t : those) {
                 if (!those.contains(n)) {
-                    ways.add(scene.way(n, t));
+                    ways.add(way(n, t));
                     if (bothWays) {
-                        ways.add(scene.way(t, n));
+                        ways.add(way(t, n));
                     }
                 }
             }
@@ -215,42 +355,40 @@
         cut(what + " " + those.stream().map(TrialPlan::name).toList(), upToLeases(4), ways);
     }
 
-    private void cut(String what, Duration length, List<Way> ways) {
-        scene.tell(what + " for " + length.toMillis() + " ms");
-        ways.forEach(w -> w.cut = true);
-        scene.after(length, () -> ways.forEach(w -> w.cut = false));
+    private void cut(String what, Duration length, List<String> ways) throws IOException {
+        bring(new TrialFault(elapsedMs, TrialFault.What.CUT, "", length.toMillis(), ways, List.of(),
+                what + " for " + length.toMillis() + " ms"));
     }
 
     /** Some hear nothing of one that hears them. */
-    private void oneWay() {
+    private void oneWay() throws IOException {
         int v = victim();
-        List<Way> ways = new ArrayList<>();
-        some().stream().filter(n -> n != v).forEach(n -> ways.add(scene.way(v, n)));
+        List<String> ways = some().stream().filter(n -> n != v).map(n -> way(v, n)).toList();
         cut(ways.size() + " do not hear " + TrialPlan.name(v), upToLeases(3), ways);
     }
 
     /** Others still reach both. */
-    private void pair() {
+    private void pair() throws IOException {
         int a = victim();
         int b = (a + 1 + chance.nextInt(Math.max(1, scene.nodes() - 1))) % scene.nodes();
         if (a != b) {
             cut("no way between " + TrialPlan.name(a) + " and " + TrialPlan.name(b), upToLeases(4),
-                    List.of(scene.way(a, b), scene.way(b, a)));
+                    List.of(way(a, b), way(b, a)));
         }
     }
 
-    private void split(int parts) {
+    private void split(int parts) throws IOException {
         int[] part = new int[scene.nodes()];
         StringBuilder text = new StringBuilder("split in " + parts + ":");
         for (int n = 0; n < part.length; n++) {
             part[n] = chance.nextInt(parts);
             text.append(' ').append(part[n]);
         }
-        List<Way> ways = new ArrayList<>();
+        List<String> ways = new ArrayList<>();
         for (int a = 0; a < part.length; a++) {
             for (int b = 0; b < part.length; b++) {
                 if (part[a] != part[b]) {
-                    ways.add(scene.way(a, b));
+                    ways.add(way(a, b));
                 }
             }
         }
@@ -258,37 +396,24 @@
     }
 
     /** Slow, lossy, doubled, out of order and cut short, all around one node. */
-    private void sick() {
-        int v = victim();
+    private void sick() throws IOException {
+        String v = TrialPlan.name(victim());
         double loss = chance.nextDouble() * 0.5;
         double doubled = chance.nextDouble() * 0.5;
         double shortened = chance.nextDouble() * 0.2;
-        Duration delay = chance.nextBoolean() ? span(0, lease.toMillis()) : Duration.ZERO;
-        Duration spread = span(0, 300);
-        List<Way> ways = new ArrayList<>();
-        for (int n = 0; n < scene.nodes(); n++) {
-            if (n != v) {
-                ways.addAll(List.of(scene.way(n, v), scene.way(v, n)));
-            }
-        }
-        for (Way w : ways) {
-            w.loss = loss;
-            w.doubled = doubled;
-            w.shortened = shortened;
-            w.delay = delay;
-            w.spread = spread;
-        }
+        long delay = chance.nextBoolean() ? span(0, lease.toMillis()).toMillis() : 0;
+        long spread = span(0, 300).toMillis();
         Duration length = upToLeases(4);
-        scene.tell(String.format(Locale.ROOT, "%s: %.2f lost, %.2f doubled, %.2f cut short, %d to %d ms late, for %d ms",
-                TrialPlan.name(v), loss, doubled, shortened, delay.toMillis(), delay.plus(spread).toMillis(),
-                length.toMillis()));
-        scene.after(length, () -> ways.forEach(Way::mend));
+        bring(new TrialFault(elapsedMs, TrialFault.What.SICK, "", length.toMillis(), List.of(v + ">*", "*>" + v),
+                List.of(loss, doubled, shortened, (double) delay, (double) spread), String.format(Locale.ROOT,
+                "%s: %.2f lost, %.2f doubled, %.2f cut short, %d to %d ms late, for %d ms", v, loss, doubled, shortened,
+                delay, delay + spread, length.toMillis())));
     }
 
     private void stall(Duration length) throws IOException {
         int v = victim();
         if (scene.runs(v)) {
-            scene.stall(v, length);
+            bring(TrialFault.What.STALL, v, length, "");
         }
     }
 
@@ -302,48 +427,47 @@
         return some;
     }
 
-    private void kill(List<Integer> those) {
+    private void kill(List<Integer> those) throws IOException {
         for (int n : those) {
             if (scene.runs(n)) {
-                scene.kill(n, chance.nextBoolean() ? Duration.ZERO : upToLeases(3));
+                bring(TrialFault.What.KILL, n, chance.nextBoolean() ? Duration.ZERO : upToLeases(3), "");
             }
         }
     }
 
-    private void terminate() {
+    private void terminate() throws IOException {
         int v = victim();
         if (scene.runs(v)) {
-            scene.stop(v, upToLeases(2));
+            bring(TrialFault.What.STOP, v, upToLeases(2), "");
         }
     }
 
-    private void release() {
+    private void release() throws IOException {
         int h = scene.holder();
         if (h >= 0 && scene.runs(h)) {
-            scene.tell(TrialPlan.name(h) + " is told to give the lease back");
-            scene.release(h);
+            bring(TrialFault.What.RELEASE, h, Duration.ZERO, TrialPlan.name(h) + " is told to give the lease back");
         }
     }
 
     /** One at a time is away; a trial in which a voter loses its memory changes none, so that a majority is left. */
-    private void voters() {
+    private void voters() throws IOException {
         if (spoiltOne && removed < 0 || scene.voters() < 3) {
             return;
         }
         spoiltOne = true;
         int v = removed >= 0 ? removed : victim() % scene.voters();
-        scene.tell(TrialPlan.name(v) + (removed >= 0 ? " is to vote" : " is to vote no more"));
-        scene.changeVoters(v, removed >= 0);
+        bring(removed >= 0 ? TrialFault.What.IN : TrialFault.What.OUT, v, Duration.ZERO,
+                TrialPlan.name(v) + (removed >= 0 ? " is to vote" : " is to vote no more"));
         removed = removed >= 0 && chance.nextBoolean() ? -1 : v;
     }
 
-    private void slowDisk() {
-        int v = victim() % scene.voters();
+    private void slowDisk() throws IOException {
+        String v = TrialPlan.name(victim() % scene.voters());
         Duration by = chance.nextBoolean() ? span(5, 100) : span(100, 2000);
         Duration length = upToLeases(4);
-        if (scene.slowDisk(v, by, length)) {
-            scene.tell("syncs of " + TrialPlan.name(v) + " take " + by.toMillis() + " ms for " + length.toMillis() + " ms");
-        }
+        bring(new TrialFault(elapsedMs, TrialFault.What.SLOW_DISK, v, length.toMillis(), List.of(),
+                List.of((double) by.toMillis()),
+                "syncs of " + v + " take " + by.toMillis() + " ms for " + length.toMillis() + " ms"));
     }
 
     /** One voter of a trial may lose what it had; a torn tail is none. */
@@ -353,6 +477,6 @@
             return;
         }
         spoiltOne |= kind != Kind.TORN;
-        scene.spoil(v, kind, upToLeases(2));
+        bring(TrialFault.What.valueOf(kind.name()), v, upToLeases(2), "");
     }
 }
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -79,6 +79,8 @@
     private final List<Trouble> troubles = new ArrayList<>();
     /** Since when nothing is wrong any more; null before. */
     private Duration quietFrom;
+    /** What breaks; null where it is drawn. What stirs beside it is always drawn. */
+    private final List<TrialFault> script;
     private int leader = -1;
     private int holder = -1;
     private long pids = 100;
@@ -89,7 +91,13 @@
     private long bytes;
 
     public VirtualTrial(Setting setting) {
+        this(setting, null);
+    }
+
+    /** @param script what breaks, in order of time, instead of what the plan says */
+    public VirtualTrial(Setting setting, List<TrialFault> script) {
         this.setting = setting;
+        this.script = script == null ? null : List.copyOf(script);
         plan = setting.plan();
         subject = plan.kind().subject(plan);
         world = new World(plan.seed());
@@ -348,12 +356,13 @@
             }
         }
         ask();
+        // By a source of its own, and half a millisecond beside all else: played again, all else is as it was.
         List<Trouble.Kind> faults = plan.faults().isEmpty() ? subject.faults() : plan.faults();
-        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), chance));
+        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), world.random("faults"), script));
         if (plan.faults().isEmpty() && !subject.stir().isEmpty()) {
             troubles.add(new Trouble(new Scene(), subject.stir(), Trouble.STIR_GAP, plan.lease(), stirs));
         }
-        world.after(CALM, () -> troubles.forEach(t -> t.begin(plan.length().minus(QUIET).minus(CALM))));
+        world.after(CALM.plusNanos(500_000), () -> troubles.forEach(t -> t.begin(plan.length().minus(QUIET).minus(CALM))));
         world.after(plan.length().minus(QUIET), this::quiet);
         world.runUntil(plan.length().toNanos());
         while (quietFrom == null || world.nanos() < quietFrom.plus(QUIET).toNanos()) {
@@ -365,6 +374,11 @@
                 plan.length().toNanos() / 1e9, -1, log);
     }
 
+    /** What has broken: played again as a script, it gives the same history. */
+    public List<TrialFault> faults() {
+        return troubles.get(0).brought();
+    }
+
     private void quiet() {
         troubles.forEach(Trouble::end);
         for (Way[] row : ways) {
--- a/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
@@ -86,9 +86,9 @@
     @Test
     void anOlderBuildAmongNewerEntriesSaysSoAndStops() {
         int[] starts = new int[3];
-        TrialPlan plan = plan(3, 2, Duration.ofSeconds(8), Trouble.Kind.KILL);
-        TrialResult r = new VirtualTrial(new VirtualTrial.Setting(plan, 0.01,
-                n -> knows(n == 1 && starts[n]++ > 0 ? 1 : 2), List.of())).play();
+        TrialResult r = new VirtualTrial(new VirtualTrial.Setting(plan(3, 2, Trouble.GAP), 0.01,
+                n -> knows(n == 1 && starts[n]++ > 0 ? 1 : 2), List.of()),
+                List.of(TrialFault.of(6000, TrialFault.What.KILL, "n2", 300))).play();
         assertTrue(starts[1] < 2 || r.findings().stream().allMatch(f -> f.what().contains("version 2, and this one")
                 && f.what().startsWith("n2")), r.text());
         assertTrue(starts[1] > 1 && !r.findings().isEmpty(), r.text());
