Hand leadership on with entries under way, and hold each hard case of leases by a test

- An orderly stop of a leader that held leases nearly always ended in an election: the waiting node's request was under way, so no voter had all entries and nobody was asked to take over.
Now the first that has them is, and the leader stays for that.
Whoever waited there is told to ask elsewhere, a line that can't be served at once keeps its order, and voters that know of no leader are asked again soon, eight times at the most.
Pieces leave room for the names.
- The fullest ledger made a picture of 9.7 MB, and 8 MiB are taken: refusals kept the holder's name with each result.
- Each dropped datagram was a line of the log, until its allowance was used up: now one in 10 s, with how many there were.

A node's status says how many datagrams and bytes it has sent.

--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -102,6 +102,7 @@
     private long round;
     private long confirmedRound;
     private Instant handingOverUntil;
+    private boolean handedOver;
 
     /** Writes asked for, and done. */
     private long storing;
@@ -547,12 +548,18 @@
             p.snapshotIndex = s.index();
             p.have = 0;
         }
-        int length = Math.min(settings.mostBytes(), s.data().length - p.have);
+        int length = Math.min(roomBeside(s.voters()), s.data().length - p.have);
         byte[] bytes = new byte[length];
         System.arraycopy(s.data(), p.have, bytes, 0, length);
         send(p.name, new Message.Piece(term, round, s.index(), s.term(), s.voters(), s.data().length, p.have, bytes));
     }
 
+    /** Guards against pieces that no datagram holds: the voters' names go with each, and may be long. */
+    private int roomBeside(List<String> names) {
+        int taken = names.stream().mapToInt(n -> n.length() + 1).sum();
+        return Math.max(settings.mostBytes() / 4, settings.mostBytes() - taken);
+    }
+
     private void onAppendReply(Instant now, String from, Message.AppendReply m) {
         Peer p = role == Role.LEADER ? peers.get(from) : null;
         if (p == null) {
@@ -561,6 +568,7 @@
         hearPeer(now, p, m.round());
         if (m.ok()) {
             p.alikeTo(m.match(), m.round());
+            handOverTo(p);
             count(now);
             if (role == Role.LEADER && p.next <= log.last() && p.underWay < WINDOW) {
                 sendTo(p);
@@ -714,19 +722,27 @@
         }
     }
 
-    /** Asks the voter that has the most to take over, as this one is about to stop. @return whether there is one */
+    /**
+     * Asks a voter to take over, as this one is about to stop: the first that has all entries, now or as soon as it has
+     * them. Until then, and for an election's length at the most, nothing is proposed here.
+     *
+     * @return whether there is anybody to ask; it leads on until another one does
+     */
     public boolean handOver(Instant now) {
-        if (role != Role.LEADER) {
+        if (role != Role.LEADER || others().isEmpty()) {
             return false;
         }
-        for (Peer p : peers.values()) {
-            if (p.match == log.last() && voters.contains(p.name)) {
-                handingOverUntil = now.plus(settings.election());
-                send(p.name, new Message.TakeOver(term));
-                return true;
-            }
+        handingOverUntil = now.plus(settings.election());
+        handedOver = false;
+        peers.values().forEach(this::handOverTo);
+        return true;
+    }
+
+    private void handOverTo(Peer p) {
+        if (handingOverUntil != null && !handedOver && p.match == log.last() && voters.contains(p.name)) {
+            handedOver = true;
+            send(p.name, new Message.TakeOver(term));
         }
-        return false;
     }
 
     // ---- disk
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -52,6 +52,8 @@
     private static final Duration RETRY = Duration.ofMillis(150);
     private static final Duration PARK = Duration.ofSeconds(1);
     private static final Duration POLL = Duration.ofMillis(400);
+    /** So often a line says that datagrams were dropped, at the most. */
+    private static final Duration BETWEEN_DROPPED = Duration.ofSeconds(10);
     /** What staff ask is answered within this time, or given up. */
     private static final Duration PATIENCE = Duration.ofSeconds(2);
 
@@ -135,6 +137,9 @@
     private Runnable whenStopped;
     private long dropped;
     private Clients clients = Clients.NONE;
+    private Instant droppedTold;
+    private long sent;
+    private long sentBytes;
     /** Where another process is that says it is this node, and since when it has been heard of. */
     private String twin;
     private Instant twinSince;
@@ -254,7 +259,18 @@
     private void endWhenIdle() {
         if (voter != null && halted == null && voter.agreement().role() == Agreement.Role.LEADER
                 && voter.agreement().handOver(loop.clock().now())) {
-            loop.schedule(config.timing().heartbeat(), this::end); // its message goes out, and no election is waited for
+            Instant latest = loop.clock().now().plus(config.timing().election());
+            loop.schedule(config.timing().heartbeat(), () -> endOnceHandedOn(latest));
+        } else {
+            end();
+        }
+    }
+
+    /** No election is to be waited for; and whoever takes over may need this one's vote. */
+    private void endOnceHandedOn(Instant latest) {
+        if (!stopped && halted == null && voter.agreement().role() == Agreement.Role.LEADER
+                && loop.clock().now().isBefore(latest)) {
+            loop.schedule(config.timing().heartbeat(), () -> endOnceHandedOn(latest));
         } else {
             end();
         }
@@ -367,7 +383,7 @@
             e = form.read(payload);
         } catch (MalformedException problem) {
             dropped++;
-            machine.log().warn("a datagram from " + Addresses.format(from) + " was dropped: " + problem.getMessage());
+            tellDropped(from, problem);
             return;
         }
         Instant now = loop.clock().now();
@@ -386,6 +402,23 @@
         }
     }
 
+    private void send(InetSocketAddress to, Envelope e) {
+        ByteBuffer bytes = form.write(e);
+        sent++;
+        sentBytes += bytes.remaining();
+        socket.send(to, bytes);
+    }
+
+    /** Guards the log: another fleet's node that was given this address sends on and on. */
+    private void tellDropped(InetSocketAddress from, MalformedException problem) {
+        Instant now = loop.clock().now();
+        if (droppedTold == null || !now.isBefore(droppedTold.plus(BETWEEN_DROPPED))) {
+            droppedTold = now;
+            machine.log().warn("a datagram from " + Addresses.format(from) + " was dropped: " + problem.getMessage()
+                    + "; " + dropped + " so far");
+        }
+    }
+
     private void take(Instant now, Ask.Answer answer) {
         if (answer.incarnation() == budgetsIncarnation) {
             budgets.onAnswer(now, answer);
@@ -420,7 +453,7 @@
         }
         InetSocketAddress to = askers.get(answer.incarnation());
         if (to != null) {
-            socket.send(to, form.write(Envelope.of(config.node(), incarnation, parts.knows(), answer)));
+            send(to, Envelope.of(config.node(), incarnation, parts.knows(), answer));
         }
     }
 
@@ -429,7 +462,7 @@
         public void send(String to, Message message) {
             InetSocketAddress address = config.addresses().get(to);
             if (address != null) {
-                socket.send(address, form.write(Envelope.of(config.node(), incarnation, parts.knows(), message)));
+                Fleet.this.send(address, Envelope.of(config.node(), incarnation, parts.knows(), message));
             }
         }
 
@@ -496,7 +529,7 @@
         if (target.equals(config.node())) {
             turns.then(() -> asked(loop.clock().now(), ask));
         } else {
-            socket.send(config.addresses().get(target), form.write(Envelope.of(config.node(), ask.incarnation(), parts.knows(), ask)));
+            send(config.addresses().get(target), Envelope.of(config.node(), ask.incarnation(), parts.knows(), ask));
         }
     }
 
@@ -531,7 +564,7 @@
         @Override
         public void send(String address, Note note) {
             try {
-                socket.send(Addresses.parse(address), form.write(Envelope.of(config.node(), incarnation, parts.knows(), note)));
+                Fleet.this.send(Addresses.parse(address), Envelope.of(config.node(), incarnation, parts.knows(), note));
             } catch (ConfigException e) {
                 dropped++; // a member says that it is at no address at all
             }
@@ -747,7 +780,8 @@
     public JsonObject status() {
         Instant now = loop.clock().now();
         JsonObject o = new JsonObject().add("fleet", config.name()).add("node", config.node())
-                .add("incarnation", incarnation).add("datagrams_dropped", dropped);
+                .add("incarnation", incarnation).add("datagrams_dropped", dropped)
+                .add("datagrams_sent", sent).add("bytes_sent", sentBytes);
         if (halted != null) {
             o.add("halted", halted);
         }
--- a/src/main/java/rowanplank/ledger/Desk.java
+++ b/src/main/java/rowanplank/ledger/Desk.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -76,6 +75,8 @@
     private final Map<Long, Ask> proposed = new TreeMap<>();
     private final Map<String, Deque<Waiting>> waiting = new TreeMap<>();
     private int waitingCount;
+    /** Free leases whose first in line could not be written. */
+    private final TreeSet<String> unserved = new TreeSet<>();
     private final Deque<Confirming> confirming = new ArrayDeque<>();
     /** Entries on their way that end these fences. */
     private final TreeSet<Long> ending = new TreeSet<>();
@@ -98,14 +99,23 @@
         nextLook = now;
     }
 
-    /** What was asked and not answered is left to be asked again, elsewhere: it is not known what comes of it. */
+    /**
+     * What was asked and not answered is left to be asked again, elsewhere: it is not known what comes of it. Whoever
+     * waits here is told so at once, as far as it can be reached: it would wait for an answer that does not come.
+     */
     public void onLeadsNoMore() {
         leads = false;
+        Map<Long, Ask> left = new TreeMap<>();
+        waiting.values().forEach(line -> line.forEach(w -> left.put(w.ask().incarnation(), w.ask())));
+        proposed.values().forEach(ask -> left.put(ask.incarnation(), ask));
+        confirming.forEach(c -> left.put(c.ask().incarnation(), c.ask()));
+        left.values().forEach(ask -> answer(ask, Result.of(Kind.NOT_LEADER)));
         renewed.clear();
         granted.clear();
         proposed.clear();
         waiting.clear();
         waitingCount = 0;
+        unserved.clear();
         confirming.clear();
         ending.clear();
     }
@@ -190,15 +200,17 @@
         }
     }
 
-    private void propose(Ask ask, Command command) {
+    /** @return whether it was taken, or answered; else it is asked again */
+    private boolean propose(Ask ask, Command command) {
         if (!actions.isKnown(command)) {
             answer(ask, Result.of(Kind.TOO_NEW));
-            return;
+            return true;
         }
         long index = proposed.size() >= MOST_WAITING ? 0 : actions.propose(command);
         if (index > 0) {
             proposed.put(index, ask);
-        } // else it is asked again
+        }
+        return index > 0;
     }
 
     private void confirm(Ask ask) {
@@ -252,25 +264,38 @@
             e.holdings().forEach(h -> ending.remove(h.fence()));
         }
         if (command instanceof Command.Expire || command instanceof Command.Release || command instanceof Command.Close) {
-            serveWaiting();
+            serveWaiting(now);
         }
     }
 
-    /** Whoever has waited longest for a lease that is free now. */
-    private void serveWaiting() {
-        for (Iterator<Map.Entry<String, Deque<Waiting>>> i = waiting.entrySet().iterator(); i.hasNext();) {
-            Map.Entry<String, Deque<Waiting>> line = i.next();
-            if (ledger.lease(line.getKey()) == null && !line.getValue().isEmpty()) {
-                Waiting first = line.getValue().poll();
-                waitingCount--;
-                Ask.Acquire a = (Ask.Acquire) first.ask().what();
-                propose(first.ask(), new Command.Acquire(first.ask().session(), first.ask().floor(),
-                        first.ask().number(), a.lease(), a.length()));
-            }
-            if (line.getValue().isEmpty()) {
-                i.remove();
-            }
+    private void serveWaiting(Instant now) {
+        for (String lease : List.copyOf(waiting.keySet())) {
+            serve(now, lease);
         }
+        waiting.values().removeIf(Deque::isEmpty);
+    }
+
+    /** Whoever has waited longest for a lease that is free now; where it can't be written now, soon, in its place. */
+    private void serve(Instant now, String lease) {
+        Deque<Waiting> line = waiting.get(lease);
+        if (line == null || line.isEmpty() || ledger.lease(lease) != null) {
+            return;
+        }
+        Ask ask = line.peek().ask();
+        Ask.Acquire a = (Ask.Acquire) ask.what();
+        if (propose(ask, new Command.Acquire(ask.session(), ask.floor(), ask.number(), a.lease(), a.length()))) {
+            line.poll();
+            waitingCount--;
+        } else {
+            unserved.add(lease);
+            lookBy(now);
+        }
+    }
+
+    private void serveUnserved(Instant now) {
+        List<String> again = List.copyOf(unserved);
+        unserved.clear();
+        again.forEach(lease -> serve(now, lease));
     }
 
     // ---- time
@@ -297,6 +322,7 @@
         nextLook = now.plus(settings.session());
         endLeases(now);
         endSessions(now);
+        serveUnserved(now);
         endWaiting(now);
         Instant soonest = now.plus(LOOK);
         nextLook = nextLook.isBefore(soonest) ? soonest : nextLook;
--- a/src/main/java/rowanplank/ledger/LeaseHolder.java
+++ b/src/main/java/rowanplank/ledger/LeaseHolder.java
@@ -20,6 +20,8 @@
 public class LeaseHolder {
     public static final int MOST_WANTED = 1024;
     private static final int MOST_RENEWALS = 8;
+    /** Voters that know of no leader are asked again soon so often: an election is over by then, or takes long. */
+    private static final int MOST_QUICK = 8;
     /** A result is kept for so many requests of a session ({@link Ledger#MOST_RESULTS}), half of which is enough. */
     private static final int MOST_AT_ONCE = Ledger.MOST_RESULTS / 2;
 
@@ -110,6 +112,8 @@
     private int target;
     private Instant heard;
     private Instant turned;
+    /** How often since it was heard somebody was asked again sooner than usual. */
+    private int quick;
 
     public LeaseHolder(Settings settings, Instant now, Actions actions) {
         this.settings = settings;
@@ -252,6 +256,7 @@
             return;
         }
         heard = now;
+        quick = 0;
         if (r.kind() == Kind.NO_SESSION) {
             sessionLost(now, answer.number());
         } else if (answer.number() == opening) {
@@ -477,14 +482,25 @@
 
     /** To that voter, or to the next one; what is under way is asked there at once. */
     private void turn(Instant now, int to) {
-        if (to == target || now.isBefore(turned.plus(settings.retry().dividedBy(4))) && to < 0) {
+        Instant soon = turned.plus(settings.retry().dividedBy(4));
+        if (to == target) {
+            return;
+        } else if (to < 0 && now.isBefore(soon)) {
+            if (quick < MOST_QUICK) {
+                quick++;
+                askAgainBy(soon);
+            }
             return;
         }
         target = to >= 0 ? to : (target + 1) % voters.size();
         turned = now;
-        openAgain = now;
-        renewAt = renewals.isEmpty() ? renewAt : now;
-        wanted.values().forEach(w -> w.askAgain = w.number != 0 ? now : w.askAgain);
-        claims.values().forEach(c -> c.askAgain = now);
+        askAgainBy(now);
+    }
+
+    private void askAgainBy(Instant time) {
+        openAgain = earlier(openAgain, time);
+        renewAt = renewals.isEmpty() ? renewAt : earlier(renewAt, time);
+        wanted.values().forEach(w -> w.askAgain = w.number != 0 ? earlier(w.askAgain, time) : w.askAgain);
+        claims.values().forEach(c -> c.askAgain = earlier(c.askAgain, time));
     }
 }
--- a/src/main/java/rowanplank/ledger/Ledger.java
+++ b/src/main/java/rowanplank/ledger/Ledger.java
@@ -331,7 +331,7 @@
     private Result acquire(long index, Command.Acquire c) {
         Lease held = leases.get(c.lease());
         if (held != null && held.session() != c.session()) {
-            return new Result(Kind.HELD, held.fence(), sessions.get(held.session()).node());
+            return Result.of(Kind.HELD, held.fence()); // without a name: it is kept with each such request
         }
         if (held == null && leases.size() >= MOST_LEASES) {
             return Result.of(Kind.FULL);
--- a/src/test/java/rowanplank/agreement/AgreementTest.java
+++ b/src/test/java/rowanplank/agreement/AgreementTest.java
@@ -35,6 +35,8 @@
         final Deque<Sent> under = new ArrayDeque<>();
         final boolean countOlder;
         final int mostBytes;
+        /** With the voters' names. */
+        int longestPiece;
         Instant now = ZERO;
 
         Group(int count, boolean countOlder, int mostBytes) {
@@ -116,6 +118,9 @@
         }
 
         private void deliver(Sent s) {
+            if (s.message() instanceof Message.Piece p) {
+                longestPiece = Math.max(longestPiece, p.bytes().length + String.join(" ", p.voters()).length());
+            }
             if (s.message() == null) {
                 disks.get(s.from()).poll().run();
             } else if (!cut.contains(s.from()) && !cut.contains(s.to()) && voters.containsKey(s.to())) {
@@ -217,9 +222,28 @@
         g.cut.remove(away);
         g.pass(2000);
         assertEquals(7, g.restored.get(away)[4999]);
+        assertTrue(g.longestPiece <= 50, g.longestPiece + " bytes, and a message holds 50 of content");
         assertEquals(List.of(99), g.payloads(away));
     }
 
+    /** Guards memory while nobody decides: what is beyond the bound is not taken, and nothing that was taken is lost. */
+    @Test
+    void aLogIsNotLongerThanItsBound() {
+        Group g = settled(3);
+        Agreement leader = g.leader();
+        List<String> others = g.voters.keySet().stream().filter(v -> !v.equals(g.leaderName())).toList();
+        int taken = 0;
+        for (int i = 0; i < 250; i++) {
+            taken += leader.propose(g.now, new byte[] {(byte) i}) > 0 ? 1 : 0;
+            g.settle(m -> false);
+        }
+        assertEquals(100, taken);
+        assertEquals(101, leader.logSize(), "with the opening entry");
+        g.pass(300);
+        others.forEach(v -> assertEquals(100, g.payloads(v).size(), v));
+        assertTrue(g.leader().propose(g.now, new byte[] {1}) > 0);
+    }
+
     @Test
     void leadershipIsHandedOnWithoutAnElectionsWait() {
         Group g = settled(3);
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -1,6 +1,7 @@
 package rowanplank.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -68,6 +69,15 @@
         assertTrue(named == null ? difference == null : difference != null && difference.contains(named), () -> "" + difference);
     }
 
+    /** Guards a voter's name: a file that does not name itself among the voters is a client's, and is given no state. */
+    @Test
+    void whoIsNotNamedAmongTheVotersIsAClient() throws Exception {
+        FleetConfig fleet = OperatorFile.read("f", example().replaceFirst("name = \"n1\"", "name = \"n9\"")).fleet();
+        assertEquals("n9", fleet.node());
+        assertFalse(fleet.isVoter());
+        assertNull(fleet.pictures(), "which voters write");
+    }
+
     @Test
     void allFaultsAreToldAtOnce() throws Exception {
         assertEquals(3, faults(example().replace("length = \"4s\"", "length = 4").replace("kind = \"http\"", "kind = \"ftp\"")
--- a/src/test/java/rowanplank/fleet/wire/DiskFormTest.java
+++ b/src/test/java/rowanplank/fleet/wire/DiskFormTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import rowanplank.agreement.Entry;
+import rowanplank.agreement.Saved;
+import rowanplank.agreement.Snapshot;
 import rowanplank.agreement.Write;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 
@@ -61,6 +63,19 @@
         }
     }
 
+    /** Guards a file that was put in place of another: without its snapshot a voter would begin as one that knows nothing. */
+    @Test
+    void aSnapshotThatIsCutIsRefused() throws Exception {
+        Snapshot snapshot = new Snapshot(900, 7, VOTERS, new byte[3000]);
+        byte[] whole = DiskForm.anew("press", "n1", new Write.Whole(new Saved(8, "n2", snapshot,
+                List.of(Entry.command(901, 8, new byte[500]))))).bytes();
+        assertEquals(900, DiskForm.read(whole, "press", "n1").saved().snapshot().index());
+        for (int length = 0; length < whole.length; length += 10) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThrows(MalformedException.class, () -> DiskForm.read(cut, "press", "n1"), length + " bytes");
+        }
+    }
+
     @Test
     void anothersFileIsRefused() {
         String line = assertThrows(MalformedException.class, () -> DiskForm.read(file(), "press", "n2")).getMessage();
--- a/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
+++ b/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import rowanplank.agreement.Agreement;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
@@ -71,4 +73,26 @@
             assertThrows(MalformedException.class, () -> LedgerForm.command(LedgerForm.command(c), 2));
         }
     }
+
+    /** Guards a voter that comes back: a ledger whose picture is longer than a snapshot may be would never reach it. */
+    @Test
+    void theFullestLedgerFitsASnapshot() {
+        Ledger ledger = new Ledger(Ledger.Picture.empty());
+        long index = 0;
+        String longest = "x".repeat(60);
+        for (int s = 1; s <= Ledger.MOST_SESSIONS; s++) {
+            ledger.apply(++index, new Command.Open(longest + s, Long.MIN_VALUE + s));
+        }
+        for (int l = 0; l < Ledger.MOST_LEASES; l++) {
+            ledger.apply(++index, new Command.Acquire(1 + l / 63, 1, 1L << 40 | l, longest + l % 10_000, Duration.ofHours(24)));
+        }
+        for (int s = 1; s <= Ledger.MOST_SESSIONS; s++) {
+            for (int r = 0; r < Ledger.MOST_RESULTS; r++) {
+                ledger.apply(++index, new Command.Acquire(s, 1, 1L << 40 | r, longest + 9999, Duration.ofHours(1)));
+            }
+        }
+        assertEquals(Ledger.MOST_LEASES, ledger.leases().size());
+        int bytes = LedgerForm.picture(ledger.picture()).length;
+        assertTrue(bytes < Agreement.MOST_SNAPSHOT_BYTES, bytes + " bytes");
+    }
 }
