Take a session that has just been opened for alive

A leader counted a new session's silence from when it had become leader, so that one who had led for longer than a session's length closed it at its next look, if nothing else had come from it by then: a node far away, or one of a thousand that began at once, could open sessions again and again. Found by a load of 1,000 sessions that never got all their leases.

--- a/src/main/java/rowanplank/ledger/Desk.java
+++ b/src/main/java/rowanplank/ledger/Desk.java
@@ -256,6 +256,9 @@
             granted.put(a.lease(), now);
             lookBy(now.plus(wait(a.length())));
         }
+        if (command instanceof Command.Open && result.kind() == Kind.OPENED) {
+            renewed.put(result.value(), now); // guards one that is new from the end of those that were silent
+        }
         Ask ask = proposed.remove(index);
         if (ask != null) {
             answer(ask, result);
