--- a/src/test/java/rowanplank/lab/trial/HardCasesTest.java
+++ b/src/test/java/rowanplank/lab/trial/HardCasesTest.java
@@ -143,7 +143,7 @@
     void isBorne(Case c) {
         int there = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            TrialResult r = new TrialCase(c.nodes(), seed, Duration.ofSeconds(18), Duration.ofSeconds(1), 0.01, "", "",
+            TrialResult r = new TrialCase(TrialKind.LEASES, c.nodes(), seed, Duration.ofSeconds(18), Duration.ofSeconds(1), 0.01, "", "",
                     c.faults()).play();
             assertTrue(r.findings().stream().allMatch(f -> f.rule().equals(c.found())), "seed " + seed + "\n" + r.text());
             Seen seen = Seen.of(r);
@@ -160,11 +160,11 @@
     @ParameterizedTest
     @MethodSource("kinds")
     void whatWasDrawnIsPlayedAgain(int nodes, long seed, List<Trouble.Kind> kinds) {
-        TrialPlan plan = new TrialPlan(nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(4), Duration.ofSeconds(1),
+        TrialPlan plan = new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(4), Duration.ofSeconds(1),
                 kinds, Duration.ofMillis(400), List.of(), List.of(), "");
         VirtualTrial trial = new VirtualTrial(VirtualTrial.Setting.of(plan, 0.01, new Parts()));
         List<String> drawn = trial.play().history().stream().map(Event::line).toList();
-        TrialCase written = new TrialCase(nodes, seed, plan.length(), plan.lease(), 0.01, "", "", trial.faults());
+        TrialCase written = new TrialCase(TrialKind.LEASES, nodes, seed, plan.length(), plan.lease(), 0.01, "", "", trial.faults());
         TrialCase read = TrialFile.read("f", TrialFile.write(written));
         assertEquals(written, read);
         assertEquals(drawn, read.play().history().stream().map(Event::line).toList());
