--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -347,7 +347,7 @@
         double parts = refusing ? 1 : route.parts(t.listed.zone());
         // Of a bound that is the fleet's, this node's part is told: it is for all zones, and its due share of a cold one.
         double told = actions.places(t.listed.id());
-        return (told < 0 ? most * parts / sharers : told * most / MOST_IN_FLIGHT) * t.limit.part * cold;
+        return (told < 0 ? most * parts / sharers : told) * t.limit.part * cold;
     }
 
     /** The lowest share of its capacity that a server started then can have now. */
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -252,10 +252,19 @@
         tasks.finish(() -> workers.finish(() -> turns.run(() -> {
             finished = true;
             holder.leaveAll(loop.clock().now());
-            budgets.leave(loop.clock().now());
+            leaveBudgets();
         })));
     }
 
+    /** Guards requests that are served on while the process ends: they need their places as long as there are any. */
+    private void leaveBudgets() {
+        if (places == null || clients.isEmpty()) {
+            budgets.leave(loop.clock().now());
+        } else if (!stopped) {
+            loop.schedule(config.timing().heartbeat(), () -> turns.run(this::leaveBudgets));
+        }
+    }
+
     private void endWhenIdle() {
         if (voter != null && halted == null && voter.agreement().role() == Agreement.Role.LEADER
                 && voter.agreement().handOver(loop.clock().now())) {
--- a/src/main/java/rowanplank/ledger/BudgetDesk.java
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -460,8 +460,12 @@
         }
     }
 
-    /** Where units are left: who has some of this keeps it, and else whoever has the fewest of all budgets has the next. */
+    /**
+     * Where units are left that do not do for all: whoever has the fewest of all other budgets has the next. Who has it
+     * keeps it unless another has at least one less: so it ends, and nobody is left with nothing for good.
+     */
     private static long place(Budgets.Part p, Map<Long, Long> sums) {
-        return p.target().amount() > 0 ? -p.target().amount() : sums.getOrDefault(p.session(), 0L);
+        long others = sums.getOrDefault(p.session(), 0L) - p.target().amount();
+        return 2 * others - p.target().amount();
     }
 }
