--- a/src/main/java/rowanplank/cli/FleetWorkCommand.java
+++ b/src/main/java/rowanplank/cli/FleetWorkCommand.java
@@ -57,6 +57,17 @@
         return done("asked for " + String.join(", ", machines));
     }
 
+    @Command(name = "restart", description = {"Has all machines taken out one after another until new processes of their nodes have come",
+        "up: a rolling restart, as for a new version. Whatever runs the nodes has to start them again."})
+    int restart(@Mixin Door door, @Mixin Number number,
+            @Option(names = "--why", paramLabel = "TEXT", defaultValue = "restart of all") String why) throws IOException {
+        List<String> machines = Door.array(work(door), "machines").values().stream().map(JsonValue::asString).toList();
+        if (machines.isEmpty()) {
+            throw new IOException("no machine is known yet");
+        }
+        return ask(door, number, machines, why, "restart", "30m", false);
+    }
+
     @Command(name = "done", description = "The work on a machine that is out is done: it comes back.")
     int done(@Mixin Door door, @Mixin Number number, @Parameters(paramLabel = "MACHINE") String machine) throws IOException {
         door.say("/api/fleet/work/done/" + number.get() + "/" + machine);
--- a/src/main/java/rowanplank/fleet/WorkText.java
+++ b/src/main/java/rowanplank/fleet/WorkText.java
@@ -27,6 +27,8 @@
                     .add("why", l.why()).add("first", l.first()).add("until", l.restart() ? "restart" : "word")
                     .add("longest_ms", l.longestMs()));
         }
+        JsonArray machines = new JsonArray();
+        work.places().stream().map(Work.Place::machine).distinct().sorted().forEach(machines::add);
         JsonArray plan = new JsonArray();
         work.plan().forEach(plan::add);
         JsonArray history = new JsonArray();
@@ -34,6 +36,7 @@
                 .add("fence", h.fence()).add("asked", h.asked())));
         return new JsonObject().add("most_out", work.terms().mostOut()).add("most_out_hall", work.terms().mostOutOfHall())
                 .add("held", work.held()).add("halted", halted == null ? "" : halted).add("lines", lines).add("plan", plan)
+                .add("machines", machines)
                 .add("history", history);
     }
 
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -137,4 +137,15 @@
         List<String> faults = faults(shared(SHARED.replace(line, instead == null ? "" : instead.replace("~", "\n"))));
         assertTrue(faults.stream().anyMatch(f -> f.matches("f:[0-9]+:[0-9]+: .*") && f.contains(told)), faults::toString);
     }
+
+    private static final String WORK = "[fleet.work]\nhall = \"north\"\nmost_out = 2\nalone = \"serve\"\n";
+
+    @Test
+    void theOrderOfWorkIsRead() throws Exception {
+        assertEquals(new FleetConfig.Order("n1", "north", 2, 2, Duration.ofSeconds(5), true, Duration.ofSeconds(30)),
+                OperatorFile.read("f", shared(WORK)).fleet().order());
+        assertNull(OperatorFile.read("f", example()).fleet().order());
+        assertTrue(faults(shared(WORK.replace("serve", "go"))).get(0).contains("fleet.work.alone: must be one of stay-out, serve"));
+        assertTrue(faults(shared(WORK.replace("most_out", "most"))).get(0).contains("fleet.work.most: unknown key"));
+    }
 }
--- /dev/null
+++ b/src/test/java/rowanplank/ledger/WorkHolderTest.java
@@ -0,0 +1,133 @@
+package rowanplank.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rowanplank.ledger.Ask.Answer;
+import rowanplank.ledger.Result.Kind;
+import rowanplank.ledger.Work.State;
+
+/** A node's side of the order of work: it is process 5, asks each 400 ms, and acts on what is younger than 1,000 ms. */
+class WorkHolderTest {
+    private static final Instant ZERO = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final List<Ask> asked = new ArrayList<>();
+    private boolean drains;
+    private boolean empty;
+    private WorkHolder holder = holder(false);
+
+    private WorkHolder holder(boolean servesAlone) {
+        return new WorkHolder(new WorkHolder.Settings("n1", 5, "n1", "north", List.of("n1", "n2", "n3"), Duration.ofMillis(400),
+                Duration.ofSeconds(1), Duration.ofSeconds(2), servesAlone, Duration.ofSeconds(30)), ZERO, new WorkHolder.Actions() {
+                    @Override
+                    public void ask(String voter, Ask ask) {
+                        asked.add(ask);
+                    }
+
+                    @Override
+                    public void drain() {
+                        drains = true;
+                    }
+
+                    @Override
+                    public void rejoin() {
+                        drains = false;
+                    }
+
+                    @Override
+                    public boolean isEmpty() {
+                        return empty;
+                    }
+
+                    @Override
+                    public boolean isReady() {
+                        return !drains;
+                    }
+                });
+    }
+
+    private static Instant at(long ms) {
+        return ZERO.plusMillis(ms);
+    }
+
+    private static Work.Line line(State state, boolean restart, Map<String, Long> said) {
+        return new Work.Line("n1", state, 9, "n2", "", false, restart, 60_000, 20, said, false);
+    }
+
+    /** Asks at one time, and is answered at another. */
+    private void hear(long asking, long answering, Work.Line line) {
+        holder.onTime(at(asking));
+        Ask last = asked.get(asked.size() - 1);
+        holder.onAnswer(at(answering), new Answer(5, last.number(), Result.of(Kind.SET), line));
+    }
+
+    private boolean saidStep() {
+        return asked.get(asked.size() - 1).what() instanceof Ask.Step;
+    }
+
+    @Test
+    void aProcessTakesNoClientsUntilItHasHeard() {
+        assertTrue(drains);
+        hear(0, 20, null);
+        assertFalse(drains);
+        holder = holder(false);
+        hear(0, 20, line(State.OUT, false, Map.of("n1", 4L)));
+        assertTrue(drains, "its machine is out");
+        assertFalse(saidStep(), "a person's word ends it");
+    }
+
+    /** Guards a node that stood still: what it was told then may not hold any more. */
+    @Test
+    void whatIsTooOldIsNotActedOn() {
+        hear(0, 20, null);
+        hear(500, 1500, line(State.TURN, false, Map.of()));
+        assertFalse(drains);
+        hear(2000, 2999, line(State.TURN, false, Map.of()));
+        assertTrue(drains);
+    }
+
+    @Test
+    void itSaysThatItIsOutOnceNothingIsOpenAndBackOnceItHasBeenReadyForAWhile() {
+        hear(0, 20, null);
+        hear(500, 520, line(State.TURN, false, Map.of()));
+        assertFalse(saidStep());
+        empty = true;
+        hear(700, 720, line(State.TURN, false, Map.of()));
+        assertEquals(new Ask.Step(20, State.TURN), asked.get(asked.size() - 1).what());
+        hear(1000, 1020, line(State.RETURNING, false, Map.of()));
+        assertFalse(drains);
+        assertFalse(saidStep());
+        hear(2000, 2020, line(State.RETURNING, false, Map.of()));
+        assertFalse(saidStep());
+        hear(4100, 4120, line(State.RETURNING, false, Map.of()));
+        assertTrue(saidStep());
+    }
+
+    @Test
+    void onlyAnotherProcessThanTheOneThatWentOutEndsTheWork() {
+        hear(0, 20, line(State.OUT, true, Map.of("n1", 5L)));
+        assertFalse(saidStep());
+        hear(500, 520, line(State.OUT, true, Map.of("n1", 4L)));
+        assertTrue(saidStep());
+        hear(1000, 1020, line(State.OUT, true, Map.of("n1", -5L, "n9", 3L)));
+        assertFalse(saidStep(), "it has said so, and another node of the machine has not");
+    }
+
+    @Test
+    void aloneItStaysOutUnlessTheOperatorHasChosenOtherwise() {
+        holder.onTime(at(31_000));
+        assertTrue(drains);
+        holder = holder(true);
+        holder.onTime(at(29_000));
+        assertTrue(drains);
+        holder.onTime(at(30_000));
+        assertFalse(drains);
+    }
+}
