Do not count a voter whose state was put back, nor answer its refusals without end

A leader named such a voter and still counted what it had once told of, for entries and for rounds; and it answered each of its refusals at once with what was refused again, as fast as datagrams go. It counts no more, and is asked again at the next heartbeat. A voter was also named where only the end of its log differed and one message was lost; it is named now when it refuses what stands right behind what it had told of. Both tests in `AgreementTest` fail before: one does not end, the other finds a voter named that has lost nothing.

--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -236,7 +236,7 @@
     private void beat(Instant now) {
         int hearing = 1;
         for (Peer p : peers.values()) {
-            hearing += p.heard.plus(settings.election()).isAfter(now) && voters.contains(p.name) ? 1 : 0;
+            hearing += !p.regressed && p.heard.plus(settings.election()).isAfter(now) && voters.contains(p.name) ? 1 : 0;
         }
         if (hearing < enough()) {
             follow(now, term, null);
@@ -565,16 +565,17 @@
         if (p == null) {
             return;
         }
+        boolean goesBack = !m.ok() && m.round() >= p.refusedRound && m.match() + 1 < p.next
+                && p.refused(m.match(), m.round(), round);
         hearPeer(now, p, m.round());
         if (m.ok()) {
-            p.alikeTo(m.match(), m.round());
+            p.alikeTo(m.match());
             handOverTo(p);
             count(now);
             if (role == Role.LEADER && p.next <= log.last() && p.underWay < WINDOW) {
                 sendTo(p);
             }
-        } else if (m.round() >= p.refusedRound && m.match() + 1 < p.next) {
-            p.refused(m.match(), m.round());
+        } else if (goesBack) {
             sendTo(p);
         }
     }
@@ -590,7 +591,7 @@
         List<Long> matches = new ArrayList<>();
         for (String voter : voters) {
             Peer p = peers.get(voter);
-            matches.add(voter.equals(settings.self()) ? durable : p == null ? 0 : p.match);
+            matches.add(voter.equals(settings.self()) ? durable : p == null || !p.counts() ? 0 : p.match);
         }
         matches.sort(null);
         long decided = matches.get(matches.size() - majority());
@@ -712,7 +713,7 @@
         List<Long> rounds = new ArrayList<>();
         for (String voter : voters) {
             Peer p = peers.get(voter);
-            rounds.add(voter.equals(settings.self()) ? round : p == null ? 0 : p.round);
+            rounds.add(voter.equals(settings.self()) ? round : p == null || !p.counts() ? 0 : p.round);
         }
         rounds.sort(null);
         long by = rounds.get(rounds.size() - enough());
@@ -739,7 +740,7 @@
     }
 
     private void handOverTo(Peer p) {
-        if (handingOverUntil != null && !handedOver && p.match == log.last() && voters.contains(p.name)) {
+        if (handingOverUntil != null && !handedOver && p.counts() && p.match == log.last() && voters.contains(p.name)) {
             handedOver = true;
             send(p.name, new Message.TakeOver(term));
         }
--- a/src/main/java/rowanplank/agreement/Peer.java
+++ b/src/main/java/rowanplank/agreement/Peer.java
@@ -22,8 +22,8 @@
     /** Whether its log is known to be alike up to {@link #match}; until then it is sent the same again. */
     private boolean probed;
     private long matchBefore;
-    /** The latest round in which it has said that its log is alike. */
-    private long alikeRound;
+    /** It may have less than it had told of: the round of the leader's when it first seemed so; 0 where nothing says so. */
+    private long doubtedRound;
     /** It has said that it has less than it had told of before: its state is an older copy. */
     boolean regressed;
 
@@ -40,20 +40,38 @@
         }
     }
 
-    void alikeTo(long index, long itsRound) {
-        alikeRound = Math.max(alikeRound, itsRound);
+    void alikeTo(long index) {
+        doubtedRound = 0;
         match = Math.max(match, index);
         next = Math.max(next, match + 1);
         probed = true;
         underWay = Math.max(0, underWay - 1);
     }
 
-    void refused(long mayBeAlike, long itsRound) {
-        regressed |= mayBeAlike < match && itsRound > alikeRound;
+    /**
+     * What it may have alike is also little where only the end of its log differs and the message before that end was
+     * lost. So a first refusal raises a doubt; from then on it is sent what stands right behind {@link #match}, and who
+     * refuses that, in a later round than any message before, has lost what it had.
+     *
+     * @param now the leader's round
+     * @return whether it is to be sent something else at once; guards against answers to answers without end
+     */
+    boolean refused(long mayBeAlike, long itsRound, long now) {
+        if (mayBeAlike < match) {
+            regressed |= doubtedRound > 0 && itsRound > doubtedRound;
+            doubtedRound = doubtedRound > 0 ? doubtedRound : now;
+        }
+        long before = next;
         next = Math.max(match, mayBeAlike) + 1;
         refusedRound = itsRound;
         underWay = 0;
         probed = false;
+        return next != before;
+    }
+
+    /** Whether what it says counts towards a majority. */
+    boolean counts() {
+        return !regressed && doubtedRound == 0;
     }
 
     /** Once a heartbeat: what was sent and brought no progress is taken for lost. */
--- a/src/test/java/rowanplank/agreement/AgreementTest.java
+++ b/src/test/java/rowanplank/agreement/AgreementTest.java
@@ -296,4 +296,54 @@
         boolean counted = g.decided.get("v1").contains(old);
         assertEquals(countOlder, counted, "decided by counting");
     }
+
+    /** Guards what is decided: a voter whose state was put back is named, and counts neither for entries nor for rounds. */
+    @Test
+    void anOlderCopyIsNamedAndNotCounted() {
+        Group g = settled(3);
+        g.leader().propose(g.now, new byte[] {1});
+        g.pass(200);
+        String leader = g.leaderName();
+        Agreement leads = g.leader();
+        String older = g.other(leader);
+        g.start(older, Saved.nothing(List.of("v1", "v2", "v3")));
+        g.pass(200);
+        assertEquals(List.of(older), leads.regressed());
+        g.cut.add(g.other(leader, older));
+        long before = g.decided.get(leader).size();
+        leads.propose(g.now, new byte[] {2});
+        g.told.clear();
+        long round = leads.confirm(g.now.plusMillis(10));
+        g.pass(290);
+        assertEquals(before, g.decided.get(leader).size());
+        assertFalse(g.told.contains(leader + " confirmed " + round), g.told::toString);
+        assertTrue(g.told.contains(leader + " leads no more"), g.told::toString);
+    }
+
+    /** Guards staff from a false word: an end of the log that differs is no older copy, whatever is lost on the way. */
+    @Test
+    void anEndThatDiffersIsNoOlderCopy() {
+        Group g = new Group(3, false, 1); // one entry a message
+        Snapshot beginning = Snapshot.beginning(List.of("v1", "v2", "v3"));
+        List<Entry> both = List.of(Entry.command(1, 1, new byte[1]), Entry.command(2, 1, new byte[1]));
+        List<Entry> longer = new ArrayList<>(both);
+        for (int i = 3; i <= 6; i++) {
+            longer.add(Entry.command(i, 1, new byte[1]));
+        }
+        List<Entry> later = new ArrayList<>(both);
+        later.add(Entry.opening(3, 2));
+        g.start("v1", new Saved(2, null, beginning, later));
+        g.start("v2", new Saved(2, null, beginning, longer));
+        g.cut.add("v3");
+        Agreement v1 = g.voters.get("v1");
+        int[] toLose = {1};
+        for (int i = 0; i < 400; i++) { // the first message with the entry at which the logs differ is lost
+            g.now = g.now.plusMillis(5);
+            v1.onTime(g.now);
+            g.settle(m -> !(m instanceof Message.Append a && !a.entries().isEmpty() && a.entries().get(0).index() == 3
+                    && toLose[0]-- > 0));
+            assertEquals(List.of(), v1.regressed(), "after " + 5 * i + " ms");
+        }
+        assertEquals(v1.commitIndex(), v1.lastIndex());
+    }
 }
