--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -63,8 +63,8 @@
         if (plant != null && !Plants.all().containsKey(plant)) {
             throw new ParameterException(spec.commandLine(), "--plant: no fault of that name: " + plant);
         }
-        if (kind == TrialKind.PLACES) {
-            throw new ParameterException(spec.commandLine(), "--kind: places are tried with real processes only, by fleet trial");
+        if (kind == TrialKind.PLACES || kind == TrialKind.WORK) {
+            throw new ParameterException(spec.commandLine(), "--kind: " + kind + " are tried with real processes only, by fleet trial");
         }
         if (nodes < 1 || nodes > 100 || seconds < 10 || seeds < 1) {
             throw new ParameterException(spec.commandLine(), "--nodes 1 to 100, --seconds from 10, --seeds from 1");
--- a/src/main/java/rowanplank/lab/trial/FleetText.java
+++ b/src/main/java/rowanplank/lab/trial/FleetText.java
@@ -16,6 +16,7 @@
         wishes.leases().forEach(l -> t.head("lease").put("name", l.name()).put("length", l.length()));
         wishes.tasks().forEach(t::task);
         t.sharing(wishes.sharing());
+        t.order(wishes.order());
         return t.text.toString();
     }
 
@@ -43,6 +44,18 @@
         }
     }
 
+    private void order(FleetConfig.Order order) {
+        if (order != null) {
+            text.append("[fleet.work]\n");
+            put("machine", order.machine());
+            if (!order.hall().isEmpty()) {
+                put("hall", order.hall());
+            }
+            bare("most_out", order.mostOut()).bare("most_out_hall", order.mostOutOfHall()).put("settle", order.settle());
+            put("alone", order.servesAlone() ? "serve" : "stay-out").put("alone_after", order.aloneAfter());
+        }
+    }
+
     private void task(FleetConfig.Task task) {
         head("task").put("name", task.name()).put("lease", task.lease()).put(task.once() ? "once_in" : "every", task.every())
                 .put("longest", task.longest()).put("allowance", task.allowance()).put("command", task.command());
--- a/src/main/java/rowanplank/lab/trial/PageSite.java
+++ b/src/main/java/rowanplank/lab/trial/PageSite.java
@@ -5,15 +5,27 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.config.HostList;
+import rowanplank.lab.client.Arrival;
+import rowanplank.lab.client.Front;
+import rowanplank.lab.client.Lives;
+import rowanplank.lab.client.Target;
+import rowanplank.lab.client.Witness;
+import rowanplank.lab.client.Wording;
 import rowanplank.lab.day.Day;
+import rowanplank.lab.day.Day.RequestClass;
 import rowanplank.lab.day.DayDraw;
 import rowanplank.lab.day.DayEdit;
 import rowanplank.lab.live.LiveSiteRun;
+import rowanplank.lab.site.Ids;
 import rowanplank.lab.trace.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
 import rowanplank.net.DoorCalls;
@@ -28,6 +40,10 @@
  */
 final class PageSite {
     static final Duration DEADLINE = Duration.ofMillis(800);
+    /** Of clients behind a front. */
+    private static final Duration PATIENCE = Duration.ofMillis(1500);
+    /** An answer that comes so late shows that the node gave one. */
+    private static final Duration LAST_WORD = Duration.ofSeconds(2);
     private static final Duration LONGEST = Duration.ofHours(1);
     private static final String CLASS = "article";
     private static final int OK = 200;
@@ -36,6 +52,8 @@
     private final Loop loop;
     private final Subject.Notes notes;
     private final LiveSiteRun site;
+    private final Day day;
+    private Front front;
     /** By the number of a server's process: what the fleet calls its places. Used on the site's thread alone. */
     private final Map<Integer, String> names = new TreeMap<>();
     private final DoorCalls clients = new DoorCalls();
@@ -49,7 +67,7 @@
         this.loop = loop;
         this.notes = notes;
         Day calm = DayDraw.named(DayDraw.Named.CALM, seed, nodes);
-        Day day = DayEdit.withLength(DayEdit.withServers(calm, servers), LONGEST);
+        day = DayEdit.withLength(DayEdit.withServers(calm, servers), LONGEST);
         site = new LiveSiteRun(day, new SystemClock(), this::happened);
         try {
             site.start(ports, Files.createDirectories(folder));
@@ -85,6 +103,62 @@
         }
     }
 
+    /**
+     * Clients whose front asks the nodes whether they are up, and goes on asking, and spreads requests over those that are;
+     * each request is told of from its sending to its answer.
+     *
+     * @param rate requests a second, in all
+     */
+    void serveBehindFront(IntFunction<InetSocketAddress> nodes, int count, double rate, UniformRandomProvider chance) {
+        Instant beginning = loop.clock().now();
+        List<Target> targets = new ArrayList<>();
+        for (int n = 0; n < count; n++) {
+            targets.add(new Target(n, 0, nodes.apply(n)));
+        }
+        front = new Front(loop, new Witness(loop.clock(), beginning, this::seen), targets, day.clients(), day.classes(),
+                new Asked(day.classes()), new Lives(), chance, LAST_WORD, Front.Manner.WATCHING);
+        front.start();
+        arrive(beginning, rate, chance);
+    }
+
+    private void arrive(Instant beginning, double rate, UniformRandomProvider chance) {
+        loop.schedule(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / rate * 1e9)), () -> {
+            if (!closed) {
+                long at = Duration.between(beginning, loop.clock().now()).toNanos();
+                front.ask(new Arrival(asked++, at, 0, 0, 0, PATIENCE, false, chance.nextInt(4) > 0, false));
+                arrive(beginning, rate, chance);
+            }
+        });
+    }
+
+    /** What the front tells. */
+    private void seen(Event e) {
+        String node = e.node() >= 0 ? TrialPlan.name(e.node()) : "";
+        switch (e.kind()) {
+            case ASKED -> notes.tell(Kind.REQUEST, node, "", 0, e.request(), "");
+            case ANSWERED -> {
+                served += e.value() == OK ? 1 : 0;
+                refused += e.value() == REJECTED ? 1 : 0;
+                notes.tell(Kind.ANSWER, node, "", e.value(), e.request(), "");
+            }
+            case CUT_SHORT, GAVE_UP, NOT_CONNECTED, SENT_ANEW -> notes.tell(Kind.UNANSWERED, node, "", 0, e.request(),
+                    e.kind().name().toLowerCase(Locale.ROOT) + (e.text() == null ? "" : " " + e.text()));
+            default -> { }
+        }
+    }
+
+    /** Page servers take whatever has an id for a request. */
+    private record Asked(List<RequestClass> classes) implements Wording {
+        @Override
+        public void enter(int requestClass, long number, long work) { }
+
+        @Override
+        public String message(int requestClass, long number, String fields) {
+            return "GET /" + CLASS + "/page?n=" + number + " HTTP/1.1\r\nHost: pages.lab\r\nX-Request-ID: " + Ids.text(number)
+                    + "\r\n" + fields + "\r\n";
+        }
+    }
+
     /** Clients ask each node as often as its share says. @param shares of each node, a second; read before every request */
     void ask(IntFunction<InetSocketAddress> nodes, double[] shares, UniformRandomProvider chance) {
         for (int n = 0; n < shares.length; n++) {
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.config.FleetConfig;
@@ -26,7 +27,31 @@
     }
 
     /** What stands in a node's file beside where it is and who votes. */
-    record Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks, FleetConfig.Sharing sharing) { }
+    record Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks, FleetConfig.Sharing sharing,
+            FleetConfig.Order order) {
+        Wishes(List<FleetConfig.Lease> leases, List<FleetConfig.Task> tasks, FleetConfig.Sharing sharing) {
+            this(leases, tasks, sharing, null);
+        }
+    }
+
+    /** What staff, and whatever runs the nodes, may do at them. */
+    interface Hands {
+        void after(Duration delay, Runnable task);
+
+        boolean runs(int node);
+
+        /** @param told {@code done}, {@code refused} or {@code unknown}; not told where the trial ends before */
+        void say(int node, WorkWords words, Consumer<String> told);
+
+        /** Staff drain it, or take it back, at its door. */
+        void byHand(int node, boolean drain);
+
+        /** As the platform does: SIGTERM, and a new process so long after its end. */
+        void stop(int node, Duration back);
+
+        /** A fault of this kind, now. */
+        void strike(Trouble.Kind kind);
+    }
 
     /** A whole that staff ask for. */
     record Whole(String budget, long whole) { }
@@ -98,6 +123,30 @@
         return List.of();
     }
 
+    /** It begins to count, and things break from here on. */
+    default void plays(Hands hands, Notes notes) { }
+
+    /** Whom trouble seeks out as the holder; -1 where that is whoever acted last. */
+    default int sought() {
+        return -1;
+    }
+
+    /** Nothing breaks any more, and all runs again. */
+    default void quiet() { }
+
+    /** Whether nothing is left to be done, so that it may end. */
+    default boolean isAtRest() {
+        return true;
+    }
+
+    /** So long it is waited for that at the most. @param planned it does not end before */
+    default Duration longestQuiet(Duration planned) {
+        return planned;
+    }
+
+    /** What any node said of itself. */
+    default void heard(String node, JsonObject status, Notes notes) { }
+
     /** What a node that votes said of itself. */
     default void read(String node, JsonObject status, Notes notes) { }
 
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import rowanplank.config.Addresses;
@@ -38,6 +39,8 @@
 public final class Trial {
     private static final Duration ASK_EVERY = Duration.ofMillis(150);
     private static final Duration ANSWERED_WITHIN = Duration.ofMillis(600);
+    /** Longer than a node goes on trying. */
+    private static final Duration SAID_WITHIN = Duration.ofSeconds(3);
     private static final Duration BEGINS_WITHIN = Duration.ofSeconds(40);
     private static final Duration HOLD_SEEN_WITHIN = Duration.ofMillis(10);
     private static final int MOST_EVENTS = 1_000_000;
@@ -128,7 +131,8 @@
                 begin();
                 return null;
             });
-            Duration most = BEGINS_WITHIN.plus(plan.length()).plus(BEGINS_WITHIN.multipliedBy(2));
+            Duration most = BEGINS_WITHIN.plus(plan.length()).plus(BEGINS_WITHIN.multipliedBy(2))
+                    .plus(subject.longestQuiet(plan.quiet()));
             if (!over.await(most.toMillis(), TimeUnit.MILLISECONDS)) {
                 throw new UnplayableException("it did not come to its end");
             }
@@ -222,6 +226,7 @@
     /** The first act: from here on the trial counts, and things break. */
     private void playing() {
         playing = clock.now();
+        subject.plays(new TheHands(), this::tell);
         passedBefore = relays.passed();
         bytesBefore = relays.bytes();
         processorBefore = processorTime();
@@ -274,14 +279,22 @@
         }
         if (waited && awaited.isEmpty()) {
             tell(Kind.QUIET, "", "", 0, 0, "");
-            loop.schedule(plan.quiet(), () -> {
-                tell(Kind.OVER, "", "", 0, 0, "");
-                processorUsed = processorTime().minus(processorBefore);
-                over.countDown();
-            });
+            subject.quiet();
+            Instant latest = clock.now().plus(subject.longestQuiet(plan.quiet()));
+            loop.schedule(plan.quiet(), () -> endOnceAtRest(latest));
         }
     }
 
+    private void endOnceAtRest(Instant latest) {
+        if (!subject.isAtRest() && clock.now().isBefore(latest)) {
+            loop.schedule(ASK_EVERY, () -> endOnceAtRest(latest));
+            return;
+        }
+        tell(Kind.OVER, "", "", 0, 0, "");
+        processorUsed = processorTime().minus(processorBefore);
+        over.countDown();
+    }
+
     // ---- what happens
 
     private long micros() {
@@ -433,6 +446,7 @@
                 saw(name, v.asObject().getString("name", ""), v.asObject().getString("state", ""));
             }
             tell(Kind.SEEN, name, "", 0, 0, "");
+            subject.heard(name, o, this::tell);
             if (o.get("halted") != null) {
                 tell(Kind.HALTED, name, "", 0, 0, o.getString("halted", ""));
             } else if (o.get("term") != null) {
@@ -452,6 +466,50 @@
         }
     }
 
+    // ---- what staff do
+
+    private final class TheHands implements Subject.Hands {
+        @Override
+        public void after(Duration delay, Runnable task) {
+            loop.schedule(delay, () -> {
+                if (over.getCount() > 0) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public boolean runs(int node) {
+            return nodes.get(node).runs() && hears.get(node);
+        }
+
+        @Override
+        public void say(int node, WorkWords words, Consumer<String> told) {
+            doors.call(nodes.get(node).door(), "POST", words.path(), SAID_WITHIN, reply -> loop.execute(() -> {
+                if (over.getCount() > 0) {
+                    told.accept(reply == null || reply.status() == 503 ? "unknown" : reply.status() == 200 ? "done" : "refused");
+                }
+            }));
+        }
+
+        @Override
+        public void byHand(int node, boolean drain) {
+            doors.call(nodes.get(node).door(), "POST", drain ? "/api/evacuate" : "/api/rejoin", ANSWERED_WITHIN, reply -> { });
+        }
+
+        @Override
+        public void stop(int node, Duration back) {
+            if (nodes.get(node).runs() && !restarting.get(node)) {
+                new Scene().stop(node, back);
+            }
+        }
+
+        @Override
+        public void strike(Trouble.Kind kind) {
+            troubles.get(0).strike(kind);
+        }
+    }
+
     // ---- what the trouble does
 
     private final class Scene implements Trouble.Scene {
@@ -472,7 +530,7 @@
 
         @Override
         public int holder() {
-            return holder;
+            return subject.sought() >= 0 ? subject.sought() : holder;
         }
 
         @Override
--- a/src/main/java/rowanplank/lab/trial/TrialKind.java
+++ b/src/main/java/rowanplank/lab/trial/TrialKind.java
@@ -22,6 +22,13 @@
         Subject subject(TrialPlan plan) {
             return new PlaceSubject(plan);
         }
+    },
+    /** Machines taken out for work, while clients are served. */
+    WORK {
+        @Override
+        Subject subject(TrialPlan plan) {
+            return new WorkSubject(plan);
+        }
     };
 
     /** A new one, of this plan's trial. */
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -161,6 +161,17 @@
         }
     }
 
+    /** One of this kind now, beside those that come by themselves; none where they are played from a list, or are over. */
+    void strike(Kind kind) {
+        if (!over && script == null && leftMs > 0) {
+            try {
+                draw(kind);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
     // ---- brought about, drawn or not
 
     /** What can't be done now, as to a node that does not run, is left out. */
--- a/src/main/java/rowanplank/lab/trial/judge/Event.java
+++ b/src/main/java/rowanplank/lab/trial/judge/Event.java
@@ -44,7 +44,29 @@
         /** Staff ask, as number {@code other}, that the whole of budget {@code name} be {@code number}; or it came to nothing. */
         WHOLE,
         /** A node's file says from now on that it wants {@code number} copies of what uses budget {@code name}. */
-        DEMAND
+        DEMAND,
+        /**
+         * A voter with the role {@code name} that has entries up to {@code number}, and has applied {@code other}, says
+         * {@code text} of the order of work: see {@link ToldWork}.
+         */
+        WORK,
+        /**
+         * A node says of its own machine's line that it is in the state {@code name} under the fence {@code number}; the
+         * {@code text} is {@code serves} or {@code drained}.
+         */
+        OWN,
+        /** Staff say {@code text} of {@code name}, as call {@code other} under the number {@code number}, at {@code node}. */
+        STAFF,
+        /** What came of call {@code other}: {@code done}, {@code refused}, or {@code unknown}. */
+        STAFF_TOLD,
+        /** Staff drain the node by hand, or take it back to work: {@code text} is {@code evacuate} or {@code rejoin}. */
+        BY_HAND,
+        /** A client has sent request {@code other} to the node. */
+        REQUEST,
+        /** It was answered with status {@code number}. */
+        ANSWER,
+        /** It had no answer; {@code text} is why. */
+        UNANSWERED
     }
 
     /** As one line: tabs between the fields. */
