--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -70,11 +70,17 @@
      * Budgets of the whole fleet.
      *
      * @param part how long a node's parts last without a renewal
+     * @param hold for so long a wish counts that has fallen
      * @param places at each page server; null where each node keeps to its own bound
      */
-    public record Sharing(Duration part, List<Budget> budgets, List<Worker> workers, Places places) {
+    public record Sharing(Duration part, Duration hold, List<Budget> budgets, List<Worker> workers, Places places) {
         public static final Sharing NONE = new Sharing(Duration.ofSeconds(4), List.of(), List.of(), null);
 
+        /** How a whole is divided. @param floor in uses, for each node that takes part @param reserve for those that come */
+        public record Terms(long floor, long reserve) {
+            public static final Terms NONE = new Terms(0, 0);
+        }
+
         public Sharing {
             budgets = List.copyOf(budgets);
             workers = List.copyOf(workers);
@@ -85,6 +91,17 @@
             this(part, budgets, workers, null);
         }
 
+        /** One by which a wish that has fallen counts no more at once. */
+        public Sharing(Duration part, List<Budget> budgets, List<Worker> workers, Places places) {
+            this(part, Duration.ZERO, budgets, workers, places);
+        }
+
+        /** Of that budget; of a page server's places where the file has no budget of that name. */
+        public Terms terms(String budget) {
+            return budgets.stream().filter(b -> b.name().equals(budget)).map(Budget::terms).findFirst()
+                    .orElse(places == null ? Terms.NONE : places.terms());
+        }
+
         /** After how long a use is over that was looked for now. */
         public Duration longestUse() {
             Duration workers = this.workers.stream().map(w -> w.longest().plus(w.allowance())).max(Duration::compareTo)
@@ -107,7 +124,12 @@
      * @param fixed set aside for each node, which it may use though it reaches nobody; of a rate with a burst of one use
      * @param nodes how many nodes have that at the most
      */
-    public record Budget(String name, boolean rate, long whole, long burst, long fixed, int nodes) { }
+    public record Budget(String name, boolean rate, long whole, long burst, long fixed, int nodes, Sharing.Terms terms) {
+        /** One without floor or reserve. */
+        public Budget(String name, boolean rate, long whole, long burst, long fixed, int nodes) {
+            this(name, rate, whole, burst, fixed, nodes, Sharing.Terms.NONE);
+        }
+    }
 
     /**
      * Places at each page server.
@@ -116,8 +138,15 @@
      * @param fixed of these, set aside for each of so many nodes
      * @param linger a try that was given up holds its place for so long more: by then the server has heard of it
      * @param longest after so long a try is over, at the server too
+     * @param byWorth whether a node's part counts by the worth of what it sends, where places are short
      */
-    public record Places(long whole, long fixed, int nodes, Duration linger, Duration longest) { }
+    public record Places(long whole, long fixed, int nodes, Duration linger, Duration longest, Sharing.Terms terms,
+            boolean byWorth) {
+        /** One without floor or reserve, to which all requests are worth the same. */
+        public Places(long whole, long fixed, int nodes, Duration linger, Duration longest) {
+            this(whole, fixed, nodes, linger, longest, Sharing.Terms.NONE, false);
+        }
+    }
 
     /** A command that all nodes run, as often as a budget allows. @param copies so many at once at this node at the most */
     public record Worker(String name, String budget, int copies, Duration pause, Duration longest, Duration allowance,
@@ -180,7 +209,7 @@
         } else if (!Objects.equals(directory, other.directory) || isVoter() != other.isVoter()) {
             return "state.dir, or whether this node may vote";
         }
-        if (!sharing.part().equals(other.sharing.part()) || !sharing.budgets().equals(other.sharing.budgets())
+        if (!sharing.part().equals(other.sharing.part()) || !sharing.hold().equals(other.sharing.hold()) || !sharing.budgets().equals(other.sharing.budgets())
                 || !Objects.equals(sharing.places(), other.sharing.places())) {
             return "fleet.budgets or a [[budget]]; fleet budget set changes a whole";
         }
--- a/src/main/java/rowanplank/config/SharingReader.java
+++ b/src/main/java/rowanplank/config/SharingReader.java
@@ -39,7 +39,8 @@
         if (budgets.size() > MOST || workers.size() > MOST) {
             root.fault(budgets.size() > MOST ? "budget" : "worker", "more than " + MOST);
         }
-        Sharing sharing = new Sharing(part, budgets, workers, places(own, own.has("places")));
+        Duration hold = own.duration("hold", Duration.ZERO, Duration.ofMinutes(10), Sharing.NONE.hold());
+        Sharing sharing = new Sharing(part, hold, budgets, workers, places(own, own.has("places")));
         for (int i = 0; i < budgets.size(); i++) {
             burst(sections.get(i), budgets.get(i), sharing.allowance(budgets.get(i).name()));
         }
@@ -56,7 +57,20 @@
         if (fixed * nodes > whole) {
             s.fault("places_fixed", "for " + nodes + " nodes it is more than the whole");
         }
-        return wanted ? new Places(whole, fixed, nodes, linger, longest) : null;
+        Sharing.Terms terms = terms(s, "places_floor", "places_reserve", whole - fixed * nodes);
+        boolean byWorth = s.flag("places_by_worth", false);
+        return wanted ? new Places(whole, fixed, nodes, linger, longest, terms, byWorth) : null;
+    }
+
+    /** @param divided what is not set aside */
+    private static Sharing.Terms terms(TomlSection s, String floor, String reserve, long divided) {
+        Sharing.Terms terms = new Sharing.Terms(s.whole(floor, 0, MOST_WHOLE, 0), s.whole(reserve, 0, MOST_WHOLE, 0));
+        if (terms.reserve() > 0 && terms.reserve() >= divided) {
+            s.fault(reserve, "leaves nothing to divide: beside what is fixed the whole is " + Math.max(0, divided));
+        } else if (terms.floor() > 0 && terms.floor() > divided - terms.reserve()) {
+            s.fault(floor, "is more than there is to divide: " + Math.max(0, divided - terms.reserve()));
+        }
+        return terms;
     }
 
     private static Budget budget(TomlSection s) {
@@ -81,7 +95,8 @@
         if (fixed * nodes > whole) {
             s.fault("fixed", "for " + nodes + " nodes it is more than the whole");
         }
-        return new Budget(name, rate, whole, rate ? s.whole("burst", 1, MOST_WHOLE, 1) : 0, fixed, nodes);
+        return new Budget(name, rate, whole, rate ? s.whole("burst", 1, MOST_WHOLE, 1) : 0, fixed, nodes,
+                terms(s, "floor", "reserve", whole - fixed * nodes));
     }
 
     /** What a node may begin late moves into a window that it was not looked at in: that much of the burst is held back. */
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -301,6 +301,10 @@
         }
     }
 
+    private double worth(Entry entry) {
+        return site.module().classes().get(entry.exchange.context().classIndex()).worth();
+    }
+
     private final class ModuleActions implements Actions {
         @Override
         public void send(long request, long server, double timeoutMs) {
@@ -311,7 +315,7 @@
             int number = entry.sends++;
             Instant now = clock.now();
             boolean begun = number < site.module().limits().maxAttempts() && entry.exchange.context().payload().isWhole()
-                    && places.begin(server);
+                    && places.begin(server, worth(entry));
             Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
             if (begun && attempt == null) {
                 places.end(server, true);
--- a/src/main/java/rowanplank/decision/Places.java
+++ b/src/main/java/rowanplank/decision/Places.java
@@ -16,7 +16,7 @@
         }
 
         @Override
-        public boolean begin(long server) {
+        public boolean begin(long server, double worth) {
             return true;
         }
 
@@ -30,8 +30,8 @@
     /** So many at once; below zero where the module keeps to its own bound. */
     double at(long server);
 
-    /** Whether a try may begin now: if so, {@link #end} follows. */
-    boolean begin(long server);
+    /** Whether a try may begin now: if so, {@link #end} follows. @param worth of its request's class */
+    boolean begin(long server, double worth);
 
     /** A try is over. @param heard whether the peer knows: it answered, or never had it */
     void end(long server, boolean heard);
--- a/src/main/java/rowanplank/fleet/PlaceKeeper.java
+++ b/src/main/java/rowanplank/fleet/PlaceKeeper.java
@@ -11,6 +11,7 @@
 import rowanplank.decision.Places;
 import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.Command;
+import rowanplank.ledger.Division;
 import rowanplank.net.Loop;
 
 /**
@@ -18,8 +19,8 @@
  * sending to its first answer. One that was given up holds it for {@code linger} more, since the server goes on with it
  * until it hears of that.
  *
- * <p>What it wishes for: one place more than were in use at once lately; all of them where its part was full. So parts
- * go where tries are.
+ * <p>What it wishes for: one place more than were in use at once lately; all of them where its part was full; none at
+ * a server that no choice has looked at in the last {@value #UNUSED} looks. So parts go where tries are.
  *
  * <p>Bound: {@value #MOST} servers; others have no places here. A look, four times a second, costs O(servers); a try
  * O(log servers).
@@ -29,6 +30,11 @@
     private static final Duration LOOK = Duration.ofMillis(250);
     /** Of what was in use at once, so much is forgotten with each look, once nothing like it has been since. */
     private static final double FORGET = 0.8;
+    /** A server that no choice has looked at for so many looks is not used by this node. */
+    private static final int UNUSED = 40;
+    private static final double WORTH_GAIN = 0.05;
+    private static final double WORTH_STEP = 1.25;
+    private static final double LEAST_WORTH = 0.01;
 
     private static final class Place {
         final String name;
@@ -38,6 +44,10 @@
         /** Not listed any more; its last tries are still out. */
         boolean gone;
         double lately;
+        double worth = 1;
+        /** Whether a choice has looked at it since the last look. */
+        boolean looked;
+        int looksSince;
 
         Place(long server) {
             name = Sharing.PLACES + Long.toUnsignedString(server, Character.MAX_RADIX);
@@ -75,15 +85,19 @@
     @Override
     public double at(long server) {
         Place p = places.get(server);
+        if (p != null) {
+            p.looked = true;
+        }
         return p == null || p.gone ? 0 : Math.max(0, holder.limit(loop.clock().now(), p.name));
     }
 
     @Override
-    public boolean begin(long server) {
+    public boolean begin(long server, double worth) {
         Place p = places.get(server);
         if (p == null) {
             return false;
         }
+        p.worth += WORTH_GAIN * (worth - p.worth);
         boolean begun = holder.begin(loop.clock().now(), p.name) >= 0;
         p.open += begun ? 1 : 0;
         p.most = Math.max(p.most, p.open);
@@ -140,6 +154,8 @@
             nextLook = now.plus(LOOK);
             for (Place p : places.values()) {
                 p.lately = Math.max(p.most, p.lately * FORGET);
+                p.looksSince = p.looked ? 0 : Math.min(UNUSED, p.looksSince + 1);
+                p.looked = false;
                 wish(p);
                 p.most = p.open;
                 p.full = false;
@@ -148,6 +164,14 @@
     }
 
     private void wish(Place p) {
-        holder.wish(p.name, p.gone ? 0 : p.full ? config.whole() : Math.min(config.whole(), 1 + (long) Math.ceil(p.lately)));
+        boolean unused = p.gone || p.looksSince == UNUSED;
+        long more = Math.min(config.whole(), 1 + (long) Math.ceil(p.lately));
+        holder.wish(p.name, unused ? 0 : p.full ? config.whole() : more, config.byWorth() ? weight(p.worth) : Division.NORMAL);
+    }
+
+    /** In steps, so that not each request is news: a quarter more or less is the same. */
+    private static int weight(double worth) {
+        double step = Math.round(Math.log(Math.max(LEAST_WORTH, worth)) / Math.log(WORTH_STEP));
+        return (int) Math.round(Division.NORMAL * Math.pow(WORTH_STEP, step));
     }
 }
--- a/src/main/java/rowanplank/fleet/Sharing.java
+++ b/src/main/java/rowanplank/fleet/Sharing.java
@@ -11,6 +11,7 @@
 import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
+import rowanplank.ledger.Division;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Share;
 
@@ -43,6 +44,14 @@
                 : new Command.Define(name, false, new Share(p.whole(), 0), new Share(p.fixed(), 0), p.nodes());
     }
 
+    /** How the budget of that name is to be divided, by whoever leads. */
+    static Division.Terms terms(FleetConfig.Sharing sharing, String name) {
+        FleetConfig.Sharing.Terms t = sharing.terms(name);
+        FleetConfig.Budget b = sharing.budgets().stream().filter(x -> x.name().equals(name)).findFirst().orElse(null);
+        long unit = b != null && b.rate() ? Share.USE : 1;
+        return new Division.Terms(t.floor() * unit, t.reserve() * unit, sharing.hold());
+    }
+
     private static Share fixed(FleetConfig.Budget b) {
         return b.rate() ? new Share(b.fixed() * Share.USE, b.fixed() > 0 ? Share.USE : 0) : new Share(b.fixed(), 0);
     }
--- a/src/main/java/rowanplank/fleet/Voter.java
+++ b/src/main/java/rowanplank/fleet/Voter.java
@@ -100,7 +100,8 @@
         work = config.order() == null ? null : parts.workDesk(new WorkDesk.Settings(config.timing().drift(), TURN_VALID,
                 config.timing().election().multipliedBy(4), new Work.Terms(config.order().mostOut(),
                 config.order().mostOutOfHall())), ledger, new AtTheDesk());
-        budgets.budgets(Sharing.defined(config.sharing()), name -> Sharing.placesOf(config.sharing(), name));
+        budgets.budgets(Sharing.defined(config.sharing()), name -> Sharing.placesOf(config.sharing(), name),
+                name -> Sharing.terms(config.sharing(), name));
     }
 
     Agreement agreement() {
--- a/src/main/java/rowanplank/fleet/wire/BudgetForm.java
+++ b/src/main/java/rowanplank/fleet/wire/BudgetForm.java
@@ -7,10 +7,14 @@
 import rowanplank.ledger.Ask;
 import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
+import rowanplank.ledger.Division;
 import rowanplank.ledger.Share;
 
 /** What concerns budgets, as bytes: commands, pictures, what is asked and what is told. */
 final class BudgetForm {
+    /** Parts asked for with weights: sent only where the operator has set them, since older voters do not know it. */
+    static final int WEIGHTED = 31;
+
     private BudgetForm() { }
 
     static Packer share(Packer out, Share s) {
@@ -119,8 +123,14 @@
         if (a.what() instanceof Ask.Join w) {
             EnvelopeForm.head(out, 22, a).number(w.length().toNanos()).number(w.lasting().toNanos());
         } else if (a.what() instanceof Ask.Parts w) {
-            EnvelopeForm.head(out, 23, a).number(w.epoch()).number(w.known()).number(w.wishes().size());
-            w.wishes().forEach(x -> out.text(x.budget()).number(x.amount()));
+            boolean weighted = w.wishes().stream().anyMatch(x -> x.weight() != Division.NORMAL);
+            EnvelopeForm.head(out, weighted ? WEIGHTED : 23, a).number(w.epoch()).number(w.known()).number(w.wishes().size());
+            w.wishes().forEach(x -> {
+                out.text(x.budget()).number(x.amount());
+                if (weighted) {
+                    out.number(x.weight());
+                }
+            });
         } else if (a.what() instanceof Ask.Give w) {
             share(EnvelopeForm.head(out, 24, a).number(w.epoch()).text(w.budget()), w.most());
         } else if (a.what() instanceof Ask.Leave) {
@@ -131,17 +141,18 @@
     static Ask.What what(int kind, Unpacker in) throws MalformedException {
         return switch (kind) {
             case 22 -> new Ask.Join(duration(in), duration(in));
-            case 23 -> new Ask.Parts(in.number(), in.number(), wishes(in));
+            case 23 -> new Ask.Parts(in.number(), in.number(), wishes(in, false));
+            case WEIGHTED -> new Ask.Parts(in.number(), in.number(), wishes(in, true));
             case 24 -> new Ask.Give(in.number(), in.text(), share(in));
             case 25 -> new Ask.Leave();
             default -> throw new MalformedException("a message of kind " + kind + ", which this version does not know");
         };
     }
 
-    private static List<Ask.Wish> wishes(Unpacker in) throws MalformedException {
+    private static List<Ask.Wish> wishes(Unpacker in, boolean weighted) throws MalformedException {
         List<Ask.Wish> wishes = new ArrayList<>();
         for (int left = in.count(); left > 0; left--) {
-            wishes.add(new Ask.Wish(in.text(), in.number()));
+            wishes.add(new Ask.Wish(in.text(), in.number(), weighted ? (int) Math.min(Integer.MAX_VALUE, in.number()) : Division.NORMAL));
         }
         return wishes;
     }
--- a/src/main/java/rowanplank/lab/trial/VirtualDisk.java
+++ b/src/main/java/rowanplank/lab/net/VirtualDisk.java
@@ -1,4 +1,4 @@
-package rowanplank.lab.trial;
+package rowanplank.lab.net;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,7 +15,7 @@
  * A node's disk in virtual time: what is not synced when its process is killed is lost, or there in part. A kill between
  * a write and the telling of it leaves it there, told of to nobody.
  */
-final class VirtualDisk implements StateFile.Files {
+public final class VirtualDisk implements StateFile.Files {
     private static final int FASTEST_MICROS = 50;
     private static final int SLOWEST_MICROS = 4000;
 
@@ -28,33 +28,33 @@
     private Duration slower = Duration.ZERO;
     private boolean full;
 
-    VirtualDisk(UniformRandomProvider chance, byte[] content) {
+    public VirtualDisk(UniformRandomProvider chance, byte[] content) {
         this.chance = chance;
         this.content = content;
     }
 
-    void slower(Duration by) {
+    public void slower(Duration by) {
         slower = by;
     }
 
-    void full(boolean now) {
+    public void full(boolean now) {
         full = now;
     }
 
-    byte[] content() {
+    public byte[] content() {
         return content == null ? null : content.clone();
     }
 
-    void put(byte[] bytes) {
+    public void put(byte[] bytes) {
         content = bytes;
     }
 
-    void lose() {
+    public void lose() {
         content = null;
     }
 
     /** Its process was killed: of what was being written a part may be there. */
-    void killed() {
+    public void killed() {
         List<Job> left = unsynced;
         unsynced = new ArrayList<>();
         for (Job j : left) {
--- a/src/main/java/rowanplank/lab/run/DayRun.java
+++ b/src/main/java/rowanplank/lab/run/DayRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import rowanplank.config.FleetConfig;
 import rowanplank.lab.check.Break;
 import rowanplank.lab.check.Rules;
 import rowanplank.lab.check.Verdict;
@@ -62,25 +63,31 @@
     /**
      * How days are played.
      *
+     * @param sharing what the nodes share as a fleet; null where they are none
      * @param also sees all events as well; null for none
      * @param stopped whether to break off
      * @param clock tells how long it took
      */
-    public record Manner(NodeFactory nodes, Trace also, BooleanSupplier stopped, Clock clock) {
+    public record Manner(NodeFactory nodes, FleetConfig.Sharing sharing, Trace also, BooleanSupplier stopped, Clock clock) {
         public static Manner usual(Clock clock) {
-            return new Manner(NodeFactory.USUAL, null, () -> false, clock);
+            return new Manner(NodeFactory.USUAL, null, null, () -> false, clock);
         }
 
         public Manner withNodes(NodeFactory other) {
-            return new Manner(other, also, stopped, clock);
+            return new Manner(other, sharing, also, stopped, clock);
+        }
+
+        /** With nodes that are a fleet. */
+        public Manner withSharing(FleetConfig.Sharing shared) {
+            return new Manner(nodes, shared, also, stopped, clock);
         }
 
         public Manner withTrace(Trace trace) {
-            return new Manner(nodes, trace, stopped, clock);
+            return new Manner(nodes, sharing, trace, stopped, clock);
         }
 
         public Manner withStop(BooleanSupplier stop) {
-            return new Manner(nodes, also, stop, clock);
+            return new Manner(nodes, sharing, also, stop, clock);
         }
     }
 
@@ -163,7 +170,7 @@
                     java.nio.charset.StandardCharsets.UTF_8)));
             park.begin();
             for (int i = 0; i < day.nodes().count(); i++) {
-                nodes.add(new NodeHost(stage, i, park.roster(),
+                nodes.add(new NodeHost(stage, i, park.roster(), manner,
                         (config, loop, log) -> manner.nodes.create(config, loop, log, truth), lives));
             }
             stage.network().watchDatagrams((from, to, bytes, receivers) -> stage.trace().tell(world.nanos(),
--- a/src/main/java/rowanplank/lab/run/NodeHost.java
+++ b/src/main/java/rowanplank/lab/run/NodeHost.java
@@ -38,6 +38,9 @@
     private static final int RESTING_CONNECTIONS = 1;
     private static final int RESTING_DESCRIPTORS = 3;
     private static final int RESTING_TIMERS = 8;
+    /** And for its part in a fleet: its socket; timers of that part, of its disk, and of places that are lingered over. */
+    private static final int FLEET_DESCRIPTORS = 1;
+    private static final int FLEET_TIMERS = 8;
 
     private final Stage stage;
     private final int number;
@@ -47,6 +50,8 @@
     private final UniformRandomProvider seeds;
     private final SimMachine machine;
     private final DiscoveryAgent agent;
+    /** Null where the nodes are no fleet. */
+    private final FleetHost fleet;
     private int agentMoves;
     /** The list as it was when the node last had it. */
     private JsonObject known;
@@ -56,11 +61,13 @@
     private boolean stopping;
     private double cores;
 
-    NodeHost(Stage stage, int number, Roster roster, NodeFactory factory, Lives lives) throws IOException {
+    NodeHost(Stage stage, int number, Roster roster, DayRun.Manner manner, NodeFactory factory, Lives lives)
+            throws IOException {
         this.stage = stage;
         this.number = number;
         this.factory = factory;
         this.lives = lives;
+        fleet = manner.sharing() == null ? null : new FleetHost(stage, number, manner.sharing());
         hall = stage.map().hall(number);
         cores = stage.day().nodes().cores();
         seeds = stage.world().random("node " + number + " seeds");
@@ -127,6 +134,9 @@
         try {
             RateLimitedLog log = new RateLimitedLog(started.clock(), this::logged);
             node = factory.create(NodeConfig.read(environment(), machine.files()), started, log);
+            if (fleet != null) {
+                fleet.join(node, started, log);
+            }
         } catch (ConfigException e) {
             stage.tell(Kind.NODE_LOGGED, number, 1, e.getMessage());
             exit(started, 2);
@@ -135,6 +145,9 @@
         Node begun = node;
         started.execute(() -> {
             try {
+                if (fleet != null) {
+                    fleet.start();
+                }
                 begun.start();
             } catch (IOException e) {
                 stage.tell(Kind.NODE_LOGGED, number, 1, e.getMessage());
@@ -170,6 +183,9 @@
         if (isRunning()) {
             stage.tell(Kind.NODE_KILLED, number, 0, null);
             process.kill();
+            if (fleet != null) {
+                fleet.killed();
+            }
             ended();
         }
     }
@@ -196,7 +212,16 @@
         stopping = true;
         stage.tell(Kind.NODE_TOLD_TO_STOP, number, 0, null);
         SimProcess told = process;
-        node.stop(() -> stage.world().after(Duration.ZERO, () -> exit(told, 0)));
+        int[] open = {fleet == null ? 1 : 2};
+        Runnable ends = () -> {
+            if (--open[0] == 0) {
+                stage.world().after(Duration.ZERO, () -> exit(told, 0));
+            }
+        };
+        node.stop(ends);
+        if (fleet != null) {
+            fleet.stop(told, ends);
+        }
         Duration longest = stage.day().classes().stream().map(RequestClass::deadline).max(Duration::compareTo)
                 .filter(d -> d.compareTo(LONGEST_DEADLINE) < 0).orElse(LONGEST_DEADLINE);
         stage.world().after(longest.plus(KILLED_AFTER), () -> {
@@ -315,8 +340,8 @@
         if (isRunning()) {
             held("requests", node.openCount());
             held("connections", process.openConnections() - RESTING_CONNECTIONS);
-            held("descriptors", process.descriptors() - RESTING_DESCRIPTORS);
-            held("timers", process.pendingTimers() - RESTING_TIMERS);
+            held("descriptors", process.descriptors() - RESTING_DESCRIPTORS - (fleet == null ? 0 : FLEET_DESCRIPTORS));
+            held("timers", process.pendingTimers() - RESTING_TIMERS - (fleet == null ? 0 : FLEET_TIMERS));
         }
     }
 
--- a/src/main/java/rowanplank/lab/run/SiteMap.java
+++ b/src/main/java/rowanplank/lab/run/SiteMap.java
@@ -11,6 +11,7 @@
     static final InetSocketAddress ALL_PEERS = new InetSocketAddress(SimNetwork.ip(10, 9, 255, 1), 7946);
     private static final int PORT = 7070;
     private static final int PEER_PORT = 7946;
+    private static final int FLEET_PORT = 7947;
     private static final int AGENT_PORT = 8500;
     private static final int NODES = 1;
     private static final int SERVERS = 2;
@@ -40,6 +41,10 @@
         return new InetSocketAddress(node(node), PEER_PORT);
     }
 
+    static InetSocketAddress fleet(int node) {
+        return new InetSocketAddress(node(node), FLEET_PORT);
+    }
+
     static NodeText.Places places(int nodes) {
         return new NodeText.Places(IntStream.range(0, nodes).mapToObj(SiteMap::listen).toList(),
                 IntStream.range(0, nodes).mapToObj(SiteMap::peer).toList(), ALL_PEERS);
--- a/src/main/java/rowanplank/lab/trial/VirtualFleet.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualFleet.java
@@ -18,6 +18,7 @@
 import rowanplank.lab.net.Process;
 import rowanplank.lab.net.SimNetwork;
 import rowanplank.lab.net.SimProcess;
+import rowanplank.lab.net.VirtualDisk;
 import rowanplank.lab.world.World;
 import rowanplank.metrics.RateLimitedLog;
 
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -24,6 +24,7 @@
 import rowanplank.lab.net.SimMachine;
 import rowanplank.lab.net.SimNetwork;
 import rowanplank.lab.net.SimProcess;
+import rowanplank.lab.net.VirtualDisk;
 import rowanplank.lab.trial.judge.BudgetJudge;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
--- a/src/main/java/rowanplank/ledger/Ask.java
+++ b/src/main/java/rowanplank/ledger/Ask.java
@@ -69,8 +69,15 @@
     /** Staff's word, at whichever node; the same number is done once. */
     public record Staff(Command.Staff words) implements What { }
 
-    /** @param amount in uses; of a rate in thousandths of a use a second */
-    public record Wish(String budget, long amount) { }
+    /**
+     * @param amount in uses; of a rate in thousandths of a use a second
+     * @param weight the mean worth of what it is for, in thousandths; see {@link Division}
+     */
+    public record Wish(String budget, long amount, int weight) {
+        public Wish(String budget, long amount) {
+            this(budget, amount, Division.NORMAL);
+        }
+    }
 
     /** A part, as its holder is told of it. @param change the number of its last change */
     public record Told(String budget, long epoch, Share amount, Share target, long change) { }
--- a/src/main/java/rowanplank/ledger/BudgetDesk.java
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -73,7 +73,9 @@
     /** What is known of a member beside what the ledger knows; lost with the leadership. */
     private static final class Heard {
         Instant renewed;
-        final Map<String, Long> wishes = new TreeMap<>();
+        /** When the next of its wishes counts for less by itself, as it was at the last look. */
+        Instant falls;
+        final Wishes wishes = new Wishes();
     }
 
     private final double drift;
@@ -81,6 +83,7 @@
     private final Actions actions;
     private List<Command.Define> budgets = List.of();
     private Function<String, Command.Define> wished = name -> null;
+    private Function<String, Division.Terms> terms = name -> Division.Terms.NONE;
     private boolean leads;
     private Instant since;
     private final Map<Long, Heard> heard = new TreeMap<>();
@@ -109,10 +112,14 @@
      * Those that the operator's file names: entered in the ledger where it does not know them.
      *
      * @param wished what a budget is to be that the file does not name and a member wishes for; null where there is none
+     * @param terms how a budget is to be divided, by this voter while it leads
      */
-    public void budgets(List<Command.Define> all, Function<String, Command.Define> wished) {
+    public void budgets(List<Command.Define> all, Function<String, Command.Define> wished,
+            Function<String, Division.Terms> terms) {
         budgets = List.copyOf(all);
         this.wished = wished;
+        this.terms = terms;
+        changed = true;
         defined = null;
     }
 
@@ -160,7 +167,7 @@
         Heard h = heard.computeIfAbsent(ask.session(), s -> new Heard());
         h.renewed = now;
         if (ask.what() instanceof Ask.Parts p) {
-            wish(h, p.wishes());
+            wish(now, h, p.wishes());
             renew(ask);
         } else if (ask.what() instanceof Ask.Join j) {
             propose(ask, new Command.Join(ask.session(), ask.floor(), ask.number(), j.length(), j.lasting()));
@@ -176,16 +183,16 @@
         confirm(ask);
     }
 
-    private void wish(Heard h, List<Ask.Wish> wishes) {
+    private void wish(Instant now, Heard h, List<Ask.Wish> wishes) {
         for (Ask.Wish w : wishes) {
-            Long before = h.wishes.put(w.budget(), Math.max(0, w.amount()));
-            changed |= before == null || before != w.amount();
+            changed |= h.wishes.tell(now, w.budget(), Math.max(0, w.amount()), w.weight(), terms.apply(w.budget()).hold());
             if (w.amount() > 0 && ledger.budgets().whole(w.budget()) == null && wished.apply(w.budget()) != null) {
                 nextLook = earlier(nextLook, defined == null ? nextLook : defined.plus(DIVIDE));
             }
         }
-        while (h.wishes.size() > Budgets.MOST) {
-            h.wishes.remove(h.wishes.keySet().iterator().next());
+        Instant falls = h.wishes.due(now);
+        if (falls != null) {
+            lookBy(falls);
         }
     }
 
@@ -318,6 +325,7 @@
             nextLook = now.plus(AGAIN);
             define(now);
             endParts(now);
+            fallWishes(now);
             Instant soonest = now.plus(LOOK);
             nextLook = nextLook.isBefore(soonest) ? soonest : nextLook;
         }
@@ -330,6 +338,18 @@
         }
     }
 
+    /** Of those that have fallen, what counts for less from now on. */
+    private void fallWishes(Instant now) {
+        for (Heard h : heard.values()) {
+            Instant falls = h.wishes.due(now);
+            changed |= h.falls != null && !now.isBefore(h.falls);
+            h.falls = falls;
+            if (falls != null) {
+                lookBy(falls);
+            }
+        }
+    }
+
     private void define(Instant now) {
         if (defined != null && now.isBefore(defined.plus(DIVIDE))) {
             return;
@@ -337,8 +357,8 @@
         defined = now;
         Map<String, Command.Define> all = new TreeMap<>();
         Set<String> wanted = new TreeSet<>();
-        heard.values().forEach(h -> h.wishes.forEach((name, wish) -> {
-            if (wish > 0 && wanted.add(name) && wished.apply(name) != null) {
+        heard.values().forEach(h -> h.wishes.wanted().forEach(name -> {
+            if (wanted.add(name) && wished.apply(name) != null) {
                 all.put(name, wished.apply(name));
             }
         }));
@@ -438,18 +458,23 @@
         Share whole = w.asked().minus(w.setAside());
         for (Budgets.Member m : ledger.budgets().members()) {
             Budgets.Part p = ledger.budgets().part(w.name(), m.session());
-            if (isHere(now, m)) {
-                parts.add(p);
-            } else {
+            if (!isHere(now, m)) {
                 whole = whole.minus(p.amount());
+            } else if (heard.get(m.session()).wishes.knows(w.name()) || !p.target().equals(Share.NONE)) {
+                parts.add(p);
             }
         }
-        whole = whole.most(Share.NONE);
-        long[] wishes = parts.stream().mapToLong(p -> heard.get(p.session()).wishes.getOrDefault(w.name(), 0L)).toArray();
+        Division.Terms t = terms.apply(w.name());
+        long divided = Math.max(0, whole.amount() - t.reserve());
+        List<Division.Claim> claims = new ArrayList<>();
+        for (Budgets.Part p : parts) {
+            Wishes wishes = heard.get(p.session()).wishes;
+            claims.add(new Division.Claim(wishes.counts(now, w.name()), wishes.weight(w.name()), place(p, sums)));
+        }
         long[] targets = parts.stream().mapToLong(p -> p.target().amount()).toArray();
-        long[] fair = Division.fair(whole.amount(), wishes, parts.stream().mapToLong(p -> place(p, sums)).toArray());
-        long[] next = Division.next(whole.amount(), targets, fair, w.rate() ? SLACK : 0);
-        long[] bursts = w.rate() ? Division.bursts(whole.burst(), next) : new long[next.length];
+        long[] fair = Division.fair(divided, claims, t.floor());
+        long[] next = Division.next(divided, targets, fair, w.rate() ? SLACK : 0);
+        long[] bursts = w.rate() ? Division.bursts(Math.max(0, whole.burst()), next) : new long[next.length];
         for (int i = 0; i < next.length; i++) {
             Budgets.Part p = parts.get(i);
             Share target = new Share(next[i], bursts[i]);
--- a/src/main/java/rowanplank/ledger/BudgetHolder.java
+++ b/src/main/java/rowanplank/ledger/BudgetHolder.java
@@ -37,7 +37,7 @@
     private static final int PARTS_IN_LENGTH = 3;
     /** Bytes of wishes in one datagram, and of one wish beside its name. */
     private static final int MOST_WISHES = 1000;
-    private static final int WISH_BYTES = 12;
+    private static final int WISH_BYTES = 15;
 
     /**
      * @param incarnation tells this process's session of budgets from all others of the node's name
@@ -71,6 +71,7 @@
         /** Nothing of it is begun here any more. */
         boolean dropped;
         long wish;
+        int weight = Division.NORMAL;
         /** What was said last of it, and with which renewal. */
         long wishTold = -1;
         long toldIn;
@@ -264,9 +265,16 @@
      * {@link #onTime}, once for all.
      */
     public void wish(String budget, long amount) {
+        wish(budget, amount, Division.NORMAL);
+    }
+
+    /** @param weight the mean worth of what it is for, in thousandths; it counts where the whole is short */
+    public void wish(String budget, long amount, int weight) {
         Part p = parts.get(budget);
-        if (p != null && p.wish != amount) {
+        if (p != null && (p.wish != amount || p.weight != weight)) {
+            p.wishTold = p.weight != weight ? -1 : p.wishTold;
             p.wish = amount;
+            p.weight = weight;
             Instant soon = renewed.plus(SPACING);
             renewAt = soon.isBefore(renewAt) ? soon : renewAt;
         }
@@ -536,7 +544,7 @@
             if (room >= 0) {
                 p.toldIn = numbers;
                 p.wishTold = p.wish;
-                wishes.add(new Ask.Wish(p.name, leaving || p.dropped ? 0 : p.wish));
+                wishes.add(new Ask.Wish(p.name, leaving || p.dropped ? 0 : p.wish, p.weight));
             }
         }
         return wishes;
