--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -169,7 +169,7 @@
         places = config.sharing().places() == null ? null
                 : new PlaceKeeper(config.sharing().places(), loop, budgets, () -> turns.run(this::share),
                         () -> turns.run(() -> budgets.onTime(loop.clock().now())));
-        workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), budgets,
+        workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), parts, budgets,
                 () -> turns.run(this::runTasks));
     }
 
--- a/src/main/java/rowanplank/fleet/Parts.java
+++ b/src/main/java/rowanplank/fleet/Parts.java
@@ -62,6 +62,11 @@
         return machine;
     }
 
+    /** Begins a use of a budget: see {@link BudgetHolder#begin}. */
+    public long begin(BudgetHolder holder, Instant now, String budget) {
+        return holder.begin(now, budget);
+    }
+
     /** Whether a task that takes so long at the most may begin now. */
     public boolean mayBegin(LeaseHolder holder, Instant now, String lease, Duration longest) {
         return holder.mayAct(now, lease, longest);
--- a/src/main/java/rowanplank/fleet/WorkerRunner.java
+++ b/src/main/java/rowanplank/fleet/WorkerRunner.java
@@ -44,6 +44,7 @@
     private final Loop loop;
     private final Programs programs;
     private final RateLimitedLog log;
+    private final Parts parts;
     private final BudgetHolder holder;
     private final Runnable changed;
     private final List<Copy> copies = new ArrayList<>();
@@ -51,11 +52,13 @@
     private long begun;
 
     /** @param changed run when {@link #due} may have come nearer by itself */
-    WorkerRunner(String node, Loop loop, Programs programs, RateLimitedLog log, BudgetHolder holder, Runnable changed) {
+    WorkerRunner(String node, Loop loop, Programs programs, RateLimitedLog log, Parts parts, BudgetHolder holder,
+            Runnable changed) {
         this.node = node;
         this.loop = loop;
         this.programs = programs;
         this.log = log;
+        this.parts = parts;
         this.holder = holder;
         this.changed = changed;
     }
@@ -139,7 +142,7 @@
 
     private void begin(Instant now, Copy c) {
         FleetConfig.Worker w = c.worker;
-        long epoch = holder.begin(now, w.budget());
+        long epoch = parts.begin(holder, now, w.budget());
         if (epoch < 0) {
             Instant ready = holder.ready(now, w.budget());
             Instant again = now.plus(AGAIN);
--- a/src/main/java/rowanplank/lab/trial/Plants.java
+++ b/src/main/java/rowanplank/lab/trial/Plants.java
@@ -44,6 +44,7 @@
         all.put("no-log-check", "a voter takes entries without a look at those before them");
         all.put("claims-forgotten", "the run of a period is claimed by whoever asks");
         all.put("never-refutes", "a node that is thought dead says nothing to it");
+        all.putAll(BudgetPlants.all());
         return all;
     }
 
@@ -153,7 +154,7 @@
                     return holder.mayAct(now, lease, Duration.ZERO);
                 }
             };
-            default -> throw new IllegalArgumentException("no fault of that name: " + name);
+            default -> BudgetPlants.parts(name);
         };
     }
 
--- a/src/main/java/rowanplank/lab/trial/StandInParts.java
+++ b/src/main/java/rowanplank/lab/trial/StandInParts.java
@@ -10,9 +10,13 @@
 import rowanplank.agreement.Agreement;
 import rowanplank.agreement.Saved;
 import rowanplank.fleet.Parts;
+import rowanplank.ledger.BudgetDesk;
+import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.Desk;
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
+import rowanplank.ledger.WorkDesk;
+import rowanplank.ledger.WorkHolder;
 import rowanplank.membership.Membership;
 import rowanplank.net.StateFile;
 
@@ -45,6 +49,15 @@
         return may;
     }
 
+    @Override
+    public long begin(BudgetHolder holder, Instant now, String budget) {
+        long epoch = parts.begin(holder, now, budget);
+        if (epoch >= 0) {
+            standStill();
+        }
+        return epoch;
+    }
+
     private void standStill() {
         try {
             long ms = Long.parseLong(Files.readString(hold).trim());
@@ -84,6 +97,26 @@
         return parts.holder(settings, now, actions);
     }
 
+    @Override
+    public BudgetDesk budgetDesk(double drift, Ledger ledger, BudgetDesk.Actions actions) {
+        return parts.budgetDesk(drift, ledger, actions);
+    }
+
+    @Override
+    public BudgetHolder budgetHolder(BudgetHolder.Settings settings, Instant now, BudgetHolder.Actions actions) {
+        return parts.budgetHolder(settings, now, actions);
+    }
+
+    @Override
+    public WorkDesk workDesk(WorkDesk.Settings settings, Ledger ledger, WorkDesk.Actions actions) {
+        return parts.workDesk(settings, ledger, actions);
+    }
+
+    @Override
+    public WorkHolder workHolder(WorkHolder.Settings settings, Instant now, WorkHolder.Actions actions) {
+        return parts.workHolder(settings, now, actions);
+    }
+
     @Override
     public Membership membership(Membership.Settings settings, Instant now, Membership.Actions actions) {
         return parts.membership(settings, now, actions);
--- a/src/main/java/rowanplank/ledger/BudgetHolder.java
+++ b/src/main/java/rowanplank/ledger/BudgetHolder.java
@@ -160,7 +160,7 @@
         }
         if (p.rate) {
             fill(now, p);
-            if (p.tokens < Share.USE) {
+            if (!isUse(p.tokens)) {
                 p.refused++;
                 return -1;
             }
@@ -221,7 +221,22 @@
     }
 
     private long burst(Instant now, Part p) {
-        return (lasts(now) ? p.usable().burst() : 0) + fixed(now, p).burst();
+        return burst(p.name, (lasts(now) ? p.usable().burst() : 0) + fixed(now, p).burst());
+    }
+
+    /** What a bucket holds at the most. @param own what this node's parts of the burst come to */
+    protected long burst(String budget, long own) {
+        return own;
+    }
+
+    /** What is in a bucket once it is larger: what was in it. */
+    protected double grown(double tokens, long burst) {
+        return tokens;
+    }
+
+    /** Whether a use may take its token. */
+    protected boolean isUse(double tokens) {
+        return tokens >= Share.USE;
     }
 
     /** Up to a moment, in steps at which what it holds changes. */
@@ -399,6 +414,7 @@
                 p.change = t.change();
                 fill(now, p);
                 if (more) {
+                    p.tokens = grown(p.tokens, burst(now, p));
                     actions.more(p.name);
                 }
             }
--- a/src/main/java/rowanplank/ledger/Budgets.java
+++ b/src/main/java/rowanplank/ledger/Budgets.java
@@ -184,7 +184,7 @@
             if (wholes.containsKey(t.budget()) && members.containsKey(t.session())) {
                 Part p = part(t.budget(), t.session());
                 if (p.change() > 0 || count < MOST_PARTS) {
-                    change(p, p.amount(), t.target());
+                    change(p, kept(p.amount(), t.target()), t.target());
                 }
             }
         }
@@ -272,7 +272,7 @@
         }
         Share out = w.setAside();
         for (Part p : partsOf(budget)) {
-            out = out.plus(p.amount());
+            out = out.plus(out(p));
         }
         Share inForce = inForce(w, out);
         wholes.put(budget, new Whole(w.name(), w.rate(), w.asked(), inForce, w.fixed(), w.nodes()));
@@ -286,6 +286,16 @@
         }
     }
 
+    /** What is left of a part that is to be another: all of it, until its holder says that it uses less. */
+    protected Share kept(Share amount, Share target) {
+        return amount;
+    }
+
+    /** What nobody else may have: also what is being given back. */
+    protected Share out(Part p) {
+        return p.amount();
+    }
+
     /** The least whole that covers what is out and is not below what was asked for. @param out promised or set aside */
     protected Share inForce(Whole w, Share out) {
         return w.asked().most(out);
