--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -143,6 +143,7 @@
     /** Where another process is that says it is this node, and since when it has been heard of. */
     private String twin;
     private Instant twinSince;
+    private Instant twinHeard;
 
     /** @param incarnation tells this process from all others of the node's name, before and after it */
     public Fleet(FleetConfig config, long incarnation, Parts parts, Machine machine) {
@@ -591,13 +592,19 @@
         }
     }
 
-    /** What is heard of once may be old; what goes on to be heard of is there, and no voter may be there twice. */
+    /**
+     * What is heard of once may be old; what goes on to be heard of is there, and no voter may be there twice. A twin that
+     * was silent for a session's length was ended: one that is there later is another one, and is waited for anew.
+     */
     private void twin(String address) {
         Instant now = loop.clock().now();
-        if (!address.equals(twin)) {
-            twin = address;
+        Duration session = config.timing().session();
+        boolean another = !address.equals(twin) || now.isAfter(twinHeard.plus(session));
+        twin = address;
+        twinHeard = now;
+        if (another) {
             twinSince = now;
-        } else if (now.isAfter(twinSince.plus(config.timing().session()))) {
+        } else if (now.isAfter(twinSince.plus(session))) {
             machine.log().warn("another process calls itself " + config.node() + ", at " + address);
             if (voter != null) {
                 halt("another process calls itself " + config.node() + ", at " + address
@@ -802,7 +809,7 @@
         } else {
             o.add("role", "client").add("asks", holder.target());
         }
-        if (twin != null && !now.isAfter(twinSince.plus(config.timing().session().multipliedBy(10)))) {
+        if (twin != null && !now.isAfter(twinHeard.plus(config.timing().session().multipliedBy(10)))) {
             o.add("twin", twin);
         }
         JsonArray met = new JsonArray();
--- a/src/main/java/rowanplank/lab/trial/VirtualFleet.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualFleet.java
@@ -16,6 +16,7 @@
 import rowanplank.fleet.wire.DiskForm;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.net.Process;
+import rowanplank.lab.net.SimMachine;
 import rowanplank.lab.net.SimNetwork;
 import rowanplank.lab.net.SimProcess;
 import rowanplank.lab.net.VirtualDisk;
@@ -46,6 +47,7 @@
     private final World world;
     private final SimNetwork network;
     private final Map<InetSocketAddress, Node> nodes = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, SimMachine> machines = new LinkedHashMap<>();
     private final List<String> lines = new ArrayList<>();
     private long incarnations;
 
@@ -74,8 +76,8 @@
         private String failed;
 
         private Node(FleetConfig config, byte[] state) {
-            SimProcess process = network.machine(config.node() + incarnations, 0, config.listen().getAddress())
-                    .boot(Process.unbounded(config.node()), e -> {
+            SimProcess process = machines.computeIfAbsent(config.listen(), at -> network.machine(config.node() + incarnations,
+                    0, at.getAddress())).boot(Process.unbounded(config.node()), e -> {
                         throw new IllegalStateException(e);
                     });
             loop = new VirtualLoop(world, process, 1, (from, to, payload) -> world.after(TRANSIT, () -> {
--- a/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
+++ b/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -60,6 +61,22 @@
         assertEquals(1, Stream.concat(press.stream(), Stream.of(twin)).filter(n -> n.holds("nightly")).count());
     }
 
+    /** Guards a voter that staff started twice by mistake, for a moment and another day again: it is no twin that stays. */
+    @Test
+    void twinsThatWereEndedSoonHaltNobody() {
+        List<VirtualFleet.Node> press = press("nightly");
+        fleet.pass(Duration.ofSeconds(3));
+        for (int day = 0; day < 3; day++) {
+            VirtualFleet.Node twin = fleet.start(config("press", "n2", 9, "nightly"), state("press", "n2"));
+            fleet.pass(SESSION.dividedBy(2));
+            assertNotNull(press.get(1).status().get("twin"), press.get(1).status()::toString);
+            twin.kill();
+            fleet.pass(SESSION.multipliedBy(4));
+            press.forEach(n -> assertNull(n.status().get("halted"), n.status()::toString));
+        }
+        assertEquals(1, press.stream().filter(n -> n.holds("nightly")).count());
+    }
+
     /** Guards a fleet against another one's nodes that were given its addresses: neither datagrams nor state count. */
     @Test
     void aVoterOfAnotherFleetIsNotHeard() {
