--- a/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
@@ -20,7 +20,8 @@
  * <tr><td>no-stale-read</td><td>who asks sees every fence that acted, or was read, before the asking</td></tr>
  * <tr><td>alive</td><td>no node ends, and no voter halts, but by the trial's doing</td></tr>
  * <tr><td>no-lost-memory</td><td>a voter whose state was spoilt takes no part any more</td></tr>
- * <tr><td>knows-who-lives</td><td>in the end each node thinks alive all that run, and nobody that ended long before</td></tr>
+ * <tr><td>knows-who-lives</td><td>in the end each node thinks alive, or has suspected for less than 1 s, all that run,
+ * and thinks alive nobody that ended long before</td></tr>
  * <tr><td>goes-on</td><td>after the faults are over, each lease has an act again within the given time</td></tr>
  * </table>
  *
