--- a/src/main/java/rowanplank/cli/LabCommand.java
+++ b/src/main/java/rowanplank/cli/LabCommand.java
@@ -4,5 +4,6 @@
 
 @Command(name = "lab", description = "The laboratory: nodes, an emulated site and clients, in virtual time or on real sockets.",
         subcommands = {LabRunCommand.class, LabReplayCommand.class, LabHuntCommand.class, LabDrawCommand.class,
-            LabSiteCommand.class, LabLoadCommand.class, LabFleetCommand.class, LabBudgetsCommand.class})
+            LabSiteCommand.class, LabLoadCommand.class, LabFleetCommand.class, LabBudgetsCommand.class, LabRestCommand.class,
+            LabRenewalsCommand.class, LabBesideCommand.class})
 final class LabCommand { }
--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -51,6 +52,10 @@
     private String plant;
     @Option(names = "--faults", paramLabel = "KIND", split = ",", description = "What may break; usually all: ${COMPLETION-CANDIDATES}.")
     private List<Trouble.Kind> faults = List.of();
+    @Option(names = "--gap", paramLabel = "MS", defaultValue = "700", description = "How far apart faults are on average.")
+    private int gap;
+    @Option(names = "--lease", paramLabel = "MS", defaultValue = "1000", description = "The lease's length, in ms.")
+    private int lease;
     @Option(names = "--history", description = "Prints the whole history of the first broken trial, and what its nodes wrote.")
     private boolean history;
 
@@ -66,8 +71,8 @@
         if (kind == TrialKind.PLACES || kind == TrialKind.WORK) {
             throw new ParameterException(spec.commandLine(), "--kind: " + kind + " are tried with real processes only, by fleet trial");
         }
-        if (nodes < 1 || nodes > 100 || seconds < 10 || seeds < 1) {
-            throw new ParameterException(spec.commandLine(), "--nodes 1 to 100, --seconds from 10, --seeds from 1");
+        if (nodes < 1 || nodes > 100 || seconds < 10 || seeds < 1 || gap < 50 || lease < 700) {
+            throw new ParameterException(spec.commandLine(), "--nodes 1 to 100, --seconds from 10, --seeds from 1, --gap from 50, --lease from 700");
         }
         ExecutorService cores = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
         Sum sum = new Sum();
@@ -90,6 +95,12 @@
         System.out.printf(Locale.ROOT, "%d of %d trials broke a rule; %d acts, %d late ones after long stalls; %.1f datagrams, "
                 + "%.0f bytes a node and second%n", sum.broken, sum.played, sum.acts, sum.late,
                 sum.datagrams / (double) sum.played / nodes / seconds, sum.bytes / (double) sum.played / nodes / seconds);
+        if (!sum.gaps.isEmpty()) {
+            sum.gaps.sort(null);
+            System.out.printf(Locale.ROOT, "%d takeovers; without a holder at one: median %d ms, 99 %% %d ms, longest %d ms%n",
+                    sum.gaps.size(), sum.gaps.get(sum.gaps.size() / 2), sum.gaps.get(sum.gaps.size() * 99 / 100),
+                    sum.gaps.get(sum.gaps.size() - 1));
+        }
         return sum.broken == 0 && sum.played == seeds ? Status.DONE : Status.RULE_BROKEN;
     }
 
@@ -111,6 +122,7 @@
         private long late;
         private long datagrams;
         private long bytes;
+        private final List<Long> gaps = new ArrayList<>();
         private TrialResult first;
 
         synchronized void add(TrialResult r) {
@@ -119,6 +131,7 @@
             late += r.lateActs();
             datagrams += r.datagrams();
             bytes += r.bytes();
+            gaps.addAll(r.gapsMs());
             if (!r.findings().isEmpty()) {
                 broken++;
                 first = first == null || r.plan().seed() < first.plan().seed() ? r : first;
@@ -128,8 +141,8 @@
 
     private TrialResult play(long s) {
         Duration length = Duration.ofSeconds(seconds);
-        TrialPlan plan = new TrialPlan(kind, nodes, s, length, Duration.ofSeconds(4), Duration.ofSeconds(1), faults, Trouble.GAP,
-                List.of(), List.of(), "");
+        TrialPlan plan = new TrialPlan(kind, nodes, s, length, Duration.ofSeconds(4), Duration.ofMillis(lease), faults,
+                Duration.ofMillis(gap), List.of(), List.of(), "");
         return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, plant == null ? new Parts() : Plants.parts(plant)))
                 .play();
     }
--- a/src/main/java/rowanplank/lab/trial/LeaseSubject.java
+++ b/src/main/java/rowanplank/lab/trial/LeaseSubject.java
@@ -1,5 +1,6 @@
 package rowanplank.lab.trial;
 
+import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,6 +22,9 @@
     /** Of budgets, or against what is assumed. */
     private static final Set<Trouble.Kind> OTHERS = EnumSet.of(Trouble.Kind.OLDER, Trouble.Kind.WHOLE);
 
+    /** Of a trial's figures: each time without a holder, in ms and in order of length. */
+    static final String GAPS = "gaps_ms";
+
     private final TrialPlan plan;
     /** Whose file has no daily lease now, and another task. */
     private final BitSet withoutDaily = new BitSet();
@@ -92,12 +96,14 @@
     @Override
     public TrialResult.Figures figures(List<Event> history) {
         List<Long> gaps = gaps(history);
+        JsonArray all = new JsonArray();
+        gaps.forEach(all::add);
         long median = gap(gaps, 0.5);
         long most = gap(gaps, 0.99);
         return new TrialResult.Figures(String.format(Locale.ROOT, "%d takeovers; without a holder at a takeover: median %d ms, "
                 + "99 %% %d ms, lease %d ms", gaps.size(), median, most, plan.lease().toMillis()),
                 new JsonObject().add("takeovers", gaps.size()).add("gap_ms_median", median).add("gap_ms_99", most)
-                        .add("lease_ms", plan.lease().toMillis()));
+                        .add("lease_ms", plan.lease().toMillis()).add(GAPS, all));
     }
 
     /** Without a holder, between the last act of one and the first of the next, in ms and in order of length. */
--- a/src/main/java/rowanplank/lab/trial/PageSite.java
+++ b/src/main/java/rowanplank/lab/trial/PageSite.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.IntFunction;
+import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.config.HostList;
 import rowanplank.lab.client.Arrival;
@@ -57,6 +58,9 @@
     /** By the number of a server's process: what the fleet calls its places. Used on the site's thread alone. */
     private final Map<Integer, String> names = new TreeMap<>();
     private final DoorCalls clients = new DoorCalls();
+    private final Histogram micros = new Histogram(3);
+    private long pages;
+    private int rounds;
     private long asked;
     private long served;
     private long refused;
@@ -177,10 +181,38 @@
     }
 
     private void ask(InetSocketAddress node) {
-        clients.page(node, "/" + CLASS + "/" + ++asked, "trial-" + asked, DEADLINE, reply -> loop.execute(() -> {
-            served += reply != null && reply.status() == OK ? 1 : 0;
-            refused += reply != null && reply.status() == REJECTED ? 1 : 0;
-        }));
+        Instant from = loop.clock().now();
+        int round = rounds;
+        asked++;
+        clients.page(node, "/" + CLASS + "/" + ++pages, "trial-" + pages, DEADLINE, reply -> {
+            long took = Duration.between(from, loop.clock().now()).toNanos() / 1000;
+            loop.execute(() -> answered(round, reply, took));
+        });
+    }
+
+    private void answered(int round, DoorCalls.Reply reply, long took) {
+        if (reply == null || round != rounds) {
+            return;
+        }
+        if (reply.status() == OK) {
+            served++;
+            micros.recordValue(took);
+        }
+        refused += reply.status() == REJECTED ? 1 : 0;
+    }
+
+    /** What was asked until now does not count. */
+    void countAnew() {
+        rounds++;
+        asked = 0;
+        served = 0;
+        refused = 0;
+        micros.reset();
+    }
+
+    /** What was served took so long at the most, of so many in a hundred, in microseconds. */
+    long micros(double percent) {
+        return micros.getValueAtPercentile(percent);
     }
 
     long asked() {
--- a/src/main/java/rowanplank/lab/trial/TrialResult.java
+++ b/src/main/java/rowanplank/lab/trial/TrialResult.java
@@ -2,6 +2,7 @@
 
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import java.util.List;
 import java.util.Locale;
 import rowanplank.lab.trial.judge.Event;
@@ -36,6 +37,12 @@
         return count / Math.max(seconds, 1e-3) / plan.nodes();
     }
 
+    /** Each time without a holder at a takeover, in ms; none where the trial is not about leases. */
+    public List<Long> gapsMs() {
+        return figures.json().get(LeaseSubject.GAPS) == null ? List.of()
+                : figures.json().get(LeaseSubject.GAPS).asArray().values().stream().map(JsonValue::asLong).toList();
+    }
+
     public String text() {
         StringBuilder text = new StringBuilder();
         findings.forEach(f -> text.append(f.text()));
--- a/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
+++ b/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
@@ -14,6 +14,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import rowanplank.config.FleetConfig;
 import rowanplank.fleet.wire.DiskForm;
 
@@ -77,6 +79,16 @@
         assertEquals(1, press.stream().filter(n -> n.holds("nightly")).count());
     }
 
+    /** Guards the goal for a fleet at rest, whatever its size; and that all hear of a death. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 20, 100})
+    void atRestANodeSendsLittle(int nodes) {
+        VirtualFleet.Rest rest = VirtualFleet.rest(nodes, 1, Duration.ofSeconds(20), Duration.ofSeconds(4));
+        assertTrue(rest.perNode() < 2000 && rest.mostOther() < 2000, rest::toString);
+        assertTrue(rest.leader() > rest.mostOther() && rest.leader() < 2000 + 200.0 * nodes, rest::toString);
+        assertTrue(rest.knownMs() < 30_000, rest::toString);
+    }
+
     /** Guards a fleet against another one's nodes that were given its addresses: neither datagrams nor state count. */
     @Test
     void aVoterOfAnotherFleetIsNotHeard() {
