--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -345,7 +345,7 @@
         double most = refusing && warmth == 1 ? SATURATED : MOST_IN_FLIGHT;
         // And a request that some zone can still take must not be refused for being another zone's.
         double parts = refusing ? 1 : route.parts(t.listed.zone());
-        // Of a bound that is the fleet's, this node's part is told: it is for all zones, and its due share of a cold one.
+        // Of a bound that is the fleet's, this node's part is told: for all zones, and its due share of a cold one.
         double told = actions.places(t.listed.id());
         return (told < 0 ? most * parts / sharers : told) * t.limit.part * cold;
     }
