Say that a node is out only once clients' fronts must have heard that it takes none

A node without a client at the moment of its turn said at once that it was out; its clients' front, which asks ten times a second, sent on to it for a while. Now it looks ten times after it began to drain before it says so.

--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -68,7 +68,7 @@
         if (plant != null && !Plants.all().containsKey(plant)) {
             throw new ParameterException(spec.commandLine(), "--plant: no fault of that name: " + plant);
         }
-        if (kind == TrialKind.PLACES || kind == TrialKind.WORK) {
+        if (kind == TrialKind.PLACES) {
             throw new ParameterException(spec.commandLine(), "--kind: " + kind + " are tried with real processes only, by fleet trial");
         }
         if (nodes < 1 || nodes > 100 || seconds < 10 || seeds < 1 || gap < 50 || lease < 700) {
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -126,6 +126,11 @@
     /** It begins to count, and things break from here on. */
     default void plays(Hands hands, Notes notes) { }
 
+    /** In virtual time: requests a second for each node; 0 where nodes have no clients. */
+    default double requests() {
+        return 0;
+    }
+
     /** Whom trouble seeks out as the holder; -1 where that is whoever acted last. */
     default int sought() {
         return -1;
--- a/src/main/java/rowanplank/lab/trial/judge/ToldWork.java
+++ b/src/main/java/rowanplank/lab/trial/judge/ToldWork.java
@@ -88,6 +88,12 @@
                 parted(f[4]), past);
     }
 
+    /** Whether the order is the same: who votes is no part of it. */
+    boolean isAlike(ToldWork other) {
+        return mostOut == other.mostOut && mostOutOfHall == other.mostOutOfHall && held == other.held
+                && lines.equals(other.lines) && plan.equals(other.plan) && past.equals(other.past);
+    }
+
     /** The line of a machine; null where it has none. */
     public Line line(String machine) {
         return lines.stream().filter(l -> l.machine().equals(machine)).findFirst().orElse(null);
--- a/src/main/java/rowanplank/ledger/WorkHolder.java
+++ b/src/main/java/rowanplank/ledger/WorkHolder.java
@@ -20,6 +20,12 @@
     /** Its numbers begin here, so that its answers are not taken for those of others of this process. */
     public static final long FIRST_NUMBER = 1L << 41;
     private static final Duration OFTEN = Duration.ofMillis(100);
+    /**
+     * Clients' fronts ask now and then whether a node takes clients, and send to it until they have heard no: it does not say
+     * that it is out before it has looked so often, {@link #OFTEN} apart, since it began to drain. Looks and not time: a node
+     * that stands still tells nobody no.
+     */
+    private static final int LOOKS = 10;
 
     /** @param poll how often it asks while nothing is going on */
     public record Settings(String node, long incarnation, String machine, String hall, List<String> voters, Duration poll,
@@ -58,6 +64,8 @@
     private boolean drained = true;
     private Work.Line line;
     private Instant readySince;
+    /** How often it has heard of its turn since it drains. */
+    private int looks;
 
     /** To be made before the node takes clients: it takes none until {@link Actions#rejoin}. */
     public WorkHolder(Settings settings, Instant now, Actions actions) {
@@ -146,7 +154,7 @@
             rejoin();
         } else if (line.state() == Work.State.TURN) {
             drain();
-            if (isEmpty()) {
+            if (++looks > LOOKS && isEmpty()) {
                 step();
             }
         } else if (line.state() == Work.State.OUT) {
@@ -175,6 +183,7 @@
     private void drain() {
         if (!drained) {
             drained = true;
+            looks = 0;
             actions.drain();
         }
     }
