--- a/src/main/java/rowanplank/cli/LabFleetCommand.java
+++ b/src/main/java/rowanplank/cli/LabFleetCommand.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -24,7 +25,6 @@
 import rowanplank.lab.trial.TrialKind;
 import rowanplank.lab.trial.TrialPlan;
 import rowanplank.lab.trial.TrialResult;
-import rowanplank.lab.trial.Trouble;
 import rowanplank.lab.trial.VirtualTrial;
 import rowanplank.lab.trial.judge.Event;
 
@@ -32,13 +32,12 @@
     "faults and the judge of fleet trial, and disks and clocks that fail besides. Status 3: a rule was broken."})
 final class LabFleetCommand implements Callable<Integer> {
     private static final int MOST_SHRINKING_PLAYS = 400;
+    private static final int MOST_NODES = 100;
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--kind", paramLabel = "KIND", defaultValue = "leases", description = "What is tried: ${COMPLETION-CANDIDATES}.")
-    private TrialKind kind;
-    @Option(names = "--nodes", paramLabel = "N", defaultValue = "3", description = "How many; the first 3 or 5 vote.")
-    private int nodes;
+    @Mixin
+    private TrialOptions trial;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "The first one.")
     private long seed;
     @Option(names = "--seeds", paramLabel = "N", defaultValue = "100", description = "How many, one after the other.")
@@ -48,14 +47,6 @@
     @Option(names = "--drift", paramLabel = "D", defaultValue = "0.01",
             description = "How far clocks run fast or slow at the most; the nodes reckon with 0.01.")
     private double drift;
-    @Option(names = "--plant", paramLabel = "NAME", description = "A fault that the nodes have; see fleet trial.")
-    private String plant;
-    @Option(names = "--faults", paramLabel = "KIND", split = ",", description = "What may break; usually all: ${COMPLETION-CANDIDATES}.")
-    private List<Trouble.Kind> faults = List.of();
-    @Option(names = "--gap", paramLabel = "MS", defaultValue = "700", description = "How far apart faults are on average.")
-    private int gap;
-    @Option(names = "--lease", paramLabel = "MS", defaultValue = "1000", description = "The lease's length, in ms.")
-    private int lease;
     @Option(names = "--history", description = "Prints the whole history of the first broken trial, and what its nodes wrote.")
     private boolean history;
 
@@ -65,14 +56,13 @@
 
     @Override
     public Integer call() throws Exception {
-        if (plant != null && !Plants.all().containsKey(plant)) {
-            throw new ParameterException(spec.commandLine(), "--plant: no fault of that name: " + plant);
+        trial.check(spec, MOST_NODES);
+        if (trial.kind == TrialKind.PLACES) {
+            throw new ParameterException(spec.commandLine(), "--kind: " + trial.kind
+                    + " are tried with real processes only, by fleet trial");
         }
-        if (kind == TrialKind.PLACES) {
-            throw new ParameterException(spec.commandLine(), "--kind: " + kind + " are tried with real processes only, by fleet trial");
-        }
-        if (nodes < 1 || nodes > 100 || seconds < 10 || seeds < 1 || gap < 50 || lease < 700) {
-            throw new ParameterException(spec.commandLine(), "--nodes 1 to 100, --seconds from 10, --seeds from 1, --gap from 50, --lease from 700");
+        if (seconds < 10 || seeds < 1) {
+            throw new ParameterException(spec.commandLine(), "--seconds from 10, --seeds from 1");
         }
         ExecutorService cores = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
         Sum sum = new Sum();
@@ -94,7 +84,8 @@
         }
         System.out.printf(Locale.ROOT, "%d of %d trials broke a rule; %d acts, %d late ones after long stalls; %.1f datagrams, "
                 + "%.0f bytes a node and second%n", sum.broken, sum.played, sum.acts, sum.late,
-                sum.datagrams / (double) sum.played / nodes / seconds, sum.bytes / (double) sum.played / nodes / seconds);
+                sum.datagrams / (double) sum.played / trial.nodes / seconds,
+                sum.bytes / (double) sum.played / trial.nodes / seconds);
         if (!sum.gaps.isEmpty()) {
             sum.gaps.sort(null);
             System.out.printf(Locale.ROOT, "%d takeovers; without a holder at one: median %d ms, 99 %% %d ms, longest %d ms%n",
@@ -105,7 +96,8 @@
     }
 
     private void shrink(TrialResult first) throws IOException {
-        TrialCase found = TrialCase.drawn(first.plan(), drift, plant == null ? "" : plant, first.findings().get(0).rule());
+        TrialCase found = TrialCase.drawn(first.plan(), drift, trial.plant == null ? "" : trial.plant,
+                first.findings().get(0).rule());
         TrialShrink.Smaller smaller = TrialShrink.shrink(found, MOST_SHRINKING_PLAYS);
         System.out.printf(Locale.ROOT, "made smaller in %d plays, from %d faults to %d, written to %s:%n", smaller.plays(),
                 found.faults().size(), smaller.trial().faults().size(), shrink);
@@ -141,9 +133,9 @@
 
     private TrialResult play(long s) {
         Duration length = Duration.ofSeconds(seconds);
-        TrialPlan plan = new TrialPlan(kind, nodes, s, length, Duration.ofSeconds(4), Duration.ofMillis(lease), faults,
-                Duration.ofMillis(gap), List.of(), List.of(), "");
-        return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, plant == null ? new Parts() : Plants.parts(plant)))
-                .play();
+        TrialPlan plan = new TrialPlan(trial.kind, trial.nodes, s, length, Duration.ofSeconds(4), trial.lease(), trial.faults,
+                trial.gap(), List.of(), List.of(), "");
+        Parts parts = trial.plant == null ? new Parts() : Plants.parts(trial.plant);
+        return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts)).play();
     }
 }
--- a/src/test/java/rowanplank/lab/trial/HardCasesTest.java
+++ b/src/test/java/rowanplank/lab/trial/HardCasesTest.java
@@ -80,6 +80,12 @@
                     .orElse(Long.MAX_VALUE);
         }
 
+        /** An act of the holder's that was under way when it stood still, and came to its end meanwhile. */
+        boolean ranOn(long withinMs) {
+            return within(0, withinMs).anyMatch(e -> e.kind() == Kind.END && e.node().equals(holder)
+                    && e.name().equals(TrialPlan.LEASE));
+        }
+
         long terms() {
             return within(0, 20_000).filter(e -> e.kind() == Kind.STATUS).mapToLong(Event::number).distinct().count();
         }
@@ -113,6 +119,9 @@
         c.add("the holder stalled for twice a lease, back while its successor acts", 5, Seen::apart,
                 s -> !s.acted(1200, 2000).contains(s.holder()) && s.acted(2000, 4000).equals(s.acted(1200, 2000)),
                 of(0, What.STALL, HOLDER, 2000));
+        c.add("a command that outlives its stalled node, and its killed one, for as long as it may", 5,
+                s -> s.ranOn(200), s -> s.acted(1200, 2000).size() > 0, of(0, What.STALL, HOLDER, 2000),
+                of(2500, What.KILL, HOLDER, 500));
         c.add("all voters killed at once, and back in another order", 4, s -> true,
                 s -> s.led(0, 900).isEmpty() && s.acted(1000, 6000).size() > 0, of(0, What.KILL, "n1", 1500),
                 of(0, What.KILL, "n2", 700), of(0, What.KILL, "n3", 10));
