--- a/src/main/java/rowanplank/lab/trial/Plants.java
+++ b/src/main/java/rowanplank/lab/trial/Plants.java
@@ -45,6 +45,7 @@
         all.put("claims-forgotten", "the run of a period is claimed by whoever asks");
         all.put("never-refutes", "a node that is thought dead says nothing to it");
         all.putAll(BudgetPlants.all());
+        all.putAll(WorkPlants.all());
         return all;
     }
 
@@ -154,7 +155,7 @@
                     return holder.mayAct(now, lease, Duration.ZERO);
                 }
             };
-            default -> BudgetPlants.parts(name);
+            default -> WorkPlants.all().containsKey(name) ? WorkPlants.parts(name) : BudgetPlants.parts(name);
         };
     }
 
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -49,6 +49,9 @@
         /** As the platform does: SIGTERM, and a new process so long after its end. */
         void stop(int node, Duration back);
 
+        /** It is killed outright, and comes back so long after. */
+        void kill(int node, Duration back);
+
         /** A fault of this kind, now. */
         void strike(Trouble.Kind kind);
     }
--- a/src/main/java/rowanplank/lab/trial/judge/Event.java
+++ b/src/main/java/rowanplank/lab/trial/judge/Event.java
@@ -55,6 +55,8 @@
          * {@code text} is {@code serves} or {@code drained}.
          */
         OWN,
+        /** In virtual time: just now the node has begun to take no clients for the order of work's sake. */
+        DRAINS,
         /** Staff say {@code text} of {@code name}, as call {@code other} under the number {@code number}, at {@code node}. */
         STAFF,
         /** What came of call {@code other}: {@code done}, {@code refused}, or {@code unknown}. */
--- a/src/main/java/rowanplank/ledger/Work.java
+++ b/src/main/java/rowanplank/ledger/Work.java
@@ -277,10 +277,9 @@
 
     /** What staff ask: done once for each number. */
     protected Result staff(long index, Command.Staff c) {
-        for (Answered a : answers) {
-            if (a.id() == c.id()) {
-                return a.result();
-            }
+        Result before = answerOf(c.id());
+        if (before != null) {
+            return before;
         }
         Result result = perform(index, c);
         answers.add(new Answered(c.id(), result));
@@ -290,6 +289,11 @@
         return result;
     }
 
+    /** What was answered to this number; null where nothing was. */
+    protected Result answerOf(long id) {
+        return answers.stream().filter(a -> a.id() == id).map(Answered::result).findFirst().orElse(null);
+    }
+
     private Result perform(long index, Command.Staff c) {
         return switch (c.what()) {
             case ASK -> ask(index, c);
