--- a/src/test/java/rowanplank/lab/trial/TrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialTest.java
@@ -26,10 +26,15 @@
 
     private TrialResult play(int nodes, long seed, Duration lease, List<Trouble.Kind> faults, String... program)
             throws Exception {
+        return play(TrialKind.LEASES, nodes, seed, lease, faults, program);
+    }
+
+    private TrialResult play(TrialKind kind, int nodes, long seed, Duration lease, List<Trouble.Kind> faults, String... program)
+            throws Exception {
         boolean serves = program[1].equals("serve");
         List<String> command = serves ? java(program) : List.of();
         List<String> standIn = java(serves ? new String[] {"rowanplank.cli.StandInNode"} : program);
-        Trial trial = new Trial(new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(12), Duration.ofSeconds(5),
+        Trial trial = new Trial(new TrialPlan(kind, nodes, seed, Duration.ofSeconds(kind == TrialKind.WORK ? 9 : 12), Duration.ofSeconds(5),
                 lease, faults, Trouble.GAP, command, standIn, Files.createTempDirectory(folder, "trial").toString()));
         try {
             return trial.play();
@@ -56,6 +61,26 @@
         assertTrue(r.count(Kind.KILLED) + r.count(Kind.STALLED) + r.count(Kind.FAULT) >= 3, r.text());
     }
 
+    /** Guards machines taken out for work: never too many, none while its clients are there, and all is done in the end. */
+    @ParameterizedTest
+    @CsvSource({"3, 2", "5, 4"})
+    void realProcessesKeepAllRulesOfTheOrderOfWork(int nodes, long seed) throws Exception {
+        TrialResult r = play(TrialKind.WORK, nodes, seed, Duration.ofSeconds(1), List.of(), "rowanplank.Main", "serve",
+                "--end-with-input", "--config");
+        assertEquals(List.of(), r.findings(), r.text());
+        assertTrue(r.count(Kind.ANSWER) > 20 && r.count(Kind.STAFF) > 10, r.text());
+    }
+
+    /** Guards its judge. */
+    @ParameterizedTest
+    @CsvSource({"work-order-reversed, next-first, 3, 1"})
+    void aPlantedFaultOfTheOrderOfWorkIsFoundAmongRealProcesses(String plant, String rule, int nodes, long seed)
+            throws Exception {
+        TrialResult r = play(TrialKind.WORK, nodes, seed, Duration.ofSeconds(1), List.of(Trouble.Kind.NOTHING),
+                "rowanplank.cli.PlantedNode", plant);
+        assertTrue(r.findings().stream().anyMatch(f -> f.rule().equals(rule)), r.text());
+    }
+
     /**
      * Guards the trial: nodes that do wrong must not pass it. The lease is long beside an election on any machine, and the
      * others are a majority, so that whoever takes over too early finds the holder still at work.
