--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -441,9 +441,12 @@
             int node = n;
             if (nodes.get(n).runs()) {
                 Instant asked = clock.now();
+                int process = nodes.get(n).process();
                 doors.call(nodes.get(n).door(), "GET", "/api/fleet", ANSWERED_WITHIN, reply -> loop.execute(() -> {
-                    tookFor(asked);
-                    answered(node, reply);
+                    if (process == nodes.get(node).process()) { // what one said that has ended since is not said now
+                        tookFor(asked);
+                        answered(node, reply);
+                    }
                 }));
             }
         }
--- a/src/main/java/rowanplank/lab/trial/TrialNode.java
+++ b/src/main/java/rowanplank/lab/trial/TrialNode.java
@@ -27,6 +27,7 @@
     private final Path file;
     private final String head;
     private ChildProcesses.Child child;
+    private int starts;
     private String fleet;
     private boolean spoilt;
     private byte[] remembered;
@@ -77,12 +78,18 @@
         return child != null;
     }
 
+    /** Tells its processes apart; 0 where none runs. */
+    int process() {
+        return child == null ? 0 : starts;
+    }
+
     boolean isSpoilt() {
         return spoilt;
     }
 
     void start(ChildProcesses children, IntConsumer ended) throws IOException {
         Files.deleteIfExists(hold(StandInParts.HOLD));
+        starts++;
         child = children.start(command, new TreeMap<>(), folder.resolve(name + ".log").toString(), ended);
     }
 
