Let parts of the fleet's places say which servers a node uses

With places shared, the module kept to the subset that it draws from the number of nodes, and nodes wished for places at all servers at which it had looked: places lay free at some servers while nodes were full at others, and after a start it took 10 s until they were where they were used. Now each node wishes at as many servers as it has use for, in an order of its own, two in three in its hall, and the module chooses among those at which it has some.

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -205,7 +205,9 @@
     }
 
     private boolean isMine(Server s) {
-        return subset.uses(s.id(), s.zone());
+        // Parts of the fleet's places are whole ones wherever there are any: then they say which servers it uses.
+        double told = actions.places(s.id());
+        return told < 0 ? subset.uses(s.id(), s.zone()) : told > 0 || targets.containsKey(s.id());
     }
 
     private static Set<Integer> zones(Stream<Server> servers) {
--- a/src/main/java/rowanplank/cli/LabBudgetsCommand.java
+++ b/src/main/java/rowanplank/cli/LabBudgetsCommand.java
@@ -39,6 +39,12 @@
     private long fixed;
     @Option(names = "--part", paramLabel = "MS", defaultValue = "4000", description = "How long parts last without a renewal.")
     private long part;
+    @Option(names = "--hold", paramLabel = "MS", defaultValue = "0", description = "How long a wish counts that has fallen.")
+    private long hold;
+    @Option(names = "--floor", paramLabel = "N", defaultValue = "0", description = "Places for each node that uses a server.")
+    private long floor;
+    @Option(names = "--reserve", paramLabel = "N", defaultValue = "0", description = "Places kept for nodes that come.")
+    private long reserve;
     @Option(names = "--threads", paramLabel = "N", defaultValue = "4", description = "How many days at a time.")
     private int threads;
 
@@ -49,8 +55,8 @@
             throw new ConfigException("--seeds, --load, --places and --threads must be above zero, --part at least 200, "
                     + "and --fixed times --nodes at most --places");
         }
-        Sharing sharing = new Sharing(Duration.ofMillis(part), List.of(), List.of(),
-                new Places(places, fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4)));
+        Sharing sharing = new Sharing(Duration.ofMillis(part), Duration.ofMillis(hold), List.of(), List.of(), new Places(places,
+                fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4), new Sharing.Terms(floor, reserve), false));
         DayRun.Manner usual = DayRun.Manner.usual(new SystemClock());
         Map<String, DayRun.Manner> ways = new LinkedHashMap<>();
         ways.put("fixed parts", usual);
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -99,6 +99,7 @@
     /** To be called before the first list of peers, where tries at them are bounded for the whole fleet. */
     public void bound(Places bound) {
         places = bound;
+        places.usable(() -> deliver(() -> balancer.onServers(nowMs(), ListKind.DELTA, List.of())));
     }
 
     /** To be called once, before the first request. */
@@ -109,7 +110,7 @@
     /** Tells the module of the peers. */
     public void servers(ListKind kind, List<Server> servers) {
         if (kind != ListKind.FAILED) {
-            places.servers(servers, kind != ListKind.DELTA);
+            places.servers(servers, kind != ListKind.DELTA, site.module().zone());
         }
         deliver(() -> balancer.onServers(nowMs(), kind, servers));
     }
--- a/src/main/java/rowanplank/decision/Places.java
+++ b/src/main/java/rowanplank/decision/Places.java
@@ -24,7 +24,10 @@
         public void end(long server, boolean heard) { }
 
         @Override
-        public void servers(List<Server> changed, boolean complete) { }
+        public void servers(List<Server> changed, boolean complete, int ownZone) { }
+
+        @Override
+        public void usable(Runnable changed) { }
     };
 
     /** So many at once; below zero where the module keeps to its own bound. */
@@ -37,5 +40,8 @@
     void end(long server, boolean heard);
 
     /** Peers as discovery tells of them. @param complete whether they are all */
-    void servers(List<Server> changed, boolean complete);
+    void servers(List<Server> changed, boolean complete, int ownZone);
+
+    /** @param changed run when there are places at a peer at which there were none, never within another call */
+    void usable(Runnable changed);
 }
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -168,7 +168,7 @@
                 machine.log(), machine.programs());
         tasks = new TaskRunner(config, loop, programs, machine.log(), parts, holder, () -> turns.run(this::runTasks));
         places = config.sharing().places() == null ? null
-                : new PlaceKeeper(config.sharing().places(), loop, budgets, () -> turns.run(this::share),
+                : new PlaceKeeper(config.sharing().places(), config.node(), loop, budgets, () -> turns.run(this::share),
                         () -> turns.run(() -> budgets.onTime(loop.clock().now())));
         workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), parts, budgets,
                 () -> turns.run(this::runTasks));
--- a/src/main/java/rowanplank/fleet/PlaceKeeper.java
+++ b/src/main/java/rowanplank/fleet/PlaceKeeper.java
@@ -2,9 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
+import net.openhft.hashing.LongHashFunction;
 import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.FleetConfig;
@@ -19,8 +22,10 @@
  * sending to its first answer. One that was given up holds it for {@code linger} more, since the server goes on with it
  * until it hears of that.
  *
- * <p>What it wishes for: one place more than were in use at once lately; all of them where its part was full; none at
- * a server that no choice has looked at in the last {@value #UNUSED} looks. So parts go where tries are.
+ * <p>Where it wishes for some: at {@value #LEAST_SERVERS} servers, or twice as many as it had tries out lately, two in three
+ * in its own hall, in an order that is its own and always the same; so nodes spread over the servers, and one with much to
+ * send has places at more of them. For how many: one more than were in use at once lately; all of them where its part was
+ * full. So parts go where tries are, and the module chooses among the servers at which there are any.
  *
  * <p>Bound: {@value #MOST} servers; others have no places here. A look, four times a second, costs O(servers); a try
  * O(log servers).
@@ -30,8 +35,12 @@
     private static final Duration LOOK = Duration.ofMillis(250);
     /** Of what was in use at once, so much is forgotten with each look, once nothing like it has been since. */
     private static final double FORGET = 0.8;
-    /** A server that no choice has looked at for so many looks is not used by this node. */
-    private static final int UNUSED = 40;
+    /** Servers that a node has places at: so many at the least, to choose from, and so many for each try out lately. */
+    private static final int LEAST_SERVERS = 8;
+    private static final double SERVERS_A_TRY = 2;
+    /** Of three, so many in its own hall. */
+    private static final int OWN_OF_THREE = 2;
+    private static final int THREE = 3;
     private static final double WORTH_GAIN = 0.05;
     private static final double WORTH_STEP = 1.25;
     private static final double LEAST_WORTH = 0.01;
@@ -45,11 +54,16 @@
         boolean gone;
         double lately;
         double worth = 1;
-        /** Whether a choice has looked at it since the last look. */
-        boolean looked;
-        int looksSince;
-
-        Place(long server) {
+        /** Among those that this node has places at, if it can. */
+        boolean wanted;
+        boolean usable;
+        final boolean own;
+        /** It comes the earlier among them the less this is; another order at each node, and always the same there. */
+        final double lot;
+
+        Place(long server, boolean own, double lot) {
+            this.own = own;
+            this.lot = lot;
             name = Sharing.PLACES + Long.toUnsignedString(server, Character.MAX_RADIX);
         }
     }
@@ -60,14 +74,20 @@
     private final Runnable listed;
     private final Runnable fits;
     private final Map<Long, Place> places = new TreeMap<>();
+    /** Those that are listed, in this node's order. */
+    private List<Place> order = List.of();
+    private final long node;
+    private Runnable usable = () -> { };
     private Instant nextLook;
 
     /**
+     * @param node its name
      * @param listed run when there are other servers than before
      * @param fits run when something may be given back
      */
-    PlaceKeeper(FleetConfig.Places config, Loop loop, BudgetHolder holder, Runnable listed, Runnable fits) {
+    PlaceKeeper(FleetConfig.Places config, String node, Loop loop, BudgetHolder holder, Runnable listed, Runnable fits) {
         this.config = config;
+        this.node = LongHashFunction.xx().hashChars(node);
         this.loop = loop;
         this.holder = holder;
         this.listed = listed;
@@ -85,10 +105,11 @@
     @Override
     public double at(long server) {
         Place p = places.get(server);
-        if (p != null) {
-            p.looked = true;
-        }
-        return p == null || p.gone ? 0 : Math.max(0, holder.limit(loop.clock().now(), p.name));
+        return p == null ? 0 : at(p);
+    }
+
+    private double at(Place p) {
+        return p.gone ? 0 : Math.max(0, holder.limit(loop.clock().now(), p.name));
     }
 
     @Override
@@ -126,20 +147,49 @@
     }
 
     @Override
-    public void servers(List<Server> changed, boolean complete) {
+    public void servers(List<Server> changed, boolean complete, int ownZone) {
         places.values().forEach(p -> p.gone |= complete);
         for (Server s : changed) {
             Place p = places.get(s.id());
             if (s.lifecycle() == Lifecycle.READY && (p != null || places.size() < MOST)) {
-                places.computeIfAbsent(s.id(), Place::new).gone = false;
+                places.computeIfAbsent(s.id(), id -> new Place(id, s.zone() == ownZone, lot(id))).gone = false;
             } else if (p != null) {
                 p.gone = true;
             }
         }
         places.values().removeIf(p -> p.gone && p.open == 0);
+        order = places.values().stream().filter(p -> !p.gone).sorted(Comparator.comparingDouble((Place p) -> p.lot)).toList();
+        choose();
         listed.run();
     }
 
+    private double lot(long server) {
+        return new SplittableRandom(server ^ node).nextDouble();
+    }
+
+    /** Of three wanted, two in the own hall, while there are such; the first ones in this node's order of each. */
+    private void choose() {
+        double tries = 0;
+        for (Place p : order) {
+            tries += p.lately;
+            p.wanted = p.open > 0;
+        }
+        long wanted = Math.max(LEAST_SERVERS, Math.round(Math.ceil(SERVERS_A_TRY * tries)));
+        int own = 0;
+        int others = 0;
+        long owns = order.stream().filter(p -> p.own).count();
+        for (Place p : order) {
+            long room = p.own ? Math.max(wanted * OWN_OF_THREE / THREE, wanted - (order.size() - owns))
+                    : wanted - Math.min(owns, wanted * OWN_OF_THREE / THREE);
+            p.wanted |= (p.own ? own++ : others++) < room;
+        }
+    }
+
+    @Override
+    public void usable(Runnable changed) {
+        usable = changed;
+    }
+
     /** Says what it would use of each. */
     void wish() {
         places.values().forEach(this::wish);
@@ -152,19 +202,25 @@
     void onTime(Instant now) {
         if (!now.isBefore(nextLook)) {
             nextLook = now.plus(LOOK);
+            boolean more = false;
+            choose();
             for (Place p : places.values()) {
+                boolean before = p.usable;
+                p.usable = at(p) > 0;
+                more |= p.usable && !before;
                 p.lately = Math.max(p.most, p.lately * FORGET);
-                p.looksSince = p.looked ? 0 : Math.min(UNUSED, p.looksSince + 1);
-                p.looked = false;
                 wish(p);
                 p.most = p.open;
                 p.full = false;
             }
+            if (more) {
+                loop.execute(usable);
+            }
         }
     }
 
     private void wish(Place p) {
-        boolean unused = p.gone || p.looksSince == UNUSED;
+        boolean unused = p.gone || !p.wanted;
         long more = Math.min(config.whole(), 1 + (long) Math.ceil(p.lately));
         holder.wish(p.name, unused ? 0 : p.full ? config.whole() : more, config.byWorth() ? weight(p.worth) : Division.NORMAL);
     }
