Bound tries beyond the first and calls to discovery by budgets; end a giving back without end

[fleet.budgets] tries, tries_share and discovery, each off by default: the module asks whether a try beyond the first may begin and answers as if none were left where it may not; the watch of discovery asks before each call and waits.

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -517,7 +517,7 @@
         // Only where the server has said nothing since: a copy of what is merely slow adds load to load.
         if (settings.limits().secondCopies() && now - last.sentAt > r.type.aimMs()
                 && last.target.lastHeardAt < last.sentAt && r.type.effect() != Effect.ONCE && held.isEmpty()
-                && retryBudget >= 1 && r.attempts.size() < settings.limits().maxAttempts() && trySend(r)) {
+                && retryBudget >= 1 && r.attempts.size() < settings.limits().maxAttempts() && actions.mayTryAgain() && trySend(r)) {
             retryBudget--;
         }
     }
@@ -537,7 +537,7 @@
     private void sendAgain(Open r, Attempt failed) {
         boolean attemptsLeft = r.attempts.size() < settings.limits().maxAttempts();
         boolean allowed = failed.neverRan || r.type.effect() != Effect.ONCE && retryBudget >= 1;
-        if (!attemptsLeft || !allowed) {
+        if (!attemptsLeft || !allowed || !actions.mayTryAgain()) {
             answer(r);
             return;
         }
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -189,6 +189,11 @@
             return -1;
         }
 
+        /** Whether a try beyond a request's first may begin now; where not, it is answered as if none were left to it. */
+        default boolean mayTryAgain() {
+            return true;
+        }
+
         /** Closes this node's idle connections to a server. */
         void closeIdle(long server);
 
--- a/src/main/java/rowanplank/cli/LabBudgetsCommand.java
+++ b/src/main/java/rowanplank/cli/LabBudgetsCommand.java
@@ -56,7 +56,8 @@
                     + "and --fixed times --nodes at most --places");
         }
         Sharing sharing = new Sharing(Duration.ofMillis(part), Duration.ofMillis(hold), List.of(), List.of(), new Places(places,
-                fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4), new Sharing.Terms(floor, reserve), false));
+                fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4), new Sharing.Terms(floor, reserve), false),
+                Sharing.Uses.NONE);
         DayRun.Manner usual = DayRun.Manner.usual(new SystemClock());
         Map<String, DayRun.Manner> ways = new LinkedHashMap<>();
         ways.put("fixed parts", usual);
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -73,9 +73,21 @@
      * @param hold for so long a wish counts that has fallen
      * @param places at each page server; null where each node keeps to its own bound
      */
-    public record Sharing(Duration part, Duration hold, List<Budget> budgets, List<Worker> workers, Places places) {
+    public record Sharing(Duration part, Duration hold, List<Budget> budgets, List<Worker> workers, Places places,
+            Uses uses) {
         public static final Sharing NONE = new Sharing(Duration.ofSeconds(4), List.of(), List.of(), null);
 
+        /**
+         * Which budgets bound what the node itself does.
+         *
+         * @param tries beyond a request's first; null where no budget bounds them
+         * @param triesShare of first tries, so many more at the most
+         * @param discovery calls to it; null where no budget bounds them
+         */
+        public record Uses(String tries, double triesShare, String discovery) {
+            public static final Uses NONE = new Uses(null, 1000, null);
+        }
+
         /** How a whole is divided. @param floor in uses, for each node that takes part @param reserve for those that come */
         public record Terms(long floor, long reserve) {
             public static final Terms NONE = new Terms(0, 0);
@@ -93,7 +105,7 @@
 
         /** One by which a wish that has fallen counts no more at once. */
         public Sharing(Duration part, List<Budget> budgets, List<Worker> workers, Places places) {
-            this(part, Duration.ZERO, budgets, workers, places);
+            this(part, Duration.ZERO, budgets, workers, places, Uses.NONE);
         }
 
         /** Of that budget; of a page server's places where the file has no budget of that name. */
@@ -209,7 +221,8 @@
         } else if (!Objects.equals(directory, other.directory) || isVoter() != other.isVoter()) {
             return "state.dir, or whether this node may vote";
         }
-        if (!sharing.part().equals(other.sharing.part()) || !sharing.hold().equals(other.sharing.hold()) || !sharing.budgets().equals(other.sharing.budgets())
+        if (!sharing.part().equals(other.sharing.part()) || !sharing.hold().equals(other.sharing.hold())
+                || !sharing.uses().equals(other.sharing.uses()) || !sharing.budgets().equals(other.sharing.budgets())
                 || !Objects.equals(sharing.places(), other.sharing.places())) {
             return "fleet.budgets or a [[budget]]; fleet budget set changes a whole";
         }
--- a/src/main/java/rowanplank/config/SharingReader.java
+++ b/src/main/java/rowanplank/config/SharingReader.java
@@ -40,7 +40,7 @@
             root.fault(budgets.size() > MOST ? "budget" : "worker", "more than " + MOST);
         }
         Duration hold = own.duration("hold", Duration.ZERO, Duration.ofMinutes(10), Sharing.NONE.hold());
-        Sharing sharing = new Sharing(part, hold, budgets, workers, places(own, own.has("places")));
+        Sharing sharing = new Sharing(part, hold, budgets, workers, places(own, own.has("places")), uses(own, budgets));
         for (int i = 0; i < budgets.size(); i++) {
             burst(sections.get(i), budgets.get(i), sharing.allowance(budgets.get(i).name()));
         }
@@ -62,6 +62,20 @@
         return wanted ? new Places(whole, fixed, nodes, linger, longest, terms, byWorth) : null;
     }
 
+    private static Sharing.Uses uses(TomlSection s, List<Budget> budgets) {
+        return new Sharing.Uses(rate(s, "tries", budgets), s.number("tries_share", 0, 1000, Sharing.Uses.NONE.triesShare()),
+                rate(s, "discovery", budgets));
+    }
+
+    /** The name of a budget that is a rate; null where the key is not there. */
+    private static String rate(TomlSection s, String key, List<Budget> budgets) {
+        String name = s.text(key, null);
+        if (name != null && budgets.stream().noneMatch(b -> b.rate() && b.name().equals(name))) {
+            s.fault(key, "there is no [[budget]] of that name and kind rate: " + name);
+        }
+        return name;
+    }
+
     /** @param divided what is not set aside */
     private static Sharing.Terms terms(TomlSection s, String floor, String reserve, long divided) {
         Sharing.Terms terms = new Sharing.Terms(s.whole(floor, 0, MOST_WHOLE, 0), s.whole(reserve, 0, MOST_WHOLE, 0));
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -79,6 +79,7 @@
     private boolean delivering;
     private TrySender sender;
     private Places places = Places.NONE;
+    private Bounds bounds = Bounds.NONE;
     private long requests;
 
     public Decisions(SiteSettings site, long seed, Loop loop, Counters counters, RateLimitedLog log) {
@@ -97,7 +98,8 @@
     }
 
     /** To be called before the first list of peers, where tries at them are bounded for the whole fleet. */
-    public void bound(Places bound) {
+    public void bound(Places bound, Bounds more) {
+        bounds = more;
         places = bound;
         places.usable(() -> deliver(() -> balancer.onServers(nowMs(), ListKind.DELTA, List.of())));
     }
@@ -316,7 +318,7 @@
             int number = entry.sends++;
             Instant now = clock.now();
             boolean begun = number < site.module().limits().maxAttempts() && entry.exchange.context().payload().isWhole()
-                    && places.begin(server, worth(entry));
+                    && (number == 0 || bounds.tryAgain()) && places.begin(server, worth(entry));
             Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
             if (begun && attempt == null) {
                 places.end(server, true);
@@ -326,6 +328,9 @@
                 return;
             }
             counters.add(Count.TRIES_SENT);
+            if (number == 0) {
+                bounds.firstTry();
+            }
             entry.untold++;
             if (entry.exchange.context().payload().isComing()) {
                 deliver(() -> balancer.onStreamStarted(nowMs(), request, number));
@@ -369,6 +374,11 @@
             return places.at(server);
         }
 
+        @Override
+        public boolean mayTryAgain() {
+            return bounds.mayTryAgain();
+        }
+
         @Override
         public void watchServers() {
             // the node watches discovery from its start on, at every site
--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -13,6 +13,7 @@
 import rowanplank.config.ConfigException;
 import rowanplank.config.HostList;
 import rowanplank.config.SiteSettings;
+import rowanplank.decision.Bounds;
 import rowanplank.http.Messages;
 import rowanplank.http.ResponseReader;
 import rowanplank.metrics.Counters.Count;
@@ -47,6 +48,7 @@
     private final RateLimitedLog log;
     private final Listener listener;
     private final AskingPace pace;
+    private Bounds bounds = Bounds.NONE;
     private long revision;
     private boolean heard;
     private boolean stopped;
@@ -77,8 +79,18 @@
         return address;
     }
 
+    /** What bounds its calls; to be told before the start. */
+    public void bound(Bounds by) {
+        bounds = by;
+    }
+
     /** Begins to watch, on the loop's thread, until it is stopped. */
     public void start() {
+        Duration later = bounds.call();
+        if (!later.isZero()) {
+            next = loop.schedule(later, this::start);
+            return;
+        }
         opening = loop.connect(address, connectTimeout, new Loop.Connector() {
             @Override
             public Connection connected(EndPoint endPoint) {
@@ -96,7 +108,9 @@
     /** Ends the watch: it tells nothing more, and nothing of it stays open. */
     public void stop() {
         stopped = true;
-        opening.abandon();
+        if (opening != null) {
+            opening.abandon();
+        }
         if (next != null) {
             next.cancel();
         }
@@ -157,6 +171,16 @@
             ask();
         }
 
+        /** Once more on this connection, which is kept meanwhile. */
+        private void askAgain() {
+            Duration later = bounds.call();
+            if (later.isZero()) {
+                ask();
+            } else {
+                patience = loop.schedule(later, this::askAgain);
+            }
+        }
+
         private void ask() {
             // At first what has changed by now: a node is not taken in before it has heard of it.
             Duration wait = heard ? pace.watchWait() : Duration.ZERO;
@@ -237,7 +261,7 @@
                 giveUp("discovery ends the connection");
             } else {
                 reader.reset();
-                ask();
+                askAgain();
             }
         }
 
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -19,6 +19,7 @@
 import rowanplank.config.Addresses;
 import rowanplank.config.ConfigException;
 import rowanplank.config.FleetConfig;
+import rowanplank.decision.Bounds;
 import rowanplank.decision.Places;
 import rowanplank.fleet.wire.Envelope;
 import rowanplank.fleet.wire.EnvelopeForm;
@@ -114,6 +115,7 @@
     private WorkHolder work;
     /** Null where places at page servers are not shared. */
     private final PlaceKeeper places;
+    private final RateKeeper rates;
     private final Asker asker;
     private final Membership members;
     private final TaskRunner tasks;
@@ -170,6 +172,7 @@
         places = config.sharing().places() == null ? null
                 : new PlaceKeeper(config.sharing().places(), config.node(), loop, budgets, () -> turns.run(this::share),
                         () -> turns.run(() -> budgets.onTime(loop.clock().now())));
+        rates = new RateKeeper(config.sharing(), loop, budgets);
         workers = new WorkerRunner(config.node(), loop, machine.programs(), machine.log(), parts, budgets,
                 () -> turns.run(this::runTasks));
     }
@@ -187,6 +190,11 @@
         return places == null ? Places.NONE : places;
     }
 
+    /** What bounds its tries beyond the first, and its calls to discovery. */
+    public Bounds bounds() {
+        return rates;
+    }
+
     /** What says whether this node takes clients; to be told before the start. */
     public void servesBy(BooleanSupplier ready) {
         serves(Clients.servedBy(ready));
@@ -233,6 +241,7 @@
         used.putAll(places == null ? new TreeMap<>() : places.budgets(sharing));
         budgets.budgets(now, used, sharing.longestUse());
         WorkerRunner.wishes(sharing.budgets(), sharing.workers()).forEach(budgets::wish);
+        rates.wish();
         if (places != null) {
             places.wish();
         }
@@ -346,6 +355,7 @@
         due = earlier(due, earlier(budgets.due(), workers.due()));
         due = earlier(due, work == null ? null : work.due());
         due = earlier(due, places == null || finished ? null : places.due());
+        due = earlier(due, finished ? null : rates.due());
         due = earlier(due, voter == null || halted != null ? null : voter.due());
         if (due != null) {
             timer = loop.schedule(Duration.between(loop.clock().now(), due), this::wake);
@@ -362,6 +372,7 @@
         turns.run(() -> {
             holder.onTime(now);
             asker.onTime(now);
+            rates.onTime(now);
             if (places != null) {
                 places.onTime(now);
             }
--- a/src/main/java/rowanplank/ledger/BudgetDesk.java
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -474,6 +474,9 @@
         long[] targets = parts.stream().mapToLong(p -> p.target().amount()).toArray();
         long[] fair = Division.fair(divided, claims, t.floor());
         long[] next = Division.next(divided, targets, fair, w.rate() ? SLACK : 0);
+        for (int i = 0; i < next.length; i++) { // what is given up for good would come back with each giving back
+            next[i] = claims.get(i).wish() == 0 ? 0 : next[i];
+        }
         long[] bursts = w.rate() ? Division.bursts(Math.max(0, whole.burst()), next) : new long[next.length];
         for (int i = 0; i < next.length; i++) {
             Budgets.Part p = parts.get(i);
--- a/src/main/java/rowanplank/ledger/Division.java
+++ b/src/main/java/rowanplank/ledger/Division.java
@@ -8,9 +8,9 @@
 
 /**
  * How a whole is divided among those who want some of it: weighted max-min fair (progressive filling, Bertsekas and
- * Gallager, Data Networks, 6.5.2), with a floor for each and something kept back for those that come.
+ * Gallager, Data Networks, 6.5.2), with a floor for each that asks and something kept back for those that come.
  * <pre>
- *   want i = max(wish i, floor)
+ *   want i = max(wish i, floor), and nothing where wish i is
  *   part i = min(want i, max(floor, level * weight i)), with the highest level at which the parts sum to no more than
  *            whole - reserve
  * </pre>
@@ -43,7 +43,7 @@
     /**
      * How a budget is to be divided.
      *
-     * @param floor for each member that takes part in it, whatever it wishes; in uses, of a rate in thousandths a second
+     * @param floor for each member that lives and wishes for any; in uses, of a rate in thousandths a second
      * @param reserve kept for those that come, until they are there
      * @param hold for so long a wish counts that has fallen
      */
@@ -65,15 +65,20 @@
 
         /** At most so much. */
         long at(double level, long floor) {
-            return Math.min(Math.max(wish, floor), Math.max(floor, (long) Math.floor(level * weight / NORMAL)));
+            return Math.min(want(floor), Math.max(floor, (long) Math.floor(level * weight / NORMAL)));
+        }
+
+        /** Who wishes for none has none. */
+        long want(long floor) {
+            return wish == 0 ? 0 : Math.max(wish, floor);
         }
     }
 
     /** @param whole at least 0, without what is to be kept back */
     public static long[] fair(long whole, List<Claim> claims, long wantedFloor) {
         int n = claims.size();
-        long floor = n == 0 ? 0 : Math.min(wantedFloor, whole / n);
-        long[] wants = claims.stream().mapToLong(c -> Math.max(c.wish(), floor)).toArray();
+        long floor = Math.min(wantedFloor, whole / Math.max(1, claims.stream().filter(c -> c.wish() > 0).count()));
+        long[] wants = claims.stream().mapToLong(c -> c.want(floor)).toArray();
         if (Arrays.stream(wants).sum() <= whole) {
             return wants;
         }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -15,6 +15,7 @@
 import rowanplank.config.ConfigException;
 import rowanplank.config.HostList;
 import rowanplank.config.NodeConfig;
+import rowanplank.decision.Bounds;
 import rowanplank.decision.Decisions;
 import rowanplank.discovery.DiscoveryWatch;
 import rowanplank.discovery.UpstreamGroup;
@@ -54,6 +55,7 @@
     private DiscoveryWatch nextWatch;
     private Runnable whenStopped;
     private Fleet fleet;
+    private Bounds bounds = Bounds.NONE;
 
     public Node(NodeConfig config, Loop loop, RateLimitedLog log) {
         this(config, loop, log, Balancer::new);
@@ -116,6 +118,7 @@
             }
             if (nextWatch == null && !address.equals(watch.address())) {
                 nextWatch = watch(address, -1);
+                nextWatch.bound(bounds);
                 nextWatch.start();
             }
             log.info("configuration read anew, discovery at " + Addresses.format(address));
@@ -126,7 +129,9 @@
     public void join(Fleet part) {
         fleet = part;
         part.serves(new ClientsOfTheFleet());
-        decisions.bound(part.places());
+        decisions.bound(part.places(), part.bounds());
+        bounds = part.bounds();
+        watch.bound(bounds);
     }
 
     /**
