--- a/src/main/java/rowanplank/lab/trial/VirtualFleet.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualFleet.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import rowanplank.config.FleetConfig;
 import rowanplank.fleet.Fleet;
 import rowanplank.fleet.Parts;
@@ -21,6 +23,8 @@
 import rowanplank.lab.net.SimProcess;
 import rowanplank.lab.net.VirtualDisk;
 import rowanplank.lab.world.World;
+import rowanplank.ledger.Command;
+import rowanplank.ledger.Result;
 import rowanplank.metrics.RateLimitedLog;
 
 /**
@@ -50,6 +54,7 @@
     private final Map<InetSocketAddress, SimMachine> machines = new LinkedHashMap<>();
     private final List<String> lines = new ArrayList<>();
     private long incarnations;
+    private BiPredicate<InetSocketAddress, InetSocketAddress> cut = (from, to) -> false;
 
     public VirtualFleet(long seed) {
         world = new World(seed);
@@ -71,27 +76,30 @@
     }
 
     final class Node {
+        private final FleetConfig config;
         private final Fleet fleet;
         private final VirtualLoop loop;
+        private final VirtualDisk disk;
         private String failed;
 
-        private Node(FleetConfig config, byte[] state) {
+        private Node(FleetConfig config, byte[] state, Fleet.Clients clients) {
+            this.config = config;
             SimProcess process = machines.computeIfAbsent(config.listen(), at -> network.machine(config.node() + incarnations,
                     0, at.getAddress())).boot(Process.unbounded(config.node()), e -> {
                         throw new IllegalStateException(e);
                     });
             loop = new VirtualLoop(world, process, 1, (from, to, payload) -> world.after(TRANSIT, () -> {
                 Node there = nodes.get(to);
-                if (there != null) {
+                if (there != null && !cut.test(config.listen(), to)) {
                     there.loop.arrived(config.listen(), to, payload);
                 }
             }));
             RateLimitedLog log = new RateLimitedLog(loop.clock(), (warning, line, cause) ->
                     lines.add(config.node() + ": " + line));
             fleet = new Fleet(config, ++incarnations, new Parts(), new Fleet.Machine(loop,
-                    new VirtualDisk(world.random("disk " + incarnations), state),
+                    disk = new VirtualDisk(world.random("disk " + incarnations), state),
                     (directory, file, content, outdated, done) -> { }, (command, environment, ended) -> null, log));
-            fleet.servesBy(() -> true);
+            fleet.serves(clients);
             loop.execute(() -> {
                 try {
                     fleet.start();
@@ -115,16 +123,47 @@
                     .anyMatch(l -> l.asObject().getString("lease", "").equals(lease));
         }
 
-        void reload(FleetConfig fresh, java.util.function.Consumer<String> told) {
+        void reload(FleetConfig fresh, Consumer<String> told) {
             loop.execute(() -> told.accept(fleet.reload(fresh)));
         }
 
         /** Outright. */
         void kill() {
+            disk.killed();
             loop.process().kill();
             nodes.values().remove(this);
         }
 
+        /** After it was killed: another process from the same file and disk. */
+        Node startAgain(Fleet.Clients clients) {
+            return start(config, disk.content(), clients);
+        }
+
+        /** What is on its disk. */
+        byte[] state() {
+            return disk.content();
+        }
+
+        FleetConfig config() {
+            return config;
+        }
+
+        /** Asked to end, as by SIGTERM; then it is gone. */
+        void stop(Runnable done) {
+            loop.execute(() -> fleet.stop(Duration.ofSeconds(2), () -> {
+                kill();
+                done.run();
+            }));
+        }
+
+        void work(Consumer<JsonObject> told) {
+            loop.execute(() -> fleet.work(told));
+        }
+
+        void say(Command.Staff words, Consumer<Result> told) {
+            loop.execute(() -> fleet.say(words, told));
+        }
+
         private String thinksOf(String other) {
             for (JsonValue m : status().get("members").asArray()) {
                 if (m.asObject().getString("name", "").equals(other)) {
@@ -137,11 +176,28 @@
 
     /** @param state what is on its disk; null where it has none */
     Node start(FleetConfig config, byte[] state) {
-        Node node = new Node(config, state);
+        return start(config, state, Fleet.Clients.servedBy(() -> true));
+    }
+
+    Node start(FleetConfig config, byte[] state, Fleet.Clients clients) {
+        Node node = new Node(config, state, clients);
         nodes.put(config.listen(), node);
         return node;
     }
 
+    /** What does not pass between two places from now on. */
+    void cut(BiPredicate<InetSocketAddress, InetSocketAddress> ways) {
+        cut = ways;
+    }
+
+    void after(Duration time, Runnable task) {
+        world.after(time, task);
+    }
+
+    Duration now() {
+        return Duration.ofNanos(world.nanos());
+    }
+
     void pass(Duration time) {
         world.runUntil(world.nanos() + time.toNanos());
     }
