--- a/src/main/java/rowanplank/lab/trial/WorkPlay.java
+++ b/src/main/java/rowanplank/lab/trial/WorkPlay.java
@@ -47,6 +47,7 @@
     private final VirtualFleet fleet;
     private final List<Seat> seats = new ArrayList<>();
     private long numbers;
+    private Seat leads;
     private double failing;
     private long load = OPEN;
 
@@ -171,8 +172,14 @@
 
     /** Null where nobody leads. */
     Seat leader() {
-        return seats.stream().filter(s -> s.node != null && s.node.status().getString("role", "").equals("leader"))
-                .findFirst().orElse(null);
+        if (leads == null || !isLeader(leads)) {
+            leads = seats.stream().limit(plan.voters()).filter(WorkPlay::isLeader).findFirst().orElse(null);
+        }
+        return leads;
+    }
+
+    private static boolean isLeader(Seat s) {
+        return s.node != null && s.node.status().getString("role", "").equals("leader");
     }
 
     /** Asks at one node, and waits for the answer; null where it is not known. */
@@ -229,7 +236,15 @@
 
     /** Those that are out are started anew, as whatever runs them does. */
     void restartThoseThatAreOut() {
-        seats.stream().filter(s -> s.turn().equals("out")).forEach(Seat::restart);
+        JsonObject work = work();
+        for (JsonValue v : work == null ? List.<JsonValue>of() : work.get("lines").asArray()) {
+            if (v.asObject().getString("state", "").equals("out")) {
+                Seat s = seat(v.asObject().getString("machine", ""));
+                if (s.turn().equals("out")) {
+                    s.restart();
+                }
+            }
+        }
     }
 
     /** A rolling restart of all. */
--- a/src/test/java/rowanplank/measure/RollingRestart.java
+++ b/src/test/java/rowanplank/measure/RollingRestart.java
@@ -316,8 +316,14 @@
                 asked.incrementAndGet();
                 askedIn.incrementAndGet(second);
             }
+            int node = next;
+            long sent = millis();
             calls.page(fronts.get(next), "/article/" + i, "roll-" + i, DEADLINE, reply -> {
                 if (counted) {
+                    if (reply == null || reply.status() != 200) {
+                        System.out.printf(Locale.ROOT, "after %.1f s n%d: %s after %d ms%n", (sent - began) / 1e3, node + 1,
+                                reply == null ? "no answer" : reply.status(), millis() - sent);
+                    }
                     (reply == null ? lost : reply.status() == 200 ? served : rejected).incrementAndGet();
                     servedIn.addAndGet(second, reply != null && reply.status() == 200 ? 1 : 0);
                 }
