--- a/src/main/java/rowanplank/lab/trial/WorkPlants.java
+++ b/src/main/java/rowanplank/lab/trial/WorkPlants.java
@@ -82,7 +82,7 @@
                     }
 
                     @Override
-                    public String againstIt(String machine) {
+                    public String againstIt(Instant now, String machine) {
                         return null;
                     }
                 };
@@ -168,6 +168,11 @@
         public boolean isReady() {
             return actions.isReady();
         }
+
+        @Override
+        public Ask.Service service() {
+            return actions.service();
+        }
     }
 
     private static Parts desk(String name) {
@@ -211,6 +216,11 @@
         protected boolean isMissing(String node) {
             return !fault.equals("work-dead-uncounted") && super.isMissing(node);
         }
+
+        @Override
+        protected boolean isDead(String node) {
+            return !fault.equals("work-dead-uncounted") && super.isDead(node);
+        }
     }
 
     private record AnyMajority(WorkDesk.Actions actions) implements WorkDesk.Actions {
@@ -239,6 +249,21 @@
             return actions.serves(node);
         }
 
+        @Override
+        public String text() {
+            return actions.text();
+        }
+
+        @Override
+        public boolean lives(String node) {
+            return actions.lives(node);
+        }
+
+        @Override
+        public Instant wall() {
+            return actions.wall();
+        }
+
         @Override
         public boolean hasMajorityWithout(Set<String> nodes) {
             return true;
--- a/src/main/java/rowanplank/ledger/WorkDesk.java
+++ b/src/main/java/rowanplank/ledger/WorkDesk.java
@@ -481,7 +481,7 @@
     private String unwell(Instant now) {
         for (Work.Place p : settings.bounds().dead() ? ledger.work().places() : List.<Work.Place>of()) {
             Work.Line l = ledger.work().line(p.machine());
-            if ((l == null || l.state() != Work.State.OUT) && !actions.lives(p.node())) {
+            if ((l == null || l.state() != Work.State.OUT) && isDead(p.node())) {
                 return p.node() + " is dead: start it, or say forget where it is gone for good";
             }
         }
@@ -535,6 +535,10 @@
                 : "without " + machine + " too few voters would be left";
     }
 
+    protected boolean isDead(String node) {
+        return !actions.lives(node);
+    }
+
     /** Counts as out though it has no turn. */
     protected boolean isMissing(String node) {
         return !actions.serves(node);
