Bound tries at cold page servers by places of their own, and say why a node may use nothing

[fleet.budgets] places_cold, off by default: a try at a server in its cold time takes a use of cold/ID as well, of all nodes together. fleet status says beside each part why the node may use none of it. Whole nodes in virtual time: one place at cold servers keeps tries of nodes that know of their start to one at a time, without it more are out at once; tries and calls to discovery keep to the fleet's rates.

--- a/src/main/java/rowanplank/cli/FleetStatusCommand.java
+++ b/src/main/java/rowanplank/cli/FleetStatusCommand.java
@@ -68,7 +68,8 @@
         for (JsonValue v : Door.array(o, "parts")) {
             JsonObject p = v.asObject();
             line(text, "uses", p.get("open") + " of " + p.getString("budget", "") + ", may use " + p.get("usable") + " for "
-                    + p.get("left_ms") + " ms more; refused " + p.get("refused") + " times");
+                    + p.get("left_ms") + " ms more; refused " + p.get("refused") + " times"
+                    + (p.getString("why", "").isEmpty() ? "" : "; " + p.getString("why", "")));
         }
         return text.toString();
     }
--- a/src/main/java/rowanplank/cli/LabBudgetsCommand.java
+++ b/src/main/java/rowanplank/cli/LabBudgetsCommand.java
@@ -45,6 +45,8 @@
     private long floor;
     @Option(names = "--reserve", paramLabel = "N", defaultValue = "0", description = "Places kept for nodes that come.")
     private long reserve;
+    @Option(names = "--cold", paramLabel = "N", defaultValue = "0", description = "Places at a cold server; 0: the module's rule alone.")
+    private long cold;
     @Option(names = "--threads", paramLabel = "N", defaultValue = "4", description = "How many days at a time.")
     private int threads;
 
@@ -56,7 +58,7 @@
                     + "and --fixed times --nodes at most --places");
         }
         Sharing sharing = new Sharing(Duration.ofMillis(part), Duration.ofMillis(hold), List.of(), List.of(), new Places(places,
-                fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4), new Sharing.Terms(floor, reserve), false),
+                fixed, nodes, Duration.ofMillis(50), Duration.ofSeconds(4), new Sharing.Terms(floor, reserve), false, cold),
                 Sharing.Uses.NONE);
         DayRun.Manner usual = DayRun.Manner.usual(new SystemClock());
         Map<String, DayRun.Manner> ways = new LinkedHashMap<>();
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -153,13 +153,14 @@
      * @param fixed of these, set aside for each of so many nodes
      * @param linger a try that was given up holds its place for so long more: by then the server has heard of it
      * @param longest after so long a try is over, at the server too
+     * @param cold of these, at a server that is cold; 0 where only the module's own rule bounds them
      * @param byWorth whether a node's part counts by the worth of what it sends, where places are short
      */
     public record Places(long whole, long fixed, int nodes, Duration linger, Duration longest, Sharing.Terms terms,
-            boolean byWorth) {
+            boolean byWorth, long cold) {
         /** One without floor or reserve, to which all requests are worth the same. */
         public Places(long whole, long fixed, int nodes, Duration linger, Duration longest) {
-            this(whole, fixed, nodes, linger, longest, Sharing.Terms.NONE, false);
+            this(whole, fixed, nodes, linger, longest, Sharing.Terms.NONE, false, 0);
         }
     }
 
--- a/src/main/java/rowanplank/config/SharingReader.java
+++ b/src/main/java/rowanplank/config/SharingReader.java
@@ -58,8 +58,12 @@
             s.fault("places_fixed", "for " + nodes + " nodes it is more than the whole");
         }
         Sharing.Terms terms = terms(s, "places_floor", "places_reserve", whole - fixed * nodes);
+        long cold = s.whole("places_cold", 0, MOST_WHOLE, 0);
+        if (cold > whole) {
+            s.fault("places_cold", "is more than the whole of " + whole);
+        }
         boolean byWorth = s.flag("places_by_worth", false);
-        return wanted ? new Places(whole, fixed, nodes, linger, longest, terms, byWorth) : null;
+        return wanted ? new Places(whole, fixed, nodes, linger, longest, terms, byWorth, cold) : null;
     }
 
     private static Sharing.Uses uses(TomlSection s, List<Budget> budgets) {
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -112,7 +112,7 @@
     /** Tells the module of the peers. */
     public void servers(ListKind kind, List<Server> servers) {
         if (kind != ListKind.FAILED) {
-            places.servers(servers, kind != ListKind.DELTA, site.module().zone());
+            places.servers(servers, kind != ListKind.DELTA, site.module());
         }
         deliver(() -> balancer.onServers(nowMs(), kind, servers));
     }
--- a/src/main/java/rowanplank/decision/Places.java
+++ b/src/main/java/rowanplank/decision/Places.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 
 /**
  * How many tries this node may have at each peer at once, where that is not the module's own choice: its parts of the
@@ -24,7 +25,7 @@
         public void end(long server, boolean heard) { }
 
         @Override
-        public void servers(List<Server> changed, boolean complete, int ownZone) { }
+        public void servers(List<Server> changed, boolean complete, Settings site) { }
 
         @Override
         public void usable(Runnable changed) { }
@@ -40,7 +41,7 @@
     void end(long server, boolean heard);
 
     /** Peers as discovery tells of them. @param complete whether they are all */
-    void servers(List<Server> changed, boolean complete, int ownZone);
+    void servers(List<Server> changed, boolean complete, Settings site);
 
     /** @param changed run when there are places at a peer at which there were none, never within another call */
     void usable(Runnable changed);
--- a/src/main/java/rowanplank/fleet/PlaceKeeper.java
+++ b/src/main/java/rowanplank/fleet/PlaceKeeper.java
@@ -10,6 +10,7 @@
 import net.openhft.hashing.LongHashFunction;
 import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.FleetConfig;
 import rowanplank.decision.Places;
 import rowanplank.ledger.Ask;
@@ -48,6 +49,11 @@
 
     private static final class Place {
         final String name;
+        /** Of the budget that bounds it while it is cold, and until when that is; null where nothing does. */
+        final String coldName;
+        Instant coldUntil;
+        /** Uses of that one, no fewer than tries that began while it was cold and are out. */
+        int coldOpen;
         int open;
         int most;
         boolean full;
@@ -65,6 +71,7 @@
         Place(long server, boolean own, double lot) {
             this.own = own;
             this.lot = lot;
+            coldName = Sharing.COLD + Long.toUnsignedString(server, Character.MAX_RADIX);
             name = Sharing.PLACES + Long.toUnsignedString(server, Character.MAX_RADIX);
         }
     }
@@ -99,7 +106,13 @@
     /** The budgets that it uses. */
     Map<String, Command.Define> budgets(FleetConfig.Sharing sharing) {
         Map<String, Command.Define> all = new TreeMap<>();
-        places.values().forEach(p -> all.put(p.name, Sharing.placesOf(sharing, p.name)));
+        Instant now = loop.clock().now();
+        for (Place p : places.values()) {
+            all.put(p.name, Sharing.placesOf(sharing, p.name));
+            if (p.coldOpen > 0 || isCold(now, p)) {
+                all.put(p.coldName, Sharing.placesOf(sharing, p.coldName));
+            }
+        }
         return all;
     }
 
@@ -110,7 +123,27 @@
     }
 
     private double at(Place p) {
-        return p.gone ? 0 : Math.max(0, holder.limit(loop.clock().now(), p.name));
+        Instant now = loop.clock().now();
+        long most = p.gone ? 0 : holder.limit(now, p.name);
+        return Math.max(0, isCold(now, p) ? Math.min(most, holder.limit(now, p.coldName)) : most);
+    }
+
+    private static boolean isCold(Instant now, Place p) {
+        return p.coldUntil != null && now.isBefore(p.coldUntil);
+    }
+
+    /** One that is cold needs a use of both. */
+    private boolean begin(Instant now, Place p) {
+        boolean cold = isCold(now, p);
+        if (cold && holder.begin(now, p.coldName) < 0) {
+            return false;
+        }
+        boolean begun = holder.begin(now, p.name) >= 0;
+        p.coldOpen += cold && begun ? 1 : 0;
+        if (cold && !begun) {
+            holder.end(p.coldName);
+        }
+        return begun;
     }
 
     @Override
@@ -120,7 +153,7 @@
             return false;
         }
         p.worth += WORTH_GAIN * (worth - p.worth);
-        boolean begun = holder.begin(loop.clock().now(), p.name) >= 0;
+        boolean begun = begin(loop.clock().now(), p);
         p.open += begun ? 1 : 0;
         p.most = Math.max(p.most, p.open);
         p.full |= !begun || p.open >= holder.limit(loop.clock().now(), p.name);
@@ -142,18 +175,26 @@
 
     private void ended(Place p) {
         p.open--;
-        if (holder.end(p.name)) {
+        boolean fit = holder.end(p.name);
+        if (p.coldOpen > p.open) {
+            p.coldOpen--;
+            fit |= holder.end(p.coldName);
+        }
+        if (fit) {
             fits.run();
         }
     }
 
     @Override
-    public void servers(List<Server> changed, boolean complete, int ownZone) {
+    public void servers(List<Server> changed, boolean complete, Settings site) {
         places.values().forEach(p -> p.gone |= complete);
         for (Server s : changed) {
             Place p = places.get(s.id());
             if (s.lifecycle() == Lifecycle.READY && (p != null || places.size() < MOST)) {
-                places.computeIfAbsent(s.id(), id -> new Place(id, s.zone() == ownZone, lot(id))).gone = false;
+                Place listedNow = places.computeIfAbsent(s.id(), id -> new Place(id, s.zone() == site.zone(), lot(id)));
+                listedNow.gone = false;
+                listedNow.coldUntil = config.cold() == 0 || s.startedAtMs() == 0 ? null
+                        : Instant.ofEpochMilli((long) Math.ceil(s.startedAtMs() + site.rules().coldMs()));
             } else if (p != null) {
                 p.gone = true;
             }
@@ -210,16 +251,24 @@
         if (!now.isBefore(nextLook)) {
             nextLook = now.plus(LOOK);
             boolean more = false;
+            boolean warm = false;
             choose();
             for (Place p : places.values()) {
                 boolean before = p.usable;
                 p.usable = at(p) > 0;
                 more |= p.usable && !before;
+                if (p.coldUntil != null && !now.isBefore(p.coldUntil) && p.coldOpen == 0) {
+                    p.coldUntil = null;
+                    warm = true;
+                }
                 p.lately = Math.max(p.most, p.lately * FORGET);
                 wish(p);
                 p.most = p.open;
                 p.full = false;
             }
+            if (warm) {
+                listed.run();
+            }
             if (more) {
                 loop.execute(usable);
             }
@@ -230,6 +279,9 @@
         boolean unused = p.gone || !p.wanted;
         long more = Math.min(config.whole(), 1 + (long) Math.ceil(p.lately));
         holder.wish(p.name, unused ? 0 : p.full ? config.whole() : more, config.byWorth() ? weight(p.worth) : Division.NORMAL);
+        if (p.coldUntil != null) {
+            holder.wish(p.coldName, unused ? 0 : Math.min(config.cold(), more));
+        }
     }
 
     /** In steps, so that not each request is news: a quarter more or less is the same. */
--- a/src/main/java/rowanplank/fleet/Sharing.java
+++ b/src/main/java/rowanplank/fleet/Sharing.java
@@ -19,6 +19,8 @@
 final class Sharing {
     /** The budgets of page servers are called so, and their ids. */
     static final String PLACES = "place/";
+    /** And those of page servers while they are cold, so. */
+    static final String COLD = "cold/";
 
     private Sharing() { }
 
@@ -40,13 +42,16 @@
     /** Null where it is not a page server's, or places are not shared. */
     static Command.Define placesOf(FleetConfig.Sharing sharing, String name) {
         FleetConfig.Places p = sharing.places();
+        if (p != null && p.cold() > 0 && name.startsWith(COLD)) {
+            return new Command.Define(name, false, new Share(p.cold(), 0), Share.NONE, 1);
+        }
         return p == null || !name.startsWith(PLACES) ? null
                 : new Command.Define(name, false, new Share(p.whole(), 0), new Share(p.fixed(), 0), p.nodes());
     }
 
     /** How the budget of that name is to be divided, by whoever leads. */
     static Division.Terms terms(FleetConfig.Sharing sharing, String name) {
-        FleetConfig.Sharing.Terms t = sharing.terms(name);
+        FleetConfig.Sharing.Terms t = name.startsWith(COLD) ? FleetConfig.Sharing.Terms.NONE : sharing.terms(name);
         FleetConfig.Budget b = sharing.budgets().stream().filter(x -> x.name().equals(name)).findFirst().orElse(null);
         long unit = b != null && b.rate() ? Share.USE : 1;
         return new Division.Terms(t.floor() * unit, t.reserve() * unit, sharing.hold());
@@ -93,6 +98,19 @@
         return all;
     }
 
+    private static long fixedOf(FleetConfig.Sharing sharing, String budget) {
+        return sharing.budgets().stream().filter(b -> b.name().equals(budget)).mapToLong(FleetConfig.Budget::fixed).findFirst()
+                .orElse(budget.startsWith(PLACES) && sharing.places() != null ? sharing.places().fixed() : 0);
+    }
+
+    /** Why it may use no more than it may; empty where it has its part. */
+    private static String why(BudgetHolder.Has h, long fixed) {
+        if (h.left().isZero()) {
+            return fixed > 0 ? "reaches no leader: uses its fixed part, " + fixed : "reaches no leader, and has no fixed part";
+        }
+        return h.target().amount() > 0 ? "" : fixed > 0 ? "has its fixed part alone, " + fixed : "others have all, or it asked for none";
+    }
+
     /** What this node has. */
     static JsonArray has(BudgetHolder holder, FleetConfig.Sharing sharing, Instant now) {
         JsonArray all = new JsonArray();
@@ -100,7 +118,8 @@
             boolean rate = sharing.budgets().stream().anyMatch(b -> b.rate() && b.name().equals(h.budget()));
             all.add(new JsonObject().add("budget", h.budget()).add("epoch", h.epoch())
                     .add("amount", uses(rate, h.amount().amount())).add("usable", uses(rate, h.target().amount()))
-                    .add("open", h.open()).add("refused", h.refused()).add("left_ms", h.left().toMillis()));
+                    .add("open", h.open()).add("refused", h.refused()).add("left_ms", h.left().toMillis())
+                    .add("why", why(h, fixedOf(sharing, h.budget()))));
         }
         return all;
     }
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -51,6 +51,10 @@
         "every = \"5s\" | every = \"5s\"~once_in = \"1h\" | once_in: must not stand beside every or always",
         "name = \"press\" | name = \"press\"~snapshot = 3 | fleet.snapshot: must be a whole number from 16 to 100000",
         "every = \"5s\" | evry = \"5s\" | unknown key",
+        "[[lease]] | [fleet.budgets]~places = 4~places_cold = 5~[[lease]] | fleet.budgets.places_cold: is more than the whole of 4",
+        "[[lease]] | [fleet.budgets]~tries = \"t\"~[[lease]] | fleet.budgets.tries: there is no [[budget]] of that name and kind rate: t",
+        "[[lease]] | [[budget]]~name = \"b\"~whole = 2~reserve = 2~[[lease]] | reserve: leaves nothing to divide",
+        "[[lease]] | [[budget]]~name = \"b\"~whole = 2~floor = 3~[[lease]] | floor: is more than there is to divide: 2",
         "name = \"press\" | | fleet.name: is missing"})
     void eachFaultIsOneLineWithItsPlace(String line, String instead, String told) throws Exception {
         List<String> faults = faults(example().replace(line, instead == null ? "" : instead.replace("~", "\n")));
--- a/src/test/java/rowanplank/lab/run/FleetDaysTest.java
+++ b/src/test/java/rowanplank/lab/run/FleetDaysTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,6 +26,8 @@
 @Timeout(120)
 class FleetDaysTest {
     private static final DayRun.Manner USUAL = DayRun.Manner.usual(new SystemClock());
+    /** So long after discovery wrote of a start, a node has read it. */
+    private static final long HEARD_BY = 100_000_000;
     private static final Places PLACES = new Places(4, 0, 3, Duration.ofMillis(50), Duration.ofSeconds(4));
 
     private static Sharing bounding(List<Budget> budgets, Sharing.Uses uses) {
@@ -80,6 +83,69 @@
         return most;
     }
 
+    /** Of tries out at once, at all nodes together, at a server in its cold time, from nodes that had heard of its start. */
+    private static int mostAtACold(List<Event> events, Duration cold) {
+        Map<Integer, Long> started = new TreeMap<>();
+        Map<Integer, Set<Long>> out = new TreeMap<>();
+        Map<String, Long> told = new TreeMap<>();
+        int most = 0;
+        for (Event e : events) {
+            switch (e.kind()) {
+                case SERVER_STARTED -> {
+                    started.put(e.server(), e.at());
+                    out.put(e.server(), new TreeSet<>());
+                    told.keySet().removeIf(k -> k.endsWith(" " + e.server()));
+                }
+                case TOLD -> {
+                    if (e.server() != Event.NONE && started.get(e.server()) > 0 && e.value() == 1 && e.request() > 0) {
+                        told.putIfAbsent(e.node() + " " + e.server(), e.at());
+                    }
+                }
+                case TRY_CAME -> {
+                    long heard = told.getOrDefault(e.node() + " " + e.server(), Long.MAX_VALUE - HEARD_BY);
+                    if (e.value() > heard + HEARD_BY && e.at() < started.get(e.server()) + cold.toNanos()) {
+                        out.get(e.server()).add(e.request());
+                        most = Math.max(most, out.get(e.server()).size());
+                    }
+                }
+                case TRY_ANSWERED, TRY_WITHDRAWN, TRY_LOST -> out.get(e.server()).remove(e.request());
+                default -> { }
+            }
+        }
+        return most;
+    }
+
+    @Test
+    void aColdServerHasNoMoreThanItsColdPlacesOfAllNodes() {
+        Day day = FleetDay.CALM.draw(5, 4, 2.2);
+        List<Fault> faults = new ArrayList<>(day.faults());
+        for (int s = 0; s < 6; s++) {
+            faults.add(new Fault(Fault.Kind.SERVER_KILLED, Duration.ofSeconds(5), Duration.ofSeconds(1), s, 0));
+        }
+        Day cold = DayEdit.withLength(DayEdit.withFaults(day, faults), Duration.ofSeconds(16));
+        Places one = new Places(8, 0, 4, Duration.ofMillis(50), Duration.ofSeconds(4), Sharing.Terms.NONE, false, 1);
+        Places all = new Places(8, 0, 4, Duration.ofMillis(50), Duration.ofSeconds(4));
+        Duration coldTime = day.rules().cold();
+        assertEquals(1, mostAtACold(play(cold, new Sharing(Duration.ofSeconds(4), List.of(), List.of(), one)), coldTime));
+        assertTrue(mostAtACold(play(cold, new Sharing(Duration.ofSeconds(4), List.of(), List.of(), all)), coldTime) > 1);
+    }
+
+    /** A node that starts asks discovery with a use of its part, and no more often than the fleet may. */
+    @Test
+    void callsToDiscoveryKeepToTheFleetsRate() {
+        Day day = FleetDay.CALM.draw(3, 3, 1);
+        Day out = DayEdit.withLength(DayEdit.withFaults(day, List.of(day.faults().get(0), new Fault(
+                Fault.Kind.DISCOVERY_MALFORMED, Duration.ofSeconds(4), Duration.ofSeconds(6), Fault.ALL, 1),
+                new Fault(Fault.Kind.SERVER_REPLACED, Duration.ofMillis(4500), Duration.ZERO, 2, 0))), Duration.ofSeconds(12));
+        Sharing on = bounding(List.of(new Budget("calls", true, 2, 4, 0, 3)), new Sharing.Uses(null, 1000, "calls"));
+        assertTrue(malformed(play(out, on)) <= 2 * 6 + 4);
+        assertTrue(malformed(play(out, Sharing.NONE)) > 2 * (2 * 6 + 4), "the day asks for more");
+    }
+
+    private static long malformed(List<Event> events) {
+        return events.stream().filter(e -> e.kind() == Event.Kind.NODE_LOGGED && e.text().contains("of discovery")).count();
+    }
+
     /** Servers are replaced while nodes are many: nodes stay well, and their talk bounded. */
     @Test
     void aListThatChangesAllAtOnceMakesNoStorm() {
