--- a/src/main/java/rowanplank/cli/Door.java
+++ b/src/main/java/rowanplank/cli/Door.java
@@ -55,7 +55,7 @@
         try {
             DoorCalls.Reply reply = call("POST", path);
             Boolean done = reply.status() == 200 ? Boolean.TRUE : reply.status() == 503 ? null : Boolean.FALSE;
-            return new Said(done, address + ": " + reply.body().strip());
+            return new Said(done, address + ": " + (done == null ? "no leader answered in time" : reply.body().strip()));
         } catch (IOException e) {
             return new Said(null, e.getMessage());
         }
--- a/src/main/java/rowanplank/cli/FleetWorkCommand.java
+++ b/src/main/java/rowanplank/cli/FleetWorkCommand.java
@@ -215,7 +215,8 @@
         if (!work.getString("held", "").isEmpty()) {
             text.append(String.format("%-8s%s%n", "held", work.getString("held", "")));
         } else if (!work.getString("halted", "").isEmpty() && !Door.array(work, "plan").isEmpty()) {
-            text.append(String.format("%-8s%s%n", "halted", work.getString("halted", "")));
+            String why = work.getString("halted", "");
+            text.append(String.format("%-8s%s%n", why.startsWith("as many as") || why.startsWith("the time of none") ? "waits" : "halted", why));
         }
         return text.toString();
     }
