--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -34,6 +34,14 @@
         assertEquals(Duration.ofSeconds(4), file.fleet().leases().get(0).length());
     }
 
+    @Test
+    void theExampleOfBudgetsCanBeUsed() throws Exception {
+        FleetConfig.Sharing s = OperatorFile.read("f", Files.readString(Path.of("deploy/fleet/budgets.toml"))).fleet().sharing();
+        assertEquals(new FleetConfig.Sharing.Uses("again", 0.1, "calls"), s.uses());
+        assertEquals(new FleetConfig.Sharing.Terms(0, 5), s.terms("again"));
+        assertEquals(1, s.places().cold());
+    }
+
     @Test
     void withoutFleetThereIsNone() throws Exception {
         assertNull(OperatorFile.read("f", example().substring(0, example().indexOf("[fleet]"))).fleet());
