--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -205,7 +205,7 @@
     }
 
     private boolean isMine(Server s) {
-        // Parts of the fleet's places are whole ones wherever there are any: then they say which servers it uses.
+        // Parts of the fleet's places are whole ones: where there are any, they say which servers it uses.
         double told = actions.places(s.id());
         return told < 0 ? subset.uses(s.id(), s.zone()) : told > 0 || targets.containsKey(s.id());
     }
@@ -347,7 +347,7 @@
         double most = refusing && warmth == 1 ? SATURATED : MOST_IN_FLIGHT;
         // And a request that some zone can still take must not be refused for being another zone's.
         double parts = refusing ? 1 : route.parts(t.listed.zone());
-        // Of a bound that is the fleet's, this node's part is told: for all zones, and its due share of a cold one.
+        // Of the fleet's bound, this node's part is told: for all zones, and a due share of a cold one.
         double told = actions.places(t.listed.id());
         return (told < 0 ? most * parts / sharers : told) * t.limit.part * cold;
     }
@@ -515,9 +515,10 @@
             return;
         }
         // Only where the server has said nothing since: a copy of what is merely slow adds load to load.
-        if (settings.limits().secondCopies() && now - last.sentAt > r.type.aimMs()
+        if (settings.limits().secondCopies() && now - last.sentAt > r.type.aimMs() && retryBudget >= 1
                 && last.target.lastHeardAt < last.sentAt && r.type.effect() != Effect.ONCE && held.isEmpty()
-                && retryBudget >= 1 && r.attempts.size() < settings.limits().maxAttempts() && actions.mayTryAgain() && trySend(r)) {
+                && r.attempts.size() < settings.limits().maxAttempts() && actions.mayTryAgain()
+                && trySend(r)) {
             retryBudget--;
         }
     }
--- a/src/main/java/rowanplank/fleet/PlaceKeeper.java
+++ b/src/main/java/rowanplank/fleet/PlaceKeeper.java
@@ -200,7 +200,8 @@
             }
         }
         places.values().removeIf(p -> p.gone && p.open == 0);
-        order = places.values().stream().filter(p -> !p.gone).sorted(Comparator.comparingDouble((Place p) -> p.lot)).toList();
+        order = places.values().stream().filter(p -> !p.gone)
+                .sorted(Comparator.comparingDouble((Place p) -> p.lot)).toList();
         choose();
         listed.run();
     }
@@ -278,7 +279,8 @@
     private void wish(Place p) {
         boolean unused = p.gone || !p.wanted;
         long more = Math.min(config.whole(), 1 + (long) Math.ceil(p.lately));
-        holder.wish(p.name, unused ? 0 : p.full ? config.whole() : more, config.byWorth() ? weight(p.worth) : Division.NORMAL);
+        holder.wish(p.name, unused ? 0 : p.full ? config.whole() : more,
+                config.byWorth() ? weight(p.worth) : Division.NORMAL);
         if (p.coldUntil != null) {
             holder.wish(p.coldName, unused ? 0 : Math.min(config.cold(), more));
         }
--- a/src/main/java/rowanplank/fleet/Sharing.java
+++ b/src/main/java/rowanplank/fleet/Sharing.java
@@ -106,9 +106,11 @@
     /** Why it may use no more than it may; empty where it has its part. */
     private static String why(BudgetHolder.Has h, long fixed) {
         if (h.left().isZero()) {
-            return fixed > 0 ? "reaches no leader: uses its fixed part, " + fixed : "reaches no leader, and has no fixed part";
+            return fixed > 0 ? "reaches no leader: uses its fixed part, " + fixed
+                    : "reaches no leader, and has no fixed part";
         }
-        return h.target().amount() > 0 ? "" : fixed > 0 ? "has its fixed part alone, " + fixed : "others have all, or it asked for none";
+        return h.target().amount() > 0 ? "" : fixed > 0 ? "has its fixed part alone, " + fixed
+                : "others have all, or it asked for none";
     }
 
     /** What this node has. */
--- a/src/main/java/rowanplank/fleet/wire/BudgetForm.java
+++ b/src/main/java/rowanplank/fleet/wire/BudgetForm.java
@@ -152,7 +152,8 @@
     private static List<Ask.Wish> wishes(Unpacker in, boolean weighted) throws MalformedException {
         List<Ask.Wish> wishes = new ArrayList<>();
         for (int left = in.count(); left > 0; left--) {
-            wishes.add(new Ask.Wish(in.text(), in.number(), weighted ? (int) Math.min(Integer.MAX_VALUE, in.number()) : Division.NORMAL));
+            wishes.add(new Ask.Wish(in.text(), in.number(),
+                    weighted ? (int) Math.min(Integer.MAX_VALUE, in.number()) : Division.NORMAL));
         }
         return wishes;
     }
