--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -20,9 +20,7 @@
     "seed, and judges the history of what was done. Status 3: a rule was broken; 1: it could not be played."})
 final class FleetTrialCommand implements Callable<Integer> {
     private static final int MOST_NODES = 30;
-    private static final int LEAST_SECONDS = 6;
     private static final int MOST_SECONDS = 3600;
-    private static final Duration LEAST_QUIET = Duration.ofSeconds(4);
 
     @Spec
     private CommandSpec spec;
@@ -31,7 +29,7 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "What breaks, and when, is drawn from it.")
     private long seed;
     @Option(names = "--seconds", paramLabel = "T", defaultValue = "20",
-            description = "From the first act on; at the end nothing breaks for 4 s, or a quarter of it.")
+            description = "From the first act on; at the end nothing breaks for 4 s, 7 s of places, or a quarter of it.")
     private int seconds;
     @Option(names = "--out", paramLabel = "DIR", description = "Where all that it writes goes.")
     private Path out;
@@ -45,13 +43,13 @@
             return Status.DONE;
         }
         trial.check(spec, MOST_NODES);
-        TrialOptions.within(spec, "--seconds", seconds, LEAST_SECONDS, MOST_SECONDS);
+        TrialOptions.within(spec, "--seconds", seconds, (int) trial.kind.quiet().plusSeconds(2).toSeconds(), MOST_SECONDS);
         Path folder = out == null ? Files.createTempDirectory("rowanplank-trial-") : Files.createDirectories(out);
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
         boolean planted = trial.plant != null;
         Trial real = new Trial(new TrialPlan(trial.kind, trial.nodes, seed, length,
-                quarter.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : quarter, trial.lease(), trial.faults, trial.gap(),
+                quarter.compareTo(trial.kind.quiet()) < 0 ? trial.kind.quiet() : quarter, trial.lease(), trial.faults, trial.gap(),
                 planted ? List.of() : NodeCommand.ofFile(),
                 planted ? NodeCommand.planted(trial.plant) : NodeCommand.standIn(), folder.toString()));
         Thread end = new Thread(real::end, "end");
--- a/src/main/java/rowanplank/lab/trial/BudgetPlants.java
+++ b/src/main/java/rowanplank/lab/trial/BudgetPlants.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
+import rowanplank.agreement.Agreement;
+import rowanplank.agreement.Saved;
 import rowanplank.fleet.Parts;
 import rowanplank.ledger.Ask;
 import rowanplank.ledger.BudgetDesk;
@@ -37,7 +39,7 @@
         all.put("use-forgotten", "a leader takes parts back at their end, and does not wait for the longest use");
         all.put("joiner-first", "a leader takes back early what a cut-off node has, where another one has joined since");
         all.put("parts-no-wait", "a new leader takes all parts back at once");
-        all.put("parts-unconfirmed", "a leader renews parts without asking whether it still leads");
+        all.put("parts-unconfirmed", "a leader renews parts without asking whether it still leads, and leads on without a majority");
         all.put("parts-never-lapse", "a leader never takes back what the dead had");
         all.put("part-from-answer", "a holder counts its parts' end from the answer, not from the asking");
         all.put("part-outlives", "a holder uses its parts for half of their length after their end");
@@ -86,6 +88,12 @@
                     .anyMatch(o -> o.epoch() > m.epoch()) ? m.length().dividedBy(2) : null);
             case "parts-never-lapse" -> waits((ledger, m) -> Duration.ofHours(1));
             case "parts-no-wait", "parts-unconfirmed" -> new Parts() {
+                @Override
+                public Agreement agreement(Agreement.Settings settings, Saved saved, Instant now, Agreement.Actions actions) {
+                    return name.equals("parts-no-wait") ? super.agreement(settings, saved, now, actions)
+                            : Plants.parts("unconfirmed-renewal").agreement(settings, saved, now, actions);
+                }
+
                 @Override
                 public BudgetDesk budgetDesk(double drift, Ledger ledger, BudgetDesk.Actions actions) {
                     return new WrongDesk(name, drift, ledger, actions);
--- a/src/main/java/rowanplank/lab/trial/LeaseSubject.java
+++ b/src/main/java/rowanplank/lab/trial/LeaseSubject.java
@@ -20,7 +20,7 @@
 /** A lease that one node at a time acts under, and one under which there is an act once a period. */
 final class LeaseSubject implements Subject {
     /** Of budgets, or against what is assumed. */
-    private static final Set<Trouble.Kind> OTHERS = EnumSet.of(Trouble.Kind.OLDER, Trouble.Kind.WHOLE);
+    private static final Set<Trouble.Kind> OTHERS = EnumSet.of(Trouble.Kind.OLDER, Trouble.Kind.WHOLE, Trouble.Kind.RUSH);
 
     /** Of a trial's figures: each time without a holder, in ms and in order of length. */
     static final String GAPS = "gaps_ms";
--- a/src/main/java/rowanplank/lab/trial/PlaceSubject.java
+++ b/src/main/java/rowanplank/lab/trial/PlaceSubject.java
@@ -36,7 +36,7 @@
     private static final Duration LINGER = Duration.ofMillis(300);
     private static final int MOST_RATE = 40;
     private static final Set<Trouble.Kind> OTHERS = EnumSet.of(Trouble.Kind.OLDER, Trouble.Kind.RELEASE,
-            Trouble.Kind.WHOLE, Trouble.Kind.HELD_START);
+            Trouble.Kind.WHOLE, Trouble.Kind.RUSH, Trouble.Kind.HELD_START);
     private static final List<Trouble.Kind> STIR = List.of(Trouble.Kind.RELOAD, Trouble.Kind.TERMINATE, Trouble.Kind.RELOAD,
             Trouble.Kind.KILL);
 
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -86,6 +86,11 @@
     /** The node's file is to say something else from now on. */
     void change(int node, UniformRandomProvider chance);
 
+    /** At all nodes at once more is to be done than before, or that is over. @return whether their files say so */
+    default boolean rush() {
+        return false;
+    }
+
     /** For the end all files are to say what is judged then. @return whose do not yet */
     List<Integer> settle();
 
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -67,6 +67,9 @@
         /** Staff ask the leader, if there is one, for another whole of a budget. */
         void changeWhole();
 
+        /** At all nodes at once more is to be done than before, or that is over. */
+        void rush() throws IOException;
+
         void after(Duration delay, Runnable task);
 
         void tell(String fault);
@@ -78,7 +81,7 @@
         TERMINATE, SLOW_DISK, FULL_DISK, VOTERS, RELOAD,
         TORN, FLIPPED, LOST,
         /** Of budgets alone. */
-        WHOLE,
+        WHOLE, RUSH,
         /** A voter's state is put back to what it was: against what is assumed, so it comes only where it is named. */
         OLDER
     }
@@ -333,6 +336,7 @@
             }
             case VOTERS -> voters();
             case WHOLE -> scene.changeWhole();
+            case RUSH -> scene.rush();
             case RELOAD -> {
                 int n = victim();
                 bring(TrialFault.What.RELOAD, n, Duration.ZERO, TrialPlan.name(n) + "'s file changes");
--- a/src/main/java/rowanplank/lab/trial/VirtualFleet.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualFleet.java
@@ -12,6 +12,8 @@
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import rowanplank.balancer.BalancerApi;
 import rowanplank.config.FleetConfig;
 import rowanplank.fleet.Fleet;
 import rowanplank.fleet.Parts;
@@ -36,6 +38,8 @@
     private static final int PORT = 7946;
     private static final String FLEET = "press";
     private static final int MOST_PLACES = 200;
+    private static final Duration USED_EACH = Duration.ofSeconds(1);
+    private static final Duration USED_FOR = Duration.ofMillis(50);
 
     /**
      * What a fleet at rest costs, by the usual times of an operator's file.
@@ -109,6 +113,26 @@
             });
         }
 
+        /** Each of so many servers once a second, in turn: one try at a time at each, of 50 ms. */
+        private void use(int servers) {
+            if (servers == 0) {
+                return;
+            }
+            loop.execute(() -> fleet.places().servers(IntStream.rangeClosed(1, servers).mapToObj(s -> new BalancerApi.Server(s, 0, 0,
+                    BalancerApi.Lifecycle.READY, 1, 0)).toList(), true));
+            for (int s = 1; s <= servers; s++) {
+                long server = s;
+                loop.schedule(USED_EACH.dividedBy(servers).multipliedBy(s), () -> used(server));
+            }
+        }
+
+        private void used(long server) {
+            if (fleet.places().at(server) > 0 && fleet.places().begin(server, 1)) {
+                loop.schedule(USED_FOR, () -> fleet.places().end(server, true));
+            }
+            loop.schedule(USED_EACH, () -> used(server));
+        }
+
         JsonObject status() {
             return fleet.status();
         }
@@ -216,6 +240,11 @@
      * @param length how long is counted, after 20 s
      */
     public static Rest rest(int count, long seed, Duration length, Duration lease) {
+        return rest(count, seed, length, lease, 0);
+    }
+
+    /** @param servers so many page servers, of which all nodes use four places each in turn, the parts as long as the lease */
+    public static Rest rest(int count, long seed, Duration length, Duration lease, int servers) {
         VirtualFleet fleet = new VirtualFleet(seed);
         if (count < 2 || count > MOST_PLACES) {
             throw new IllegalArgumentException("from 2 to " + MOST_PLACES + " nodes");
@@ -223,9 +252,10 @@
         Map<String, InetSocketAddress> voters = voters(count < 3 ? 1 : count < 5 ? 3 : 5);
         List<Node> all = new ArrayList<>();
         for (int n = 0; n < count; n++) {
-            all.add(fleet.start(usual(n, voters, count, lease), n >= voters.size() ? null
+            all.add(fleet.start(usual(n, voters, count, lease, servers), n >= voters.size() ? null
                     : DiskForm.create(FLEET, TrialPlan.name(n), List.copyOf(voters.keySet())).bytes()));
         }
+        all.forEach(n -> n.use(servers));
         fleet.pass(Duration.ofSeconds(20));
         Map<Node, Long> bytes = new LinkedHashMap<>();
         all.forEach(n -> bytes.put(n, -n.status().getLong("bytes_sent", 0)));
@@ -247,7 +277,8 @@
     }
 
     /** An operator's file with the usual times; all know all by name, as their files would. */
-    private static FleetConfig usual(int n, Map<String, InetSocketAddress> voters, int count, Duration lease) {
+    private static FleetConfig usual(int n, Map<String, InetSocketAddress> voters, int count, Duration lease,
+            int servers) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         for (int m = voters.size(); m < count; m++) {
             members.put(TrialPlan.name(m), at(m + 1));
@@ -256,7 +287,9 @@
         return new FleetConfig(FLEET, TrialPlan.name(n), at(n + 1), at(n + 1), voters, new TreeMap<>(), members,
                 n < voters.size() ? TrialPlan.name(n) : null, new FleetConfig.Timing(Duration.ofMillis(400),
                 Duration.ofNanos(133_333_333), 0.01, Duration.ofSeconds(10), Duration.ofSeconds(1), 1024),
-                List.of(new FleetConfig.Lease("nightly", lease)), List.of(), null);
+                List.of(new FleetConfig.Lease("nightly", lease)), List.of(), null, servers == 0 ? FleetConfig.Sharing.NONE
+                : new FleetConfig.Sharing(lease, List.of(), List.of(), new FleetConfig.Places(4, 0, count, Duration.ofMillis(50),
+                        Duration.ofSeconds(4))));
     }
 
     private long knownMs(Node dies, List<Node> all) {
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -102,10 +102,14 @@
 
     /** @param script what breaks, in order of time, instead of what the plan says */
     public VirtualTrial(Setting setting, List<TrialFault> script) {
+        this(setting, script, setting.plan().kind().subject(setting.plan()));
+    }
+
+    VirtualTrial(Setting setting, List<TrialFault> script, Subject subject) {
         this.setting = setting;
+        this.subject = subject;
         this.script = script == null ? null : List.copyOf(script);
         plan = setting.plan();
-        subject = plan.kind().subject(plan);
         world = new World(plan.seed());
         chance = world.random("trial");
         stirs = world.random("stirs");
@@ -663,6 +667,13 @@
             });
         }
 
+        @Override
+        public void rush() {
+            if (subject.rush()) {
+                nodes.forEach(Node::reload);
+            }
+        }
+
         @Override
         public void release(int n) {
             Fleet fleet = nodes.get(n).fleet;
--- a/src/main/java/rowanplank/lab/trial/WorkSubject.java
+++ b/src/main/java/rowanplank/lab/trial/WorkSubject.java
@@ -38,7 +38,8 @@
     private static final int SERVERS = 3;
     /** Of leases and budgets, against what is assumed, and a machine gone for good, without which nothing goes on. */
     private static final Set<Trouble.Kind> OTHERS = EnumSet.of(Trouble.Kind.OLDER, Trouble.Kind.RELEASE,
-            Trouble.Kind.WHOLE, Trouble.Kind.HELD_START, Trouble.Kind.RELOAD, Trouble.Kind.FLIPPED, Trouble.Kind.LOST);
+            Trouble.Kind.WHOLE, Trouble.Kind.RUSH, Trouble.Kind.HELD_START, Trouble.Kind.RELOAD,
+            Trouble.Kind.FLIPPED, Trouble.Kind.LOST);
 
     private final TrialPlan plan;
     private final List<WorkJudge.Place> places = new ArrayList<>();
--- a/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
@@ -27,7 +27,7 @@
  * <tr><td>goes-on</td><td>within the given time after the last fault every node that runs and wants uses again, where its
  * fair share is one use at the least</td></tr>
  * <tr><td>fair-again</td><td>and has its max-min fair part of the whole, less the stated distance, or more; no node that
- * ended has any</td></tr>
+ * ended has any; the whole in force is the one that was asked for last, and nothing is being given back any more</td></tr>
  * </table>
  *
  * <p>The whole that may be in force: what the voter that has applied most says, or more where staff have asked for more
@@ -379,6 +379,10 @@
         wanted.keySet().removeIf(n -> !runs.containsKey(n) || runs.get(n).kind() == Kind.ENDED);
         Told told = Told.parse(latest.text());
         Map<String, Double> fair = fair(Math.max(0, told.whole() - told.setAside()), wanted);
+        if (Math.abs(told.whole() - told.asked()) > EXACT || told.givingBack() > EXACT) {
+            found("fair-again", b.name() + ": a whole of " + told.whole() + " is in force where " + told.asked()
+                    + " was asked for, and " + told.givingBack() + " is being given back", List.of(latest));
+        }
         if (!isShortOfBurst(b, told, wanted.size())) {
             fair(b, fair, told, latest);
         }
--- /dev/null
+++ b/src/test/java/rowanplank/fleet/PlaceKeeperTest.java
@@ -0,0 +1,88 @@
+package rowanplank.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import rowanplank.balancer.BalancerApi.Lifecycle;
+import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.config.FleetConfig;
+import rowanplank.ledger.Ask;
+import rowanplank.ledger.BudgetHolder;
+import rowanplank.ledger.Result;
+import rowanplank.ledger.Share;
+import rowanplank.net.StandingLoop;
+
+/** Places at page servers as discovery lists them: ten servers, four places each. */
+class PlaceKeeperTest {
+    private static final Instant NOW = Instant.EPOCH;
+    private static final Duration LONGEST = Duration.ofSeconds(2);
+    private final FleetConfig.Sharing sharing = new FleetConfig.Sharing(Duration.ofSeconds(4), List.of(), List.of(),
+            new FleetConfig.Places(4, 0, 3, Duration.ZERO, LONGEST));
+    private final List<Ask> asked = new ArrayList<>();
+    private final BudgetHolder holder = new BudgetHolder(new BudgetHolder.Settings("n1", 1, List.of("n1"), Duration.ofMillis(150),
+            Duration.ofSeconds(4), LONGEST, 0.01), NOW, new BudgetHolder.Actions() {
+                @Override
+                public void ask(String voter, Ask ask) {
+                    asked.add(ask);
+                }
+
+                @Override
+                public void more(String budget) { }
+            });
+    private final PlaceKeeper keeper = new PlaceKeeper(sharing.places(), new StandingLoop(), holder, this::share,
+            () -> holder.onTime(NOW));
+
+    private void share() {
+        holder.budgets(NOW, keeper.budgets(sharing), LONGEST);
+    }
+
+    private static List<Server> servers(LongStream ids) {
+        return ids.mapToObj(id -> new Server(id, 0, 0, Lifecycle.READY, 1, 0)).toList();
+    }
+
+    private void answer(Result result, List<Ask.Told> parts) {
+        holder.onAnswer(NOW, new Ask.Answer(1, asked.get(asked.size() - 1).number(), result, parts));
+    }
+
+    private static String name(long id) {
+        return "place/" + Long.toUnsignedString(id, Character.MAX_RADIX);
+    }
+
+    /** Guards a list of which six in ten are replaced while tries are out: what is out stays counted, the rest moves on. */
+    @Test
+    void sixInTenServersAreReplaced() {
+        keeper.servers(servers(LongStream.rangeClosed(1, 10)), true);
+        answer(Result.of(Result.Kind.OPENED, 5), List.of());
+        answer(Result.of(Result.Kind.JOINED, 9), List.of());
+        answer(Result.of(Result.Kind.PARTS, 10), LongStream.rangeClosed(1, 10)
+                .mapToObj(id -> new Ask.Told(name(id), 9, new Share(2, 0), new Share(2, 0), id)).toList());
+        assertTrue(keeper.begin(1, 1) && keeper.begin(7, 1) && keeper.begin(7, 1));
+        assertFalse(keeper.begin(7, 1), "two of two are out");
+
+        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true);
+        Set<String> used = new TreeSet<>(keeper.budgets(sharing).keySet());
+        assertEquals(11, used.size(), "four, six new ones, and one at which tries are out");
+        assertEquals(2.0, keeper.at(1), "a server that stays keeps its places");
+        assertEquals(0.0, keeper.at(7), "one that is gone is not used");
+        assertEquals(0.0, keeper.at(21), "of a new one nothing was told yet");
+        assertTrue(asked.stream().noneMatch(a -> a.what() instanceof Ask.Give g && g.budget().equals(name(7))), "it is used");
+        assertTrue(asked.stream().anyMatch(a -> a.what() instanceof Ask.Give g && g.budget().equals(name(8)) && g.most().equals(Share.NONE)));
+
+        keeper.end(7, true);
+        keeper.end(7, true);
+        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true);
+        assertFalse(keeper.budgets(sharing).containsKey(name(7)));
+        assertTrue(asked.stream().anyMatch(a -> a.what() instanceof Ask.Give g && g.budget().equals(name(7)) && g.most().equals(Share.NONE)));
+        keeper.servers(servers(LongStream.of(7)), false);
+        assertEquals(0.0, keeper.at(7), "back under its id, it has what the ledger says from now on");
+    }
+}
--- a/src/test/java/rowanplank/ledger/BudgetHolderTest.java
+++ b/src/test/java/rowanplank/ledger/BudgetHolderTest.java
@@ -187,4 +187,26 @@
         assertEquals(0, begin(30, 9));
         assertEquals(new Ask.Join(Duration.ofSeconds(1), Duration.ofSeconds(2)), last(Ask.Join.class).what());
     }
+
+    /** Guards a page server that goes while its places are out, and comes back under its id: what is out stays counted. */
+    @Test
+    void aBudgetThatGoesWhileItIsUsedAndComesBackIsNotUsedTwice() {
+        tell(10, places(EPOCH, 5, 5, 50));
+        assertEquals(3, begin(20, 3));
+        holder.budgets(at(30), Map.of(), Duration.ofMillis(400));
+        assertEquals(0, begin(40, 1));
+        holder.budgets(at(50), Map.of("places", new Command.Define("places", false, new Share(9, 0), Share.NONE, 3)),
+                Duration.ofMillis(400));
+        assertTrue(begin(60, 9) <= 2, "three of five are out");
+        assertFalse(has(Ask.Give.class), "nothing is given back while it is out");
+        int out = (int) holder.has(at(60)).get(0).open();
+        for (int i = 0; i < out; i++) {
+            end(100);
+        }
+        Ask give = last(Ask.Give.class);
+        assertEquals(Share.NONE, ((Ask.Give) give.what()).most());
+        answer(120, give, Result.of(Kind.GIVEN, 51));
+        tell(130, places(EPOCH, 5, 5, 52)); // the ledger knows of no other wish
+        assertEquals(5, begin(140, 9));
+    }
 }
