--- a/src/test/java/rowanplank/fleet/PlaceKeeperTest.java
+++ b/src/test/java/rowanplank/fleet/PlaceKeeperTest.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import rowanplank.balancer.BalancerApi;
 import rowanplank.balancer.BalancerApi.Lifecycle;
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.FleetConfig;
@@ -24,6 +25,9 @@
 /** Places at page servers as discovery lists them: ten servers, four places each. */
 class PlaceKeeperTest {
     private static final Instant NOW = Instant.EPOCH;
+    private static final BalancerApi.Settings SITE = new BalancerApi.Settings(1, 0, 0, List.of(new BalancerApi.RequestClass(400,
+            1200, 1, 0.2, BalancerApi.Effect.REPEATABLE, BalancerApi.Group.ALL, 0, false)), List.of(), 0.1,
+            new BalancerApi.Limits(3, true, true, 1000), new BalancerApi.Rules(10_000, 0.14, 24_000, 3), true, false, false, 0);
     private static final Duration LONGEST = Duration.ofSeconds(2);
     private final FleetConfig.Sharing sharing = new FleetConfig.Sharing(Duration.ofSeconds(4), List.of(), List.of(),
             new FleetConfig.Places(4, 0, 3, Duration.ZERO, LONGEST));
@@ -60,7 +64,7 @@
     /** Guards a list of which six in ten are replaced while tries are out: what is out stays counted, the rest moves on. */
     @Test
     void sixInTenServersAreReplaced() {
-        keeper.servers(servers(LongStream.rangeClosed(1, 10)), true, 0);
+        keeper.servers(servers(LongStream.rangeClosed(1, 10)), true, SITE);
         answer(Result.of(Result.Kind.OPENED, 5), List.of());
         answer(Result.of(Result.Kind.JOINED, 9), List.of());
         answer(Result.of(Result.Kind.PARTS, 10), LongStream.rangeClosed(1, 10)
@@ -68,7 +72,7 @@
         assertTrue(keeper.begin(1, 1) && keeper.begin(7, 1) && keeper.begin(7, 1));
         assertFalse(keeper.begin(7, 1), "two of two are out");
 
-        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true, 0);
+        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true, SITE);
         Set<String> used = new TreeSet<>(keeper.budgets(sharing).keySet());
         assertEquals(11, used.size(), "four, six new ones, and one at which tries are out");
         assertEquals(2.0, keeper.at(1), "a server that stays keeps its places");
@@ -79,10 +83,10 @@
 
         keeper.end(7, true);
         keeper.end(7, true);
-        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true, 0);
+        keeper.servers(servers(LongStream.concat(LongStream.rangeClosed(1, 4), LongStream.rangeClosed(21, 26))), true, SITE);
         assertFalse(keeper.budgets(sharing).containsKey(name(7)));
         assertTrue(asked.stream().anyMatch(a -> a.what() instanceof Ask.Give g && g.budget().equals(name(7)) && g.most().equals(Share.NONE)));
-        keeper.servers(servers(LongStream.of(7)), false, 0);
+        keeper.servers(servers(LongStream.of(7)), false, SITE);
         assertEquals(0.0, keeper.at(7), "back under its id, it has what the ledger says from now on");
     }
 }
