Keep what a leader's desk was asked in one place, and bound programs in one

Desk, BudgetDesk and WorkDesk each proposed, confirmed and answered by lines of their own, alike but for the bound; so did tasks and workers when a program took too long.

--- a/src/main/java/rowanplank/fleet/TaskRunner.java
+++ b/src/main/java/rowanplank/fleet/TaskRunner.java
@@ -25,8 +25,6 @@
  * <p>At most one run of a task at a time on this node; what fails is logged and begun again in its time.
  */
 final class TaskRunner {
-    /** Of its longest time, a command is asked to end when so much is left, one part in so many. */
-    private static final int ASKED_BEFORE = 5;
     /** What could not be asked for is asked for again after so long. */
     private static final Duration AGAIN = Duration.ofMillis(250);
 
@@ -51,8 +49,7 @@
     }
 
     private final String node;
-    private final Loop loop;
-    private final Programs programs;
+    private final BoundedPrograms programs;
     private final RateLimitedLog log;
     private final Parts parts;
     private final LeaseHolder holder;
@@ -66,8 +63,7 @@
     TaskRunner(FleetConfig config, Loop loop, Programs programs, RateLimitedLog log, Parts parts, LeaseHolder holder,
             Runnable changed) {
         node = config.node();
-        this.loop = loop;
-        this.programs = programs;
+        this.programs = new BoundedPrograms(loop, programs, log);
         this.log = log;
         this.parts = parts;
         this.holder = holder;
@@ -265,47 +261,24 @@
         environment.put("FLEET_LONGEST_MS", Long.toString(t.longest().toMillis()));
         try {
             begun++;
-            Programs.Running[] started = new Programs.Running[1];
-            started[0] = programs.start(t.command(), environment, status -> ended(j, started[0], status));
-            j.running = started[0];
-            Duration asked = t.longest().minus(t.longest().dividedBy(ASKED_BEFORE));
-            loop.schedule(asked, () -> stillRuns(j, started[0], false));
-            loop.schedule(t.longest(), () -> stillRuns(j, started[0], true));
+            j.running = programs.start("task " + t.name(), t.command(), environment, t.longest(), status -> ended(j, status));
         } catch (IOException e) {
             log.warn("task " + t.name() + " can't be started: " + e.getMessage());
             j.next = now.plus(t.longest());
         }
     }
 
-    private void stillRuns(Job j, Programs.Running which, boolean end) {
-        if (j.running != which) {
-            return;
+    private void ended(Job j, int status) {
+        j.running = null;
+        if (j.gone) {
+            jobs.remove(j);
         }
-        if (end) {
-            log.warn("task " + j.task.name() + " took longer than it may, and is ended");
-            which.kill();
-        } else {
-            which.stop();
-        }
-    }
-
-    private void ended(Job j, Programs.Running which, int status) {
-        if (j.running == which) {
-            j.running = null;
-            if (j.gone) {
-                jobs.remove(j);
-            }
-            if (j.whenOver != null) {
-                Runnable over = j.whenOver;
-                j.whenOver = null;
-                over.run();
-            }
-        }
-        if (status == 0) {
-            ended++;
-        } else {
-            log.warn("task " + j.task.name() + " ended with status " + status);
+        if (j.whenOver != null) {
+            Runnable over = j.whenOver;
+            j.whenOver = null;
+            over.run();
         }
+        ended += status == 0 ? 1 : 0;
         finishIfDone();
         changed.run();
     }
--- a/src/main/java/rowanplank/fleet/WorkerRunner.java
+++ b/src/main/java/rowanplank/fleet/WorkerRunner.java
@@ -23,8 +23,6 @@
  * <p>A look costs O(copies of all workers).
  */
 final class WorkerRunner {
-    /** Of its longest time, a command is asked to end when so much is left, one part in so many. */
-    private static final int ASKED_BEFORE = 5;
     /** What may not begin is looked at again after so long, where nothing says sooner that more may. */
     private static final Duration AGAIN = Duration.ofMillis(250);
 
@@ -42,7 +40,7 @@
 
     private final String node;
     private final Loop loop;
-    private final Programs programs;
+    private final BoundedPrograms programs;
     private final RateLimitedLog log;
     private final Parts parts;
     private final BudgetHolder holder;
@@ -56,7 +54,7 @@
             Runnable changed) {
         this.node = node;
         this.loop = loop;
-        this.programs = programs;
+        this.programs = new BoundedPrograms(loop, programs, log);
         this.log = log;
         this.parts = parts;
         this.holder = holder;
@@ -157,12 +155,7 @@
         environment.put("FLEET_LONGEST_MS", Long.toString(w.longest().toMillis()));
         try {
             begun++;
-            Programs.Running[] started = new Programs.Running[1];
-            started[0] = programs.start(w.command(), environment, status -> ended(c, status));
-            c.running = started[0];
-            Duration asked = w.longest().minus(w.longest().dividedBy(ASKED_BEFORE));
-            loop.schedule(asked, () -> stillRuns(c, started[0], false));
-            loop.schedule(w.longest(), () -> stillRuns(c, started[0], true));
+            c.running = programs.start("worker " + w.name(), w.command(), environment, w.longest(), status -> ended(c));
         } catch (IOException e) {
             log.warn("worker " + w.name() + " can't be started: " + e.getMessage());
             holder.end(w.budget());
@@ -170,16 +163,7 @@
         }
     }
 
-    private void stillRuns(Copy c, Programs.Running which, boolean end) {
-        if (c.running == which && end) {
-            log.warn("worker " + c.worker.name() + " took longer than it may, and is ended");
-            which.kill();
-        } else if (c.running == which) {
-            which.stop();
-        }
-    }
-
-    private void ended(Copy c, int status) {
+    private void ended(Copy c) {
         Instant now = loop.clock().now();
         c.running = null;
         c.next = now.plus(c.worker.pause());
@@ -187,9 +171,6 @@
         if (c.gone) {
             copies.remove(c);
         }
-        if (status != 0) {
-            log.warn("worker " + c.worker.name() + " ended with status " + status);
-        }
         finishIfDone();
         changed.run();
     }
--- a/src/main/java/rowanplank/ledger/BudgetDesk.java
+++ b/src/main/java/rowanplank/ledger/BudgetDesk.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,24 +50,11 @@
     private static final int SLACK = 16;
 
     /** What it asks of its owner; none of these calls back into it. */
-    public interface Actions {
-        /** Whether all voters understand it: only then may it be written. */
-        boolean isKnown(Command command);
-
-        /** @return the entry's index; 0 where it can't be taken now */
-        long propose(Command command);
-
-        /** @return the round whose confirmation is told by {@link #onConfirmed}; 0 where this voter doesn't lead */
-        long confirm();
-
-        void answer(Ask ask, Answer answer);
-
+    public interface Actions extends Pending.Actions {
         /** To a process that asked nothing just now. */
         void tell(Answer answer);
     }
 
-    private record Confirming(long round, Ask ask) { }
-
     /** What is known of a member beside what the ledger knows; lost with the leadership. */
     private static final class Heard {
         Instant renewed;
@@ -88,8 +73,7 @@
     private Instant since;
     private final Map<Long, Heard> heard = new TreeMap<>();
     private final Map<Long, Instant> joined = new TreeMap<>();
-    private final Map<Long, Ask> proposed = new TreeMap<>();
-    private final Deque<Confirming> confirming = new ArrayDeque<>();
+    private final Pending pending;
     /** Epochs that entries on their way end, and since when. */
     private final Map<Long, Instant> ending = new TreeMap<>();
     /** Entries of a division that were not applied yet. */
@@ -106,6 +90,7 @@
         this.drift = drift;
         this.ledger = ledger;
         this.actions = actions;
+        pending = new Pending(MOST_WAITING, actions);
     }
 
     /**
@@ -146,8 +131,7 @@
         leads = false;
         heard.clear();
         joined.clear();
-        proposed.clear();
-        confirming.clear();
+        pending.clear();
         ending.clear();
         dividing.clear();
     }
@@ -161,7 +145,7 @@
 
     public void onAsk(Instant now, Ask ask) {
         if (ledger.session(ask.session()) == null) {
-            confirm(ask); // only who leads may say that there is none
+            pending.confirm(ask); // only who leads may say that there is none
             return;
         }
         Heard h = heard.computeIfAbsent(ask.session(), s -> new Heard());
@@ -170,17 +154,17 @@
             wish(now, h, p.wishes());
             renew(ask);
         } else if (ask.what() instanceof Ask.Join j) {
-            propose(ask, new Command.Join(ask.session(), ask.floor(), ask.number(), j.length(), j.lasting()));
+            pending.propose(ask, new Command.Join(ask.session(), ask.floor(), ask.number(), j.length(), j.lasting()));
         } else if (ask.what() instanceof Ask.Give g) {
-            propose(ask, new Command.Give(ask.session(), ask.floor(), ask.number(), g.epoch(), g.budget(), g.most()));
+            pending.propose(ask, new Command.Give(ask.session(), ask.floor(), ask.number(), g.epoch(), g.budget(), g.most()));
         } else {
-            propose(ask, new Command.Leave(ask.session(), ask.floor(), ask.number()));
+            pending.propose(ask, new Command.Leave(ask.session(), ask.floor(), ask.number()));
         }
     }
 
     /** Answered once a round has confirmed that no other voter leads: else that one may have taken the parts back. */
     protected void renew(Ask ask) {
-        confirm(ask);
+        pending.confirm(ask);
     }
 
     private void wish(Instant now, Heard h, List<Ask.Wish> wishes) {
@@ -196,42 +180,18 @@
         }
     }
 
-    private void propose(Ask ask, Command command) {
-        if (!actions.isKnown(command)) {
-            answer(ask, Result.of(Kind.TOO_NEW));
-            return;
-        }
-        long index = proposed.size() >= MOST_WAITING ? 0 : actions.propose(command);
-        if (index > 0) {
-            proposed.put(index, ask);
-        } // else it is asked again
-    }
-
-    private void confirm(Ask ask) {
-        long round = confirming.size() >= MOST_WAITING ? 0 : actions.confirm();
-        if (round > 0) {
-            confirming.add(new Confirming(round, ask));
-        }
-    }
-
-    private void answer(Ask ask, Result result) {
-        actions.answer(ask, new Answer(ask.incarnation(), ask.number(), result));
-    }
-
     // ---- told
 
     public void onConfirmed(long round) {
-        while (!confirming.isEmpty() && confirming.peek().round() <= round) {
-            answerRenewal(confirming.poll().ask());
-        }
+        pending.onConfirmed(round, this::answerRenewal);
     }
 
     protected final void answerRenewal(Ask ask) {
         Budgets.Member m = ledger.budgets().member(ask.session());
         if (ledger.session(ask.session()) == null) {
-            answer(ask, Result.of(Kind.NO_SESSION));
+            pending.answer(ask, Result.of(Kind.NO_SESSION));
         } else if (m == null || !(ask.what() instanceof Ask.Parts p) || m.epoch() != p.epoch()) {
-            answer(ask, Result.of(Kind.NOT_JOINED));
+            pending.answer(ask, Result.of(Kind.NOT_JOINED));
         } else {
             actions.answer(ask, told(ask.incarnation(), ask.number(), m, p.known()));
         }
@@ -272,9 +232,9 @@
             joined.put(c.session(), now);
             lookBy(now.plus(LOOK));
         }
-        Ask ask = proposed.remove(index);
+        Ask ask = pending.onApplied(index);
         if (ask != null) {
-            answer(ask, result);
+            pending.answer(ask, result);
         }
         dividing.remove(index);
         if (command instanceof Command.Lapse c) {
--- a/src/main/java/rowanplank/ledger/Desk.java
+++ b/src/main/java/rowanplank/ledger/Desk.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import rowanplank.ledger.Ask.Answer;
 import rowanplank.ledger.Result.Kind;
 
 /**
@@ -47,24 +46,11 @@
      */
     public record Settings(double drift, Duration session, Duration park) { }
 
-    /** What it asks of its owner; none of these calls back into it. */
-    public interface Actions {
-        /** Whether all voters understand it: only then may it be written. */
-        boolean isKnown(Command command);
-
-        /** @return the entry's index; 0 where it can't be taken now */
-        long propose(Command command);
-
-        /** @return the round whose confirmation is told by {@link #onConfirmed}; 0 where this voter doesn't lead */
-        long confirm();
-
-        void answer(Ask ask, Answer answer);
-    }
+    /** What it asks of its owner; a round's confirmation is told by {@link #onConfirmed}. */
+    public interface Actions extends Pending.Actions { }
 
     private record Waiting(Ask ask, String lease, Instant until) { }
 
-    private record Confirming(long round, Ask ask) { }
-
     private final Settings settings;
     private final Ledger ledger;
     private final Actions actions;
@@ -72,12 +58,11 @@
     private Instant since;
     private final Map<Long, Instant> renewed = new TreeMap<>();
     private final Map<String, Instant> granted = new TreeMap<>();
-    private final Map<Long, Ask> proposed = new TreeMap<>();
+    private final Pending pending;
     private final Map<String, Deque<Waiting>> waiting = new TreeMap<>();
     private int waitingCount;
     /** Free leases whose first in line could not be written. */
     private final TreeSet<String> unserved = new TreeSet<>();
-    private final Deque<Confirming> confirming = new ArrayDeque<>();
     /** Entries on their way that end these fences. */
     private final TreeSet<Long> ending = new TreeSet<>();
     private Instant nextLook;
@@ -86,6 +71,7 @@
         this.settings = settings;
         this.ledger = ledger;
         this.actions = actions;
+        pending = new Pending(MOST_WAITING, actions);
     }
 
     /** Null where nothing is due. */
@@ -107,16 +93,13 @@
         leads = false;
         Map<Long, Ask> left = new TreeMap<>();
         waiting.values().forEach(line -> line.forEach(w -> left.put(w.ask().incarnation(), w.ask())));
-        proposed.values().forEach(ask -> left.put(ask.incarnation(), ask));
-        confirming.forEach(c -> left.put(c.ask().incarnation(), c.ask()));
-        left.values().forEach(ask -> answer(ask, Result.of(Kind.NOT_LEADER)));
+        pending.clear().forEach(ask -> left.put(ask.incarnation(), ask));
+        left.values().forEach(ask -> pending.answer(ask, Result.of(Kind.NOT_LEADER)));
         renewed.clear();
         granted.clear();
-        proposed.clear();
         waiting.clear();
         waitingCount = 0;
         unserved.clear();
-        confirming.clear();
         ending.clear();
     }
 
@@ -135,7 +118,7 @@
 
     public void onAsk(Instant now, Ask ask) {
         if (ask.what() instanceof Ask.Open) {
-            propose(ask, new Command.Open(ask.node(), ask.incarnation()));
+            pending.propose(ask, new Command.Open(ask.node(), ask.incarnation()));
             return;
         }
         if (ask.what() instanceof Ask.Read r) {
@@ -143,15 +126,15 @@
             return;
         }
         if (ledger.session(ask.session()) == null) {
-            confirm(ask); // only who leads may say that there is none
+            pending.confirm(ask); // only who leads may say that there is none
             return;
         }
         renewed.put(ask.session(), now); // whatever it asks, it lives
         if (ask.what() instanceof Ask.Renew) {
-            confirm(ask);
+            pending.confirm(ask);
         } else if (ask.what() instanceof Ask.Release r) {
             leaveLine(r.lease(), ask.session());
-            propose(ask, new Command.Release(ask.session(), ask.floor(), ask.number(), r.lease(), r.fence()));
+            pending.propose(ask, new Command.Release(ask.session(), ask.floor(), ask.number(), r.lease(), r.fence()));
         } else if (ask.what() instanceof Ask.Acquire a) {
             acquire(now, ask, a);
         } else if (ask.what() instanceof Ask.Claim c) {
@@ -163,26 +146,26 @@
     private void claim(Instant now, Ask ask, Ask.Claim c) {
         long period = Math.floorDiv(now.toEpochMilli(), Math.max(1, c.every().toMillis()));
         if (c.period() > period + 1) {
-            answer(ask, Result.of(Kind.AHEAD));
+            pending.answer(ask, Result.of(Kind.AHEAD));
         } else {
-            propose(ask, new Command.Claim(ask.session(), ask.floor(), ask.number(), c.lease(), c.fence(), c.task(),
+            pending.propose(ask, new Command.Claim(ask.session(), ask.floor(), ask.number(), c.lease(), c.fence(), c.task(),
                     c.period()));
         }
     }
 
     /** Answered once a round has confirmed that no other voter leads: else it might be long out of date. */
     protected void read(Ask ask, Ask.Read what) {
-        confirm(ask);
+        pending.confirm(ask);
     }
 
     private void acquire(Instant now, Ask ask, Ask.Acquire a) {
         Ledger.Lease held = ledger.lease(a.lease());
         if (held == null || held.session() == ask.session()) {
-            propose(ask, new Command.Acquire(ask.session(), ask.floor(), ask.number(), a.lease(), a.length()));
+            pending.propose(ask, new Command.Acquire(ask.session(), ask.floor(), ask.number(), a.lease(), a.length()));
             return;
         }
         if (waitingCount >= MOST_WAITING) {
-            answer(ask, Result.of(Kind.FULL));
+            pending.answer(ask, Result.of(Kind.FULL));
             return;
         }
         leaveLine(a.lease(), ask.session());
@@ -190,7 +173,7 @@
         line.add(new Waiting(ask, a.lease(), now.plus(settings.park())));
         waitingCount++;
         lookBy(now.plus(settings.park()));
-        answer(ask, Result.of(Kind.PARKED));
+        pending.answer(ask, Result.of(Kind.PARKED));
     }
 
     private void leaveLine(String lease, long session) {
@@ -200,45 +183,20 @@
         }
     }
 
-    /** @return whether it was taken, or answered; else it is asked again */
-    private boolean propose(Ask ask, Command command) {
-        if (!actions.isKnown(command)) {
-            answer(ask, Result.of(Kind.TOO_NEW));
-            return true;
-        }
-        long index = proposed.size() >= MOST_WAITING ? 0 : actions.propose(command);
-        if (index > 0) {
-            proposed.put(index, ask);
-        }
-        return index > 0;
-    }
-
-    private void confirm(Ask ask) {
-        long round = confirming.size() >= MOST_WAITING ? 0 : actions.confirm();
-        if (round > 0) {
-            confirming.add(new Confirming(round, ask));
-        }
-    }
-
-    private void answer(Ask ask, Result result) {
-        actions.answer(ask, new Answer(ask.incarnation(), ask.number(), result));
-    }
-
     // ---- told
 
     public void onConfirmed(long round) {
-        while (!confirming.isEmpty() && confirming.peek().round() <= round) {
-            Ask ask = confirming.poll().ask();
+        pending.onConfirmed(round, ask -> {
             if (ask.what() instanceof Ask.Read r) {
                 answerRead(ask, r);
             } else {
-                answer(ask, Result.of(ledger.session(ask.session()) == null ? Kind.NO_SESSION : Kind.RENEWED));
+                pending.answer(ask, Result.of(ledger.session(ask.session()) == null ? Kind.NO_SESSION : Kind.RENEWED));
             }
-        }
+        });
     }
 
     protected final void answerRead(Ask ask, Ask.Read what) {
-        answer(ask, holder(what.lease()));
+        pending.answer(ask, holder(what.lease()));
     }
 
     private Result holder(String name) {
@@ -259,9 +217,9 @@
         if (command instanceof Command.Open && result.kind() == Kind.OPENED) {
             renewed.put(result.value(), now); // guards one that is new from the end of those that were silent
         }
-        Ask ask = proposed.remove(index);
+        Ask ask = pending.onApplied(index);
         if (ask != null) {
-            answer(ask, result);
+            pending.answer(ask, result);
         }
         if (command instanceof Command.Expire e) {
             e.holdings().forEach(h -> ending.remove(h.fence()));
@@ -286,7 +244,7 @@
         }
         Ask ask = line.peek().ask();
         Ask.Acquire a = (Ask.Acquire) ask.what();
-        if (propose(ask, new Command.Acquire(ask.session(), ask.floor(), ask.number(), a.lease(), a.length()))) {
+        if (pending.propose(ask, new Command.Acquire(ask.session(), ask.floor(), ask.number(), a.lease(), a.length()))) {
             line.poll();
             waitingCount--;
         } else {
@@ -380,7 +338,7 @@
                 Waiting w = line.poll();
                 waitingCount--;
                 Ledger.Lease held = ledger.lease(w.lease());
-                answer(w.ask(), Result.of(Kind.HELD, held == null ? 0 : held.fence()));
+                pending.answer(w.ask(), Result.of(Kind.HELD, held == null ? 0 : held.fence()));
             }
             if (!line.isEmpty()) {
                 lookBy(line.peek().until());
--- a/src/main/java/rowanplank/ledger/WorkDesk.java
+++ b/src/main/java/rowanplank/ledger/WorkDesk.java
@@ -5,9 +5,7 @@
 import java.time.LocalTime;
 import java.time.ZoneId;
 import java.time.ZoneOffset;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -72,18 +70,7 @@
     public record Places(long whole, long fixed, long nodes) { }
 
     /** What it asks of its owner; none of these calls back into it. */
-    public interface Actions {
-        /** Whether all voters understand it: only then may it be written. */
-        boolean isKnown(Command command);
-
-        /** @return the entry's index; 0 where it can't be taken now */
-        long propose(Command command);
-
-        /** @return the round whose confirmation is told by {@link #onConfirmed}; 0 where this voter doesn't lead */
-        long confirm();
-
-        void answer(Ask ask, Answer answer);
-
+    public interface Actions extends Pending.Actions {
         /** Whether the node is thought to live and to serve clients. */
         boolean serves(String node);
 
@@ -100,8 +87,6 @@
         boolean hasMajorityWithout(Set<String> nodes);
     }
 
-    private record Confirming(long round, Ask ask) { }
-
     private record Heard(Ask.Service service, Instant at) { }
 
     private record Skip(Ask ask, Ask.Staff what, Instant until) { }
@@ -113,8 +98,7 @@
     private Instant since;
     private Instant nextLook;
     private Instant proposedAt;
-    private final Map<Long, Ask> proposed = new TreeMap<>();
-    private final Deque<Confirming> confirming = new ArrayDeque<>();
+    private final Pending pending;
     private final Map<String, Instant> heard = new TreeMap<>();
     private final List<Skip> skips = new ArrayList<>();
     private final Map<String, Heard> services = new TreeMap<>();
@@ -131,6 +115,7 @@
         this.settings = settings;
         this.ledger = ledger;
         this.actions = actions;
+        pending = new Pending(MOST_WAITING, actions);
     }
 
     /** What speaks against the next turn, as this leader saw it last; empty where nothing does. */
@@ -151,8 +136,7 @@
 
     public void onLeadsNoMore() {
         leads = false;
-        proposed.clear();
-        confirming.clear();
+        pending.clear();
         heard.clear();
         skips.clear();
         services.clear();
@@ -176,18 +160,18 @@
             Command.Announce said = new Command.Announce(ask.node(), p.machine(), p.hall());
             Work.Place place = new Work.Place(ask.node(), p.machine(), p.hall());
             if (place.equals(ledger.work().place(ask.node())) || hasNoPart(said) != null) {
-                confirm(ask);
+                pending.confirm(ask);
             } else {
-                propose(ask, said);
+                pending.propose(ask, said);
             }
         } else if (ask.what() instanceof Ask.Step s) {
             if (isJudged(now, ask.node(), s)) {
-                propose(ask, new Command.Step(ask.node(), ask.incarnation(), s.fence(), s.from()));
+                pending.propose(ask, new Command.Step(ask.node(), ask.incarnation(), s.fence(), s.from()));
             }
         } else if (ask.what() instanceof Ask.Staff s) {
             staff(now, ask, s);
         } else if (ask.what() instanceof Ask.Look) {
-            confirm(ask);
+            pending.confirm(ask);
         }
     }
 
@@ -250,12 +234,12 @@
         boolean ends = word == Command.StaffWord.SKIP || word == Command.StaffWord.FORGET;
         if (word == Command.StaffWord.FORGET
                 && ledger.work().nodesOf(s.words().machines().get(0)).stream().anyMatch(actions::lives)) {
-            answer(ask, Result.of(Kind.HELD));
+            pending.answer(ask, Result.of(Kind.HELD));
             return;
         }
         Work.Line l = ends ? ledger.work().line(s.words().machines().get(0)) : null;
         if (l == null || l.state() != Work.State.TURN) {
-            propose(ask, s.words());
+            pending.propose(ask, s.words());
             return;
         }
         Instant from = since;
@@ -279,45 +263,26 @@
         return skips.stream().anyMatch(x -> x.what().words().machines().contains(machine));
     }
 
-    private void propose(Ask ask, Command command) {
-        if (!actions.isKnown(command)) {
-            answer(ask, Result.of(Kind.TOO_NEW));
-            return;
-        }
-        long index = proposed.size() >= MOST_WAITING ? 0 : actions.propose(command);
-        if (index > 0) {
-            proposed.put(index, ask);
-        } // else it is asked again
-    }
-
-    private void confirm(Ask ask) {
-        long round = confirming.size() >= MOST_WAITING ? 0 : actions.confirm();
-        if (round > 0) {
-            confirming.add(new Confirming(round, ask));
-        }
-    }
-
-    private void answer(Ask ask, Result result) {
-        actions.answer(ask, new Answer(ask.incarnation(), ask.number(), result));
-    }
-
     // ---- told
 
     public void onConfirmed(long round) {
-        while (!confirming.isEmpty() && confirming.peek().round() <= round) {
-            Ask ask = confirming.poll().ask();
+        pending.onConfirmed(round, ask -> {
             if (ask.what() instanceof Ask.Look l) {
                 look(ask, l.from());
-                continue;
-            }
-            Work.Place place = ledger.work().place(ask.node());
-            Kind none = ask.what() instanceof Ask.Poll p ? hasNoPart(new Command.Announce(ask.node(), p.machine(), p.hall())) : null;
-            if (none != null) {
-                answer(ask, Result.of(none));
-            } else if (place != null && !isBeingSkipped(place.machine())) {
-                actions.answer(ask, new Answer(ask.incarnation(), ask.number(), new Result(Kind.SET, 0, standing),
-                        ledger.work().line(place.machine())));
+            } else {
+                tellLine(ask);
             }
+        });
+    }
+
+    private void tellLine(Ask ask) {
+        Work.Place place = ledger.work().place(ask.node());
+        Kind none = ask.what() instanceof Ask.Poll p ? hasNoPart(new Command.Announce(ask.node(), p.machine(), p.hall())) : null;
+        if (none != null) {
+            pending.answer(ask, Result.of(none));
+        } else if (place != null && !isBeingSkipped(place.machine())) {
+            actions.answer(ask, new Answer(ask.incarnation(), ask.number(), new Result(Kind.SET, 0, standing),
+                    ledger.work().line(place.machine())));
         }
     }
 
@@ -328,7 +293,7 @@
         }
         int begin = Math.min(from, text.length());
         int end = Math.min(text.length(), begin + PIECE);
-        answer(ask, new Result(Kind.SET, Ask.Look.stamp(text), text.substring(begin, end)));
+        pending.answer(ask, new Result(Kind.SET, Ask.Look.stamp(text), text.substring(begin, end)));
     }
 
     /** Why a node has no part in the order; null where it has one. Told by a confirmed leader only: it sends nodes back. */
@@ -341,9 +306,9 @@
         if (!leads) {
             return;
         }
-        Ask ask = proposed.remove(index);
+        Ask ask = pending.onApplied(index);
         if (ask != null && command instanceof Command.Staff) {
-            answer(ask, result);
+            pending.answer(ask, result);
         } // what nodes said they see with their next asking
         if (command instanceof Command.Turn) {
             proposedAt = null;
@@ -372,7 +337,7 @@
         for (Skip s : List.copyOf(skips)) {
             if (!s.until().isAfter(now)) {
                 skips.remove(s);
-                propose(s.ask(), s.what().words());
+                pending.propose(s.ask(), s.what().words());
             }
         }
         seeAway(now);
