Let what a trial made stand still go on, and end, as soon as the trial is gone

Such a node can't see that its input has ended.

The test, a parent that is gone while its child is to stand still for a minute, failed before and takes 0.6 s now.

--- a/src/main/java/rowanplank/net/ChildProcesses.java
+++ b/src/main/java/rowanplank/net/ChildProcesses.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 
@@ -20,6 +22,8 @@
     /** One of them. */
     public static final class Child {
         private final Process process;
+        /** Kept, so that the pipes that end with this process do not end before it. */
+        private final Set<Process> helpers = ConcurrentHashMap.newKeySet();
 
         private Child(Process process) {
             this.process = process;
@@ -44,14 +48,17 @@
         }
 
         /**
-         * Has it stand still (SIGSTOP) from soon on, for so long. A helper that outlives this process sees to it that
-         * it goes on, whatever becomes of this process.
+         * Has it stand still (SIGSTOP) from soon on, for so long, or until this process ends: one that stands still
+         * can't see that its input has ended. A helper that outlives this process sees to it that it goes on, whatever
+         * becomes of this process.
          */
         public void stall(Duration length) throws IOException {
             String pid = Long.toString(process.pid());
-            new ProcessBuilder("sh", "-c", "kill -STOP " + pid + "; sleep " + length.toMillis() / 1000.0
-                    + "; kill -CONT " + pid).redirectErrorStream(true)
+            Process helper = new ProcessBuilder("sh", "-c", "kill -STOP " + pid + "; timeout " + length.toMillis() / 1000.0
+                    + " cat; kill -CONT " + pid).redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            helpers.add(helper);
+            helper.onExit().thenAccept(helpers::remove);
         }
 
         /** Tells it to read its configuration anew (SIGHUP). */
