Have a node step aside and end though its disk hangs

A voter that stepped aside, or a node that was to end, closed its state on the loop and waited there for the thread that writes. Where a sync or an opening hangs in the system that is as long as the disk likes: the node answered no requests meanwhile and did not end at SIGTERM either.

The thread that writes gives up file and lock itself once its call has come back, and nobody waits for it for more than 50 ms. Until it is back the directory stays locked. The test has the disk hang at a pipe that nobody reads; before, close() did not come back within its 20 s.

--- a/src/main/java/rowanplank/net/DirectoryFiles.java
+++ b/src/main/java/rowanplank/net/DirectoryFiles.java
@@ -19,11 +19,14 @@
  * State files in directories of the machine, one each: {@code log}, and {@code lock}, which the writing process keeps
  * locked. A thread of its own writes and syncs, so that a slow disk does not keep the loop from its sockets; all that
  * waits when it is free again is synced at once. At most {@value #MOST_WAITING} writes wait; one more counts as a failure.
+ * A file that is closed is given up once the write under way, if there is one, has come back: on a disk that hangs that may
+ * be never, and nobody waits for it for longer than a moment.
  */
 public final class DirectoryFiles implements StateFile.Files {
     private static final int MOST_WAITING = 10_000;
     private static final int MOST_BYTES = 64 << 20;
     private static final String LOG = "log";
+    private static final long CLOSED_WITHIN_MS = 50;
 
     @Override
     public void create(String directory, byte[] content) throws IOException {
@@ -160,6 +163,15 @@
             } catch (InterruptedException e) {
                 // closed
             }
+            giveUp();
+        }
+
+        private void giveUp() {
+            try (lock) {
+                channel.close();
+            } catch (IOException e) {
+                // all that anyone was told of is synced
+            }
         }
 
         private void write(List<Job> batch) throws IOException {
@@ -179,15 +191,12 @@
             }
         }
 
+        /** Guards the loop: a node whose disk hangs steps aside, and serves on. */
         @Override
         public void close() {
             writer.interrupt();
             try {
-                writer.join();
-                channel.close();
-                lock.close();
-            } catch (IOException e) {
-                // all that anyone was told of is synced
+                writer.join(CLOSED_WITHIN_MS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
