Tell the time without a holder for each kind of fault; no verdict on a cut history

Of a trial's times without a holder only one median and one 99 % were told, over kills, releases and cuts alike. Processor time was told only where no process had ended, which is hardly any trial. A history of over 1,000,000 events was cut without a word, and without its end: rules that were broken behind it passed for kept.

What is drawn stands in the history, and each takeover counts for the first fault drawn since the last act had begun. Processor time is kept as of the last look at each process.

--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -56,8 +56,8 @@
         Runtime.getRuntime().addShutdownHook(end);
         TrialResult result = real.play();
         Runtime.getRuntime().removeShutdownHook(end);
-        System.out.print(json ? result.json().toString(WriterConfig.PRETTY_PRINT) + "\n" : result.text());
-        System.out.println(json ? "" : "history, files and logs: " + folder);
+        System.out.print(json ? result.json().toString(WriterConfig.PRETTY_PRINT) + "\n"
+                : result.text() + "history, files and logs: " + folder + "\n");
         return result.findings().isEmpty() ? Status.DONE : Status.RULE_BROKEN;
     }
 }
--- a/src/main/java/rowanplank/lab/trial/LeaseSubject.java
+++ b/src/main/java/rowanplank/lab/trial/LeaseSubject.java
@@ -9,7 +9,9 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import rowanplank.config.FleetConfig;
 import rowanplank.lab.trial.judge.Event;
@@ -95,31 +97,56 @@
 
     @Override
     public TrialResult.Figures figures(List<Event> history) {
-        List<Long> gaps = gaps(history);
+        Map<String, List<Long>> byFault = gaps(history);
+        List<Long> gaps = new ArrayList<>();
+        JsonObject each = new JsonObject();
+        StringBuilder lines = new StringBuilder();
+        byFault.forEach((fault, of) -> {
+            gaps.addAll(of);
+            of.sort(null);
+            lines.append(String.format(Locale.ROOT, "%n  at %-18s %3d, median %d ms, 99 %% %d ms", fault, of.size(),
+                    gap(of, 0.5), gap(of, 0.99)));
+            each.add(fault, spread(of));
+        });
+        gaps.sort(null);
         JsonArray all = new JsonArray();
         gaps.forEach(all::add);
-        long median = gap(gaps, 0.5);
-        long most = gap(gaps, 0.99);
         return new TrialResult.Figures(String.format(Locale.ROOT, "%d takeovers; without a holder at a takeover: median %d ms, "
-                + "99 %% %d ms, lease %d ms", gaps.size(), median, most, plan.lease().toMillis()),
-                new JsonObject().add("takeovers", gaps.size()).add("gap_ms_median", median).add("gap_ms_99", most)
-                        .add("lease_ms", plan.lease().toMillis()).add(GAPS, all));
+                + "99 %% %d ms, lease %d ms", gaps.size(), gap(gaps, 0.5), gap(gaps, 0.99), plan.lease().toMillis()) + lines,
+                spread(gaps).add("lease_ms", plan.lease().toMillis()).add("by_fault", each).add(GAPS, all));
     }
 
-    /** Without a holder, between the last act of one and the first of the next, in ms and in order of length. */
-    private static List<Long> gaps(List<Event> history) {
-        List<Long> gaps = new ArrayList<>();
+    private static JsonObject spread(List<Long> gaps) {
+        return new JsonObject().add("takeovers", gaps.size()).add("gap_ms_median", gap(gaps, 0.5))
+                .add("gap_ms_99", gap(gaps, 0.99));
+    }
+
+    /**
+     * Without a holder, between the last act of one and the first of the next, in ms, by the kind of the fault. That is the
+     * first one drawn after the last act had begun; where none was, the last one before.
+     */
+    private static Map<String, List<Long>> gaps(List<Event> history) {
+        Map<String, List<Long>> gaps = new TreeMap<>();
         Event last = null;
+        String latest = Trouble.Kind.NOTHING.name();
+        String first = null;
         for (Event e : history) {
+            if (e.kind() == Kind.DRAWN) {
+                latest = e.name();
+                first = first == null ? latest : first;
+            }
             if (!e.name().equals(TrialPlan.LEASE)) {
                 continue;
             }
-            if (e.kind() == Kind.BEGIN && last != null && last.number() != e.number()) {
-                gaps.add(Math.max(0, e.at() - last.at()) / 1000);
+            if (e.kind() == Kind.BEGIN) {
+                if (last != null && last.number() != e.number()) {
+                    gaps.computeIfAbsent(first == null ? latest : first, f -> new ArrayList<>())
+                            .add(Math.max(0, e.at() - last.at()) / 1000);
+                }
+                first = null;
             }
             last = e.kind() == Kind.BEGIN || e.kind() == Kind.END ? e : last;
         }
-        gaps.sort(null);
         return gaps;
     }
 
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -61,6 +61,7 @@
     }
 
     private final TrialPlan plan;
+    private final int mostEvents;
     private final Subject subject;
     private final Path folder;
     private final SystemClock clock = new SystemClock();
@@ -104,7 +105,13 @@
     private String unplayable;
 
     public Trial(TrialPlan plan) {
+        this(plan, MOST_EVENTS);
+    }
+
+    /** @param mostEvents a longer history can't be kept */
+    Trial(TrialPlan plan, int mostEvents) {
         this.plan = plan;
+        this.mostEvents = mostEvents;
         subject = plan.kind().subject(plan);
         folder = Path.of(plan.folder()).toAbsolutePath();
         chance = RandomSource.XO_SHI_RO_256_PP.create(plan.seed());
@@ -248,7 +255,7 @@
         loop.schedule(plan.length().minus(plan.quiet()), this::mend);
     }
 
-    /** Of the processes that run now: of use where none has ended since the last look. */
+    /** Of all processes so far; of one that has ended, as of the last look before. */
     private Duration processorTime() {
         return nodes.stream().map(TrialNode::processorTime).reduce(Duration.ZERO, Duration::plus);
     }
@@ -362,9 +369,13 @@
         tell(new Event(micros(), kind, node, name, number, other, text));
     }
 
+    /** Guards the verdict: of a history that is not whole nothing can be said. */
     private void tell(Event event) {
-        if (history.size() < MOST_EVENTS) {
+        if (history.size() < mostEvents) {
             history.add(event);
+        } else if (unplayable == null) {
+            unplayable = "its history is longer than " + mostEvents + " events: try fewer nodes, or for a shorter time";
+            over.countDown();
         }
     }
 
@@ -462,6 +473,7 @@
     private void ask() {
         for (int n = 0; n < nodes.size(); n++) {
             int node = n;
+            nodes.get(n).processorTime();
             if (nodes.get(n).runs()) {
                 Instant asked = clock.now();
                 int process = nodes.get(n).process();
@@ -784,6 +796,11 @@
             Trial.this.tell(Kind.FAULT, "", "", 0, 0, fault);
         }
 
+        @Override
+        public void drawn(Trouble.Kind kind) {
+            Trial.this.tell(Kind.DRAWN, "", kind.name(), 0, 0, "");
+        }
+
         private void tell(Kind kind, String node, String name, long number, long other, String text) {
             Trial.this.tell(kind, node, name, number, other, text);
         }
@@ -799,6 +816,6 @@
         return new TrialResult(plan, sorted, judge.judge(), judge.lateActs(), subject.figures(sorted),
                 relays.passed() - passedBefore, relays.bytes() - bytesBefore,
                 Duration.between(playing, clock.now()).toNanos() / 1e9,
-                sorted.stream().anyMatch(e -> e.kind() == Kind.ENDED) ? -1 : processorUsed.toNanos() / 1e9, List.of());
+                processorUsed.toNanos() / 1e9, List.of());
     }
 }
--- a/src/main/java/rowanplank/lab/trial/TrialNode.java
+++ b/src/main/java/rowanplank/lab/trial/TrialNode.java
@@ -31,6 +31,9 @@
     private String fleet;
     private boolean spoilt;
     private byte[] remembered;
+    /** By the process that runs, or did last; and by all before it. */
+    private Duration used = Duration.ZERO;
+    private Duration usedBefore = Duration.ZERO;
 
     /** @param fleet what stands in its file of fleet, leases and tasks */
     TrialNode(String name, Path folder, InetSocketAddress door, InetSocketAddress front, InetSocketAddress discovery,
@@ -90,11 +93,16 @@
     void start(ChildProcesses children, IntConsumer ended) throws IOException {
         Files.deleteIfExists(hold(StandInParts.HOLD));
         starts++;
+        usedBefore = usedBefore.plus(used);
+        used = Duration.ZERO;
         child = children.start(command, new TreeMap<>(), folder.resolve(name + ".log").toString(), ended);
     }
 
+    /** Of all its processes; of those that have ended, as it was when this was called last. */
     Duration processorTime() {
-        return child == null ? Duration.ZERO : child.processorTime();
+        Duration now = child == null ? Duration.ZERO : child.processorTime();
+        used = now.compareTo(used) > 0 ? now : used;
+        return usedBefore.plus(used);
     }
 
     void ended() {
--- a/src/main/java/rowanplank/lab/trial/TrialResult.java
+++ b/src/main/java/rowanplank/lab/trial/TrialResult.java
@@ -14,7 +14,7 @@
  *
  * @param figures of what it is about
  * @param datagrams between nodes, in all
- * @param processorSeconds of all nodes together; -1 where some have ended meanwhile, or it is virtual time
+ * @param processorSeconds of all nodes together, with their starts; -1 in virtual time
  * @param log what the nodes wrote, where it is not in files
  */
 public record TrialResult(TrialPlan plan, List<Event> history, List<Finding> findings, int lateActs, Figures figures,
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -73,6 +73,9 @@
         void after(Duration delay, Runnable task);
 
         void tell(String fault);
+
+        /** What comes next is of this kind. */
+        void drawn(Kind kind);
     }
 
     /** The kinds. */
@@ -301,6 +304,7 @@
     }
 
     private void draw(Kind kind) throws IOException {
+        scene.drawn(kind);
         switch (kind) {
             case NOTHING -> { }
             case HOLDER_GONE -> kill(scene.holder() < 0 ? List.of() : List.of(scene.holder()));
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -709,5 +709,10 @@
         public void tell(String fault) {
             VirtualTrial.this.tell(Kind.FAULT, "", "", 0, 0, fault);
         }
+
+        @Override
+        public void drawn(Trouble.Kind kind) {
+            VirtualTrial.this.tell(Kind.DRAWN, "", kind.name(), 0, 0, "");
+        }
     }
 }
--- a/src/main/java/rowanplank/lab/trial/judge/Event.java
+++ b/src/main/java/rowanplank/lab/trial/judge/Event.java
@@ -31,6 +31,8 @@
         SPOILT,
         /** Any other fault that the trial brought about. */
         FAULT,
+        /** A fault of the kind {@code name} is drawn, whatever comes of it: nothing, or several of the above. */
+        DRAWN,
         /** A question who holds {@code name} was asked, as number {@code other}, of {@code node}. */
         ASKED,
         /** Its answer: the fence is {@code number}. */
