--- a/src/main/java/rowanplank/fleet/TaskRunner.java
+++ b/src/main/java/rowanplank/fleet/TaskRunner.java
@@ -18,9 +18,10 @@
  * Runs commands while their leases are held. A command begins only where it would end within the lease, with all that it
  * may take and all that the node may stand still meanwhile; it is asked to end, then ended, when its longest time is
  * over. It finds its lease, fence and longest time in its environment: {@code FLEET_NODE}, {@code FLEET_TASK},
- * {@code FLEET_LEASE}, {@code FLEET_FENCE}, {@code FLEET_LONGEST_MS}, and where it is to run once in a period that
- * period's number, {@code FLEET_PERIOD}. Such a run is claimed in the ledger before it begins: it runs once or, where its
- * node dies in between, not at all, and one that fails is not run again in that period.
+ * {@code FLEET_LEASE}, {@code FLEET_FENCE}, {@code FLEET_LONGEST_MS}, its end by the machine's clock on the wall, in ms
+ * since 1970, {@code FLEET_END_MS}, and where it is to run once in a period that period's number, {@code FLEET_PERIOD}. Such
+ * a run is claimed in the ledger before it begins: it runs once or, where its node dies in between, not at all, and one that
+ * fails is not run again in that period.
  *
  * <p>At most one run of a task at a time on this node; what fails is logged and begun again in its time.
  */
@@ -49,6 +50,7 @@
     }
 
     private final String node;
+    private final Loop loop;
     private final BoundedPrograms programs;
     private final RateLimitedLog log;
     private final Parts parts;
@@ -63,6 +65,7 @@
     TaskRunner(FleetConfig config, Loop loop, Programs programs, RateLimitedLog log, Parts parts, LeaseHolder holder,
             Runnable changed) {
         node = config.node();
+        this.loop = loop;
         this.programs = new BoundedPrograms(loop, programs, log);
         this.log = log;
         this.parts = parts;
@@ -259,6 +262,7 @@
             environment.put("FLEET_PERIOD", Long.toString(j.claimed));
         }
         environment.put("FLEET_LONGEST_MS", Long.toString(t.longest().toMillis()));
+        environment.put("FLEET_END_MS", Long.toString(loop.wall().now().plus(t.longest()).toEpochMilli()));
         try {
             begun++;
             j.running = programs.start("task " + t.name(), t.command(), environment, t.longest(), status -> ended(j, status));
--- /dev/null
+++ b/src/test/java/rowanplank/fleet/TaskRunnerTest.java
@@ -0,0 +1,158 @@
+package rowanplank.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntConsumer;
+import org.junit.jupiter.api.Test;
+import rowanplank.config.FleetConfig;
+import rowanplank.ledger.Ask;
+import rowanplank.ledger.LeaseHolder;
+import rowanplank.ledger.Result;
+import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.PassingLoop;
+import rowanplank.net.Programs;
+
+/** What becomes of a task that overruns, that fails, and that must not run twice, while its lease is held under fence 7. */
+class TaskRunnerTest implements LeaseHolder.Actions {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final PassingLoop loop = new PassingLoop();
+    /** "begin", "stop" and "kill", each with its ms. */
+    private final List<String> done = new ArrayList<>();
+    private final List<IntConsumer> ended = new ArrayList<>();
+    private final List<Long> claims = new ArrayList<>();
+    private Map<String, String> environment;
+    private TaskRunner tasks;
+
+    @Override
+    public void ask(String target, Ask ask) { }
+
+    @Override
+    public void granted(String lease, long fence) { }
+
+    @Override
+    public void over(String lease, long fence) { }
+
+    @Override
+    public void claimed(String task, long period, Result result) { }
+
+    private void did(String what) {
+        done.add(what + " " + loop.clock().now().toEpochMilli());
+    }
+
+    private Programs.Running start(Map<String, String> given, IntConsumer told) {
+        environment = given;
+        ended.add(told);
+        did("begin");
+        return new Programs.Running() {
+            @Override
+            public void stop() {
+                did("stop");
+            }
+
+            @Override
+            public void kill() {
+                did("kill");
+            }
+        };
+    }
+
+    private void granted(Duration every, boolean once) {
+        FleetConfig.Task task = new FleetConfig.Task("stamp", "nightly", List.of("stamp"), every, once, SECOND, Duration.ZERO);
+        FleetConfig config = new FleetConfig("press", "n1", null, null, new TreeMap<>(), new TreeMap<>(), new TreeMap<>(), "",
+                new FleetConfig.Timing(SECOND, SECOND, 0.01, SECOND, SECOND, 1024), List.of(), List.of(task), null);
+        LeaseHolder holder = new LeaseHolder(new LeaseHolder.Settings("n1", 1, List.of("n1"), SECOND, SECOND, SECOND),
+                Instant.EPOCH, this) {
+            @Override
+            public long fence(String lease) {
+                return 7;
+            }
+
+            @Override
+            public boolean mayAct(Instant now, String lease, Duration forThatLong) {
+                return true;
+            }
+
+            @Override
+            public boolean claim(Instant now, String lease, String name, Duration in, long period) {
+                return claims.add(period);
+            }
+        };
+        tasks = new TaskRunner(config, loop, (command, given, told) -> start(given, told),
+                new RateLimitedLog(loop.clock(), RateLimitedLog.Sink.system()), new Parts(), holder, () -> { });
+        tasks.granted(loop.clock().now(), "nightly");
+        pass(0);
+    }
+
+    /** As the loop would, each 50 ms. */
+    private void pass(int ms) {
+        for (int i = 0; i <= ms; i += 50) {
+            tasks.onTime(loop.clock().now());
+            loop.pass(Duration.ofMillis(i < ms ? 50 : 0));
+        }
+    }
+
+    /** Guards the lease's end: who takes too long is asked to end, then ended, before it, and is not begun beside itself. */
+    @Test
+    void whatTakesTooLongIsAskedToEndThenEnded() {
+        loop.pass(Duration.ofSeconds(5));
+        granted(Duration.ofMillis(500), false);
+        pass(3000);
+        assertEquals(List.of("begin 5000", "stop 5800", "kill 6000"), done);
+        ended.get(0).accept(143);
+        pass(100);
+        assertEquals(4, done.size(), done::toString);
+        assertEquals(0, tasks.ended());
+    }
+
+    /** Guards what a command can go by. */
+    @Test
+    void aCommandIsToldItsFenceAndItsEnd() {
+        loop.pass(Duration.ofSeconds(5));
+        granted(SECOND, false);
+        assertEquals(Map.of("FLEET_NODE", "n1", "FLEET_TASK", "stamp", "FLEET_LEASE", "nightly", "FLEET_FENCE", "7",
+                "FLEET_LONGEST_MS", "1000", "FLEET_END_MS", "6000"), environment);
+    }
+
+    /** Guards the next run: one that fails is begun again in its time, and not sooner. */
+    @Test
+    void whatFailsIsBegunAgainInItsTime() {
+        granted(SECOND, false);
+        ended.get(0).accept(1);
+        pass(900);
+        assertEquals(List.of("begin 0"), done);
+        pass(200);
+        assertEquals(List.of("begin 0", "begin 1000"), done);
+    }
+
+    /** Guards a run that must not be twice: neither one that failed, nor one whose claim's answer was lost, is in its period. */
+    @Test
+    void whatIsToRunOnceIsNotRunAgainInItsPeriod() {
+        granted(Duration.ofSeconds(4), true);
+        pass(300);
+        assertEquals(List.of(), done, "nothing is begun before it is claimed");
+        tasks.claimed(loop.clock().now(), "stamp", 0, null);
+        pass(300);
+        assertEquals(List.of(0L, 0L), claims, "what is not known is asked for again");
+        tasks.claimed(loop.clock().now(), "stamp", 0, Result.of(Result.Kind.DONE, 0));
+        pass(2900);
+        assertEquals(List.of(), done, "it may have run");
+        pass(500);
+        assertEquals(List.of(0L, 0L, 1L), claims);
+        tasks.claimed(loop.clock().now(), "stamp", 1, Result.of(Result.Kind.CLAIMED, 1));
+        pass(100);
+        assertTrue(done.size() == 1 && environment.get("FLEET_PERIOD").equals("1"), done::toString);
+        ended.get(0).accept(1);
+        pass(3000);
+        assertEquals(1, done.size(), done::toString);
+        pass(1000);
+        assertEquals(List.of(0L, 0L, 1L, 2L), claims);
+    }
+}
--- a/src/test/java/rowanplank/lab/trial/SickFilesTest.java
+++ b/src/test/java/rowanplank/lab/trial/SickFilesTest.java
@@ -6,52 +6,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import rowanplank.net.Clock;
 import rowanplank.net.Loop;
-import rowanplank.net.StandingLoop;
+import rowanplank.net.PassingLoop;
 import rowanplank.net.StateFile;
 
 /** The stand-in for a slow disk. */
 class SickFilesTest {
-    private record Due(Instant at, Runnable task) { }
-
-    /** A loop whose time passes as the test says. */
-    private static final class PassingLoop extends StandingLoop {
-        private Instant now = Instant.EPOCH;
-        private final List<Due> timers = new ArrayList<>();
-
-        @Override
-        public Clock clock() {
-            return () -> now;
-        }
-
-        @Override
-        public Timer schedule(Duration delay, Runnable task) {
-            timers.add(new Due(now.plus(delay), task));
-            return () -> true;
-        }
-
-        void pass(Duration time) {
-            Instant until = now.plus(time);
-            for (;;) {
-                Due next = timers.stream().min(Comparator.comparing(Due::at)).filter(d -> !d.at().isAfter(until)).orElse(null);
-                if (next == null) {
-                    now = until;
-                    return;
-                }
-                timers.remove(next);
-                now = next.at();
-                next.task().run();
-            }
-        }
-    }
-
     /** What is written, in the order in which it reached the machine's disk. */
     private static final class Disk implements StateFile.Files {
         private final List<Byte> written = new ArrayList<>();
