--- a/src/main/java/rowanplank/cli/LabHuntCommand.java
+++ b/src/main/java/rowanplank/cli/LabHuntCommand.java
@@ -17,14 +17,23 @@
 import rowanplank.lab.day.DayEdit;
 import rowanplank.lab.day.DayFile;
 import rowanplank.lab.hunt.Hunt;
+import rowanplank.lab.hunt.TrialHunt;
+import rowanplank.lab.hunt.TrialShrink;
 import rowanplank.lab.run.DayRun;
+import rowanplank.lab.trial.Plants;
+import rowanplank.lab.trial.TrialFile;
+import rowanplank.lab.trial.TrialKind;
+import rowanplank.lab.trial.TrialPlan;
 import rowanplank.net.Clock;
 import rowanplank.net.SystemClock;
 
-@Command(name = "hunt", description = {"Plays random days until a rule is broken or a day never ends, makes that day",
-    "smaller, and writes it as a file for replay."})
+@Command(name = "hunt", description = {"Plays random days, or trials of fleets in virtual time, until a rule is broken or a",
+    "day never ends, makes what broke it smaller, and writes it as a file for replay."})
 final class LabHuntCommand implements Callable<Integer> {
     private static final int MOST_NODES = 1000;
+    private static final int MOST_NODES_OF_TRIALS = 100;
+    private static final Duration TRIAL = Duration.ofSeconds(20);
+    private static final double DRIFT = 0.01;
 
     @Option(names = "--minutes", paramLabel = "M", required = true, description = "How long to hunt.")
     private double minutes;
@@ -39,6 +48,12 @@
     private long days = Long.MAX_VALUE;
     @Option(names = "--all", description = "Goes on to the end, and keeps a day for each rule that was broken.")
     private boolean all;
+    @Option(names = "--kind", paramLabel = "KIND",
+            description = "Trials of fleets in place of days, about this: ${COMPLETION-CANDIDATES}.")
+    private TrialKind kind;
+    @Option(names = "--plant", paramLabel = "NAME",
+            description = "Of trials: the nodes have this fault, as \"fleet trial --plant list\" tells them.")
+    private String plant = "";
     @Option(names = "--out", paramLabel = "DIR", defaultValue = ".",
             description = "Where days are written; usually here.")
     private Path out;
@@ -59,6 +74,9 @@
         }
         Clock clock = new SystemClock();
         Instant until = clock.now().plus(Duration.ofMillis((long) (minutes * 60_000)));
+        if (kind != null) {
+            return trials(clock, until);
+        }
         Hunt hunt = new Hunt(new DayRun(DayRun.Manner.usual(clock)), clock,
                 new Hunt.Plan(s -> DayDraw.random(s, nodes), seed, days, until, cores, all));
         ExecutorService threads = Executors.newFixedThreadPool(cores);
@@ -78,9 +96,40 @@
         }
     }
 
+    private int trials(Clock clock, Instant until) throws InterruptedException {
+        if (kind == TrialKind.PLACES || nodes > MOST_NODES_OF_TRIALS || !plant.isEmpty() && !Plants.all().containsKey(plant)) {
+            throw new ConfigException("--kind, --nodes, --plant: not places, up to " + MOST_NODES_OF_TRIALS
+                    + " nodes, and a fault that \"fleet trial --plant list\" tells of");
+        }
+        TrialHunt hunt = new TrialHunt(clock, new TrialHunt.Plan(s -> TrialPlan.virtual(kind, nodes, s, TRIAL), DRIFT, plant,
+                seed, days, until, cores, all));
+        ExecutorService threads = Executors.newFixedThreadPool(cores);
+        Interrupt interrupt = new Interrupt(hunt::stop);
+        try {
+            TrialHunt.Report report = hunt.run(threads);
+            System.out.print(report.text());
+            report.finds().forEach(this::keep);
+            return status != Status.DONE ? status
+                    : report.interrupted() ? Status.failed(Status.INTERRUPTED, "interrupted; this is what was finished")
+                    : report.finds().isEmpty() ? Status.DONE : Status.RULE_BROKEN;
+        } finally {
+            interrupt.close();
+            threads.shutdownNow();
+        }
+    }
+
+    private void keep(TrialShrink.Smaller find) {
+        Path file = file(find.trial().rule(), find.trial().seed());
+        System.out.printf(Locale.ROOT, "%s: made smaller in %d plays, %s%n", find.trial().rule(), find.plays(), file);
+        write(file, TrialFile.write(find.trial()));
+    }
+
+    private Path file(String rule, long ofSeed) {
+        return out.resolve(rule.toLowerCase(Locale.ROOT).replace('_', '-') + "-" + ofSeed + ".toml");
+    }
+
     private Path file(Hunt.Find find) {
-        return out.resolve(find.rule().toLowerCase(Locale.ROOT).replace('_', '-') + "-" + find.found().day().seed()
-                + ".toml");
+        return file(find.rule(), find.found().day().seed());
     }
 
     private void print(Hunt.Find find) {
@@ -92,12 +141,16 @@
 
     private void write(Hunt.Find find) {
         Day day = DayEdit.withName(find.smaller().day(), find.rule().toLowerCase(Locale.ROOT));
+        write(file(find), DayFile.write(day));
+    }
+
+    private void write(Path file, String text) {
         try {
             Files.createDirectories(out);
-            Files.writeString(file(find), DayFile.write(day));
+            Files.writeString(file, text);
         } catch (IOException e) {
-            System.out.print(DayFile.write(day));
-            status = Status.failed(Status.FAILED, "can't write " + file(find) + ": " + e);
+            System.out.print(text);
+            status = Status.failed(Status.FAILED, "can't write " + file + ": " + e);
         }
     }
 }
--- a/src/main/java/rowanplank/lab/hunt/Hunt.java
+++ b/src/main/java/rowanplank/lab/hunt/Hunt.java
@@ -2,14 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.SortedMap;
-import java.util.TreeMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Future;
 import java.util.function.LongFunction;
 import rowanplank.lab.day.Day;
 import rowanplank.lab.run.DayPlayer;
@@ -59,88 +55,36 @@
 
     private final DayPlayer player;
     private final Clock clock;
-    private final Plan plan;
-    private final SortedMap<String, DayResult> found = new TreeMap<>();
-    private final SortedMap<String, Long> broken = new TreeMap<>();
-    private long next;
-    private long days;
+    private final Search<DayResult> search;
     private long events;
     private double service;
-    private volatile boolean stopped;
 
     public Hunt(DayPlayer player, Clock clock, Plan plan) {
         this.player = player;
         this.clock = clock;
-        this.plan = plan;
-        next = plan.firstSeed();
+        search = new Search<>(new Search.Bounds(plan.firstSeed(), plan.mostDays(), plan.until(), plan.cores(), plan.goesOn()),
+                clock, seed -> count(player.play(plan.draw().apply(seed))), r -> r.broken().keySet());
     }
 
     /** Ends it as soon as the days that are being played are over; may be called from any thread. */
     public void stop() {
-        stopped = true;
+        search.stop();
     }
 
     /** Hunts, on as many of the executor's threads as the plan has cores. */
     public Report run(ExecutorService threads) throws InterruptedException {
         Instant began = clock.now();
-        onAll(threads, plan.cores(), this::play);
-        List<Find> finds = shrink(threads);
-        return new Report(days, events, days == 0 ? 0 : service / days, Duration.between(began, clock.now()), broken,
-                finds, stopped);
+        search.run(threads);
+        List<Find> finds = search.ofEach(threads, (rule, result) -> new Find(rule, result,
+                Shrink.shrink(player, result, rule, MOST_SHRINKING_PLAYS, search::isStopped)));
+        long days = search.played();
+        return new Report(days, events, days == 0 ? 0 : service / days, Duration.between(began, clock.now()),
+                search.broken(), finds, search.isStopped());
     }
 
-    private void play() {
-        for (long seed; (seed = nextSeed()) >= 0;) {
-            count(player.play(plan.draw().apply(seed)));
-        }
-    }
-
-    /** Negative where no more is to be played. */
-    private synchronized long nextSeed() {
-        boolean over = stopped || next - plan.firstSeed() >= plan.mostDays() || !clock.now().isBefore(plan.until())
-                || !plan.goesOn() && !found.isEmpty();
-        return over ? -1 : next++;
-    }
-
-    private synchronized void count(DayResult result) {
-        days++;
+    private synchronized DayResult count(DayResult result) {
         events += result.events();
         service += result.service().service();
-        for (String rule : result.broken().keySet()) {
-            broken.merge(rule, 1L, Long::sum);
-            DayResult before = found.get(rule);
-            if (before == null || result.day().seed() < before.day().seed()) {
-                found.put(rule, result);
-            }
-        }
-    }
-
-    private List<Find> shrink(ExecutorService threads) throws InterruptedException {
-        List<Find> finds = new ArrayList<>();
-        List<Future<Find>> futures = new ArrayList<>();
-        found.forEach((rule, result) -> futures.add(threads.submit(() -> new Find(rule, result,
-                Shrink.shrink(player, result, rule, MOST_SHRINKING_PLAYS, () -> stopped)))));
-        for (Future<Find> f : futures) {
-            finds.add(get(f));
-        }
-        return finds;
-    }
-
-    private static void onAll(ExecutorService threads, int count, Runnable task) throws InterruptedException {
-        List<Future<?>> futures = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            futures.add(threads.submit(task));
-        }
-        for (Future<?> f : futures) {
-            get(f);
-        }
-    }
-
-    private static <T> T get(Future<T> future) throws InterruptedException {
-        try {
-            return future.get();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("a hunting thread failed", e.getCause());
-        }
+        return result;
     }
 }
--- a/src/main/java/rowanplank/lab/trial/TrialCase.java
+++ b/src/main/java/rowanplank/lab/trial/TrialCase.java
@@ -25,7 +25,12 @@
         faults = List.copyOf(faults);
     }
 
-    /** The trial that a seed draws, with what it drew. */
+    /** The trial that a seed draws. */
+    public static TrialResult play(TrialPlan plan, double drift, String plant) {
+        return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts(plant))).play();
+    }
+
+    /** The same, with what it drew. */
     public static TrialCase drawn(TrialPlan plan, double drift, String plant, String rule) {
         VirtualTrial trial = new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts(plant)));
         trial.play();
--- a/src/main/java/rowanplank/lab/trial/TrialPlan.java
+++ b/src/main/java/rowanplank/lab/trial/TrialPlan.java
@@ -36,6 +36,12 @@
         standIn = List.copyOf(standIn);
     }
 
+    /** One in virtual time, with all that may break, by leases of a second. */
+    public static TrialPlan virtual(TrialKind kind, int nodes, long seed, Duration length) {
+        return new TrialPlan(kind, nodes, seed, length, kind.quiet(), Duration.ofSeconds(1), List.of(), Trouble.GAP, List.of(),
+                List.of(), "");
+    }
+
     /** So many of the nodes vote. */
     int voters() {
         return nodes < 3 ? 1 : nodes < 5 ? 3 : 5;
