--- a/src/test/java/rowanplank/agreement/AgreementTest.java
+++ b/src/test/java/rowanplank/agreement/AgreementTest.java
@@ -244,6 +244,21 @@
         assertTrue(g.leader().propose(g.now, new byte[] {1}) > 0);
     }
 
+    /** Guards the network and a slow voter: whoever does not answer is sent eight messages with entries, not one for each. */
+    @Test
+    void whoDoesNotAnswerIsNotFlooded() {
+        Group g = settled(3);
+        List<Message> sent = new ArrayList<>();
+        for (byte i = 1; i <= 50; i++) {
+            assertTrue(g.leader().propose(g.now, new byte[] {i}) > 0);
+            g.settle(m -> !(m instanceof Message.AppendReply)
+                    && (!(m instanceof Message.Append a) || a.entries().isEmpty() || sent.add(m)));
+        }
+        assertEquals(2 * 8, sent.size(), "to two voters");
+        g.pass(1000);
+        g.voters.keySet().forEach(v -> assertEquals(50, g.payloads(v).size(), v));
+    }
+
     @Test
     void leadershipIsHandedOnWithoutAnElectionsWait() {
         Group g = settled(3);
