Refuse two tasks of one name

Two [[task]]s of one name in a file were taken, and check said that it can be used. Runs once in a period are claimed by the task's name, so one of the two took the other's run; claims that were answered went to both.

check and serve tell the second one's file, line and key, as they do of leases. A row in OperatorFileTest.

--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -375,9 +375,7 @@
             s.require("name");
             Lease lease = new Lease(name(s, "name", "lease"),
                     s.duration("length", Duration.ofMillis(100), Duration.ofHours(1), Duration.ofSeconds(4)));
-            if (!names.add(lease.name()) && s.has("name")) {
-                s.fault("name", "stands twice: " + lease.name());
-            }
+            requireOnce(s, names, lease.name());
             leases.add(lease);
         }
         if (leases.size() > MOST_LEASES) {
@@ -386,10 +384,20 @@
         return leases;
     }
 
+    private static void requireOnce(TomlSection s, TreeSet<String> names, String name) {
+        if (!names.add(name) && s.has("name")) {
+            s.fault("name", "stands twice: " + name);
+        }
+    }
+
+    /** By its name a task's runs are claimed: of two of one name, one would take the other's. */
     private static List<Task> tasks(TomlSection root, List<Lease> leases) {
         List<Task> tasks = new ArrayList<>();
+        TreeSet<String> names = new TreeSet<>();
         for (TomlSection s : root.sections("task")) {
-            tasks.add(task(s, leases));
+            Task task = task(s, leases);
+            requireOnce(s, names, task.name());
+            tasks.add(task);
         }
         if (tasks.size() > MOST_TASKS) {
             root.fault("task", "more than " + MOST_TASKS);
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -59,6 +59,7 @@
         "every = \"5s\" | every = \"5s\"~once_in = \"1h\" | once_in: must not stand beside every or always",
         "name = \"press\" | name = \"press\"~snapshot = 3 | fleet.snapshot: must be a whole number from 16 to 100000",
         "every = \"5s\" | evry = \"5s\" | unknown key",
+        "[[task]] | [[task]]~name = \"stamp\"~lease = \"nightly\"~every = \"9s\"~command = [\"true\"]~[[task]] | task[1].name: stands twice: stamp",
         "[[lease]] | [fleet.budgets]~places = 4~places_cold = 5~[[lease]] | fleet.budgets.places_cold: is more than the whole of 4",
         "[[lease]] | [fleet.budgets]~tries = \"t\"~[[lease]] | fleet.budgets.tries: there is no [[budget]] of that name and kind rate: t",
         "[[lease]] | [[budget]]~name = \"b\"~whole = 2~reserve = 2~[[lease]] | reserve: leaves nothing to divide",
