Play written faults among real processes, and find the last four planted faults of leases

Cause: of 16 planted faults checked-before, counted-from-answer and stale-read were not found among real processes, since what shows them had to be drawn by chance; older-terms-count was found by no whole trial, since a new leader's first entry went in one message with the older ones that it would count. And a virtual trial judged its end after 3.8 s, less than a new leader waits where leases are 4 s long.

The quiet at the end is a lease and 3 s, and 4 s at the least, in both worlds.

--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -10,9 +10,14 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.Spec;
+import rowanplank.config.ConfigException;
 import rowanplank.lab.trial.Plants;
 import rowanplank.lab.trial.Trial;
+import rowanplank.lab.trial.TrialCase;
+import rowanplank.lab.trial.TrialFile;
 import rowanplank.lab.trial.TrialPlan;
 import rowanplank.lab.trial.TrialResult;
 
@@ -21,6 +26,9 @@
 final class FleetTrialCommand implements Callable<Integer> {
     private static final int MOST_NODES = 30;
     private static final int MOST_SECONDS = 3600;
+    /** In place of the file's fault. */
+    private static final String WITHOUT = "none";
+    private static final List<String> SAID_BY_FILE = List.of("--kind", "--nodes", "--seconds", "--faults", "--lease", "--gap");
 
     @Spec
     private CommandSpec spec;
@@ -29,12 +37,16 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "What breaks, and when, is drawn from it.")
     private long seed;
     @Option(names = "--seconds", paramLabel = "T", defaultValue = "20",
-            description = "From the first act on; at the end nothing breaks for 4 s, 7 s of places, or a quarter of it.")
+            description = {"From the first act on; at the end nothing breaks for 3 s and a lease, 4 s at the least,",
+                "7 s of places, or a quarter of it."})
     private int seconds;
     @Option(names = "--out", paramLabel = "DIR", description = "Where all that it writes goes.")
     private Path out;
     @Option(names = "--json", description = "Prints the result as JSON.")
     private boolean json;
+    @Option(names = "--file", paramLabel = "FILE", description = {"Plays the faults written there, as lab replay does in",
+        "virtual time, among stand-ins of nodes; of its own --seed and --plant may be others, --plant none for no fault."})
+    private Path file;
 
     @Override
     public Integer call() throws Exception {
@@ -42,16 +54,8 @@
             Plants.all().forEach((name, what) -> System.out.printf("%-24s %s%n", name, what));
             return Status.DONE;
         }
-        trial.check(spec, MOST_NODES);
-        TrialOptions.within(spec, "--seconds", seconds, (int) trial.kind.quiet().plusSeconds(2).toSeconds(), MOST_SECONDS);
         Path folder = out == null ? Files.createTempDirectory("rowanplank-trial-") : Files.createDirectories(out);
-        Duration length = Duration.ofSeconds(seconds);
-        Duration quarter = length.dividedBy(4);
-        boolean planted = trial.plant != null;
-        Trial real = new Trial(new TrialPlan(trial.kind, trial.nodes, seed, length,
-                quarter.compareTo(trial.kind.quiet()) < 0 ? trial.kind.quiet() : quarter, trial.lease(), trial.faults, trial.gap(),
-                planted ? List.of() : NodeCommand.ofFile(),
-                planted ? NodeCommand.planted(trial.plant) : NodeCommand.standIn(), folder.toString()));
+        Trial real = file == null ? drawn(folder) : written(folder);
         Thread end = new Thread(real::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
         TrialResult result = real.play();
@@ -60,4 +64,40 @@
                 : result.text() + "history, files and logs: " + folder + "\n");
         return result.findings().isEmpty() ? Status.DONE : Status.RULE_BROKEN;
     }
+
+    /** The seed and the fault of its nodes may be others than the file's; all else is as it says. */
+    private Trial written(Path folder) {
+        ParseResult given = spec.commandLine().getParseResult();
+        for (String option : SAID_BY_FILE) {
+            if (given.hasMatchedOption(option)) {
+                throw new ParameterException(spec.commandLine(), option + ": the file says it");
+            }
+        }
+        boolean without = WITHOUT.equals(trial.plant);
+        if (!without) {
+            trial.checkPlant(spec);
+        }
+        TrialCase read = TrialFile.read(file.toString(), LabReplayCommand.read(file));
+        if (read.nodes() > MOST_NODES) {
+            throw new ConfigException(file + ": trial.nodes: at most " + MOST_NODES + " among real processes");
+        }
+        TrialCase played = read.as(given.hasMatchedOption("--seed") ? seed : read.seed(),
+                without ? "" : trial.plant == null ? read.plant() : trial.plant);
+        return played.amongProcesses(played.plant().isEmpty() ? NodeCommand.standIn() : NodeCommand.planted(played.plant()),
+                folder.toString());
+    }
+
+    private Trial drawn(Path folder) {
+        trial.check(spec, MOST_NODES);
+        Duration ofLease = TrialPlan.leastQuiet(trial.lease());
+        Duration quiet = ofLease.compareTo(trial.kind.quiet()) < 0 ? trial.kind.quiet() : ofLease;
+        TrialOptions.within(spec, "--seconds", seconds, (int) quiet.plusSeconds(2).toSeconds(), MOST_SECONDS);
+        Duration length = Duration.ofSeconds(seconds);
+        Duration quarter = length.dividedBy(4);
+        boolean planted = trial.plant != null;
+        return new Trial(new TrialPlan(trial.kind, trial.nodes, seed, length,
+                quarter.compareTo(quiet) < 0 ? quiet : quarter, trial.lease(), trial.faults, trial.gap(),
+                planted ? List.of() : NodeCommand.ofFile(),
+                planted ? NodeCommand.planted(trial.plant) : NodeCommand.standIn(), folder.toString()));
+    }
 }
--- a/src/main/java/rowanplank/cli/LabReplayCommand.java
+++ b/src/main/java/rowanplank/cli/LabReplayCommand.java
@@ -24,7 +24,7 @@
 
     @Override
     public Integer call() {
-        String text = read();
+        String text = read(file);
         if (TrialFile.isOne(text)) {
             TrialResult played = TrialFile.read(file.toString(), text).play();
             System.out.print(played.text());
@@ -33,7 +33,8 @@
         return new DayPlay(null, trace).play(DayFile.read(file.toString(), text));
     }
 
-    private String read() {
+    /** @throws ConfigException with one line, where it can't be read */
+    static String read(Path file) {
         try {
             return FileAccess.SYSTEM.read(file.toString(), MOST_BYTES);
         } catch (IOException e) {
--- a/src/main/java/rowanplank/cli/PlantedNode.java
+++ b/src/main/java/rowanplank/cli/PlantedNode.java
@@ -9,8 +9,8 @@
 public final class PlantedNode {
     private PlantedNode() { }
 
-    /** @param args the fault's name, the rate of its clock, and the operator's file */
+    /** @param args the fault's name, the rate of its clock, the bytes of entries in a message, and the operator's file */
     public static void main(String[] args) throws Exception {
-        StandInNode.run(Plants.parts(args[0]), args[1], args[2]);
+        StandInNode.run(Plants.parts(args[0]), args[1], args[2], args[3]);
     }
 }
--- a/src/main/java/rowanplank/cli/StandInNode.java
+++ b/src/main/java/rowanplank/cli/StandInNode.java
@@ -14,19 +14,19 @@
 public final class StandInNode {
     private StandInNode() { }
 
-    /** @param args the rate of its clock, and the operator's file */
+    /** @param args the rate of its clock, the bytes of entries in a message, and the operator's file */
     public static void main(String[] args) throws Exception {
-        run(new Parts(), args[0], args[1]);
+        run(new Parts(), args[0], args[1], args[2]);
     }
 
-    static void run(Parts parts, String clockRate, String file) throws Exception {
+    static void run(Parts parts, String clockRate, String mostBytes, String file) throws Exception {
         LimitedLoggers.use();
         Serve.endWithInput();
         double rate = Double.parseDouble(clockRate);
         Clock machine = new SystemClock();
         Instant began = machine.now();
         Clock clock = () -> began.plusNanos((long) (Duration.between(began, machine.now()).toNanos() * rate));
-        int status = Serve.run(file, new StandInParts(parts, file), clock);
+        int status = Serve.run(file, new StandInParts(parts, Integer.parseInt(mostBytes), file), clock);
         if (status != 0) {
             System.exit(status);
         }
--- a/src/main/java/rowanplank/cli/TrialOptions.java
+++ b/src/main/java/rowanplank/cli/TrialOptions.java
@@ -44,6 +44,11 @@
         within(spec, "--nodes", nodes, 1, mostNodes);
         within(spec, "--gap", gap, LEAST_GAP_MS, MOST_MS);
         within(spec, "--lease", lease, LEAST_LEASE_MS, MOST_MS);
+        checkPlant(spec);
+    }
+
+    /** @throws ParameterException with one line, where there is no such fault */
+    void checkPlant(CommandSpec spec) {
         if (plant != null && !Plants.all().containsKey(plant)) {
             throw new ParameterException(spec.commandLine(), "--plant: no fault of that name: " + plant);
         }
--- a/src/main/java/rowanplank/lab/trial/StandInParts.java
+++ b/src/main/java/rowanplank/lab/trial/StandInParts.java
@@ -7,61 +7,64 @@
 import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.time.Instant;
-import rowanplank.agreement.Agreement;
-import rowanplank.agreement.Saved;
 import rowanplank.fleet.Parts;
-import rowanplank.ledger.BudgetDesk;
 import rowanplank.ledger.BudgetHolder;
-import rowanplank.ledger.Desk;
 import rowanplank.ledger.LeaseHolder;
-import rowanplank.ledger.Ledger;
-import rowanplank.ledger.WorkDesk;
-import rowanplank.ledger.WorkHolder;
-import rowanplank.membership.Membership;
+import rowanplank.net.Loop;
 import rowanplank.net.StateFile;
 
 /**
  * The parts of a trial's stand-in: those of a node, on a disk that can be sick, and with a moment between the look at a
  * lease and the command's start in which the trial can have it stand still. A file beside the operator's says for how
- * many ms; the node takes it up once, by its name's change, which tells the trial.
+ * many ms; the node takes it up once, by its name's change, which tells the trial. A voter can be had to stand still at
+ * another place too: when it has looked at the time, and before it reads what has come to its sockets.
  */
-public final class StandInParts extends Parts {
+public final class StandInParts extends SameParts {
     static final String HOLD = ".hold";
     static final String HELD = ".held";
+    static final String TURN = ".hold-turn";
+    private static final Duration LOOK = Duration.ofMillis(10);
 
-    private final Parts parts;
     private final Path hold;
     private final Path held;
-
-    /** @param file the operator's */
-    public StandInParts(Parts parts, String file) {
-        this.parts = parts;
+    private final Path turn;
+    private final Path turnHeld;
+
+    /**
+     * @param mostBytes of the entries in a voter's message
+     * @param file the operator's
+     */
+    public StandInParts(Parts parts, int mostBytes, String file) {
+        super(withMessages(parts, mostBytes));
         hold = Path.of(file + HOLD);
         held = Path.of(file + HELD);
+        turn = Path.of(file + TURN);
+        turnHeld = Path.of(file + TURN + "-held");
     }
 
     @Override
     public boolean mayBegin(LeaseHolder holder, Instant now, String lease, Duration longest) {
-        boolean may = parts.mayBegin(holder, now, lease, longest);
+        boolean may = super.mayBegin(holder, now, lease, longest);
         if (may) {
-            standStill();
+            standStill(hold, held);
         }
         return may;
     }
 
     @Override
     public long begin(BudgetHolder holder, Instant now, String budget) {
-        long epoch = parts.begin(holder, now, budget);
+        long epoch = super.begin(holder, now, budget);
         if (epoch >= 0) {
-            standStill();
+            standStill(hold, held);
         }
         return epoch;
     }
 
-    private void standStill() {
+    /** @param word says for how many ms, if anything is to be now; it becomes the other file */
+    private static void standStill(Path word, Path taken) {
         try {
-            long ms = Long.parseLong(Files.readString(hold).trim());
-            Files.move(hold, held, StandardCopyOption.ATOMIC_MOVE);
+            long ms = Long.parseLong(Files.readString(word).trim());
+            Files.move(word, taken, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
             Thread.sleep(ms);
         } catch (NoSuchFileException e) {
             // not now
@@ -72,58 +75,25 @@
         }
     }
 
-    @Override
-    public StateFile.Files files(StateFile.Files machine) {
-        return parts.files(new SickFiles(machine));
-    }
-
-    @Override
-    public Agreement agreement(Agreement.Settings settings, Saved saved, Instant now, Agreement.Actions actions) {
-        return parts.agreement(settings, saved, now, actions);
-    }
-
-    @Override
-    public Ledger ledger(Ledger.Picture picture) {
-        return parts.ledger(picture);
-    }
-
-    @Override
-    public Desk desk(Desk.Settings settings, Ledger ledger, Desk.Actions actions) {
-        return parts.desk(settings, ledger, actions);
+    private void watchTurns(Loop loop) {
+        loop.execute(() -> standStill(turn, turnHeld)); // a loop does what it was given after its timers, and before its sockets
+        loop.schedule(LOOK, () -> watchTurns(loop));
     }
 
     @Override
-    public LeaseHolder holder(LeaseHolder.Settings settings, Instant now, LeaseHolder.Actions actions) {
-        return parts.holder(settings, now, actions);
-    }
-
-    @Override
-    public BudgetDesk budgetDesk(double drift, Ledger ledger, BudgetDesk.Actions actions) {
-        return parts.budgetDesk(drift, ledger, actions);
-    }
-
-    @Override
-    public BudgetHolder budgetHolder(BudgetHolder.Settings settings, Instant now, BudgetHolder.Actions actions) {
-        return parts.budgetHolder(settings, now, actions);
-    }
-
-    @Override
-    public WorkDesk workDesk(WorkDesk.Settings settings, Ledger ledger, WorkDesk.Actions actions) {
-        return parts.workDesk(settings, ledger, actions);
-    }
-
-    @Override
-    public WorkHolder workHolder(WorkHolder.Settings settings, Instant now, WorkHolder.Actions actions) {
-        return parts.workHolder(settings, now, actions);
-    }
-
-    @Override
-    public Membership membership(Membership.Settings settings, Instant now, Membership.Actions actions) {
-        return parts.membership(settings, now, actions);
-    }
-
-    @Override
-    public int knows() {
-        return parts.knows();
+    public StateFile.Files files(StateFile.Files machine) {
+        StateFile.Files files = super.files(new SickFiles(machine));
+        return new StateFile.Files() {
+            @Override
+            public void create(String directory, byte[] content) throws IOException {
+                files.create(directory, content);
+            }
+
+            @Override
+            public StateFile open(String directory, Loop loop, StateFile.Failed failed) throws IOException {
+                watchTurns(loop);
+                return files.open(directory, loop, failed);
+            }
+        };
     }
 }
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -62,6 +62,8 @@
 
     private final TrialPlan plan;
     private final int mostEvents;
+    private final double drift;
+    private final List<TrialFault> script;
     private final Subject subject;
     private final Path folder;
     private final SystemClock clock = new SystemClock();
@@ -105,12 +107,22 @@
     private String unplayable;
 
     public Trial(TrialPlan plan) {
-        this(plan, MOST_EVENTS);
+        this(plan, DRIFT, null, MOST_EVENTS);
+    }
+
+    /**
+     * @param drift how far clocks of stand-ins are from true time at the most
+     * @param script what breaks, in order of time, instead of what the plan says; null where it is drawn
+     */
+    Trial(TrialPlan plan, double drift, List<TrialFault> script) {
+        this(plan, drift, script, MOST_EVENTS);
     }
 
     /** @param mostEvents a longer history can't be kept */
-    Trial(TrialPlan plan, int mostEvents) {
+    Trial(TrialPlan plan, double drift, List<TrialFault> script, int mostEvents) {
         this.plan = plan;
+        this.drift = drift;
+        this.script = script == null ? null : List.copyOf(script);
         this.mostEvents = mostEvents;
         subject = plan.kind().subject(plan);
         folder = Path.of(plan.folder()).toAbsolutePath();
@@ -215,7 +227,8 @@
         }
         standsIn.set(n);
         List<String> command = new ArrayList<>(plan.standIn());
-        command.add(Double.toString(1 + DRIFT * (2 * standIns.nextDouble() - 1)));
+        command.add(Double.toString(1 + drift * (2 * standIns.nextDouble() - 1)));
+        command.add(Integer.toString(plan.mostBytes()));
         return command;
     }
 
@@ -247,7 +260,7 @@
         bytesBefore = relays.bytes();
         processorBefore = processorTime();
         List<Trouble.Kind> faults = plan.faults().isEmpty() ? subject.faults() : plan.faults();
-        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), chance));
+        troubles.add(new Trouble(new Scene(), faults, plan.gap(), plan.lease(), chance, script));
         if (plan.faults().isEmpty() && !subject.stir().isEmpty()) {
             troubles.add(new Trouble(new Scene(), subject.stir(), Trouble.STIR_GAP, plan.lease(), stirs));
         }
@@ -749,6 +762,20 @@
             }
         }
 
+        @Override
+        public boolean holdTurn(int n, Duration length) {
+            if (!standsIn.get(n) || n >= plan.voters()) {
+                return false;
+            }
+            try {
+                nodes.get(n).holdTurn(length);
+            } catch (IOException e) {
+                unforeseen(e);
+            }
+            tell(Kind.STALLED, nodes.get(n).name(), "", length.toNanos() / 1000, 0, "between time and sockets");
+            return true;
+        }
+
         @Override
         public boolean slowDisk(int n, Duration by, Duration length) {
             return sicken(n, "slow " + by.toMillis(), length, () -> { });
--- a/src/main/java/rowanplank/lab/trial/TrialCase.java
+++ b/src/main/java/rowanplank/lab/trial/TrialCase.java
@@ -5,8 +5,8 @@
 import rowanplank.fleet.Parts;
 
 /**
- * One trial in virtual time with all that it hangs on: played again it gives the same history and the same verdict, on
- * the same build.
+ * One trial with all that it hangs on: played again in virtual time it gives the same history and the same verdict, on
+ * the same build. Among real processes what breaks, and when, is the same.
  *
  * @param kind what it is about
  * @param length 7 s at the least: 2 s in which nothing breaks yet, and 4 s in which nothing breaks any more
@@ -18,7 +18,7 @@
 public record TrialCase(TrialKind kind, int nodes, long seed, Duration length, Duration lease, double drift, String plant,
         String rule, List<TrialFault> faults) {
     public static final Duration SHORTEST = Duration.ofSeconds(7);
-    /** Of its length nothing breaks in so much. */
+    /** Of its length nothing breaks in so much; among real processes, which begin with the first act, in the end alone. */
     private static final Duration WITHOUT = Duration.ofSeconds(6);
 
     public TrialCase {
@@ -42,9 +42,21 @@
     }
 
     public TrialResult play() {
-        TrialPlan plan = new TrialPlan(kind, nodes, seed, length, Duration.ofSeconds(4), lease, List.of(), Trouble.GAP,
-                List.of(), List.of(), "");
-        return new VirtualTrial(VirtualTrial.Setting.of(plan, drift, parts(plant)), faults).play();
+        return new VirtualTrial(VirtualTrial.Setting.of(plan(length, List.of(), ""), drift, parts(plant)), faults).play();
+    }
+
+    /**
+     * The same among real processes. All are stand-ins, so that whatever is written down can be done to each.
+     *
+     * @param standIn starts one: the rate of its clock, the size of its messages and its file are put behind it
+     */
+    public Trial amongProcesses(List<String> standIn, String folder) {
+        return new Trial(plan(length.minus(WITHOUT).plus(TrialPlan.leastQuiet(lease)), standIn, folder), drift, faults);
+    }
+
+    private TrialPlan plan(Duration whole, List<String> standIn, String folder) {
+        return new TrialPlan(kind, nodes, seed, whole, TrialPlan.leastQuiet(lease), lease, List.of(), Trouble.GAP, List.of(), standIn,
+                folder);
     }
 
     /** Whether a trial broke the rule that this one was kept for. */
@@ -52,6 +64,11 @@
         return played.findings().stream().anyMatch(f -> f.rule().equals(rule));
     }
 
+    /** The same of another seed, and with another planted fault, or none where that is empty. */
+    public TrialCase as(long otherSeed, String otherPlant) {
+        return new TrialCase(kind, nodes, otherSeed, length, lease, drift, otherPlant, rule, faults);
+    }
+
     public TrialCase with(List<TrialFault> others) {
         return new TrialCase(kind, nodes, seed, length, lease, drift, plant, rule, others);
     }
--- a/src/main/java/rowanplank/lab/trial/TrialFault.java
+++ b/src/main/java/rowanplank/lab/trial/TrialFault.java
@@ -21,7 +21,7 @@
 
     /** What it does. */
     public enum What {
-        CUT, SICK, STALL, HELD_START, KILL, STOP, RELEASE, RELOAD, OUT, IN, SLOW_DISK, FULL_DISK, TORN, FLIPPED, LOST, OLDER
+        CUT, SICK, STALL, HELD_START, HELD_TURN, KILL, STOP, RELEASE, RELOAD, OUT, IN, SLOW_DISK, FULL_DISK, TORN, FLIPPED, LOST, OLDER
     }
 
     public TrialFault {
--- a/src/main/java/rowanplank/lab/trial/TrialFile.java
+++ b/src/main/java/rowanplank/lab/trial/TrialFile.java
@@ -10,7 +10,7 @@
 import rowanplank.config.TomlFile;
 import rowanplank.config.TomlSection;
 
-/** A trial in virtual time as a TOML file and back: what is written is read as the same one. */
+/** A trial as a TOML file and back: what is written is read as the same one. */
 public final class TrialFile {
     private static final int MOST_FAULTS = 10_000;
     private static final int MOST_MS = 3_600_000;
--- a/src/main/java/rowanplank/lab/trial/TrialNode.java
+++ b/src/main/java/rowanplank/lab/trial/TrialNode.java
@@ -92,6 +92,7 @@
 
     void start(ChildProcesses children, IntConsumer ended) throws IOException {
         Files.deleteIfExists(hold(StandInParts.HOLD));
+        Files.deleteIfExists(hold(StandInParts.TURN));
         starts++;
         usedBefore = usedBefore.plus(used);
         used = Duration.ZERO;
@@ -169,9 +170,18 @@
 
     /** Its next command starts so much later than it looked at the lease. Only for stand-ins. */
     void holdNextStart(Duration length) throws IOException {
+        hold(StandInParts.HOLD, length);
+    }
+
+    /** It stands still now, with what comes to its sockets meanwhile unread. Only for stand-ins that vote. */
+    void holdTurn(Duration length) throws IOException {
+        hold(StandInParts.TURN, length);
+    }
+
+    private void hold(String which, Duration length) throws IOException {
         Path fresh = folder.resolve(name + ".hold.new");
         Files.writeString(fresh, Long.toString(length.toMillis()));
-        Files.move(fresh, hold(StandInParts.HOLD), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(fresh, hold(which), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** For how long it stands still now, or did since the last question; zero where it did not. */
--- a/src/main/java/rowanplank/lab/trial/TrialPlan.java
+++ b/src/main/java/rowanplank/lab/trial/TrialPlan.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import rowanplank.fleet.wire.EnvelopeForm;
 
 /**
  * What a trial is to be.
@@ -22,6 +23,7 @@
     static final Duration ALLOWANCE = Duration.ofMillis(200);
     /** The longest that an act may take. */
     static final Duration LONGEST = Duration.ofMillis(200);
+    static final Duration LEAST_QUIET = Duration.ofSeconds(4);
     static final String LEASE = "recorder";
     /** The lease of a task that is to run once in a period. */
     static final String DAILY = "daily";
@@ -29,6 +31,8 @@
     /** Most trials' logs are too short for a snapshot at the usual distance: in a third of them it is nearer. */
     private static final int NEAR = 24;
     private static final int USUAL = 1024;
+    /** Small enough that each entry goes by itself. */
+    private static final int SMALL = 40;
 
     public TrialPlan {
         faults = List.copyOf(faults);
@@ -42,6 +46,12 @@
                 List.of(), "");
     }
 
+    /** A new leader waits for a whole lease before another node is granted it: no end is judged sooner than that allows. */
+    public static Duration leastQuiet(Duration lease) {
+        Duration least = lease.plusSeconds(3);
+        return least.compareTo(LEAST_QUIET) < 0 ? LEAST_QUIET : least;
+    }
+
     /** So many of the nodes vote. */
     int voters() {
         return nodes < 3 ? 1 : nodes < 5 ? 3 : 5;
@@ -52,6 +62,14 @@
         return seed % 3 == 0 ? NEAR : USUAL;
     }
 
+    /**
+     * Of the entries in one message. A new leader's first entry usually goes with all that stands before it; in a fifth of
+     * the trials there is time for a fault between one and the next.
+     */
+    int mostBytes() {
+        return seed % 5 == 0 ? SMALL : EnvelopeForm.MOST_CONTENT;
+    }
+
     static String name(int node) {
         return "n" + (node + 1);
     }
--- a/src/main/java/rowanplank/lab/trial/Trouble.java
+++ b/src/main/java/rowanplank/lab/trial/Trouble.java
@@ -58,6 +58,9 @@
         /** It will stand still between its next look at the lease and the act. @return whether that can be done here */
         boolean holdNextStart(int node, Duration length);
 
+        /** It stands still once it has looked at the time, before it hears anything. @return whether that can be done here */
+        boolean holdTurn(int node, Duration length);
+
         /** Its syncs take so much longer, for that long. @return whether that can be done here */
         boolean slowDisk(int node, Duration by, Duration length);
 
@@ -196,6 +199,7 @@
             case SLOW_DISK -> tellIf(scene.slowDisk(n, Duration.ofMillis(Math.round(f.figures().get(0))), length), f);
             case FULL_DISK -> tellIf(scene.runs(n) && scene.fullDisk(n, length), f);
             case HELD_START -> scene.holdNextStart(n, length);
+            case HELD_TURN -> tellIf(scene.runs(n) && scene.holdTurn(n, length), f);
             case RELOAD -> {
                 tellIf(true, f);
                 scene.reload(n);
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -43,7 +43,8 @@
     private static final Duration ASK_EVERY = Duration.ofMillis(100);
     /** Longer than a node goes on trying. */
     private static final Duration SAID_WITHIN = Duration.ofSeconds(3);
-    private static final Duration QUIET = Duration.ofSeconds(4);
+    /** So long before its length nothing breaks any more; where the lease is long, it goes on beyond its length. */
+    private static final Duration QUIET = TrialPlan.LEAST_QUIET;
     private static final Duration CALM = Duration.ofSeconds(2);
     private static final Duration BOOT = Duration.ofMillis(200);
     private static final String FLEET = "trial";
@@ -166,7 +167,7 @@
             loop = new VirtualLoop(world, process, rate, VirtualTrial.this::carry);
             RateLimitedLog lines = new RateLimitedLog(loop.clock(), (warning, line, cause) ->
                     log.add(micros() + " " + name() + ": " + line + (cause == null ? "" : " " + cause)));
-            fleet = new Fleet(config(), ++incarnations, setting.parts().apply(number),
+            fleet = new Fleet(config(), ++incarnations, parts(),
                     new Fleet.Machine(loop, disk, (directory, file, content, outdated, done) ->
                             process.execute(() -> done.accept(null)), programs(this, process), lines));
             if (clients == null) {
@@ -185,6 +186,10 @@
             });
         }
 
+        private Parts parts() {
+            return SameParts.withMessages(setting.parts().apply(number), plan.mostBytes());
+        }
+
         private FleetConfig config() {
             Subject.Wishes wishes = subject.wishes(number, List.of("act"));
             List<FleetConfig.Lease> leases = new ArrayList<>(setting.more());
@@ -392,15 +397,16 @@
         });
         world.after(plan.length().minus(QUIET), this::quiet);
         world.runUntil(plan.length().toNanos());
-        while (quietFrom == null || world.nanos() < quietFrom.plus(QUIET).toNanos()) {
-            world.runUntil(quietFrom == null ? world.nanos() + QUIET.toNanos() : quietFrom.plus(QUIET).toNanos());
+        Duration quiet = TrialPlan.leastQuiet(plan.lease());
+        while (quietFrom == null || world.nanos() < quietFrom.plus(quiet).toNanos()) {
+            world.runUntil(quietFrom == null ? world.nanos() + QUIET.toNanos() : quietFrom.plus(quiet).toNanos());
         }
-        long latest = quietFrom.plus(subject.longestQuiet(QUIET)).toNanos();
+        long latest = quietFrom.plus(subject.longestQuiet(quiet)).toNanos();
         while (!subject.isAtRest() && world.nanos() < latest) {
             world.runUntil(world.nanos() + ASK_EVERY.toNanos());
         }
         tell(Kind.OVER, "", "", 0, 0, "");
-        Judge judge = subject.judge(history, QUIET.minus(Duration.ofMillis(200)));
+        Judge judge = subject.judge(history, quiet.minus(Duration.ofMillis(200)));
         return new TrialResult(plan, history, judge.judge(), judge.lateActs(), subject.figures(history), passed, bytes,
                 plan.length().toNanos() / 1e9, -1, log);
     }
@@ -613,6 +619,13 @@
             return true;
         }
 
+        /** A process that is paused hears first what came meanwhile, and then looks at the time: it is that already. */
+        @Override
+        public boolean holdTurn(int n, Duration length) {
+            VirtualTrial.this.stall(nodes.get(n), length);
+            return true;
+        }
+
         @Override
         public void spoil(int n, Trouble.Kind how, Duration restartAfter) throws IOException {
             kill(n, restartAfter);
--- a/src/test/java/rowanplank/lab/trial/HardCasesTest.java
+++ b/src/test/java/rowanplank/lab/trial/HardCasesTest.java
@@ -5,6 +5,9 @@
 import static rowanplank.lab.trial.TrialFault.HOLDER;
 import static rowanplank.lab.trial.TrialFault.LEADER;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +17,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import rowanplank.fleet.Parts;
 import rowanplank.lab.trial.TrialFault.What;
@@ -165,6 +169,26 @@
         assertTrue(there > 0, "it was not there on any seed");
     }
 
+    /** Guards the judge: what each of these files brings about, nodes with the fault show, and others bear. */
+    @ParameterizedTest
+    @CsvSource({"checked-before, 1, fences-grow|one-holder", "counted-from-answer, 1, one-holder",
+        "stale-read, 1, no-stale-read", "older-terms-count, 5, one-log|goes-on"})
+    void aWrittenCaseShowsItsPlantedFaultAndNoOther(String plant, int step, String rule) throws IOException {
+        TrialCase written = written(plant);
+        boolean found = false;
+        for (int seed = step; seed <= 20 * step && !found; seed += step) {
+            TrialResult clean = written.as(seed, "").play();
+            assertEquals(List.of(), clean.findings(), clean.text());
+            found = written.as(seed, plant).play().findings().stream().anyMatch(f -> f.rule().matches(rule));
+        }
+        assertTrue(found, plant + " was not found");
+    }
+
+    static TrialCase written(String plant) throws IOException {
+        Path file = Path.of("src/test/resources/trials", plant + ".toml");
+        return TrialFile.read(file.toString(), Files.readString(file));
+    }
+
     /** Guards replay: what was drawn, played as written down and read again, is the same history. */
     @ParameterizedTest
     @MethodSource("kinds")
@@ -172,11 +196,16 @@
         TrialPlan plan = new TrialPlan(TrialKind.LEASES, nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(4), Duration.ofSeconds(1),
                 kinds, Duration.ofMillis(400), List.of(), List.of(), "");
         VirtualTrial trial = new VirtualTrial(VirtualTrial.Setting.of(plan, 0.01, new Parts()));
-        List<String> drawn = trial.play().history().stream().map(Event::line).toList();
+        List<String> drawn = happened(trial.play());
         TrialCase written = new TrialCase(TrialKind.LEASES, nodes, seed, plan.length(), plan.lease(), 0.01, "", "", trial.faults());
         TrialCase read = TrialFile.read("f", TrialFile.write(written));
         assertEquals(written, read);
-        assertEquals(drawn, read.play().history().stream().map(Event::line).toList());
+        assertEquals(drawn, happened(read.play()));
+    }
+
+    /** All but the drawing: what is written down is not drawn. */
+    private static List<String> happened(TrialResult result) {
+        return result.history().stream().filter(e -> e.kind() != Event.Kind.DRAWN).map(Event::line).toList();
     }
 
     static Stream<org.junit.jupiter.params.provider.Arguments> kinds() {
--- a/src/test/java/rowanplank/lab/trial/StandInPartsTest.java
+++ b/src/test/java/rowanplank/lab/trial/StandInPartsTest.java
@@ -29,7 +29,7 @@
             }
         };
         long before = System.nanoTime();
-        assertEquals(may, new StandInParts(parts, folder.resolve("n1.toml").toString())
+        assertEquals(may, new StandInParts(parts, 1000, folder.resolve("n1.toml").toString())
                 .mayBegin(null, Instant.EPOCH, "recorder", Duration.ZERO));
         return Duration.ofNanos(System.nanoTime() - before);
     }
--- a/src/test/java/rowanplank/lab/trial/TrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Execution;
@@ -98,6 +99,24 @@
         throw new AssertionError(plant + " was not found");
     }
 
+    /** Guards written faults among real processes: the first of the file's three times is enough where leader and holder are two. */
+    @Test
+    void aWrittenCaseShowsItsPlantedFaultAmongRealProcesses() throws Exception {
+        TrialCase written = HardCasesTest.written("counted-from-answer").lasting(Duration.ofMillis(10_900));
+        for (long seed = 1; seed <= 4; seed++) {
+            Trial trial = written.as(seed, written.plant()).amongProcesses(java("rowanplank.cli.PlantedNode", written.plant()),
+                    Files.createTempDirectory(folder, "trial").toString());
+            try {
+                if (written.breaks(trial.play())) {
+                    return;
+                }
+            } finally {
+                trial.end();
+            }
+        }
+        throw new AssertionError("it was not found");
+    }
+
     /** Guards the same of budgets: what is used beyond the whole, or does not add up at one voter, must not pass. */
     @ParameterizedTest
     @CsvSource({"aside-forgotten, within-whole", "counts-wrong, sums"})
--- a/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
@@ -48,6 +48,16 @@
         }
     }
 
+    /** Guards the end's judgment: a new leader waits for a whole lease, which may be longer than the usual quiet. */
+    @Test
+    void aLongLeaseIsGivenItsTimeAtTheEnd() {
+        for (long seed = 1; seed <= 4; seed++) {
+            TrialResult r = play(new TrialPlan(TrialKind.LEASES, 3, seed, Duration.ofSeconds(30), Duration.ofSeconds(4),
+                    Duration.ofSeconds(4), List.of(), Trouble.GAP, List.of(), List.of(), ""), new Parts());
+            assertEquals(List.of(), r.findings(), r.text());
+        }
+    }
+
     /** Guards each hard case by itself, and twice as often as in the mix: a voter that flaps each 300 ms is ISOLATED. */
     @ParameterizedTest
     @EnumSource(value = Trouble.Kind.class, mode = EnumSource.Mode.EXCLUDE, names = "OLDER")
