--- a/src/main/java/rowanplank/lab/trial/FleetText.java
+++ b/src/main/java/rowanplank/lab/trial/FleetText.java
@@ -53,6 +53,7 @@
             }
             bare("most_out", order.mostOut()).bare("most_out_hall", order.mostOutOfHall()).put("settle", order.settle());
             put("alone", order.servesAlone() ? "serve" : "stay-out").put("alone_after", order.aloneAfter());
+            bare("halt_on_dead", order.halts().dead());
         }
     }
 
--- a/src/main/java/rowanplank/lab/trial/Subject.java
+++ b/src/main/java/rowanplank/lab/trial/Subject.java
@@ -152,6 +152,11 @@
         return true;
     }
 
+    /** Whether all that is judged of the end has been seen to be so, so that nothing more need be waited for. */
+    default boolean isShown() {
+        return false;
+    }
+
     /** So long it is waited for that at the most. @param planned it does not end before */
     default Duration longestQuiet(Duration planned) {
         return planned;
