Aim faults at the steps of a turn, and let a node that is asked to end twice end once

A virtual trial ran without end where a node was asked to end twice, by staff and by what breaks: neither asking was done, since the second took the place of the first at the clients and the fleet ended once. Now a node that is ending is not asked again, and one that has not ended after 20 s is told of as one that does not, which the judge finds. Four planted faults that no drawn trial had found are found by faults written down: doubled datagrams to the leader (work-any-step), a dead member (work-dead-uncounted), late answers (work-skip-at-once), and late answers beside stalls (work-stale-turn). The same trials without the fault keep all rules.

--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -283,7 +283,7 @@
         mended = true;
         troubles.forEach(Trouble::end);
         relays.mendAll();
-        for (Map.Entry<Integer, Loop.Timer> e : Map.copyOf(starts).entrySet()) {
+        for (Map.Entry<Integer, Loop.Timer> e : new TreeMap<>(starts).entrySet()) {
             e.getValue().cancel();
             startAnew(e.getKey());
         }
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -43,6 +43,8 @@
     private static final Duration ASK_EVERY = Duration.ofMillis(100);
     /** Longer than a node goes on trying. */
     private static final Duration SAID_WITHIN = Duration.ofSeconds(3);
+    /** A node that is asked to end does so: it lets go of its clients, and hands on, for a few seconds at the most. */
+    private static final Duration ENDS_WITHIN = Duration.ofSeconds(20);
     /** So long before its length nothing breaks any more; where the lease is long, it goes on beyond its length. */
     private static final Duration QUIET = TrialPlan.LEAST_QUIET;
     private static final Duration CALM = Duration.ofSeconds(2);
@@ -583,9 +585,19 @@
         @Override
         public void stop(int n, Duration restartAfter) {
             Node node = nodes.get(n);
+            if (node.ending) {
+                return; // it ends once, however often it is asked
+            }
             Fleet stopping = node.fleet;
             VirtualTrial.this.tell(Kind.KILLED, node.name(), "", 0, 0, "asked to end");
             node.ending = true;
+            world.after(ENDS_WITHIN, () -> {
+                if (node.fleet == stopping) { // guards the trial's end: it would be waited for without end
+                    VirtualTrial.this.tell(Kind.HALTED, node.name(), "", 0, 0, "it was asked to end, and did not");
+                    node.end(1);
+                    startAfter(n, restartAfter);
+                }
+            });
             VirtualClients.Life life = node.life;
             Runnable over = () -> world.after(Duration.ofMillis(1), () -> {
                 if (node.fleet == stopping) {
--- a/src/test/java/rowanplank/lab/trial/WorkTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/WorkTrialTest.java
@@ -4,13 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import rowanplank.fleet.Parts;
+import rowanplank.lab.trial.TrialFault.What;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
 
@@ -47,4 +53,38 @@
         assertTrue(LongStream.rangeClosed(1, seeds).anyMatch(seed -> play(nodes, seed, Plants.parts(plant)).findings()
                 .stream().anyMatch(f -> f.rule().equals(rule))), plant + " was not found");
     }
+
+    /** Node by node, for all of a trial: what comes from those is late by so much, and doubled with this chance. */
+    private static Stream<TrialFault> sick(String ways, double doubled, double delayMs, double spreadMs) {
+        return IntStream.range(0, 13).mapToObj(i -> new TrialFault(1000 * i, What.SICK, "", 999, List.of(ways),
+                List.of(0.0, doubled, 0.0, delayMs, spreadMs), "sick " + ways));
+    }
+
+    static Stream<Arguments> aimed() {
+        Stream<TrialFault> stalls = IntStream.range(0, 18).mapToObj(i -> TrialFault.of(100 + 700 * i, What.STALL, TrialFault.HOLDER, 1800));
+        return Stream.of(
+                Arguments.of("work-any-step", "back-by-word", 5, 1, sick("*>leader", 0.9, 0, 150).toList()),
+                Arguments.of("work-dead-uncounted", "counts-dead", 4, 3, List.of(TrialFault.of(500, What.KILL, "n4", 12_000))),
+                Arguments.of("work-skip-at-once", "no-old-turn", 4, 135, sick("leader>n4", 0, 350, 0).toList()),
+                Arguments.of("work-stale-turn", "no-old-turn", 4, 26, Stream.concat(sick("leader>*", 0, 300, 0), stalls)
+                        .sorted(Comparator.comparingLong(TrialFault::atMs)).toList()));
+    }
+
+    /** Of faults that need a step of a turn to be hit at one moment. */
+    @ParameterizedTest
+    @MethodSource("aimed")
+    void plantedFaultsAreFoundByFaultsAimedAtThem(String plant, String rule, int nodes, long seed, List<TrialFault> faults) {
+        TrialCase found = new TrialCase(TrialKind.WORK, nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(1), 0.01, plant, rule, faults);
+        assertTrue(found.breaks(found.play()), plant + " was not found");
+        TrialResult right = new TrialCase(TrialKind.WORK, nodes, seed, Duration.ofSeconds(20), Duration.ofSeconds(1), 0.01, "", rule, faults).play();
+        assertTrue(right.findings().isEmpty(), right.text());
+    }
+
+    /** One asked to end twice, by staff and by what breaks, once was never up again, and the trial waited for it without end. */
+    @Test
+    void aNodeThatIsAskedToEndTwiceEndsOnce() {
+        TrialResult r = new TrialCase(TrialKind.WORK, 3, 1, Duration.ofSeconds(10), Duration.ofSeconds(1), 0.01, "", "",
+                List.of(TrialFault.of(1000, What.STOP, "n2", 200), TrialFault.of(1010, What.STOP, "n2", 200))).play();
+        assertTrue(r.findings().isEmpty(), r.text());
+    }
 }
