Believe a node that serves though its last process said no under the same number

What a node says of whether it takes clients raises its number by one, so an earlier process of its name can have come to the number that the new one stands at. The others then kept the old word, the new process saw nothing to contradict, and the order of work gave no turn any more: nobody counted as serving. Among real processes numbers begin with the microsecond, so it takes a clock set back to the right one; trials in virtual time number processes one by one. A node now contradicts that word as it does a higher number.

--- a/src/main/java/rowanplank/membership/Membership.java
+++ b/src/main/java/rowanplank/membership/Membership.java
@@ -274,7 +274,10 @@
         }
     }
 
-    /** Whoever is thought dead and lives says so, louder. */
+    /**
+     * Whoever is thought dead and lives says so, louder; and so does who is said to serve, or not to, by an earlier process of
+     * its name, which came to the same number.
+     */
     protected void learnOfSelf(News n) {
         boolean twin = n.state() == State.ALIVE && n.incarnation() >= self.incarnation()
                 && !n.address().equals(self.address());
@@ -282,7 +285,8 @@
             actions.twin(n.address());
         }
         boolean wrong = n.state() != State.ALIVE && n.incarnation() >= self.incarnation();
-        if ((wrong || n.incarnation() > self.incarnation()) && self.state() != State.LEFT) {
+        boolean earlier = n.incarnation() == self.incarnation() && n.serves() != self.serves();
+        if ((wrong || earlier || n.incarnation() > self.incarnation()) && self.state() != State.LEFT) {
             self = new News(self.name(), self.address(), n.incarnation() + 1, State.ALIVE, self.serves(), "");
             slowed = Math.min(MOST_SLOWED, slowed + (wrong ? 1 : 0));
         }
--- a/src/test/java/rowanplank/membership/MembershipTest.java
+++ b/src/test/java/rowanplank/membership/MembershipTest.java
@@ -170,6 +170,19 @@
     }
 
     /** Guards a name that two processes have: each hears of the other. */
+    /** Found by the trial of the order of work, 5 nodes, seed 153: whoever came back was thought not to serve, for good. */
+    @Test
+    void whatAnEarlierProcessSaidUnderTheSameNumberDoesNotStand() {
+        start(3);
+        nodes.get("n2").serves(true);
+        nodes.get("n2").serves(false);
+        run(2000);
+        start("n2", 101, "n1");
+        nodes.get("n2").serves(true);
+        run(3000);
+        assertTrue(nodes.get("n1").members().stream().anyMatch(m -> m.news().name().equals("n2") && m.news().serves()));
+    }
+
     @Test
     void twinsAreNoticed() {
         start(3);
