Turn to another voter only once the one that was asked is silent

Cause: a holder of budgets counted silence from when it last heard anything. Renewals are further apart than the silence that it bears, so a moment after it had asked whoever leads it asked another voter as well, was told who leads, and went back; where the others could not be reached it went round all of them while its own voter led, and its parts ended. Change: silence counts from the first renewal that was not answered.

--- a/src/main/java/rowanplank/ledger/BudgetHolder.java
+++ b/src/main/java/rowanplank/ledger/BudgetHolder.java
@@ -609,8 +609,12 @@
 
     private void turnIfSilent(Instant now) {
         Instant last = heard.isAfter(turned) ? heard : turned;
-        boolean waits = end == null || leaveNumber != 0
-                || !renewals.isEmpty() && !renewals.firstEntry().getValue().isBefore(heard);
+        boolean waits = end == null || leaveNumber != 0;
+        if (!waits && !renewals.isEmpty()) { // nobody is silent who was not asked
+            Instant asked = renewals.firstEntry().getValue();
+            waits = !asked.isBefore(heard);
+            last = asked.isAfter(last) ? asked : last;
+        }
         if (waits && !now.isBefore(last.plus(settings.retry().multipliedBy(2)))) {
             turn(now, -1);
         }
--- a/src/test/java/rowanplank/ledger/BudgetHolderTest.java
+++ b/src/test/java/rowanplank/ledger/BudgetHolderTest.java
@@ -153,6 +153,17 @@
         assertEquals(2, begin(45, 9), "4 are usable");
     }
 
+    /** Guards whoever leads, which answers in time: nobody else is asked a moment after it was. */
+    @Test
+    void nobodyIsSilentWhoWasNotAsked() {
+        holder.onTime(at(10));
+        answer(20, last(Ask.Parts.class), Result.of(Kind.PARTS, 1));
+        holder.onTime(at(400));
+        holder.onTime(at(401));
+        holder.onTime(at(402));
+        assertEquals(2, asked.stream().filter(a -> a.what() instanceof Ask.Parts).count());
+    }
+
     /** Guards what is to be given back beyond a giving back: the answer to that overtook the word of it. */
     @Test
     void aTargetThatIsHeardOfAfterTheAnswerCounts() {
