Hold seeds and a written case of budgets; let trials of places last 8 s

A trial of places could not be 8 s long. Change: seeds 100093 at 3 nodes and 200147 at 5 are kept as tests; a written case finds part-outlives; a trial's faults may come in one second.

--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -91,7 +91,7 @@
         trial.check(spec, MOST_NODES);
         Duration ofLease = TrialPlan.leastQuiet(trial.lease());
         Duration quiet = ofLease.compareTo(trial.kind.quiet()) < 0 ? trial.kind.quiet() : ofLease;
-        TrialOptions.within(spec, "--seconds", seconds, (int) quiet.plusSeconds(2).toSeconds(), MOST_SECONDS);
+        TrialOptions.within(spec, "--seconds", seconds, (int) quiet.plusSeconds(1).toSeconds(), MOST_SECONDS);
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
         boolean planted = trial.plant != null;
--- a/src/test/java/rowanplank/lab/trial/BudgetCasesTest.java
+++ b/src/test/java/rowanplank/lab/trial/BudgetCasesTest.java
@@ -182,7 +182,10 @@
                 // Answers of 0.6 s ago are still on their way to it when nothing of it is heard any more.
                 new Planted("part-from-answer", "within-whole", 4, 6, 0, all(4, 4), all(4, 4), null, Duration.ofMillis(100), 14,
                         List.of(late(0, 7000, 600, 0, "*>n4"), TrialFault.cut(2200, 4000, "n4>*"))),
-                // Who led is alone with one that goes on renewing there, while the others elect another leader.
+                // Uses are short, so that others have what it had before it ends with it.
+                new Planted("part-outlives", "within-whole", 4, 6, 0, all(4, 4), all(4, 4), null, Duration.ofMillis(100), 14,
+                        List.of(TrialFault.cut(0, 2000, "n4>*", "*>n4"), TrialFault.cut(4000, 2000, "n4>*", "*>n4"))),
+                // Who led is alone, and goes on renewing its own parts, while the others elect another leader.
                 new Planted("parts-unconfirmed", "within-whole", 6, 8, 0, all(6, 4), all(6, 4), null, Duration.ofMillis(200), 16,
                         List.of(TrialFault.cut(0, 7000, "leader>n1", "leader>n2", "leader>n3", "leader>n4", "leader>n5",
                                 "n1>leader", "n2>leader", "n3>leader", "n4>leader", "n5>leader"))),
--- a/src/test/java/rowanplank/lab/trial/BudgetTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/BudgetTrialTest.java
@@ -22,7 +22,7 @@
 
     /** Guards the guarantees; a seed that once broke a rule stays here. */
     @ParameterizedTest
-    @CsvSource({"3, 1, 12", "3, 29, 1", "5, 1, 6", "9, 1, 2"})
+    @CsvSource({"3, 1, 12", "3, 29, 1", "3, 100093, 1", "5, 1, 6", "5, 200147, 1", "9, 1, 2"})
     void allRulesAreKept(int nodes, long first, int count) {
         long uses = 0; // none where a voter is lost before all have said that they understand budgets
         for (long seed = first; seed < first + count; seed++) {
