Have a trial's clients ask by the share as it is, not as it was when they began to wait

Change: after 250 ms the wait is drawn anew, by the share as it is then; the distribution at a share that stands is the same.

--- a/src/main/java/rowanplank/lab/trial/PageSite.java
+++ b/src/main/java/rowanplank/lab/trial/PageSite.java
@@ -46,6 +46,8 @@
     /** An answer that comes so late shows that the node gave one. */
     private static final Duration LAST_WORD = Duration.ofSeconds(2);
     private static final Duration LONGEST = Duration.ofHours(1);
+    /** A share that has changed counts from so much later on at the latest. */
+    private static final Duration STEP = Duration.ofMillis(250);
     private static final String CLASS = "article";
     private static final int OK = 200;
     private static final int REJECTED = 503;
@@ -170,11 +172,16 @@
         }
     }
 
+    /** Who waits does not know for how long it has: so after a step it is drawn anew, by the share as it is then. */
     private void next(int node, IntFunction<InetSocketAddress> nodes, double[] shares, UniformRandomProvider chance) {
         double rate = Math.max(shares[node], 0.2);
-        loop.schedule(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / rate * 1e9)), () -> {
+        Duration drawn = Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / rate * 1e9));
+        boolean asks = drawn.compareTo(STEP) <= 0;
+        loop.schedule(asks ? drawn : STEP, () -> {
             if (!closed) {
-                ask(nodes.apply(node));
+                if (asks) {
+                    ask(nodes.apply(node));
+                }
                 next(node, nodes, shares, chance);
             }
         });
