Judge what begins and ends at one moment as open in none, not for good

Result: BudgetJudgeTest holds it (failed before); the planted faults' written cases are still found.

--- a/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import rowanplank.lab.trial.judge.Event.Kind;
 
@@ -200,11 +202,20 @@
         List<Beyond> beyond = new ArrayList<>();
         InForce inForce = new InForce(b.whole());
         List<Event> open = new ArrayList<>();
+        Set<Event> instant = new HashSet<>(); // both its begin and its end were heard in one moment: it was open in none
         for (Point p : points) {
             switch (p.rank()) {
-                case ENDS -> open.removeIf(e -> e == p.begin());
+                case ENDS -> {
+                    if (!open.removeIf(e -> e == p.begin())) {
+                        instant.add(p.begin());
+                    }
+                }
                 case CHANGES -> inForce.take(p.event());
-                default -> open.add(p.begin());
+                default -> {
+                    if (!instant.remove(p.begin())) {
+                        open.add(p.begin());
+                    }
+                }
             }
             if (p.rank() != Rank.ENDS && open.size() > inForce.most() + EXACT) {
                 beyond.add(new Beyond(p.event(), String.format(Locale.ROOT, "%s: %d uses at once, and the whole is %s",
--- a/src/test/java/rowanplank/lab/trial/judge/BudgetJudgeTest.java
+++ b/src/test/java/rowanplank/lab/trial/judge/BudgetJudgeTest.java
@@ -66,6 +66,18 @@
         assertEquals(List.of("within-whole"), broken(PLACES));
     }
 
+    /** Guards a busy machine, on which the begin and the end of a use are heard at one moment: it is not open for good. */
+    @Test
+    void whatBeginsAndEndsAtOneMomentIsNotOpenAfterwards() {
+        use("n1", "places", 1, 10, 10);
+        use("n1", "places", 1, 20, 90);
+        use("n1", "places", 1, 20, 90);
+        use("n1", "places", 1, 20, 90);
+        assertEquals(List.of(), broken(PLACES));
+        use("n1", "places", 1, 80, 85);
+        assertEquals(List.of("within-whole"), broken(PLACES));
+    }
+
     @Test
     void whatSaysNoEndCountsForAllItsTime() {
         use("n1", "places", 1, 0, -1);
