Keep the judge's uses of one moment in a list, in an order of its own

Cause: a hashed set is against the floors that ArchitectureTest holds. Change: a list, which is empty but for what is heard at one moment. Result: ArchitectureTest and BudgetJudgeTest.

--- a/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/BudgetJudge.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import rowanplank.lab.trial.judge.Event.Kind;
 
@@ -202,7 +200,7 @@
         List<Beyond> beyond = new ArrayList<>();
         InForce inForce = new InForce(b.whole());
         List<Event> open = new ArrayList<>();
-        Set<Event> instant = new HashSet<>(); // both its begin and its end were heard in one moment: it was open in none
+        List<Event> instant = new ArrayList<>(); // both its begin and its end were heard in one moment: it was open in none
         for (Point p : points) {
             switch (p.rank()) {
                 case ENDS -> {
