Have a node that does not vote tell in fleet status what it knows of the leader

Cause: fleet status at such a node showed its role and members, and not whether it reached a leader or held anything.

Result: WholeNodesTest holds it before there are voters, with a leader, and after all voters died.

--- a/src/main/java/rowanplank/cli/FleetStatusCommand.java
+++ b/src/main/java/rowanplank/cli/FleetStatusCommand.java
@@ -48,6 +48,10 @@
                         + l.get("fence"));
             }
         }
+        if (o.get("asks") != null) {
+            line(text, "asks", o.getString("asks", "") + (o.get("answered_ms") == null ? "; no leader has answered it yet"
+                    : "; a leader answered it " + o.get("answered_ms") + " ms ago") + " (it does not vote: a hint who leads)");
+        }
         Door.array(o, "budgets").forEach(b -> text.append(FleetBudgetCommand.text(b.asObject())));
         if (o.get("work") != null) {
             text.append(FleetWorkCommand.text(o.get("work").asObject()));
@@ -62,6 +66,9 @@
             line(text, "holds", l.getString("lease", "") + " under fence " + l.get("fence") + " for "
                     + l.get("left_ms") + " ms more");
         }
+        if (o.get("asks") != null && Door.array(o, "holds").isEmpty()) {
+            line(text, "holds", "nothing");
+        }
         if (o.get("turn") != null && !o.get("turn").asObject().getString("state", "none").equals("none")) {
             line(text, "turn", o.get("turn").asObject().getString("state", ""));
         }
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -888,6 +888,9 @@
             }
         } else {
             o.add("role", "client").add("asks", holder.target());
+            if (holder.answered() != null) {
+                o.add("answered_ms", Duration.between(holder.answered(), now).toMillis());
+            }
         }
         if (twin != null && !now.isAfter(twinHeard.plus(config.timing().session().multipliedBy(10)))) {
             o.add("twin", twin);
--- a/src/main/java/rowanplank/ledger/LeaseHolder.java
+++ b/src/main/java/rowanplank/ledger/LeaseHolder.java
@@ -111,6 +111,8 @@
     private Instant renewAt;
     private int target;
     private Instant heard;
+    /** Whether a leader has answered at all. */
+    private boolean answered;
     private Instant turned;
     /** How often since it was heard somebody was asked again sooner than usual. */
     private int quick;
@@ -150,6 +152,11 @@
         return voters.get(target);
     }
 
+    /** When a leader answered last, which may lead no more; null where none has. */
+    public Instant answered() {
+        return answered ? heard : null;
+    }
+
     /** Whether it holds or gives back anything. */
     public boolean isIdle() {
         return wanted.isEmpty();
@@ -256,6 +263,7 @@
             return;
         }
         heard = now;
+        answered = true;
         quick = 0;
         if (r.kind() == Kind.NO_SESSION) {
             sessionLost(now, answer.number());
--- a/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
+++ b/src/test/java/rowanplank/lab/trial/WholeNodesTest.java
@@ -63,6 +63,25 @@
         assertEquals(1, Stream.concat(press.stream(), Stream.of(twin)).filter(n -> n.holds("nightly")).count());
     }
 
+    /** Guards what staff see at a node that does not vote: whom it asks, and whether a leader has answered it at all. */
+    @Test
+    void aNodeThatDoesNotVoteTellsWhatItKnowsOfTheLeader() {
+        VirtualFleet.Node client = fleet.start(config("press", "n4", 4, "nightly"), null);
+        fleet.pass(Duration.ofSeconds(2));
+        assertNull(client.status().get("answered_ms"), client.status()::toString);
+        List<VirtualFleet.Node> press = press();
+        fleet.pass(Duration.ofSeconds(5));
+        String leader = press.stream().filter(n -> n.status().getString("role", "").equals("leader")).findFirst().orElseThrow()
+                .status().getString("node", "");
+        assertEquals(leader, client.status().getString("asks", ""));
+        assertTrue(client.status().getLong("answered_ms", -1) >= 0, client.status()::toString);
+        assertTrue(client.holds("nightly"));
+        fleet.pass(Duration.ofMillis(100));
+        press.forEach(VirtualFleet.Node::kill);
+        fleet.pass(Duration.ofSeconds(5));
+        assertTrue(client.status().getLong("answered_ms", 0) > 4500, client.status()::toString);
+    }
+
     /** Guards a voter that staff started twice by mistake, for a moment and another day again: it is no twin that stays. */
     @Test
     void twinsThatWereEndedSoonHaltNobody() {
