--- a/src/main/java/rowanplank/cli/FleetTrialCommand.java
+++ b/src/main/java/rowanplank/cli/FleetTrialCommand.java
@@ -1,6 +1,7 @@
 package rowanplank.cli;
 
 import com.eclipsesource.json.WriterConfig;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -28,7 +29,8 @@
     private static final int MOST_SECONDS = 3600;
     /** In place of the file's fault. */
     private static final String WITHOUT = "none";
-    private static final List<String> SAID_BY_FILE = List.of("--kind", "--nodes", "--seconds", "--faults", "--lease", "--gap");
+    private static final List<String> SAID_BY_FILE = List.of("--kind", "--nodes", "--seconds", "--faults", "--lease", "--gap", "--drift");
+    private static final double MOST_DRIFT = 0.5;
 
     @Spec
     private CommandSpec spec;
@@ -40,6 +42,10 @@
             description = {"From the first act on; at the end nothing breaks for 3 s and a lease, 4 s at the least,",
                 "7 s of places, or a quarter of it."})
     private int seconds;
+    @Option(names = "--drift", paramLabel = "D", defaultValue = "0.01",
+            description = {"How far clocks of stand-ins run fast or slow at the most; the nodes reckon with 0.01. Where it",
+                "is another, all nodes are stand-ins, else a third."})
+    private double drift;
     @Option(names = "--out", paramLabel = "DIR", description = "Where all that it writes goes.")
     private Path out;
     @Option(names = "--json", description = "Prints the result as JSON.")
@@ -54,7 +60,7 @@
             Plants.all().forEach((name, what) -> System.out.printf("%-24s %s%n", name, what));
             return Status.DONE;
         }
-        Path folder = out == null ? Files.createTempDirectory("rowanplank-trial-") : Files.createDirectories(out);
+        Path folder = folder();
         Trial real = file == null ? drawn(folder) : written(folder);
         Thread end = new Thread(real::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
@@ -91,13 +97,31 @@
         trial.check(spec, MOST_NODES);
         Duration ofLease = TrialPlan.leastQuiet(trial.lease());
         Duration quiet = ofLease.compareTo(trial.kind.quiet()) < 0 ? trial.kind.quiet() : ofLease;
+        if (!(drift >= 0 && drift <= MOST_DRIFT)) {
+            throw new ParameterException(spec.commandLine(), "--drift: 0 to " + MOST_DRIFT);
+        }
         TrialOptions.within(spec, "--seconds", seconds, (int) quiet.plusSeconds(1).toSeconds(), MOST_SECONDS);
         Duration length = Duration.ofSeconds(seconds);
         Duration quarter = length.dividedBy(4);
         boolean planted = trial.plant != null;
+        boolean allStandIn = planted || drift != Trial.DRIFT; // else two thirds would go by the machine's clock
         return new Trial(new TrialPlan(trial.kind, trial.nodes, seed, length,
                 quarter.compareTo(quiet) < 0 ? quiet : quarter, trial.lease(), trial.faults, trial.gap(),
-                planted ? List.of() : NodeCommand.ofFile(),
-                planted ? NodeCommand.planted(trial.plant) : NodeCommand.standIn(), folder.toString()));
+                allStandIn ? List.of() : NodeCommand.ofFile(),
+                planted ? NodeCommand.planted(trial.plant) : NodeCommand.standIn(), folder.toString()), drift, null);
+    }
+
+    private Path folder() throws IOException {
+        if (out == null) {
+            return Files.createTempDirectory("rowanplank-trial-");
+        }
+        try {
+            Path made = Files.createDirectories(out);
+            Files.delete(Files.createTempFile(made, "trial", ""));
+            return made;
+        } catch (IOException e) {
+            throw new ParameterException(spec.commandLine(), "--out: " + out + " can't be written to: "
+                    + (Files.exists(out) && !Files.isDirectory(out) ? "it is no directory" : e), e);
+        }
     }
 }
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -52,7 +52,8 @@
     private static final Duration HOLD_SEEN_WITHIN = Duration.ofMillis(10);
     private static final int MOST_EVENTS = 1_000_000;
     private static final String FLEET = "trial";
-    private static final double DRIFT = 0.01;
+    /** So far clocks are off at the most where nothing else is asked for: what nodes reckon with. */
+    public static final double DRIFT = 0.01;
 
     /** It could not be played: nothing is said of the nodes. */
     public static final class UnplayableException extends IOException {
@@ -121,7 +122,7 @@
      * @param drift how far clocks of stand-ins are from true time at the most
      * @param script what breaks, in order of time, instead of what the plan says; null where it is drawn
      */
-    Trial(TrialPlan plan, double drift, List<TrialFault> script) {
+    public Trial(TrialPlan plan, double drift, List<TrialFault> script) {
         this(plan, drift, script, MOST_EVENTS);
     }
 
--- a/src/test/java/rowanplank/cli/CliTest.java
+++ b/src/test/java/rowanplank/cli/CliTest.java
@@ -40,6 +40,8 @@
         "launch,unknown command: launch; see rowanplank --help",
         "--fast,unknown option: --fast; see rowanplank --help",
         "serve --fast,unknown option: --fast; see rowanplank serve --help",
+        "fleet trial --out pom.xml,--out: pom.xml can't be written to: it is no directory; see rowanplank fleet trial --help",
+        "fleet trial --drift 0.7,--drift: 0 to 0.5; see rowanplank fleet trial --help",
         "simhost twice,unexpected argument: twice; see rowanplank simhost --help"})
     void aCommandLineThatIsNotUnderstoodIsOneLineAndStatusTwo(String line, String told) throws Exception {
         Said said = run(line.isEmpty() ? new String[0] : line.split(" "));
--- a/src/test/java/rowanplank/lab/trial/TrialFiguresTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialFiguresTest.java
@@ -43,7 +43,7 @@
     @Test
     @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aHistoryThatCantBeKeptIsNoVerdict(@TempDir Path folder) {
-        Trial trial = new Trial(plan(folder.toString()), 0.01, null, 4); // its nodes end at once: three start, three end
+        Trial trial = new Trial(plan(folder.toString()), Trial.DRIFT, null, 4); // its nodes end at once: three start, three end
         assertTrue(assertThrows(Trial.UnplayableException.class, trial::play).getMessage().startsWith("its history is longer"));
     }
 }
