Judge that what a client was told is done is never lost, and never done twice

Cause: the trials showed this through claims, fences and reads only, and no rule of the judge said it.

Change: in trials of leases a client that is no node asks the voters for a lease of its own, reads it back, gives it back and reads again. It resends until it is answered, loses answers, and repeats earlier requests. ClientRules judges it from the history alone: not-lost (what was told as done is read as done until the next request) and done-once (one request has one answer, and does nothing later).

--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -23,6 +23,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import rowanplank.config.Addresses;
+import rowanplank.fleet.wire.EnvelopeForm;
 import rowanplank.lab.trial.judge.BudgetJudge;
 import rowanplank.lab.trial.judge.Event;
 import rowanplank.lab.trial.judge.Event.Kind;
@@ -98,6 +99,9 @@
     private final Map<String, String> seen = new TreeMap<>();
     private Recorder recorder;
     private Relays relays;
+    /** Null before the trial counts, and where nobody asks for a lease but nodes. */
+    private LedgerClient client;
+    private Loop.Datagrams clientsSocket;
     private final List<Trouble> troubles = new ArrayList<>();
     private int leader = -1;
     private int holder = -1;
@@ -182,6 +186,9 @@
                 if (relays != null) {
                     relays.close();
                 }
+                if (clientsSocket != null) {
+                    clientsSocket.close();
+                }
                 return null;
             });
             loop.stop();
@@ -264,6 +271,9 @@
     private void playing() {
         playing = clock.now();
         subject.plays(new TheHands(), this::tell);
+        if (subject.asked() != null) {
+            beginClient();
+        }
         passedBefore = relays.passed();
         bytesBefore = relays.bytes();
         processorBefore = processorTime();
@@ -276,6 +286,27 @@
         loop.schedule(plan.length().minus(plan.quiet()), this::mend);
     }
 
+    /** It reaches voters past the relays: what is lost and doubled of its datagrams is its own doing. */
+    private void beginClient() {
+        try {
+            clientsSocket = loop.datagrams(ports.next(), EnvelopeForm.MOST_BYTES, (from, payload) -> client.received(payload));
+        } catch (IOException e) {
+            unforeseen(e);
+            return;
+        }
+        List<String> voters = nodes.subList(0, plan.voters()).stream().map(TrialNode::name).toList();
+        client = new LedgerClient(FLEET, voters, RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 5), this::tell,
+                (voter, datagram) -> clientsSocket.send(relays.front(voter, voter), datagram));
+        askAsClient();
+    }
+
+    private void askAsClient() {
+        if (over.getCount() > 0) {
+            client.onTime();
+            loop.schedule(LedgerClient.RETRY, this::askAsClient);
+        }
+    }
+
     /** Of all processes so far; of one that has ended, as of the last look before. */
     private Duration processorTime() {
         return nodes.stream().map(TrialNode::processorTime).reduce(Duration.ZERO, Duration::plus);
--- a/src/main/java/rowanplank/lab/trial/VirtualTrial.java
+++ b/src/main/java/rowanplank/lab/trial/VirtualTrial.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -52,6 +53,10 @@
     private static final String FLEET = "trial";
     private static final double DRIFT = 0.01;
     private static final int PORT = 7946;
+    /** The client asks at no moment at which something breaks: which came first must not hang on whether that was drawn. */
+    private static final Duration OFF_BEAT = Duration.ofNanos(250_000);
+    /** Where the ledger's client is: at no node's address. */
+    private static final InetSocketAddress CLIENT = new InetSocketAddress(SimNetwork.ip(10, 0, 1, 0), PORT);
 
     /**
      * @param plan its command and folder are of no use here
@@ -86,6 +91,9 @@
     private final List<Trouble> troubles = new ArrayList<>();
     /** Null where nodes have none. */
     private VirtualClients clients;
+    /** Null where nobody asks for a lease but nodes. */
+    private LedgerClient client;
+    private final UniformRandomProvider clientsWay;
     /** Since when nothing is wrong any more; null before. */
     private Duration quietFrom;
     /** What breaks; null where it is drawn. What stirs beside it is always drawn. */
@@ -117,6 +125,7 @@
         chance = world.random("trial");
         stirs = world.random("stirs");
         readers = world.random("readers");
+        clientsWay = world.random("client's way");
         ways = new Way[plan.nodes()][plan.nodes()];
     }
 
@@ -328,6 +337,10 @@
     // ---- datagrams
 
     private void carry(VirtualLoop from, InetSocketAddress to, byte[] payload) {
+        if (to.equals(CLIENT)) {
+            world.after(clientsTransit(), () -> client.received(ByteBuffer.wrap(payload)));
+            return;
+        }
         int sender = numberOf(from);
         int receiver = to.getAddress().getAddress()[3] - 1;
         if (sender < 0 || receiver == sender) {
@@ -353,6 +366,24 @@
         }
     }
 
+    private Duration clientsTransit() {
+        return Duration.ofNanos(50_000 + clientsWay.nextInt(400_000));
+    }
+
+    private void clientSends(int voter, ByteBuffer datagram) {
+        world.after(clientsTransit(), () -> {
+            VirtualLoop there = nodes.get(voter).loop;
+            if (there != null) {
+                there.arrived(CLIENT, nodes.get(voter).address, datagram.array());
+            }
+        });
+    }
+
+    private void askAsClient() {
+        client.onTime();
+        world.after(LedgerClient.RETRY, this::askAsClient);
+    }
+
     private int numberOf(VirtualLoop loop) {
         for (Node n : nodes) {
             if (n.loop == loop) {
@@ -396,6 +427,11 @@
         world.after(CALM.plusNanos(500_000), () -> {
             troubles.forEach(t -> t.begin(plan.length().minus(QUIET).minus(CALM)));
             subject.plays(new TheHands(), this::tell);
+            if (subject.asked() != null) {
+                client = new LedgerClient(FLEET, List.copyOf(voters().keySet()), world.random("client"), this::tell,
+                        this::clientSends);
+                world.after(OFF_BEAT, this::askAsClient);
+            }
         });
         world.after(plan.length().minus(QUIET), this::quiet);
         world.runUntil(plan.length().toNanos());
--- a/src/main/java/rowanplank/lab/trial/judge/Event.java
+++ b/src/main/java/rowanplank/lab/trial/judge/Event.java
@@ -37,6 +37,10 @@
         ASKED,
         /** Its answer: the fence is {@code number}. */
         READ,
+        /** A client of the ledger sends request {@code other} for lease {@code name}: {@code text} is what. */
+        SENT,
+        /** What it is told of request {@code other}, each time: {@code text}; the fence of a grant is {@code number}. */
+        TOLD,
         /** No fault from here on, and all that was stopped runs again. */
         QUIET,
         /** The trial is over. */
--- a/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
+++ b/src/main/java/rowanplank/lab/trial/judge/LeaseJudge.java
@@ -18,6 +18,8 @@
  * <tr><td>one-leader</td><td>no two nodes lead in one term</td></tr>
  * <tr><td>one-log</td><td>who has applied as much has the same digest</td></tr>
  * <tr><td>no-stale-read</td><td>who asks sees every fence that acted, or was read, before the asking</td></tr>
+ * <tr><td>not-lost</td><td>what a client of the ledger was told is done is read as done, until its next request</td></tr>
+ * <tr><td>done-once</td><td>one request has one answer, however often it comes, and does nothing later on</td></tr>
  * <tr><td>alive</td><td>no node ends, and no voter halts, but by the trial's doing</td></tr>
  * <tr><td>no-lost-memory</td><td>a voter whose state was spoilt takes no part any more</td></tr>
  * <tr><td>knows-who-lives</td><td>in the end each node thinks alive, or has suspected for less than 1 s, all that run,
@@ -67,6 +69,7 @@
         });
         reads();
         periods();
+        new ClientRules(history, findings::add).judge();
         new FleetRules(history, goesOnMicros, findings::add).judge();
         goesOn(acts);
         return findings.subList(0, Math.min(MOST_FINDINGS, findings.size()));
--- a/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/VirtualTrialTest.java
@@ -123,7 +123,8 @@
     @ParameterizedTest
     @CsvSource({"no-wait, one-holder", "no-fence-wait, one-holder", "fence-repeats, fence-of-one",
         "counted-from-answer, one-holder", "unconfirmed-renewal, one-holder", "vote-forgotten, one-leader",
-        "any-log-will-do, alive", "half-is-enough, one-leader", "no-log-check, alive", "done-twice, fences-grow",
+        "any-log-will-do, alive", "half-is-enough, one-leader", "no-log-check, alive", "done-twice, done-once", "done-twice, fences-grow",
+        "any-log-will-do, not-lost",
         "claims-forgotten, once-a-period", "never-refutes, knows-who-lives", "stale-read, no-stale-read", "told-before-synced, no-stale-read|alive|one-log|one-leader"})
     void eachPlantedFaultIsFound(String plant, String rule) {
         Parts parts = Plants.parts(plant);
