--- a/src/main/java/rowanplank/cli/Door.java
+++ b/src/main/java/rowanplank/cli/Door.java
@@ -47,6 +47,14 @@
         }
     }
 
+    /** @throws IOException with one line that says why it is not done, or that this is not known */
+    void say(String path) throws IOException {
+        DoorCalls.Reply reply = call("POST", path);
+        if (reply.status() != 200) {
+            throw new IOException(address + ": " + reply.body().strip());
+        }
+    }
+
     static JsonArray array(JsonObject o, String key) {
         return o.get(key) == null ? new JsonArray() : o.get(key).asArray();
     }
--- a/src/main/java/rowanplank/cli/FleetStatusCommand.java
+++ b/src/main/java/rowanplank/cli/FleetStatusCommand.java
@@ -49,6 +49,9 @@
             }
         }
         Door.array(o, "budgets").forEach(b -> text.append(FleetBudgetCommand.text(b.asObject())));
+        if (o.get("work") != null) {
+            text.append(FleetWorkCommand.text(o.get("work").asObject()));
+        }
         for (JsonValue v : Door.array(o, "members")) {
             JsonObject m = v.asObject();
             line(text, "member", m.getString("name", "") + " at " + m.getString("at", "") + " is " + m.getString("state", "")
@@ -59,6 +62,9 @@
             line(text, "holds", l.getString("lease", "") + " under fence " + l.get("fence") + " for "
                     + l.get("left_ms") + " ms more");
         }
+        if (o.get("turn") != null && !o.get("turn").asObject().getString("state", "none").equals("none")) {
+            line(text, "turn", o.get("turn").asObject().getString("state", ""));
+        }
         for (JsonValue v : Door.array(o, "parts")) {
             JsonObject p = v.asObject();
             line(text, "uses", p.get("open") + " of " + p.getString("budget", "") + ", may use " + p.get("usable") + " for "
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -24,11 +24,12 @@
  * @param tasks also the picture's
  * @param pictures where the fleet's picture is written; null where it is not
  * @param sharing budgets, and what uses them
+ * @param order in which machines are taken out for work; null where it has no part in that
  */
 public record FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
         Map<String, InetSocketAddress> voters, Map<String, InetSocketAddress> peers,
         Map<String, InetSocketAddress> members, String directory, Timing timing, List<Lease> leases, List<Task> tasks,
-        String pictures, Sharing sharing) {
+        String pictures, Sharing sharing, Order order) {
     /** The lease, and the task, of whoever writes the fleet's picture. */
     public static final String PICTURE = "fleet-picture";
 
@@ -126,6 +127,26 @@
         }
     }
 
+    /**
+     * The order in which machines are taken out for work.
+     *
+     * @param machine on which this node runs
+     * @param mostOut machines that may be out at once, in all and of one hall
+     * @param settle ready for so long, a node counts as back
+     * @param servesAlone whether a process that comes up and reaches no leader serves after {@code aloneAfter}
+     */
+    public record Order(String machine, String hall, int mostOut, int mostOutOfHall, Duration settle, boolean servesAlone,
+            Duration aloneAfter) { }
+
+    /** One without an order of work. */
+    public FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
+            Map<String, InetSocketAddress> voters, Map<String, InetSocketAddress> peers,
+            Map<String, InetSocketAddress> members, String directory, Timing timing, List<Lease> leases, List<Task> tasks,
+            String pictures, Sharing sharing) {
+        this(name, node, listen, advertised, voters, peers, members, directory, timing, leases, tasks, pictures, sharing,
+                null);
+    }
+
     /** One without budgets. */
     public FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
             Map<String, InetSocketAddress> voters, Map<String, InetSocketAddress> peers,
@@ -163,6 +184,9 @@
                 || !Objects.equals(sharing.places(), other.sharing.places())) {
             return "fleet.budgets or a [[budget]]; fleet budget set changes a whole";
         }
+        if (!Objects.equals(order, other.order)) {
+            return "fleet.work";
+        }
         return timing.equals(other.timing) ? null : "one of fleet.election, heartbeat, drift, session, probe, snapshot";
     }
 
@@ -198,7 +222,16 @@
         String pictures = picture(fleet.section("picture"), fleet.has("picture"), votes, leases, tasks);
         InetSocketAddress listen = fleet.address("listen", null);
         return new FleetConfig(name(fleet, "name", "fleet"), node, listen, fleet.address("advertise", listen), voters,
-                peers, members, directory, timing(fleet), leases, tasks, pictures, SharingReader.read(root, fleet));
+                peers, members, directory, timing(fleet), leases, tasks, pictures, SharingReader.read(root, fleet),
+                fleet.has("work") ? order(fleet.section("work"), node) : null);
+    }
+
+    private static Order order(TomlSection s, String node) {
+        return new Order(name(s, "machine", node), s.has("hall") ? name(s, "hall", "") : "",
+                s.integer("most_out", 0, 1000, 1), s.integer("most_out_hall", 0, 1000, s.integer("most_out", 0, 1000, 1)),
+                s.duration("settle", Duration.ZERO, Duration.ofHours(1), Duration.ofSeconds(5)),
+                s.oneOf("alone", List.of("stay-out", "serve"), "stay-out").equals("serve"),
+                s.duration("alone_after", Duration.ofSeconds(1), Duration.ofHours(1), Duration.ofSeconds(30)));
     }
 
     private static Timing timing(TomlSection fleet) {
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -30,6 +30,7 @@
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
+import rowanplank.ledger.WorkHolder;
 import rowanplank.membership.Membership;
 import rowanplank.membership.News;
 import rowanplank.membership.Note;
@@ -50,12 +51,51 @@
     private static final int MOST_ASKERS = 4096;
     private static final Duration RETRY = Duration.ofMillis(150);
     private static final Duration PARK = Duration.ofSeconds(1);
+    private static final Duration POLL = Duration.ofMillis(400);
     /** What staff ask is answered within this time, or given up. */
     private static final Duration PATIENCE = Duration.ofSeconds(2);
 
     /** What it has of the machine. */
     public record Machine(Loop loop, StateFile.Files files, WholeFiles pictures, Programs programs, RateLimitedLog log) { }
 
+    /** The node's clients, as the order of work takes them from it and gives them back. */
+    public interface Clients {
+        Clients NONE = servedBy(() -> false);
+
+        /** Take no clients any more, and let go those that are there. */
+        void drain();
+
+        /** For the fleet it may take clients. */
+        void rejoin();
+
+        /** Whether no client, no request and no try is open. */
+        boolean isEmpty();
+
+        /** Whether the node takes clients. */
+        boolean isReady();
+
+        /** Clients that are nowhere, but for what says whether they are served. */
+        static Clients servedBy(BooleanSupplier ready) {
+            return new Clients() {
+                @Override
+                public void drain() { }
+
+                @Override
+                public void rejoin() { }
+
+                @Override
+                public boolean isEmpty() {
+                    return true;
+                }
+
+                @Override
+                public boolean isReady() {
+                    return ready.getAsBoolean();
+                }
+            };
+        }
+    }
+
     private FleetConfig config;
     private final long incarnation;
     private final Parts parts;
@@ -68,6 +108,8 @@
     private final long budgetsIncarnation;
     private final BudgetHolder budgets;
     private final WorkerRunner workers;
+    /** Null before the start, and where it has no part in an order of work. */
+    private WorkHolder work;
     /** Null where places at page servers are not shared. */
     private final PlaceKeeper places;
     private final Asker asker;
@@ -92,7 +134,7 @@
     private boolean stopped;
     private Runnable whenStopped;
     private long dropped;
-    private BooleanSupplier serves = () -> false;
+    private Clients clients = Clients.NONE;
     /** Where another process is that says it is this node, and since when it has been heard of. */
     private String twin;
     private Instant twinSince;
@@ -141,7 +183,12 @@
 
     /** What says whether this node takes clients; to be told before the start. */
     public void servesBy(BooleanSupplier ready) {
-        serves = ready;
+        serves(Clients.servedBy(ready));
+    }
+
+    /** Whom this node serves; to be told before the start. */
+    public void serves(Clients all) {
+        clients = all;
     }
 
     /**
@@ -164,6 +211,12 @@
                 + Addresses.format(socket.address()) + (voter == null ? "" : " as a voter"));
         turns.run(() -> config.leases().forEach(l -> holder.want(loop.clock().now(), l.name(), l.length())));
         turns.run(this::share);
+        if (config.order() != null) {
+            FleetConfig.Order order = config.order();
+            turns.run(() -> work = parts.workHolder(new WorkHolder.Settings(config.node(), incarnation, order.machine(),
+                    order.hall(), List.copyOf(config.addresses().keySet()), POLL, Voter.TURN_VALID, order.settle(),
+                    order.servesAlone(), order.aloneAfter()), loop.clock().now(), new Working()));
+        }
     }
 
     /** Budgets and workers as the file has them now. */
@@ -262,6 +315,7 @@
         }
         Instant due = earlier(earlier(holder.due(), asker.due()), earlier(tasks.due(), members.due()));
         due = earlier(due, earlier(budgets.due(), workers.due()));
+        due = earlier(due, work == null ? null : work.due());
         due = earlier(due, places == null || finished ? null : places.due());
         due = earlier(due, voter == null || halted != null ? null : voter.due());
         if (due != null) {
@@ -283,7 +337,10 @@
                 places.onTime(now);
             }
             budgets.onTime(now);
-            members.serves(serves.getAsBoolean());
+            if (work != null) {
+                work.onTime(now);
+            }
+            members.serves(clients.isReady());
             members.onTime(now);
             turns.then(this::runTasks);
             if (voter != null && halted == null) {
@@ -329,6 +386,10 @@
     private void take(Instant now, Ask.Answer answer) {
         if (answer.incarnation() == budgetsIncarnation) {
             budgets.onAnswer(now, answer);
+        } else if (answer.number() >= WorkHolder.FIRST_NUMBER) {
+            if (work != null) {
+                work.onAnswer(now, answer);
+            }
         } else if (answer.number() >= Asker.FIRST_NUMBER) {
             asker.onAnswer(now, answer);
         } else {
@@ -384,12 +445,50 @@
             Fleet.this.halt(why);
         }
 
+        @Override
+        public boolean serves(String node) {
+            if (node.equals(config.node())) {
+                return clients.isReady();
+            }
+            return members.members().stream().anyMatch(m -> m.news().name().equals(node)
+                    && m.news().state() == News.State.ALIVE && m.news().serves());
+        }
+
         @Override
         public Instant now() {
             return loop.clock().now();
         }
     }
 
+    private final class Working implements WorkHolder.Actions {
+        @Override
+        public void ask(String target, Ask ask) {
+            Fleet.this.ask(target, ask);
+        }
+
+        @Override
+        public void drain() {
+            machine.log().info(config.node() + " takes no clients for the fleet's order of work");
+            clients.drain();
+        }
+
+        @Override
+        public void rejoin() {
+            machine.log().info(config.node() + " may take clients, as the fleet's order of work has it");
+            clients.rejoin();
+        }
+
+        @Override
+        public boolean isEmpty() {
+            return clients.isEmpty();
+        }
+
+        @Override
+        public boolean isReady() {
+            return clients.isReady();
+        }
+    }
+
     private void ask(String target, Ask ask) {
         if (target.equals(config.node())) {
             turns.then(() -> asked(loop.clock().now(), ask));
@@ -522,6 +621,9 @@
             }
             tasks.replace(now, fresh.tasks());
             budgets.voters(names);
+            if (work != null) {
+                work.voters(names);
+            }
             share();
             fresh.leases().stream().filter(l -> !before.leases().contains(l))
                     .forEach(l -> holder.want(now, l.name(), l.length()));
@@ -543,9 +645,22 @@
      * @param told what a leader said, never within this call; null where none could be found in time
      */
     public void read(String lease, Consumer<Result> told) {
+        ask(new Ask.Read(lease), told);
+    }
+
+    /**
+     * Staff's word on the order of work, at whichever node. The same number twice is done once.
+     *
+     * @param told what came of it, never within this call; null where it is not known: to be asked again by its number
+     */
+    public void say(Command.Staff words, Consumer<Result> told) {
+        ask(new Ask.Staff(words), told);
+    }
+
+    private void ask(Ask.What what, Consumer<Result> told) {
         Instant now = loop.clock().now();
         turns.run(() -> {
-            long number = asker.read(now, lease);
+            long number = asker.ask(now, what);
             if (number == 0) {
                 loop.execute(() -> told.accept(null));
             } else {
@@ -635,6 +750,9 @@
         }
         if (voter != null) {
             voterStatus(o, voter.agreement(), voter.ledger());
+            if (config.order() != null) {
+                o.add("work", WorkText.status(voter.ledger().work(), halted == null ? voter.halted() : null));
+            }
         } else {
             o.add("role", "client").add("asks", holder.target());
         }
@@ -655,7 +773,10 @@
                         .add("left_ms", Duration.between(now, holder.until(l.name())).toMillis()));
             }
         }
-        if (!config.sharing().budgets().isEmpty()) {
+        if (work != null) {
+            o.add("turn", WorkText.own(config.order().machine(), work));
+        }
+        if (config.sharing().places() != null || !config.sharing().budgets().isEmpty()) {
             o.add("parts", Sharing.has(budgets, config.sharing(), now)).add("workers_begun", workers.begun());
         }
         return o.add("holds", held).add("runs_begun", tasks.begun()).add("runs_ended", tasks.ended());
--- a/src/main/java/rowanplank/fleet/Parts.java
+++ b/src/main/java/rowanplank/fleet/Parts.java
@@ -10,6 +10,8 @@
 import rowanplank.ledger.Desk;
 import rowanplank.ledger.LeaseHolder;
 import rowanplank.ledger.Ledger;
+import rowanplank.ledger.WorkDesk;
+import rowanplank.ledger.WorkHolder;
 import rowanplank.membership.Membership;
 import rowanplank.net.StateFile;
 
@@ -35,6 +37,14 @@
         return new BudgetHolder(settings, now, actions);
     }
 
+    public WorkDesk workDesk(WorkDesk.Settings settings, Ledger ledger, WorkDesk.Actions actions) {
+        return new WorkDesk(settings, ledger, actions);
+    }
+
+    public WorkHolder workHolder(WorkHolder.Settings settings, Instant now, WorkHolder.Actions actions) {
+        return new WorkHolder(settings, now, actions);
+    }
+
     public LeaseHolder holder(LeaseHolder.Settings settings, Instant now, LeaseHolder.Actions actions) {
         return new LeaseHolder(settings, now, actions);
     }
--- a/src/main/java/rowanplank/fleet/Voter.java
+++ b/src/main/java/rowanplank/fleet/Voter.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import rowanplank.agreement.Agreement;
 import rowanplank.agreement.Entry;
@@ -25,6 +26,8 @@
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
 import rowanplank.ledger.Share;
+import rowanplank.ledger.Work;
+import rowanplank.ledger.WorkDesk;
 import rowanplank.net.StateFile;
 
 /**
@@ -35,6 +38,10 @@
     private static final int MOST_UNDECIDED = 512;
     /** The chain of results is compared after so many entries. */
     private static final int AUDIT_EVERY = 100;
+    /** So old is what a node is told of its turn at the most, when it acts on it. */
+    static final Duration TURN_VALID = Duration.ofSeconds(1);
+    /** A voter that lags by more entries has not caught up. */
+    private static final int CAUGHT_UP = 64;
     private static final Duration PARK = Duration.ofSeconds(1);
 
     /** What a voter sends, and whom it tells that it can't go on. */
@@ -47,6 +54,9 @@
 
         void halt(String why);
 
+        /** Whether the node is thought to live and to serve clients. */
+        boolean serves(String node);
+
         Instant now();
     }
 
@@ -61,6 +71,8 @@
     private final Ledger ledger;
     private final Desk desk;
     private final BudgetDesk budgets;
+    /** Null where this node has no part in an order of work. */
+    private final WorkDesk work;
     private int chain;
     private long audited;
     /** To which level this voter, as a leader, has asked to raise the ledger's. */
@@ -85,6 +97,9 @@
         }
         desk = parts.desk(new Desk.Settings(config.timing().drift(), config.timing().session(), PARK), ledger, new AtTheDesk());
         budgets = parts.budgetDesk(config.timing().drift(), ledger, new AtTheDesk());
+        work = config.order() == null ? null : parts.workDesk(new WorkDesk.Settings(config.timing().drift(), TURN_VALID,
+                config.timing().election().multipliedBy(4), new Work.Terms(config.order().mostOut(),
+                config.order().mostOutOfHall())), ledger, new AtTheDesk());
         budgets.budgets(Sharing.defined(config.sharing()), name -> Sharing.placesOf(config.sharing(), name));
     }
 
@@ -102,7 +117,7 @@
 
     Instant due() {
         Instant a = agreement.due();
-        return earlier(earlier(a, desk.due()), budgets.due());
+        return earlier(earlier(a, desk.due()), earlier(budgets.due(), work == null ? null : work.due()));
     }
 
     private static Instant earlier(Instant a, Instant b) {
@@ -113,6 +128,9 @@
         turns.run(() -> agreement.onTime(now));
         turns.run(() -> desk.onTime(now));
         turns.run(() -> budgets.onTime(now));
+        if (work != null) {
+            turns.run(() -> work.onTime(now));
+        }
     }
 
     void onMessage(Instant now, String from, Message message) {
@@ -160,7 +178,11 @@
             return false;
         }
         turns.run(() -> {
-            if (BudgetDesk.isMeant(ask.what())) {
+            if (WorkDesk.isMeant(ask.what())) {
+                if (work != null) {
+                    work.onAsk(now, ask);
+                }
+            } else if (BudgetDesk.isMeant(ask.what())) {
                 desk.onHeard(now, ask.session());
                 budgets.onAsk(now, ask);
             } else {
@@ -215,6 +237,9 @@
             raised = 0;
             turns.then(() -> desk.onLeads(outside.now()));
             turns.then(() -> budgets.onLeads(outside.now()));
+            if (work != null) {
+                turns.then(() -> work.onLeads(outside.now()));
+            }
             turns.then(Voter.this::raise);
         }
 
@@ -222,12 +247,18 @@
         public void leadsNoMore() {
             turns.then(desk::onLeadsNoMore);
             turns.then(budgets::onLeadsNoMore);
+            if (work != null) {
+                turns.then(work::onLeadsNoMore);
+            }
         }
 
         @Override
         public void confirmed(long round) {
             turns.then(() -> desk.onConfirmed(round));
             turns.then(() -> budgets.onConfirmed(round));
+            if (work != null) {
+                turns.then(() -> work.onConfirmed(round));
+            }
         }
     }
 
@@ -244,6 +275,10 @@
                 Result result = ledger.apply(entry.index(), command);
                 desk.onApplied(outside.now(), entry.index(), command, result);
                 budgets.onApplied(outside.now(), entry.index(), command, result);
+                if (work != null) {
+                    work.onApplied(outside.now(), entry.index(), command, result);
+                    handOn(command, result);
+                }
             } catch (MalformedException e) {
                 halted("entry " + entry.index() + " can't be understood: " + e.getMessage());
                 return;
@@ -264,6 +299,23 @@
         }
     }
 
+    /** Guards a fleet without a leader for a while: one whose machine goes out hands on before it drains. */
+    private void handOn(Command command, Result result) {
+        if (command instanceof Command.Turn t && result.kind() == Result.Kind.GRANTED && desk.leads()
+                && ledger.work().nodesOf(t.machine()).contains(config.node())) {
+            agreement.handOver(outside.now());
+        }
+    }
+
+    /** Why no turn is given now; null where nothing speaks against one. */
+    String halted() {
+        if (work == null || !desk.leads()) {
+            return null;
+        }
+        String all = work.halted(outside.now());
+        return all != null || ledger.work().plan().isEmpty() ? all : work.againstIt(ledger.work().plan().get(0));
+    }
+
     /** @return null where it was taken; else why not */
     String resize(String name, Share whole) {
         Budgets.Whole w = ledger.budgets().whole(name);
@@ -277,7 +329,7 @@
         return index[0] > 0 ? null : "it can't be taken now: ask again";
     }
 
-    private final class AtTheDesk implements Desk.Actions, BudgetDesk.Actions {
+    private final class AtTheDesk implements Desk.Actions, BudgetDesk.Actions, WorkDesk.Actions {
         @Override
         public boolean isKnown(Command command) {
             return LedgerForm.versionOf(command) <= ledger.level();
@@ -302,5 +354,18 @@
         public void tell(Ask.Answer answer) {
             outside.tell(answer);
         }
+
+        @Override
+        public boolean serves(String node) {
+            return outside.serves(node);
+        }
+
+        @Override
+        public boolean hasMajorityWithout(Set<String> nodes) {
+            Map<String, Long> matches = agreement.matches();
+            long left = agreement.voters().stream().filter(v -> !nodes.contains(v) && (v.equals(config.node())
+                    || matches.containsKey(v) && agreement.lastIndex() - matches.get(v) <= CAUGHT_UP)).count();
+            return left * 2 > agreement.voters().size();
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/rowanplank/fleet/WorkText.java
@@ -0,0 +1,46 @@
+package rowanplank.fleet;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import rowanplank.ledger.Work;
+import rowanplank.ledger.WorkHolder;
+
+/** The order of work as staff read it. */
+final class WorkText {
+    private WorkText() { }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** What a voter knows. @param halted why no turn is given now; null where nothing speaks against one, or it is not known */
+    static JsonObject status(Work work, String halted) {
+        JsonArray lines = new JsonArray();
+        List<Work.Line> inOrder = work.lines().stream().sorted(Comparator.comparing(Work.Line::asked)
+                .thenComparing(Work.Line::machine)).toList();
+        for (Work.Line l : inOrder) {
+            lines.add(new JsonObject().add("machine", l.machine()).add("hall", work.hallOf(l.machine()))
+                    .add("state", word(l.state())).add("fence", l.fence()).add("asked", l.asked()).add("by", l.by())
+                    .add("why", l.why()).add("first", l.first()).add("until", l.restart() ? "restart" : "word")
+                    .add("longest_ms", l.longestMs()));
+        }
+        JsonArray plan = new JsonArray();
+        work.plan().forEach(plan::add);
+        JsonArray history = new JsonArray();
+        work.history().forEach(h -> history.add(new JsonObject().add("machine", h.machine()).add("how", word(h.how()))
+                .add("fence", h.fence()).add("asked", h.asked())));
+        return new JsonObject().add("most_out", work.terms().mostOut()).add("most_out_hall", work.terms().mostOutOfHall())
+                .add("held", work.held()).add("halted", halted == null ? "" : halted).add("lines", lines).add("plan", plan)
+                .add("history", history);
+    }
+
+    /** This node's own part. */
+    static JsonObject own(String machine, WorkHolder holder) {
+        Work.Line l = holder.line();
+        return new JsonObject().add("machine", machine).add("state", !holder.isKnown() ? "unknown"
+                : l == null ? "none" : word(l.state())).add("fence", l == null ? 0 : l.fence());
+    }
+}
--- a/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
+++ b/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
@@ -24,6 +24,7 @@
     private static final int CHECKSUM = Integer.BYTES;
     private static final int ANSWER = 32;
     private static final int ANSWER_WITH_PARTS = 63;
+    private static final int ANSWER_WITH_LINE = 62;
 
     private final long fleet;
 
@@ -42,10 +43,13 @@
             NoteForm.write(out, e.note());
         } else {
             boolean parts = !e.answer().parts().isEmpty();
-            out.octet(parts ? ANSWER_WITH_PARTS : ANSWER).int64(e.answer().incarnation()).number(e.answer().number());
+            boolean line = e.answer().line() != null;
+            out.octet(parts ? ANSWER_WITH_PARTS : line ? ANSWER_WITH_LINE : ANSWER).int64(e.answer().incarnation()).number(e.answer().number());
             LedgerForm.result(out, e.answer().result());
             if (parts) {
                 BudgetForm.told(out, e.answer().parts());
+            } else if (line) {
+                WorkForm.line(out, e.answer().line());
             }
         }
         byte[] bytes = out.done();
@@ -94,6 +98,12 @@
                     .number(w.period());
         } else if (a.what() instanceof Ask.Read w) {
             head(out, 20, a).text(w.lease());
+        } else if (a.what() instanceof Ask.Poll w) {
+            head(out, 26, a).text(w.machine()).text(w.hall());
+        } else if (a.what() instanceof Ask.Step w) {
+            head(out, 27, a).number(w.fence()).octet(w.from().ordinal());
+        } else if (a.what() instanceof Ask.Staff w) {
+            WorkForm.staff(head(out, 28, a), w.words());
         } else {
             BudgetForm.ask(out, a);
         }
@@ -140,9 +150,10 @@
             long number = in.number();
             return Envelope.of(sender, incarnation, knows, new Ask(sender, incarnation, session, floor, number, what(kind, in)));
         }
-        if (kind == ANSWER || kind == ANSWER_WITH_PARTS) {
+        if (kind == ANSWER || kind == ANSWER_WITH_PARTS || kind == ANSWER_WITH_LINE) {
             return Envelope.of(sender, incarnation, knows, new Ask.Answer(in.int64(), in.number(), LedgerForm.result(in),
-                    kind == ANSWER ? List.of() : BudgetForm.told(in)));
+                    kind == ANSWER_WITH_PARTS ? BudgetForm.told(in) : List.of(),
+                    kind == ANSWER_WITH_LINE ? WorkForm.line(in) : null));
         }
         return Envelope.of(sender, incarnation, knows, NoteForm.read(kind, in));
     }
@@ -178,6 +189,9 @@
             case 19 -> new Ask.Release(in.text(), in.number());
             case 20 -> new Ask.Read(in.text());
             case 21 -> new Ask.Claim(in.text(), in.number(), in.text(), Duration.ofNanos(in.number()), in.number());
+            case 26 -> new Ask.Poll(in.text(), in.text());
+            case 27 -> new Ask.Step(in.number(), WorkForm.state(in));
+            case 28 -> new Ask.Staff(WorkForm.staff(in));
             default -> BudgetForm.what(kind, in);
         };
     }
--- a/src/main/java/rowanplank/fleet/wire/LedgerForm.java
+++ b/src/main/java/rowanplank/fleet/wire/LedgerForm.java
@@ -10,6 +10,7 @@
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
+import rowanplank.ledger.Work;
 
 /**
  * The ledger's commands and pictures as bytes. Each begins with its version: a voter that does not know it says so and
@@ -17,17 +18,21 @@
  */
 public final class LedgerForm {
     /** The latest that is known here, of commands and of pictures; what an earlier one knew is written as its. */
-    public static final int VERSION = 3;
-    /** From here on runs once in a period; from {@link #VERSION} on budgets. */
+    public static final int VERSION = 4;
+    /** From here on runs once in a period; then budgets; from {@link #VERSION} on the order of work. */
     private static final int RUNS = 2;
+    private static final int BUDGETS = 3;
     /** What all versions understand. */
     public static final int FIRST = 1;
 
+    private static final int FIRST_OF_WORK = 17;
+
     private LedgerForm() { }
 
     /** Which version a voter has to know to understand it. */
     public static int versionOf(Command command) {
-        return command instanceof Command.Claim ? RUNS : isOfBudgets(command) ? VERSION : FIRST;
+        return command instanceof Command.Claim ? RUNS : isOfBudgets(command) ? BUDGETS
+                : WorkForm.isOfWork(command) ? VERSION : FIRST;
     }
 
     private static boolean isOfBudgets(Command c) {
@@ -59,6 +64,7 @@
                     .text(c.task()).number(c.period());
         } else {
             BudgetForm.command(out, command);
+            WorkForm.command(out, command);
         }
         return out.done();
     }
@@ -82,7 +88,7 @@
             case 7 -> new Command.Claim(in.number(), in.number(), in.number(), in.text(), in.number(), in.text(),
                     in.number());
             case 8 -> new Command.Raise((int) in.number());
-            default -> BudgetForm.command(kind, in);
+            default -> kind < FIRST_OF_WORK ? BudgetForm.command(kind, in) : WorkForm.command(kind, in);
         };
         in.end();
         return command;
@@ -135,6 +141,9 @@
         if (version > RUNS) {
             BudgetForm.picture(out, p.budgets());
         }
+        if (version > BUDGETS) {
+            WorkForm.picture(out, p.work());
+        }
         return out.done();
     }
 
@@ -162,8 +171,9 @@
             runs.add(new Ledger.Run(in.text(), in.number(), in.number()));
         }
         Budgets.Picture budgets = version > RUNS ? BudgetForm.picture(in) : Budgets.Picture.empty();
+        Work.Picture work = version > BUDGETS ? WorkForm.picture(in) : Work.Picture.empty();
         in.end();
-        return new Ledger.Picture(applied, chain, lastFence, level, sessions, leases, runs, budgets);
+        return new Ledger.Picture(applied, chain, lastFence, level, sessions, leases, runs, budgets, work);
     }
 
     private static Map<Long, Result> results(Unpacker in) throws MalformedException {
--- a/src/main/java/rowanplank/intake/admin/AdminConnection.java
+++ b/src/main/java/rowanplank/intake/admin/AdminConnection.java
@@ -10,6 +10,8 @@
 import org.eclipse.jetty.io.EndPoint;
 import rowanplank.http.Messages;
 import rowanplank.http.RequestReader;
+import rowanplank.ledger.Command;
+import rowanplank.ledger.Result;
 import rowanplank.net.LoopConnection;
 
 /** One operator's connection: one call, one answer, and its end. */
@@ -20,6 +22,7 @@
     private static final String ADD = "/voters/add/";
     private static final String REMOVE = "/voters/remove/";
     private static final String BUDGET = "/budget/[A-Za-z0-9._/-]{1,32}/[0-9]{1,10}";
+    private static final String WORK = "/work/";
     private static final String NAME = "[A-Za-z0-9._-]{1,64}";
 
     private final AdminDoor door;
@@ -128,6 +131,8 @@
                 boolean add = what.startsWith(ADD);
                 taken(door.fleet().changeVoters(what.substring(add ? ADD.length() : REMOVE.length()), add));
             }
+        } else if (what.startsWith(WORK)) {
+            work(WorkCalls.read(what, door.name()));
         } else if (what.matches(BUDGET)) {
             if (allowed("POST")) {
                 int last = what.lastIndexOf('/');
@@ -139,6 +144,24 @@
         }
     }
 
+    private void work(Command.Staff words) {
+        if (words == null) {
+            answer(404, "there are work/ask, done, cancel, skip, hold and go: see fleet work --help\n", null);
+        } else if (allowed("POST")) {
+            door.fleet().say(words, result -> said(words, result));
+        }
+    }
+
+    private void said(Command.Staff words, Result result) {
+        if (answered || isOver()) {
+            return;
+        }
+        String refused = result == null ? "it is not known whether it was done: ask again with number " + words.id()
+                : WorkCalls.refused(words, result);
+        answer(result == null ? 503 : refused == null ? 200 : 409, refused == null ? "{\"done\":true,\"number\":" + words.id() + "}\n"
+                : refused + "\n", null);
+    }
+
     private void taken(String refused) {
         answer(refused == null ? 202 : 409, refused == null ? "{\"taken\":true}\n" : refused + "\n", null);
     }
--- a/src/main/java/rowanplank/intake/admin/AdminDoor.java
+++ b/src/main/java/rowanplank/intake/admin/AdminDoor.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import rowanplank.ledger.Command;
+import rowanplank.ledger.Result;
 import rowanplank.lifecycle.Lifecycle;
 import rowanplank.net.Clock;
 import rowanplank.net.Loop;
@@ -49,6 +51,13 @@
         /** Has a node vote, or not any more. @return null where the change was taken; else why not */
         String changeVoters(String name, boolean add);
 
+        /**
+         * Staff's word on the order of work.
+         *
+         * @param told what came of it, never within this call; null where it is not known
+         */
+        void say(Command.Staff words, Consumer<Result> told);
+
         /** Changes the whole of a budget. @return null where the change was taken; else why not */
         String resize(String budget, long whole);
 
@@ -56,6 +65,7 @@
         boolean release(String lease);
     }
 
+    private final String name;
     final Loop loop;
     private final Clock clock;
     private final Lifecycle lifecycle;
@@ -65,7 +75,8 @@
     private final Set<AdminConnection> connections = new LinkedHashSet<>();
 
     /** @param fleet null where the node has no part in one */
-    public AdminDoor(Loop loop, Lifecycle lifecycle, Open open, FleetPart fleet) {
+    public AdminDoor(String name, Loop loop, Lifecycle lifecycle, Open open, FleetPart fleet) {
+        this.name = name;
         this.loop = loop;
         clock = loop.clock();
         this.lifecycle = lifecycle;
@@ -122,6 +133,11 @@
         lifecycle.onRejoin(clock.now());
     }
 
+    /** The node's name. */
+    String name() {
+        return name;
+    }
+
     /** Null where this node has no part in one. */
     FleetPart fleet() {
         return fleet;
--- a/src/main/java/rowanplank/ledger/Ask.java
+++ b/src/main/java/rowanplank/ledger/Ask.java
@@ -60,6 +60,15 @@
     /** No parts any more: all uses are over. */
     public record Leave() implements What { }
 
+    /** What a node's machine is to do; it stands there. */
+    public record Poll(String machine, String hall) implements What { }
+
+    /** It has done what its machine's line asked of it in that state. */
+    public record Step(long fence, Work.State from) implements What { }
+
+    /** Staff's word, at whichever node; the same number is done once. */
+    public record Staff(Command.Staff words) implements What { }
+
     /** @param amount in uses; of a rate in thousandths of a use a second */
     public record Wish(String budget, long amount) { }
 
@@ -71,14 +80,23 @@
      *
      * @param number of the ask; 0 where nothing was asked, and parts have changed
      * @param parts what has changed of parts; mostly nothing
+     * @param line of the asker's machine; mostly null
      */
-    public record Answer(long incarnation, long number, Result result, List<Told> parts) {
+    public record Answer(long incarnation, long number, Result result, List<Told> parts, Work.Line line) {
         public Answer {
             parts = List.copyOf(parts);
         }
 
         public Answer(long incarnation, long number, Result result) {
-            this(incarnation, number, result, List.of());
+            this(incarnation, number, result, List.of(), null);
+        }
+
+        public Answer(long incarnation, long number, Result result, List<Told> parts) {
+            this(incarnation, number, result, parts, null);
+        }
+
+        public Answer(long incarnation, long number, Result result, Work.Line line) {
+            this(incarnation, number, result, List.of(), line);
         }
     }
 }
--- a/src/main/java/rowanplank/ledger/Asker.java
+++ b/src/main/java/rowanplank/ledger/Asker.java
@@ -60,12 +60,16 @@
 
     /** @return the question's number; 0 where too many are open */
     public long read(Instant now, String lease) {
+        return ask(now, new Ask.Read(lease));
+    }
+
+    /** The same for whatever may be asked again without harm. */
+    public long ask(Instant now, Ask.What what) {
         if (open.size() >= MOST) {
             return 0;
         }
         long number = ++numbers;
-        open.put(number, new Question(new Ask(settings.node(), settings.incarnation(), 0, number, number,
-                new Ask.Read(lease)), target, now, now.plus(patience)));
+        open.put(number, new Question(new Ask(settings.node(), settings.incarnation(), 0, number, number, what), target, now, now.plus(patience)));
         return number;
     }
 
--- a/src/main/java/rowanplank/ledger/Command.java
+++ b/src/main/java/rowanplank/ledger/Command.java
@@ -91,4 +91,38 @@
 
     /** A process as it joined once. */
     record Gone(long session, long epoch) { }
+
+    // ---- the order of work
+
+    /** Where a node stands. */
+    record Announce(String node, String machine, String hall) implements Command { }
+
+    /** Never more out at once, of all machines and of those of one hall. */
+    record WorkTerms(int mostOut, int mostOutOfHall) implements Command { }
+
+    /** The machine may go out now. */
+    record Turn(String machine) implements Command { }
+
+    /**
+     * A node has done what its machine's line asks of it.
+     *
+     * @param process the number of its process
+     * @param from the state that the line was in as it did so
+     */
+    record Step(String node, long process, long fence, Work.State from) implements Command { }
+
+    /** What staff can say. */
+    enum StaffWord { ASK, DONE, CANCEL, SKIP, HOLD, GO }
+
+    /**
+     * Staff's word, once for each number.
+     *
+     * @param machines those asked for; one for what concerns one; none for all of it
+     */
+    record Staff(long id, StaffWord what, List<String> machines, String by, String why, boolean first, boolean restart,
+            long longestMs) implements Command {
+        public Staff {
+            machines = List.copyOf(machines);
+        }
+    }
 }
--- a/src/main/java/rowanplank/ledger/Ledger.java
+++ b/src/main/java/rowanplank/ledger/Ledger.java
@@ -43,21 +43,27 @@
 
     /** All of it, to be written down and taken up again. */
     public record Picture(long applied, long chain, long lastFence, int level, List<Session> sessions,
-            List<Lease> leases, List<Run> runs, Budgets.Picture budgets) {
+            List<Lease> leases, List<Run> runs, Budgets.Picture budgets, Work.Picture work) {
         public Picture {
             sessions = List.copyOf(sessions);
             leases = List.copyOf(leases);
             runs = List.copyOf(runs);
         }
 
-        /** One without budgets. */
+        /** One without an order of work. */
+        public Picture(long applied, long chain, long lastFence, int level, List<Session> sessions, List<Lease> leases,
+                List<Run> runs, Budgets.Picture budgets) {
+            this(applied, chain, lastFence, level, sessions, leases, runs, budgets, Work.Picture.empty());
+        }
+
+        /** One with leases alone. */
         public Picture(long applied, long chain, long lastFence, int level, List<Session> sessions, List<Lease> leases,
                 List<Run> runs) {
-            this(applied, chain, lastFence, level, sessions, leases, runs, Budgets.Picture.empty());
+            this(applied, chain, lastFence, level, sessions, leases, runs, Budgets.Picture.empty(), Work.Picture.empty());
         }
 
         public static Picture empty() {
-            return new Picture(0, 0, 0, 1, List.of(), List.of(), List.of(), Budgets.Picture.empty());
+            return new Picture(0, 0, 0, 1, List.of(), List.of(), List.of(), Budgets.Picture.empty(), Work.Picture.empty());
         }
     }
 
@@ -75,6 +81,7 @@
     private final Map<String, Lease> leases = new TreeMap<>();
     private final Map<String, Run> runs = new TreeMap<>();
     private final Budgets budgets;
+    private final Work work;
     private int level;
     private final long[] chains = new long[CHAINS];
     private final long[] chained = new long[CHAINS];
@@ -83,12 +90,13 @@
     private long lastFence;
 
     public Ledger(Picture picture) {
-        this(picture, new Budgets());
+        this(picture, new Budgets(), new Work());
     }
 
-    /** @param budgets to be filled from the picture, and this ledger's from then on */
-    public Ledger(Picture picture, Budgets budgets) {
+    /** @param budgets to be filled from the picture, and this ledger's from then on; the work as well */
+    public Ledger(Picture picture, Budgets budgets, Work work) {
         this.budgets = budgets;
+        this.work = work;
         restore(picture);
     }
 
@@ -105,6 +113,7 @@
         }
         picture.runs().forEach(r -> runs.put(r.task(), r));
         budgets.restore(picture.budgets());
+        work.restore(picture.work());
         applied = picture.applied();
         chain = picture.chain();
         lastFence = picture.lastFence();
@@ -114,7 +123,7 @@
 
     public Picture picture() {
         return new Picture(applied, chain, lastFence, level, new ArrayList<>(sessions.values()),
-                new ArrayList<>(leases.values()), new ArrayList<>(runs.values()), budgets.picture());
+                new ArrayList<>(leases.values()), new ArrayList<>(runs.values()), budgets.picture(), work.picture());
     }
 
     public long applied() {
@@ -152,6 +161,10 @@
         return budgets;
     }
 
+    public Work work() {
+        return work;
+    }
+
     /** Null where there is none. */
     public Session session(long id) {
         return sessions.get(id);
@@ -230,8 +243,23 @@
             return once(c.session(), c.floor(), c.number(), () -> budgets.give(c));
         } else if (command instanceof Command.Leave c) {
             return once(c.session(), c.floor(), c.number(), () -> budgets.leave(c.session()));
+        } else if (command instanceof Command.Lapse c) {
+            return budgets.lapse(c);
+        }
+        return command instanceof Command.Retire c ? budgets.retire(c) : settle(index, command);
+    }
+
+    private Result settle(long index, Command command) {
+        if (command instanceof Command.Announce c) {
+            return work.announce(c);
+        } else if (command instanceof Command.WorkTerms c) {
+            return work.terms(c);
+        } else if (command instanceof Command.Turn c) {
+            return work.turn(index, c);
+        } else if (command instanceof Command.Step c) {
+            return work.step(c);
         }
-        return command instanceof Command.Lapse c ? budgets.lapse(c) : budgets.retire((Command.Retire) command);
+        return work.staff(index, (Command.Staff) command);
     }
 
     private static String process(String node, long incarnation) {
--- a/src/main/java/rowanplank/lifecycle/Lifecycle.java
+++ b/src/main/java/rowanplank/lifecycle/Lifecycle.java
@@ -14,8 +14,9 @@
  * <tr><td>can serve</td><td>SERVING; accept, where the listener is shared</td><td></td>
  *     <td>noted for the rejoin; accept, where the listener is shared</td><td></td></tr>
  * <tr><td>no peers any more</td><td></td><td>says not up until there are some</td><td></td><td></td></tr>
- * <tr><td>evacuate</td><td>DRAINING</td><td>DRAINING</td><td></td><td></td></tr>
- * <tr><td>rejoin</td><td></td><td></td><td>SERVING, or STARTING where it never could serve</td><td></td></tr>
+ * <tr><td>evacuate, or its turn for work</td><td>DRAINING</td><td>DRAINING</td><td></td><td></td></tr>
+ * <tr><td>rejoin, or the turn is over, and not the other</td><td></td><td></td><td>SERVING, or STARTING where it never
+ *     could serve</td><td></td></tr>
  * <tr><td>terminate</td><td>LEAVING</td><td>LEAVING</td><td>LEAVING</td><td></td></tr>
  * </table>
  *
@@ -84,6 +85,9 @@
     private final Duration deadline;
     private Instant started;
     private Instant drainingSince;
+    /** For whom it drains: each of them may take back only what it asked for itself. */
+    private boolean byHand;
+    private boolean byTurn;
     private Instant leavingSince;
     private Instant since;
     private boolean listed;
@@ -126,15 +130,37 @@
 
     /** An operator drains the node; a second time changes nothing. */
     public void onEvacuate(Instant now) {
+        byHand = true;
+        drain(now);
+    }
+
+    /** An operator wants it back at work; without a drain of an operator's this changes nothing. */
+    public void onRejoin(Instant now) {
+        byHand = false;
+        rejoin(now);
+    }
+
+    /** The fleet takes the node out for work, or has not yet said that it may take clients. */
+    public void onTurn(Instant now) {
+        byTurn = true;
+        drain(now);
+    }
+
+    /** For the fleet it may take clients. */
+    public void onTurnOver(Instant now) {
+        byTurn = false;
+        rejoin(now);
+    }
+
+    private void drain(Instant now) {
         if (drainingSince == null && leavingSince == null) {
             drainingSince = now;
             since = now;
         }
     }
 
-    /** An operator wants it back at work; without a drain this changes nothing. */
-    public void onRejoin(Instant now) {
-        if (drainingSince != null && leavingSince == null) {
+    private void rejoin(Instant now) {
+        if (drainingSince != null && !byHand && !byTurn && leavingSince == null) {
             drainingSince = null;
             since = now;
             look(now);
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -22,6 +22,7 @@
 import rowanplank.fleet.Fleet;
 import rowanplank.intake.admin.AdminDoor;
 import rowanplank.intake.http.Intake;
+import rowanplank.ledger.Command;
 import rowanplank.ledger.Result;
 import rowanplank.lifecycle.Lifecycle;
 import rowanplank.metrics.Counters.Count;
@@ -124,7 +125,7 @@
     /** The operators' door answers for this part in a fleet as well; to be called before it opens. */
     public void join(Fleet part) {
         fleet = part;
-        part.servesBy(lifecycle::isReady);
+        part.serves(new ClientsOfTheFleet());
         decisions.bound(part.places());
     }
 
@@ -138,7 +139,8 @@
             return;
         }
         try {
-            InetSocketAddress address = new AdminDoor(loop, lifecycle, new Life(), fleet == null ? null : new FleetsDoor(fleet)).start(config.admin());
+            InetSocketAddress address = new AdminDoor(config.name(), loop, lifecycle, new Life(),
+                    fleet == null ? null : new FleetsDoor(fleet)).start(config.admin());
             log.info(config.name() + " answers operators at " + Addresses.format(address));
         } catch (IOException e) {
             throw new IOException("can't listen at " + Addresses.format(config.admin()) + ": " + e.getMessage(), e);
@@ -224,6 +226,31 @@
         });
     }
 
+    /** The order of work drains by the lifecycle, as an operator does. */
+    private final class ClientsOfTheFleet implements Fleet.Clients {
+        private final Life life = new Life();
+
+        @Override
+        public void drain() {
+            lifecycle.onTurn(clock.now());
+        }
+
+        @Override
+        public void rejoin() {
+            lifecycle.onTurnOver(clock.now());
+        }
+
+        @Override
+        public boolean isEmpty() {
+            return life.connections() == 0 && life.requests() == 0 && life.tries() == 0;
+        }
+
+        @Override
+        public boolean isReady() {
+            return lifecycle.isReady();
+        }
+    }
+
     /** What staff ask of the fleet, in the words of its ledger. */
     private record FleetsDoor(Fleet fleet) implements AdminDoor.FleetPart {
         @Override
@@ -247,6 +274,11 @@
             return fleet.changeVoters(name, add);
         }
 
+        @Override
+        public void say(Command.Staff words, Consumer<Result> told) {
+            fleet.say(words, told);
+        }
+
         @Override
         public String resize(String budget, long whole) {
             return fleet.resize(budget, whole);
