--- a/src/main/java/rowanplank/cli/Door.java
+++ b/src/main/java/rowanplank/cli/Door.java
@@ -47,11 +47,17 @@
         }
     }
 
-    /** @throws IOException with one line that says why it is not done, or that this is not known */
-    void say(String path) throws IOException {
-        DoorCalls.Reply reply = call("POST", path);
-        if (reply.status() != 200) {
-            throw new IOException(address + ": " + reply.body().strip());
+    /** What came of a call that is done once for its number. @param done null where that is not known */
+    record Said(Boolean done, String why) { }
+
+    /** Never throws for what can't be reached: it may have been done all the same. */
+    Said say(String path) {
+        try {
+            DoorCalls.Reply reply = call("POST", path);
+            Boolean done = reply.status() == 200 ? Boolean.TRUE : reply.status() == 503 ? null : Boolean.FALSE;
+            return new Said(done, address + ": " + reply.body().strip());
+        } catch (IOException e) {
+            return new Said(null, e.getMessage());
         }
     }
 
--- a/src/main/java/rowanplank/config/FleetConfig.java
+++ b/src/main/java/rowanplank/config/FleetConfig.java
@@ -1,7 +1,10 @@
 package rowanplank.config;
 
 import java.net.InetSocketAddress;
+import java.time.DateTimeException;
 import java.time.Duration;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -177,7 +180,26 @@
      * @param servesAlone whether a process that comes up and reaches no leader serves after {@code aloneAfter}
      */
     public record Order(String machine, String hall, int mostOut, int mostOutOfHall, Duration settle, boolean servesAlone,
-            Duration aloneAfter) { }
+            Duration aloneAfter, Halts halts) {
+        /** With the usual halts. */
+        public Order(String machine, String hall, int mostOut, int mostOutOfHall, Duration settle, boolean servesAlone,
+                Duration aloneAfter) {
+            this(machine, hall, mostOut, mostOutOfHall, settle, servesAlone, aloneAfter, Halts.USUAL);
+        }
+    }
+
+    /**
+     * What halts the order of work by itself.
+     *
+     * @param leastService the part of requests that those at work serve, below which it halts; 0 for never
+     * @param dead whether a machine that is dead and not out halts it
+     * @param mostRequests at once that one node can bear; 0 where that is not said
+     * @param margin of the load that is kept free
+     * @param zone of windows
+     */
+    public record Halts(double leastService, boolean dead, int mostRequests, double margin, ZoneId zone) {
+        public static final Halts USUAL = new Halts(0.9, true, 0, 0.2, ZoneOffset.UTC);
+    }
 
     /** One without an order of work. */
     public FleetConfig(String name, String node, InetSocketAddress listen, InetSocketAddress advertised,
@@ -273,7 +295,18 @@
                 s.integer("most_out", 0, 1000, 1), s.integer("most_out_hall", 0, 1000, s.integer("most_out", 0, 1000, 1)),
                 s.duration("settle", Duration.ZERO, Duration.ofHours(1), Duration.ofSeconds(5)),
                 s.oneOf("alone", List.of("stay-out", "serve"), "stay-out").equals("serve"),
-                s.duration("alone_after", Duration.ofSeconds(1), Duration.ofHours(1), Duration.ofSeconds(30)));
+                s.duration("alone_after", Duration.ofSeconds(1), Duration.ofHours(1), Duration.ofSeconds(30)),
+                new Halts(s.number("least_service", 0, 1, Halts.USUAL.leastService()), s.flag("halt_on_dead", true),
+                        s.integer("most_requests", 0, 1_000_000, 0), s.number("margin", 0, 10, Halts.USUAL.margin()), zone(s)));
+    }
+
+    private static ZoneId zone(TomlSection s) {
+        try {
+            return s.has("zone") ? ZoneId.of(s.text("zone", "UTC")) : ZoneOffset.UTC;
+        } catch (DateTimeException e) {
+            s.fault("zone", "must be a zone such as \"Europe/Berlin\" or \"+01:00\"");
+            return ZoneOffset.UTC;
+        }
     }
 
     private static Timing timing(TomlSection fleet) {
--- a/src/main/java/rowanplank/fleet/Fleet.java
+++ b/src/main/java/rowanplank/fleet/Fleet.java
@@ -23,6 +23,7 @@
 import rowanplank.decision.Places;
 import rowanplank.fleet.wire.Envelope;
 import rowanplank.fleet.wire.EnvelopeForm;
+import rowanplank.fleet.wire.LedgerForm;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Ask;
 import rowanplank.ledger.Asker;
@@ -77,6 +78,11 @@
         /** Whether the node takes clients. */
         boolean isReady();
 
+        /** What has been answered since the process began, and is open now; null where that is not counted. */
+        default Ask.Service answered() {
+            return null;
+        }
+
         /** Clients that are nowhere, but for what says whether they are served. */
         static Clients servedBy(BooleanSupplier ready) {
             return new Clients() {
@@ -113,6 +119,9 @@
     private final WorkerRunner workers;
     /** Null before the start, and where it has no part in an order of work. */
     private WorkHolder work;
+    private final Lately lately = new Lately();
+    /** The latest version of the ledger's entries that each voter's process has said it understands. */
+    private final Map<String, Integer> known = new TreeMap<>();
     /** Null where places at page servers are not shared. */
     private final PlaceKeeper places;
     private final RateKeeper rates;
@@ -408,6 +417,9 @@
             return;
         }
         Instant now = loop.clock().now();
+        if (config.addresses().containsKey(e.sender())) {
+            known.put(e.sender(), e.knows());
+        }
         if (e.answer() != null) {
             turns.run(() -> take(now, e.answer()));
         } else if (e.ask() != null) {
@@ -511,10 +523,26 @@
                     && m.news().state() == News.State.ALIVE && m.news().serves());
         }
 
+        @Override
+        public boolean lives(String node) {
+            return node.equals(config.node()) || members.members().stream().anyMatch(m -> m.news().name().equals(node)
+                    && m.news().state() != News.State.DEAD);
+        }
+
         @Override
         public Instant now() {
             return loop.clock().now();
         }
+
+        @Override
+        public Instant wall() {
+            return loop.wall().now();
+        }
+
+        @Override
+        public String work() {
+            return Pieces.ascii(workStatus().toString());
+        }
     }
 
     private final class Working implements WorkHolder.Actions {
@@ -533,6 +561,13 @@
         public void rejoin() {
             machine.log().info(config.node() + " may take clients, as the fleet's order of work has it");
             clients.rejoin();
+            lately.clear();
+        }
+
+        @Override
+        public Ask.Service service() {
+            Ask.Service all = clients.answered();
+            return all == null ? null : lately.look(loop.clock().now(), places == null ? all : places.used(all));
         }
 
         @Override
@@ -550,7 +585,8 @@
         if (target.equals(config.node())) {
             turns.then(() -> asked(loop.clock().now(), ask));
         } else {
-            send(config.addresses().get(target), Envelope.of(config.node(), ask.incarnation(), parts.knows(), ask));
+            send(config.addresses().get(target), Envelope.of(config.node(), ask.incarnation(), parts.knows(),
+                    LedgerForm.asUnderstood(ask, Math.min(parts.knows(), known.getOrDefault(target, LedgerForm.FIRST)))));
         }
     }
 
@@ -720,6 +756,18 @@
         ask(new Ask.Staff(words), told);
     }
 
+    /**
+     * The order that would follow if these machines were asked for now, and why each waits.
+     *
+     * @return null where this node has no ledger, or does not know one of them
+     */
+    public JsonObject plan(List<String> machines, boolean first) {
+        if (voter == null || config.order() == null || machines.stream().anyMatch(m -> voter.ledger().work().nodesOf(m).isEmpty())) {
+            return null;
+        }
+        return new JsonObject().add("plan", WorkText.plan(voter.waits(work == null ? "" : work.standing(), machines, first)));
+    }
+
     private void ask(Ask.What what, Consumer<Result> told) {
         Instant now = loop.clock().now();
         turns.run(() -> {
@@ -803,6 +851,27 @@
         return "this node does not lead" + (leader == null ? "" : "; ask " + leader);
     }
 
+    /** What this voter knows of the order of work. */
+    private JsonObject workStatus() {
+        String told = work == null ? "" : work.standing();
+        return WorkText.status(voter.ledger().work(), halted == null ? voter.standing(told) : "this voter takes no part any more",
+                voter.waits(told, List.of(), false));
+    }
+
+    /**
+     * The order of work as the leader knows it; where none answers, as this voter does.
+     *
+     * @param told never within this call; null where nobody could say
+     */
+    public void work(Consumer<JsonObject> told) {
+        if (config.order() == null) {
+            loop.execute(() -> told.accept(null));
+            return;
+        }
+        new Pieces((from, piece) -> ask(new Ask.Look(from), piece),
+                whole -> told.accept(whole == null && voter != null ? workStatus() : whole)).begin();
+    }
+
     /** All that a person wants to know of this node's part, as of now at this node. */
     public JsonObject status() {
         Instant now = loop.clock().now();
@@ -815,7 +884,7 @@
         if (voter != null) {
             voterStatus(o, voter.agreement(), voter.ledger());
             if (config.order() != null) {
-                o.add("work", WorkText.status(voter.ledger().work(), halted == null ? voter.halted() : null));
+                o.add("work", workStatus());
             }
         } else {
             o.add("role", "client").add("asks", holder.target());
--- a/src/main/java/rowanplank/fleet/PlaceKeeper.java
+++ b/src/main/java/rowanplank/fleet/PlaceKeeper.java
@@ -12,6 +12,7 @@
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.config.FleetConfig;
 import rowanplank.decision.Places;
+import rowanplank.ledger.Ask;
 import rowanplank.ledger.BudgetHolder;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Division;
@@ -190,6 +191,12 @@
         usable = changed;
     }
 
+    /** With the places that are in use now. */
+    Ask.Service used(Ask.Service s) {
+        return new Ask.Service(s.served(), s.refused(), s.failed(), s.open(), places.values().stream().mapToLong(p -> p.open).sum(),
+                places.values().stream().filter(p -> !p.gone).count());
+    }
+
     /** Says what it would use of each. */
     void wish() {
         places.values().forEach(this::wish);
--- a/src/main/java/rowanplank/fleet/Voter.java
+++ b/src/main/java/rowanplank/fleet/Voter.java
@@ -57,6 +57,13 @@
         /** Whether the node is thought to live and to serve clients. */
         boolean serves(String node);
 
+        boolean lives(String node);
+
+        Instant wall();
+
+        /** The order of work as staff read it. */
+        String work();
+
         Instant now();
     }
 
@@ -99,11 +106,18 @@
         budgets = parts.budgetDesk(config.timing().drift(), ledger, new AtTheDesk());
         work = config.order() == null ? null : parts.workDesk(new WorkDesk.Settings(config.timing().drift(), TURN_VALID,
                 config.timing().election().multipliedBy(4), new Work.Terms(config.order().mostOut(),
-                config.order().mostOutOfHall())), ledger, new AtTheDesk());
+                config.order().mostOutOfHall()), bounds(config)), ledger, new AtTheDesk());
         budgets.budgets(Sharing.defined(config.sharing()), name -> Sharing.placesOf(config.sharing(), name),
                 name -> Sharing.terms(config.sharing(), name));
     }
 
+    private static WorkDesk.Bounds bounds(FleetConfig config) {
+        FleetConfig.Halts h = config.order().halts();
+        FleetConfig.Places p = config.sharing().places();
+        return new WorkDesk.Bounds(h.leastService(), h.dead(), h.mostRequests(), h.margin(),
+                p == null ? null : new WorkDesk.Places(p.whole(), p.fixed(), p.nodes()), h.zone());
+    }
+
     Agreement agreement() {
         return agreement;
     }
@@ -308,13 +322,22 @@
         }
     }
 
-    /** Why no turn is given now; null where nothing speaks against one. */
-    String halted() {
-        if (work == null || !desk.leads()) {
-            return null;
+    /**
+     * What speaks against the next turn.
+     *
+     * @param told what the leader has said of it last
+     */
+    String standing(String told) {
+        if (work != null && desk.leads()) {
+            return work.standing();
         }
-        String all = work.halted(outside.now());
-        return all != null || ledger.work().plan().isEmpty() ? all : work.againstIt(ledger.work().plan().get(0));
+        return agreement.leader() != null ? told : ledger.work().plan().isEmpty() ? ""
+                : "no leader is known: no majority of the voters hears each other";
+    }
+
+    /** Why each machine that waits does so, in the order of the plan; and each of others, if they were asked for now. */
+    Map<String, String> waits(String told, List<String> more, boolean first) {
+        return work == null ? new TreeMap<>() : work.waits(ledger.work().plan(more, first), standing(told));
     }
 
     /** @return null where it was taken; else why not */
@@ -361,11 +384,26 @@
             return outside.serves(node);
         }
 
+        @Override
+        public boolean lives(String node) {
+            return outside.lives(node);
+        }
+
+        @Override
+        public Instant wall() {
+            return outside.wall();
+        }
+
+        @Override
+        public String text() {
+            return outside.work();
+        }
+
         @Override
         public boolean hasMajorityWithout(Set<String> nodes) {
             Map<String, Long> matches = agreement.matches();
             long left = agreement.voters().stream().filter(v -> !nodes.contains(v) && (v.equals(config.node())
-                    || matches.containsKey(v) && agreement.lastIndex() - matches.get(v) <= CAUGHT_UP)).count();
+                    || outside.lives(v) && matches.containsKey(v) && agreement.lastIndex() - matches.get(v) <= CAUGHT_UP)).count();
             return left * 2 > agreement.voters().size();
         }
     }
--- a/src/main/java/rowanplank/fleet/WorkText.java
+++ b/src/main/java/rowanplank/fleet/WorkText.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import rowanplank.ledger.Work;
 import rowanplank.ledger.WorkHolder;
 
@@ -16,8 +17,13 @@
         return value.name().toLowerCase(Locale.ROOT);
     }
 
-    /** What a voter knows. @param halted why no turn is given now; null where nothing speaks against one, or it is not known */
-    static JsonObject status(Work work, String halted) {
+    /**
+     * What a voter knows.
+     *
+     * @param halted why no turn is given now; empty where nothing speaks against one, or it is not known
+     * @param waits why each machine that waits does so
+     */
+    static JsonObject status(Work work, String halted, Map<String, String> waits) {
         JsonArray lines = new JsonArray();
         List<Work.Line> inOrder = work.lines().stream().sorted(Comparator.comparing(Work.Line::asked)
                 .thenComparing(Work.Line::machine)).toList();
@@ -25,7 +31,8 @@
             lines.add(new JsonObject().add("machine", l.machine()).add("hall", work.hallOf(l.machine()))
                     .add("state", word(l.state())).add("fence", l.fence()).add("asked", l.asked()).add("by", l.by())
                     .add("why", l.why()).add("first", l.first()).add("until", l.restart() ? "restart" : "word")
-                    .add("longest_ms", l.longestMs()));
+                    .add("longest_ms", l.longestMs()).add("window", l.window() == null ? "" : l.window().toString())
+                    .add("waits", waits.getOrDefault(l.machine(), "")));
         }
         JsonArray machines = new JsonArray();
         work.places().stream().map(Work.Place::machine).distinct().sorted().forEach(machines::add);
@@ -35,15 +42,23 @@
         work.history().forEach(h -> history.add(new JsonObject().add("machine", h.machine()).add("how", word(h.how()))
                 .add("fence", h.fence()).add("asked", h.asked())));
         return new JsonObject().add("most_out", work.terms().mostOut()).add("most_out_hall", work.terms().mostOutOfHall())
-                .add("held", work.held()).add("halted", halted == null ? "" : halted).add("lines", lines).add("plan", plan)
+                .add("held", work.held()).add("halted", halted).add("lines", lines).add("plan", plan)
                 .add("machines", machines)
                 .add("history", history);
     }
 
+    /** In order, each with why it waits. */
+    static JsonArray plan(Map<String, String> waits) {
+        JsonArray plan = new JsonArray();
+        waits.forEach((machine, why) -> plan.add(new JsonObject().add("machine", machine).add("waits", why)));
+        return plan;
+    }
+
     /** This node's own part. */
     static JsonObject own(String machine, WorkHolder holder) {
         Work.Line l = holder.line();
         return new JsonObject().add("machine", machine).add("state", !holder.isKnown() ? "unknown"
-                : l == null ? "none" : word(l.state())).add("fence", l == null ? 0 : l.fence());
+                : l == null ? "none" : word(l.state())).add("fence", l == null ? 0 : l.fence())
+                .add("halted", holder.standing());
     }
 }
--- a/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
+++ b/src/main/java/rowanplank/fleet/wire/EnvelopeForm.java
@@ -25,6 +25,10 @@
     private static final int ANSWER = 32;
     private static final int ANSWER_WITH_PARTS = 63;
     private static final int ANSWER_WITH_LINE = 62;
+    /** Asks that came with version 5 of the ledger's entries; those before are below {@link #ANSWER}. */
+    private static final int POLL_WITH_SERVICE = 33;
+    private static final int LATER_STAFF = 34;
+    private static final int LOOK = 35;
 
     private final long fleet;
 
@@ -98,10 +102,16 @@
                     .number(w.period());
         } else if (a.what() instanceof Ask.Read w) {
             head(out, 20, a).text(w.lease());
+        } else if (a.what() instanceof Ask.Poll w && w.service() != null) {
+            WorkForm.service(head(out, POLL_WITH_SERVICE, a).text(w.machine()).text(w.hall()), w.service());
         } else if (a.what() instanceof Ask.Poll w) {
             head(out, 26, a).text(w.machine()).text(w.hall());
         } else if (a.what() instanceof Ask.Step w) {
             head(out, 27, a).number(w.fence()).octet(w.from().ordinal());
+        } else if (a.what() instanceof Ask.Look w) {
+            head(out, LOOK, a).number(w.from());
+        } else if (a.what() instanceof Ask.Staff w && WorkForm.isLater(w.words())) {
+            WorkForm.window(WorkForm.staff(head(out, LATER_STAFF, a), w.words()), w.words().window());
         } else if (a.what() instanceof Ask.Staff w) {
             WorkForm.staff(head(out, 28, a), w.words());
         } else {
@@ -144,7 +154,7 @@
         if (kind < 16) {
             return Envelope.of(sender, incarnation, knows, message(kind, in));
         }
-        if (kind < 32) {
+        if (kind < ANSWER || kind >= POLL_WITH_SERVICE && kind <= LOOK) {
             long session = in.number();
             long floor = in.number();
             long number = in.number();
@@ -192,6 +202,9 @@
             case 26 -> new Ask.Poll(in.text(), in.text());
             case 27 -> new Ask.Step(in.number(), WorkForm.state(in));
             case 28 -> new Ask.Staff(WorkForm.staff(in));
+            case POLL_WITH_SERVICE -> new Ask.Poll(in.text(), in.text(), WorkForm.service(in));
+            case LOOK -> new Ask.Look(size(in));
+            case LATER_STAFF -> new Ask.Staff(WorkForm.laterStaff(in));
             default -> BudgetForm.what(kind, in);
         };
     }
--- a/src/main/java/rowanplank/fleet/wire/LedgerForm.java
+++ b/src/main/java/rowanplank/fleet/wire/LedgerForm.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
+import rowanplank.ledger.Ask;
 import rowanplank.ledger.Budgets;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Ledger;
@@ -18,10 +19,11 @@
  */
 public final class LedgerForm {
     /** The latest that is known here, of commands and of pictures; what an earlier one knew is written as its. */
-    public static final int VERSION = 4;
-    /** From here on runs once in a period; then budgets; from {@link #VERSION} on the order of work. */
+    public static final int VERSION = 5;
+    /** From here on runs once in a period; then budgets; the order of work; from {@link #VERSION} on its windows and halts. */
     private static final int RUNS = 2;
     private static final int BUDGETS = 3;
+    private static final int WORK = 4;
     /** What all versions understand. */
     public static final int FIRST = 1;
 
@@ -32,7 +34,7 @@
     /** Which version a voter has to know to understand it. */
     public static int versionOf(Command command) {
         return command instanceof Command.Claim ? RUNS : isOfBudgets(command) ? BUDGETS
-                : WorkForm.isOfWork(command) ? VERSION : FIRST;
+                : WorkForm.isLater(command) ? VERSION : WorkForm.isOfWork(command) ? WORK : FIRST;
     }
 
     private static boolean isOfBudgets(Command c) {
@@ -41,6 +43,12 @@
                 || c instanceof Command.Lapse || c instanceof Command.Retire;
     }
 
+    /** What is asked as a process can read it that understands no later version: without what came behind it. */
+    public static Ask asUnderstood(Ask ask, int known) {
+        return known >= VERSION || !(ask.what() instanceof Ask.Poll p) || p.service() == null ? ask
+                : new Ask(ask.node(), ask.incarnation(), ask.session(), ask.floor(), ask.number(), new Ask.Poll(p.machine(), p.hall()));
+    }
+
     public static byte[] command(Command command) {
         Packer out = new Packer().octet(versionOf(command));
         if (command instanceof Command.Open c) {
@@ -142,7 +150,7 @@
             BudgetForm.picture(out, p.budgets());
         }
         if (version > BUDGETS) {
-            WorkForm.picture(out, p.work());
+            WorkForm.picture(out, p.work(), version > WORK);
         }
         return out.done();
     }
@@ -171,7 +179,7 @@
             runs.add(new Ledger.Run(in.text(), in.number(), in.number()));
         }
         Budgets.Picture budgets = version > RUNS ? BudgetForm.picture(in) : Budgets.Picture.empty();
-        Work.Picture work = version > BUDGETS ? WorkForm.picture(in) : Work.Picture.empty();
+        Work.Picture work = version > BUDGETS ? WorkForm.picture(in, version > WORK) : Work.Picture.empty();
         in.end();
         return new Ledger.Picture(applied, chain, lastFence, level, sessions, leases, runs, budgets, work);
     }
--- a/src/main/java/rowanplank/fleet/wire/WorkForm.java
+++ b/src/main/java/rowanplank/fleet/wire/WorkForm.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
+import rowanplank.ledger.Ask;
 import rowanplank.ledger.Command;
+import rowanplank.ledger.Window;
 import rowanplank.ledger.Work;
 
 /** What concerns the order of work, as bytes: commands, pictures, and a machine's line. */
@@ -14,7 +16,13 @@
 
     static boolean isOfWork(Command c) {
         return c instanceof Command.Announce || c instanceof Command.WorkTerms || c instanceof Command.Turn
-                || c instanceof Command.Step || c instanceof Command.Staff;
+                || c instanceof Command.Step || c instanceof Command.Staff || c instanceof Command.Halt;
+    }
+
+    /** Whether it came with the version behind that of the first order of work. */
+    static boolean isLater(Command c) {
+        return c instanceof Command.Halt
+                || c instanceof Command.Staff s && (s.window() != null || s.what() == Command.StaffWord.FORGET);
     }
 
     static void command(Packer out, Command command) {
@@ -26,8 +34,12 @@
             out.octet(19).text(c.machine());
         } else if (command instanceof Command.Step c) {
             out.octet(20).text(c.node()).int64(c.process()).number(c.fence()).octet(c.from().ordinal());
+        } else if (command instanceof Command.Staff c && isLater(c)) {
+            window(staff(out.octet(26), c), c.window());
         } else if (command instanceof Command.Staff c) {
             staff(out.octet(21), c);
+        } else if (command instanceof Command.Halt c) {
+            out.octet(27).text(c.why());
         }
     }
 
@@ -38,14 +50,44 @@
             case 19 -> new Command.Turn(in.text());
             case 20 -> new Command.Step(in.text(), in.int64(), in.number(), state(in));
             case 21 -> staff(in);
+            case 26 -> laterStaff(in);
+            case 27 -> new Command.Halt(in.text());
             default -> throw new MalformedException("a command of kind " + kind + ", which this version does not know");
         };
     }
 
-    static void staff(Packer out, Command.Staff c) {
+    static Packer staff(Packer out, Command.Staff c) {
         out.int64(c.id()).octet(c.what().ordinal());
         LogForm.names(out, c.machines());
-        out.text(c.by()).text(c.why()).flag(c.first()).flag(c.restart()).number(c.longestMs());
+        return out.text(c.by()).text(c.why()).flag(c.first()).flag(c.restart()).number(c.longestMs());
+    }
+
+    static Command.Staff laterStaff(Unpacker in) throws MalformedException {
+        Command.Staff c = staff(in);
+        return new Command.Staff(c.id(), c.what(), c.machines(), c.by(), c.why(), c.first(), c.restart(), c.longestMs(), window(in));
+    }
+
+    static void window(Packer out, Window w) {
+        out.flag(w != null).number(w == null ? 0 : w.from()).number(w == null ? 0 : w.until());
+    }
+
+    private static Window window(Unpacker in) throws MalformedException {
+        boolean is = in.flag();
+        long from = in.number();
+        long until = in.number();
+        try {
+            return is ? new Window(Math.toIntExact(from), Math.toIntExact(until)) : null;
+        } catch (IllegalArgumentException | ArithmeticException e) {
+            throw new MalformedException(e.getMessage());
+        }
+    }
+
+    static void service(Packer out, Ask.Service s) {
+        out.number(s.served()).number(s.refused()).number(s.failed()).number(s.open()).number(s.used()).number(s.servers());
+    }
+
+    static Ask.Service service(Unpacker in) throws MalformedException {
+        return new Ask.Service(in.number(), in.number(), in.number(), in.number(), in.number(), in.number());
     }
 
     static Command.Staff staff(Unpacker in) throws MalformedException {
@@ -65,6 +107,7 @@
         return values[which];
     }
 
+    /** Without its window, which concerns the leader alone. */
     static void line(Packer out, Work.Line l) {
         out.text(l.machine()).octet(l.state().ordinal()).number(l.asked()).text(l.by()).text(l.why()).flag(l.first())
                 .flag(l.restart()).number(l.longestMs()).number(l.fence());
@@ -90,11 +133,17 @@
         return numbers;
     }
 
-    static void picture(Packer out, Work.Picture p) {
+    /** @param windows whether lines are written with theirs */
+    static void picture(Packer out, Work.Picture p, boolean windows) {
         out.number(p.terms().mostOut()).number(p.terms().mostOutOfHall()).text(p.held()).number(p.places().size());
         p.places().forEach(x -> out.text(x.node()).text(x.machine()).text(x.hall()));
         out.number(p.lines().size());
-        p.lines().forEach(l -> line(out, l));
+        p.lines().forEach(l -> {
+            line(out, l);
+            if (windows) {
+                window(out, l.window());
+            }
+        });
         out.number(p.history().size());
         p.history().forEach(h -> out.text(h.machine()).octet(h.how().ordinal()).number(h.fence()).number(h.asked()));
         out.number(p.answers().size());
@@ -102,7 +151,7 @@
         numbers(out, p.lastTurns());
     }
 
-    static Work.Picture picture(Unpacker in) throws MalformedException {
+    static Work.Picture picture(Unpacker in, boolean windows) throws MalformedException {
         Work.Terms terms = new Work.Terms((int) in.number(), (int) in.number());
         String held = in.text();
         List<Work.Place> places = new ArrayList<>();
@@ -111,7 +160,9 @@
         }
         List<Work.Line> lines = new ArrayList<>();
         for (int left = in.count(); left > 0; left--) {
-            lines.add(line(in));
+            Work.Line l = line(in);
+            lines.add(windows ? new Work.Line(l.machine(), l.state(), l.asked(), l.by(), l.why(), l.first(), l.restart(),
+                    l.longestMs(), l.fence(), l.said(), l.cancelled(), window(in)) : l);
         }
         List<Work.Past> history = new ArrayList<>();
         for (int left = in.count(); left > 0; left--) {
--- a/src/main/java/rowanplank/intake/admin/AdminConnection.java
+++ b/src/main/java/rowanplank/intake/admin/AdminConnection.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpURI;
@@ -24,6 +25,8 @@
     private static final String BUDGET = "/budget/[A-Za-z0-9._/-]{1,32}/[0-9]{1,10}";
     private static final String WORK = "/work/";
     private static final String NAME = "[A-Za-z0-9._-]{1,64}";
+    private static final String LIST = "/work";
+    private static final String PLAN = "/work/plan/" + NAME + "(?:," + NAME + ")*(?:/first)?";
 
     private final AdminDoor door;
     private final Instant opened;
@@ -131,6 +134,17 @@
                 boolean add = what.startsWith(ADD);
                 taken(door.fleet().changeVoters(what.substring(add ? ADD.length() : REMOVE.length()), add));
             }
+        } else if (what.equals(LIST)) {
+            if (allowed("GET")) {
+                door.fleet().work(work -> told(work, "no leader answered, or this node has no [fleet.work] in its file\n"));
+            }
+        } else if (what.matches(PLAN)) {
+            if (allowed("GET")) {
+                String[] words = what.split("/");
+                JsonObject plan = door.fleet().plan(List.of(words[3].split(",")), words.length > 4);
+                answer(plan == null ? 409 : 200, plan == null ? "this node is no voter, or does not know one of these machines\n"
+                        : plan + "\n", null);
+            }
         } else if (what.startsWith(WORK)) {
             work(WorkCalls.read(what, door.name()));
         } else if (what.matches(BUDGET)) {
@@ -146,7 +160,7 @@
 
     private void work(Command.Staff words) {
         if (words == null) {
-            answer(404, "there are work/ask, done, cancel, skip, hold and go: see fleet work --help\n", null);
+            answer(404, "there are work/ask, done, cancel, skip, forget, hold, go and plan: see fleet work --help\n", null);
         } else if (allowed("POST")) {
             door.fleet().say(words, result -> said(words, result));
         }
@@ -156,8 +170,8 @@
         if (answered || isOver()) {
             return;
         }
-        String refused = result == null ? "it is not known whether it was done: ask again with number " + words.id()
-                : WorkCalls.refused(words, result);
+        String refused = result == null ? "it is not known whether it was done: no leader answered in time; ask again with number "
+                + words.id() : WorkCalls.refused(words, result);
         answer(result == null ? 503 : refused == null ? 200 : 409, refused == null ? "{\"done\":true,\"number\":" + words.id() + "}\n"
                 : refused + "\n", null);
     }
@@ -167,8 +181,12 @@
     }
 
     private void told(JsonObject holder) {
+        told(holder, "no leader could be found in time\n");
+    }
+
+    private void told(JsonObject what, String otherwise) {
         if (!answered && !isOver()) {
-            answer(holder == null ? 503 : 200, holder == null ? "no leader could be found in time\n" : holder + "\n", null);
+            answer(what == null ? 503 : 200, what == null ? otherwise : what + "\n", null);
         }
     }
 
--- a/src/main/java/rowanplank/intake/admin/AdminDoor.java
+++ b/src/main/java/rowanplank/intake/admin/AdminDoor.java
@@ -58,6 +58,12 @@
          */
         void say(Command.Staff words, Consumer<Result> told);
 
+        /** @param told the order of work, never within this call; null where nobody could say */
+        void work(Consumer<JsonObject> told);
+
+        /** The order of work that would follow if these were asked for. @return null where that is not known here */
+        JsonObject plan(List<String> machines, boolean first);
+
         /** Changes the whole of a budget. @return null where the change was taken; else why not */
         String resize(String budget, long whole);
 
--- a/src/main/java/rowanplank/intake/admin/WorkCalls.java
+++ b/src/main/java/rowanplank/intake/admin/WorkCalls.java
@@ -9,6 +9,7 @@
 import rowanplank.ledger.Command.Staff;
 import rowanplank.ledger.Command.StaffWord;
 import rowanplank.ledger.Result;
+import rowanplank.ledger.Window;
 
 /** Staff's words on the order of work, as they stand in a call's path behind {@code /api/fleet}. */
 final class WorkCalls {
@@ -19,8 +20,8 @@
     private static final int MOST_MACHINES = 1000;
     private static final int MOST_BYTES = 700;
     private static final Pattern ASK = Pattern.compile("/work/ask/" + ID + "/(" + NAME + "(?:," + NAME
-            + ")*)/(word|restart)/([0-9]{1,12})/(true|false)/" + TEXT);
-    private static final Pattern ONE = Pattern.compile("/work/(done|cancel|skip)/" + ID + "/(" + NAME + ")");
+            + ")*)/(word|restart)/([0-9]{1,12})/(true|false)/(?:([0-9]{2}:[0-9]{2}-[0-9]{2}:[0-9]{2})/)?" + TEXT);
+    private static final Pattern ONE = Pattern.compile("/work/(done|cancel|skip|forget)/" + ID + "/(" + NAME + ")");
     private static final Pattern HOLD = Pattern.compile("/work/hold/" + ID + "/" + TEXT);
     private static final Pattern GO = Pattern.compile("/work/go/" + ID);
 
@@ -31,9 +32,10 @@
         Matcher m = ASK.matcher(path);
         if (m.matches()) {
             List<String> machines = List.of(m.group(2).split(","));
-            return machines.size() > MOST_MACHINES || m.group(2).length() > MOST_BYTES ? null
-                    : new Staff(Long.parseLong(m.group(1)), StaffWord.ASK, machines, by, text(m.group(6)),
-                            m.group(5).equals("true"), m.group(3).equals("restart"), Long.parseLong(m.group(4)));
+            Window window = m.group(6) == null ? null : Window.parse(m.group(6));
+            return machines.size() > MOST_MACHINES || m.group(2).length() > MOST_BYTES || m.group(6) != null && window == null
+                    ? null : new Staff(Long.parseLong(m.group(1)), StaffWord.ASK, machines, by, text(m.group(7)),
+                            m.group(5).equals("true"), m.group(3).equals("restart"), Long.parseLong(m.group(4)), window);
         }
         m = ONE.matcher(path);
         if (m.matches()) {
@@ -65,7 +67,8 @@
     static String refused(Staff words, Result result) {
         return switch (result.kind()) {
             case SET -> null;
-            case TOO_NEW -> "not all voters know of the order of work yet";
+            case TOO_NEW -> "not all voters know of the order of work yet, or of windows and forget: some are of an earlier version";
+            case HELD -> words.machines().get(0) + " lives: forget is for one that is gone for good";
             case NOT_HELD -> words.what() == StaffWord.ASK ? "no node is known of machine " + result.node()
                     : words.what() == StaffWord.DONE ? words.machines().get(0) + " is not out"
                     : "nothing was asked of " + words.machines().get(0);
--- a/src/main/java/rowanplank/ledger/Ask.java
+++ b/src/main/java/rowanplank/ledger/Ask.java
@@ -60,8 +60,41 @@
     /** No parts any more: all uses are over. */
     public record Leave() implements What { }
 
-    /** What a node's machine is to do; it stands there. */
-    public record Poll(String machine, String hall) implements What { }
+    /** What a node's machine is to do; it stands there. @param service how it serves; null where it does not say */
+    public record Poll(String machine, String hall, Service service) implements What {
+        /** Of a node that says nothing of its service. */
+        public Poll(String machine, String hall) {
+            this(machine, hall, null);
+        }
+    }
+
+    /**
+     * How a node has served lately, or since it came back where that is later.
+     *
+     * @param served requests answered with a page
+     * @param refused requests turned away or rejected
+     * @param failed requests that could not be answered with either
+     * @param open requests at once, on average
+     * @param used places at page servers in use at once, of all of them together
+     * @param servers at which it may use places; 0 where places are not shared
+     */
+    public record Service(long served, long refused, long failed, long open, long used, long servers) {
+        public static final Service NONE = new Service(0, 0, 0, 0, 0, 0);
+
+        public long answered() {
+            return served + refused + failed;
+        }
+
+        Service plus(Service o) {
+            return new Service(served + o.served, refused + o.refused, failed + o.failed, open + o.open, used + o.used,
+                    Math.max(servers, o.servers));
+        }
+
+        /** The part of what was asked that was served; 1 where nothing was asked. */
+        public double part() {
+            return answered() == 0 ? 1 : (double) served / answered();
+        }
+    }
 
     /** It has done what its machine's line asked of it in that state. */
     public record Step(long fence, Work.State from) implements What { }
@@ -69,6 +102,21 @@
     /** Staff's word, at whichever node; the same number is done once. */
     public record Staff(Command.Staff words) implements What { }
 
+    /** The order of work as the leader tells it to staff, a piece of it: from so many letters on. */
+    public record Look(int from) implements What {
+        private static final int LENGTH = 24;
+        private static final long MASK = (1L << LENGTH) - 1;
+
+        /** Says which text a piece is of, and how long that is. */
+        public static long stamp(String whole) {
+            return (whole.hashCode() & MASK) << LENGTH | whole.length() & MASK;
+        }
+
+        public static int length(long stamp) {
+            return (int) (stamp & MASK);
+        }
+    }
+
     /**
      * @param amount in uses; of a rate in thousandths of a use a second
      * @param weight the mean worth of what it is for, in thousandths; see {@link Division}
--- a/src/main/java/rowanplank/ledger/Command.java
+++ b/src/main/java/rowanplank/ledger/Command.java
@@ -111,18 +111,28 @@
      */
     record Step(String node, long process, long fence, Work.State from) implements Command { }
 
-    /** What staff can say. */
-    enum StaffWord { ASK, DONE, CANCEL, SKIP, HOLD, GO }
+    /** What staff can say. The order is that of the codec: new ones go to the end. */
+    enum StaffWord { ASK, DONE, CANCEL, SKIP, HOLD, GO, FORGET }
+
+    /** The leader has seen what a person has to look at: no more turns before staff's word. */
+    record Halt(String why) implements Command { }
 
     /**
      * Staff's word, once for each number.
      *
      * @param machines those asked for; one for what concerns one; none for all of it
+     * @param window in which a turn may be given; null for any time
      */
     record Staff(long id, StaffWord what, List<String> machines, String by, String why, boolean first, boolean restart,
-            long longestMs) implements Command {
+            long longestMs, Window window) implements Command {
         public Staff {
             machines = List.copyOf(machines);
         }
+
+        /** At any time. */
+        public Staff(long id, StaffWord what, List<String> machines, String by, String why, boolean first, boolean restart,
+                long longestMs) {
+            this(id, what, machines, by, why, first, restart, longestMs, null);
+        }
     }
 }
--- a/src/main/java/rowanplank/ledger/Ledger.java
+++ b/src/main/java/rowanplank/ledger/Ledger.java
@@ -258,6 +258,8 @@
             return work.turn(index, c);
         } else if (command instanceof Command.Step c) {
             return work.step(c);
+        } else if (command instanceof Command.Halt c) {
+            return work.halt(index, c);
         }
         return work.staff(index, (Command.Staff) command);
     }
--- a/src/main/java/rowanplank/ledger/Work.java
+++ b/src/main/java/rowanplank/ledger/Work.java
@@ -29,6 +29,7 @@
     public static final int MOST_NODES = 2000;
     private static final int MOST_HISTORY = 100;
     private static final int MOST_ANSWERS = 500;
+    private static final int MOST_HELD = 300;
 
     /** Where a line is in its life. */
     public enum State { ASKED, TURN, OUT, RETURNING }
@@ -51,15 +52,26 @@
      * @param fence of its turn; 0 before
      * @param said the nodes that have said what brings it on from this state, each with its process's number
      * @param cancelled whether it comes back since it was cancelled
+     * @param window in which its turn may be given, by the leader's clock on the wall; null for any time
      */
     public record Line(String machine, State state, long asked, String by, String why, boolean first, boolean restart,
-            long longestMs, long fence, Map<String, Long> said, boolean cancelled) {
+            long longestMs, long fence, Map<String, Long> said, boolean cancelled, Window window) {
         public Line {
             said = new TreeMap<>(said);
         }
 
+        /** At any time. */
+        public Line(String machine, State state, long asked, String by, String why, boolean first, boolean restart,
+                long longestMs, long fence, Map<String, Long> said, boolean cancelled) {
+            this(machine, state, asked, by, why, first, restart, longestMs, fence, said, cancelled, null);
+        }
+
         Line at(State next, long turn, Map<String, Long> nodes) {
-            return new Line(machine, next, asked, by, why, first, restart, longestMs, turn, nodes, cancelled);
+            return new Line(machine, next, asked, by, why, first, restart, longestMs, turn, nodes, cancelled, window);
+        }
+
+        Line comesBack() {
+            return new Line(machine, State.RETURNING, asked, by, why, first, restart, longestMs, fence, new TreeMap<>(), true, window);
         }
 
         public boolean isAway() {
@@ -149,6 +161,11 @@
         return places.get(node);
     }
 
+    /** Whether a node is known, or can be. */
+    public boolean hasRoomFor(String node) {
+        return places.containsKey(node) || places.size() < MOST_NODES;
+    }
+
     /** The nodes of a machine. */
     public Set<String> nodesOf(String machine) {
         Set<String> nodes = new TreeSet<>();
@@ -163,7 +180,14 @@
 
     /** The machines that wait, in the order in which they would have their turns if nothing else were asked. */
     public List<String> plan() {
+        return plan(List.of(), false);
+    }
+
+    /** The same if these were asked for now. @param first before others */
+    public List<String> plan(Collection<String> more, boolean asFirst) {
         List<Line> waiting = new ArrayList<>(lines.values().stream().filter(l -> !l.isAway()).toList());
+        more.stream().filter(m -> !lines.containsKey(m)).forEach(m -> waiting.add(new Line(m, State.ASKED, Long.MAX_VALUE, "", "",
+                asFirst, false, 0, 0, new TreeMap<>(), false)));
         Map<String, Long> turns = new TreeMap<>(lastTurns);
         long next = Long.MAX_VALUE / 2;
         List<String> plan = new ArrayList<>();
@@ -186,7 +210,7 @@
     // ---- told
 
     protected Result announce(Command.Announce c) {
-        if (!places.containsKey(c.node()) && places.size() >= MOST_NODES) {
+        if (!hasRoomFor(c.node())) {
             return Result.of(Kind.FULL);
         }
         places.put(c.node(), new Place(c.node(), c.machine(), c.hall()));
@@ -218,13 +242,13 @@
         return away(null) >= terms.mostOut() || away(hall) >= terms.mostOutOfHall();
     }
 
-    /** Whether all that would come before it wait for their own hall alone. */
+    /** Whether all that would come before it wait for their own hall, or for a time of the day, which no ledger knows. */
     private boolean isFirstPossible(String machine) {
         for (String other : plan()) {
             if (other.equals(machine)) {
                 return true;
             }
-            if (away(hallOf(other)) < terms.mostOutOfHall()) {
+            if (away(hallOf(other)) < terms.mostOutOfHall() && lines.get(other).window() == null) {
                 return false;
             }
         }
@@ -301,6 +325,7 @@
                 held = c.what() == Command.StaffWord.GO ? "" : c.why().isEmpty() ? "held by staff" : c.why();
                 yield Result.of(Kind.SET, index);
             }
+            case FORGET -> forget(c.machines().get(0));
             default -> lines.containsKey(c.machines().get(0)) ? word(lines.get(c.machines().get(0)), c)
                     : Result.of(Kind.NOT_HELD);
         };
@@ -315,11 +340,31 @@
         }
         for (String m : c.machines()) {
             lines.putIfAbsent(m, new Line(m, State.ASKED, index, c.by(), c.why(), c.first(), c.restart(), c.longestMs(), 0,
-                    new TreeMap<>(), false));
+                    new TreeMap<>(), false, c.window()));
         }
         return Result.of(Kind.SET, index);
     }
 
+    /** A machine that is gone for good is waited for no more, nor counted; one of its nodes that asks is known anew. */
+    private Result forget(String machine) {
+        Line l = lines.get(machine);
+        if (l == null && nodesOf(machine).isEmpty()) {
+            return Result.of(Kind.NOT_HELD);
+        }
+        if (l != null) {
+            end(l, How.SKIPPED);
+        }
+        places.values().removeIf(p -> p.machine().equals(machine));
+        return Result.of(Kind.SET, l == null ? 0 : l.fence());
+    }
+
+    /** The leader's own hold, which ends as staff's does; beside another both are told. */
+    protected Result halt(long index, Command.Halt c) {
+        String all = held.isEmpty() ? c.why() : held + "; " + c.why();
+        held = all.substring(0, Math.min(MOST_HELD, all.length()));
+        return Result.of(Kind.SET, index);
+    }
+
     private Result word(Line l, Command.Staff c) {
         if (c.what() == Command.StaffWord.SKIP) {
             end(l, How.SKIPPED);
@@ -328,8 +373,7 @@
         } else if (!l.isAway()) {
             end(l, How.CANCELLED);
         } else { // it comes back in order: it may be draining, or out
-            lines.put(l.machine(), new Line(l.machine(), State.RETURNING, l.asked(), l.by(), l.why(), l.first(), l.restart(),
-                    l.longestMs(), l.fence(), new TreeMap<>(), true));
+            lines.put(l.machine(), l.comesBack());
         }
         return Result.of(Kind.SET, l.fence());
     }
--- a/src/main/java/rowanplank/ledger/WorkDesk.java
+++ b/src/main/java/rowanplank/ledger/WorkDesk.java
@@ -2,10 +2,15 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -27,6 +32,12 @@
  */
 public class WorkDesk {
     private static final int MOST_WAITING = 1024;
+    /** Letters in a datagram. */
+    private static final int PIECE = 900;
+    /** Of fewer requests nothing is told. */
+    private static final long LEAST_ASKED = 20;
+    /** What a node has said of its service is not counted for longer. */
+    private static final Duration FRESH = Duration.ofSeconds(3);
     private static final Duration LOOK = Duration.ofMillis(100);
     /** What was proposed and not heard of is proposed again after so long. */
     private static final Duration AGAIN = Duration.ofSeconds(1);
@@ -35,7 +46,30 @@
      * @param valid for how long what a node is told of its line may be acted on
      * @param settle a new leader knows after so long who lives
      */
-    public record Settings(double drift, Duration valid, Duration settle, Work.Terms terms) { }
+    public record Settings(double drift, Duration valid, Duration settle, Work.Terms terms, Bounds bounds) {
+        /** Halts by nothing but what is out. */
+        public Settings(double drift, Duration valid, Duration settle, Work.Terms terms) {
+            this(drift, valid, settle, terms, Bounds.NONE);
+        }
+    }
+
+    /**
+     * What halts the order by itself.
+     *
+     * @param leastService the part of requests that is served by those at work, below which no turn is given, and below which
+     *     in comparison with them a machine has come back badly; 0 for never
+     * @param dead whether one that is dead and not out halts it
+     * @param mostOpen requests at once that a node can bear; 0 where that is not said
+     * @param margin of the load that is kept free at those at work, as a part of it
+     * @param places at each page server; null where they are not shared
+     * @param zone of windows
+     */
+    public record Bounds(double leastService, boolean dead, long mostOpen, double margin, Places places, ZoneId zone) {
+        public static final Bounds NONE = new Bounds(0, false, 0, 0, null, ZoneOffset.UTC);
+    }
+
+    /** Of each page server so many places; of these some set aside for each of so many nodes, which no other can use. */
+    public record Places(long whole, long fixed, long nodes) { }
 
     /** What it asks of its owner; none of these calls back into it. */
     public interface Actions {
@@ -53,12 +87,23 @@
         /** Whether the node is thought to live and to serve clients. */
         boolean serves(String node);
 
+        /** The order of work as staff read it: letters of ASCII. */
+        String text();
+
+        /** Whether the node is thought to live. */
+        boolean lives(String node);
+
+        /** The clock on the wall, which may be set back. */
+        Instant wall();
+
         /** Whether a majority of the voters is there and has caught up without these nodes. */
         boolean hasMajorityWithout(Set<String> nodes);
     }
 
     private record Confirming(long round, Ask ask) { }
 
+    private record Heard(Ask.Service service, Instant at) { }
+
     private record Skip(Ask ask, Ask.Staff what, Instant until) { }
 
     private final Settings settings;
@@ -72,6 +117,13 @@
     private final Deque<Confirming> confirming = new ArrayDeque<>();
     private final Map<String, Instant> heard = new TreeMap<>();
     private final List<Skip> skips = new ArrayList<>();
+    private final Map<String, Heard> services = new TreeMap<>();
+    /** Turns whose machine has come back badly, and for which the order is halted already. */
+    private final Set<Long> judged = new TreeSet<>();
+    /** What speaks against the next turn, as of the last look. */
+    private String standing = "";
+    /** What was told in pieces last. */
+    private String text = "";
     /** Since when each machine that is away has been so, as this leader saw it; by fence. */
     private final Map<Long, Instant> away = new TreeMap<>();
 
@@ -81,6 +133,11 @@
         this.actions = actions;
     }
 
+    /** What speaks against the next turn, as this leader saw it last; empty where nothing does. */
+    public String standing() {
+        return standing;
+    }
+
     public Instant due() {
         return leads ? nextLook : null;
     }
@@ -98,6 +155,10 @@
         confirming.clear();
         heard.clear();
         skips.clear();
+        services.clear();
+        judged.clear();
+        standing = "";
+        text = "";
         away.clear();
     }
 
@@ -105,27 +166,94 @@
 
     /** Whether it is for this desk. */
     public static boolean isMeant(Ask.What what) {
-        return what instanceof Ask.Poll || what instanceof Ask.Step || what instanceof Ask.Staff;
+        return what instanceof Ask.Poll || what instanceof Ask.Step || what instanceof Ask.Staff
+                || what instanceof Ask.Look;
     }
 
     public void onAsk(Instant now, Ask ask) {
         if (ask.what() instanceof Ask.Poll p) {
-            heard.put(ask.node(), now);
+            heard(now, ask.node(), p.service());
+            Command.Announce said = new Command.Announce(ask.node(), p.machine(), p.hall());
             Work.Place place = new Work.Place(ask.node(), p.machine(), p.hall());
-            if (!place.equals(ledger.work().place(ask.node()))) {
-                propose(ask, new Command.Announce(ask.node(), p.machine(), p.hall()));
-            } else {
+            if (place.equals(ledger.work().place(ask.node())) || hasNoPart(said) != null) {
                 confirm(ask);
+            } else {
+                propose(ask, said);
             }
         } else if (ask.what() instanceof Ask.Step s) {
-            propose(ask, new Command.Step(ask.node(), ask.incarnation(), s.fence(), s.from()));
+            if (isJudged(now, ask.node(), s)) {
+                propose(ask, new Command.Step(ask.node(), ask.incarnation(), s.fence(), s.from()));
+            }
         } else if (ask.what() instanceof Ask.Staff s) {
             staff(now, ask, s);
+        } else if (ask.what() instanceof Ask.Look) {
+            confirm(ask);
         }
     }
 
+    private void heard(Instant now, String node, Ask.Service service) {
+        if (ledger.work().hasRoomFor(node)) {
+            heard.put(node, now);
+            if (service != null) {
+                services.put(node, new Heard(service, now));
+            }
+        }
+    }
+
+    /** Of a machine that came back and serves badly a halt stands in the log before its end, so that no turn slips in between. */
+    private boolean isJudged(Instant now, String node, Ask.Step s) {
+        Work.Place p = ledger.work().place(node);
+        Work.Line l = p == null ? null : ledger.work().line(p.machine());
+        String bad = s.from() == Work.State.RETURNING && l != null && l.fence() == s.fence()
+                && l.state() == Work.State.RETURNING && !judged.contains(s.fence()) ? servesBadly(now, p) : null;
+        if (bad == null || !actions.isKnown(new Command.Halt(bad))) {
+            return true;
+        }
+        boolean halted = actions.propose(new Command.Halt(bad)) > 0;
+        if (halted) {
+            judged.add(s.fence());
+        }
+        return halted;
+    }
+
+    /** @return null where it does not, or has not been asked often enough to tell */
+    protected String servesBadly(Instant now, Work.Place p) {
+        Heard own = services.get(p.node());
+        Ask.Service rest = atWork(now, p.machine());
+        if (own == null || own.service().answered() < LEAST_ASKED || settings.bounds().leastService() == 0
+                || own.service().part() >= settings.bounds().leastService() * rest.part()) {
+            return null;
+        }
+        return p.node() + " came back and serves badly: " + own.service().served() + " of " + own.service().answered()
+                + " requests, and the others " + rest.served() + " of " + rest.answered() + "; look at it, then fleet work go";
+    }
+
+    /** How all that are at work have served lately, but for one machine. */
+    private Ask.Service atWork(Instant now, String without) {
+        Ask.Service sum = Ask.Service.NONE;
+        for (Work.Place p : ledger.work().places()) {
+            Heard h = services.get(p.node());
+            if (!p.machine().equals(without) && !isAway(p.machine()) && h != null && now.isBefore(h.at().plus(FRESH))) {
+                sum = sum.plus(h.service());
+            }
+        }
+        return sum;
+    }
+
+    private boolean isAway(String machine) {
+        Work.Line l = ledger.work().line(machine);
+        return l != null && l.isAway();
+    }
+
     private void staff(Instant now, Ask ask, Ask.Staff s) {
-        Work.Line l = s.words().what() == Command.StaffWord.SKIP ? ledger.work().line(s.words().machines().get(0)) : null;
+        Command.StaffWord word = s.words().what();
+        boolean ends = word == Command.StaffWord.SKIP || word == Command.StaffWord.FORGET;
+        if (word == Command.StaffWord.FORGET
+                && ledger.work().nodesOf(s.words().machines().get(0)).stream().anyMatch(actions::lives)) {
+            answer(ask, Result.of(Kind.HELD));
+            return;
+        }
+        Work.Line l = ends ? ledger.work().line(s.words().machines().get(0)) : null;
         if (l == null || l.state() != Work.State.TURN) {
             propose(ask, s.words());
             return;
@@ -178,14 +306,36 @@
     public void onConfirmed(long round) {
         while (!confirming.isEmpty() && confirming.peek().round() <= round) {
             Ask ask = confirming.poll().ask();
+            if (ask.what() instanceof Ask.Look l) {
+                look(ask, l.from());
+                continue;
+            }
             Work.Place place = ledger.work().place(ask.node());
-            if (place != null && !isBeingSkipped(place.machine())) {
-                actions.answer(ask, new Answer(ask.incarnation(), ask.number(), Result.of(Kind.SET),
+            Kind none = ask.what() instanceof Ask.Poll p ? hasNoPart(new Command.Announce(ask.node(), p.machine(), p.hall())) : null;
+            if (none != null) {
+                answer(ask, Result.of(none));
+            } else if (place != null && !isBeingSkipped(place.machine())) {
+                actions.answer(ask, new Answer(ask.incarnation(), ask.number(), new Result(Kind.SET, 0, standing),
                         ledger.work().line(place.machine())));
             }
         }
     }
 
+    /** All pieces are of the text that the first one is of; whoever gets pieces of two begins anew. */
+    private void look(Ask ask, int from) {
+        if (from == 0 || text.isEmpty()) {
+            text = actions.text();
+        }
+        int begin = Math.min(from, text.length());
+        int end = Math.min(text.length(), begin + PIECE);
+        answer(ask, new Result(Kind.SET, Ask.Look.stamp(text), text.substring(begin, end)));
+    }
+
+    /** Why a node has no part in the order; null where it has one. Told by a confirmed leader only: it sends nodes back. */
+    private Kind hasNoPart(Command.Announce c) {
+        return !actions.isKnown(c) ? Kind.TOO_NEW : ledger.work().hasRoomFor(c.node()) ? null : Kind.FULL;
+    }
+
     /** An entry was handed to the ledger, at whichever voter; to be told at all of them. */
     public void onApplied(Instant now, long index, Command command, Result result) {
         if (!leads) {
@@ -199,7 +349,8 @@
             proposedAt = null;
         }
         if (command instanceof Command.Turn || command instanceof Command.Step || command instanceof Command.Staff
-                || command instanceof Command.WorkTerms || command instanceof Command.Announce) {
+                || command instanceof Command.WorkTerms || command instanceof Command.Announce
+                || command instanceof Command.Halt) {
             nextLook = now;
         }
     }
@@ -225,6 +376,7 @@
             }
         }
         seeAway(now);
+        standing = standing(now);
         giveTurn(now);
     }
 
@@ -237,6 +389,57 @@
             }
         }
         away.keySet().retainAll(there);
+        judged.retainAll(there);
+        services.keySet().removeIf(n -> ledger.work().place(n) == null);
+    }
+
+    private String standing(Instant now) {
+        List<String> plan = ledger.work().plan();
+        if (plan.isEmpty()) {
+            return "";
+        }
+        String all = halted(now);
+        for (String machine : all == null ? plan : List.<String>of()) {
+            if (!waitsForItsHall(machine) && isInWindow(machine)) {
+                String one = againstIt(now, machine);
+                return one == null ? "" : one;
+            }
+        }
+        return all == null ? "the time of none that waits has come" : all;
+    }
+
+    private boolean waitsForItsHall(String machine) {
+        return ledger.work().away(ledger.work().hallOf(machine)) >= ledger.work().terms().mostOutOfHall();
+    }
+
+    /** Whether its turn may be given at this time of the day. */
+    protected boolean isInWindow(String machine) {
+        Work.Line l = ledger.work().line(machine);
+        Window w = l == null ? null : l.window();
+        return w == null || w.contains(LocalTime.ofInstant(actions.wall(), settings.bounds().zone()));
+    }
+
+    /**
+     * Why each machine that waits does so, in the order of the plan; at any voter, by what it knows.
+     *
+     * @param plan of the ledger, or what it would be if more were asked
+     * @param told what speaks against the next turn, as the leader says; empty where nothing does
+     */
+    public Map<String, String> waits(List<String> plan, String told) {
+        Map<String, String> why = new LinkedHashMap<>();
+        String before = null;
+        for (String machine : plan) {
+            if (waitsForItsHall(machine) && ledger.work().away(null) < ledger.work().terms().mostOut()) {
+                String hall = ledger.work().hallOf(machine);
+                why.put(machine, "as many as may be are out" + (hall.isEmpty() ? "" : " in " + hall));
+            } else if (!isInWindow(machine)) {
+                why.put(machine, "its time is " + ledger.work().line(machine).window() + " " + settings.bounds().zone());
+            } else {
+                why.put(machine, before != null ? "after " + before : told.isEmpty() ? "is the next" : told);
+                before = machine;
+            }
+        }
+        return why;
     }
 
     private void giveTurn(Instant now) {
@@ -244,11 +447,10 @@
             return;
         }
         for (String machine : ledger.work().plan()) {
-            String hall = ledger.work().hallOf(machine);
-            if (ledger.work().away(hall) >= ledger.work().terms().mostOutOfHall()) {
-                continue; // the next one of another hall may go
+            if (waitsForItsHall(machine) || !isInWindow(machine)) {
+                continue; // the next one may go
             }
-            if (againstIt(machine) == null && actions.propose(new Command.Turn(machine)) > 0) {
+            if (againstIt(now, machine) == null && actions.propose(new Command.Turn(machine)) > 0) {
                 proposedAt = now;
             }
             return;
@@ -268,14 +470,47 @@
         for (Work.Line l : work.lines()) {
             Instant from = away.get(l.fence());
             if (l.isAway() && from != null && now.isAfter(from.plusMillis(l.longestMs()))) {
-                return l.machine() + " is away for longer than it was asked for";
+                return l.machine() + " is away for longer than it was asked for: say done, cancel or skip";
+            }
+        }
+        String unwell = unwell(now);
+        return unwell != null ? unwell : work.away(null) >= work.terms().mostOut() ? "as many as may be are out" : null;
+    }
+
+    /** A machine that is dead and should not be, or service below what is borne; null where all is well. */
+    private String unwell(Instant now) {
+        for (Work.Place p : settings.bounds().dead() ? ledger.work().places() : List.<Work.Place>of()) {
+            Work.Line l = ledger.work().line(p.machine());
+            if ((l == null || l.state() != Work.State.OUT) && !actions.lives(p.node())) {
+                return p.node() + " is dead: start it, or say forget where it is gone for good";
             }
         }
-        return work.away(null) >= work.terms().mostOut() ? "as many as may be are out" : null;
+        Ask.Service all = atWork(now, null);
+        return all.answered() < LEAST_ASKED || all.part() >= settings.bounds().leastService() ? null
+                : String.format(Locale.ROOT, "those at work have served %.1f %% of %d requests, and %.1f %% is the least",
+                        100 * all.part(), all.answered(), 100 * settings.bounds().leastService());
+    }
+
+    /** Whether those left at work bear what all do now, with the margin; null where nothing is known that speaks against it. */
+    private String overload(Instant now, String machine) {
+        Ask.Service all = atWork(now, null);
+        long left = ledger.work().places().stream().filter(p -> !p.machine().equals(machine) && !isAway(p.machine())
+                && !isMissing(p.node())).count();
+        double open = all.open() * (1 + settings.bounds().margin());
+        if (left == 0) {
+            return "nobody else serves: take " + machine + " out by hand";
+        } else if (settings.bounds().mostOpen() > 0 && open > settings.bounds().mostOpen() * left) {
+            return String.format(Locale.ROOT, "the load is too much for the rest: %d requests at once, and %d nodes bear %d"
+                    + " with the margin", all.open(), left, (long) (settings.bounds().mostOpen() * left / (1 + settings.bounds().margin())));
+        }
+        Places places = settings.bounds().places();
+        long had = places == null ? 0 : all.servers() * (places.whole() - places.fixed() * Math.max(0, places.nodes() - left));
+        return places == null || all.used() * (1 + settings.bounds().margin()) <= had ? null
+                : "the load is too much for the rest: " + all.used() + " places at page servers in use of " + had;
     }
 
     /** Why this machine may not go now; null where nothing speaks against it. */
-    public String againstIt(String machine) {
+    public String againstIt(Instant now, String machine) {
         Work work = ledger.work();
         Set<String> out = new TreeSet<>();
         Set<String> outOfHall = new TreeSet<>();
@@ -296,7 +531,8 @@
         if (out.size() >= work.terms().mostOut() || outOfHall.size() >= work.terms().mostOutOfHall()) {
             return missing.isEmpty() ? "as many as may be are out" : missing + " does not serve";
         }
-        return actions.hasMajorityWithout(nodes) ? null : "too few voters would be left";
+        return actions.hasMajorityWithout(nodes) ? overload(now, machine)
+                : "without " + machine + " too few voters would be left";
     }
 
     /** Counts as out though it has no turn. */
--- a/src/main/java/rowanplank/ledger/WorkHolder.java
+++ b/src/main/java/rowanplank/ledger/WorkHolder.java
@@ -49,6 +49,9 @@
 
         /** Whether it takes clients. */
         boolean isReady();
+
+        /** How it has served lately; null where that is not known. */
+        Ask.Service service();
     }
 
     private final Settings settings;
@@ -66,6 +69,7 @@
     private Instant readySince;
     /** How often it has heard of its turn since it drains. */
     private int looks;
+    private String standing = "";
 
     /** To be made before the node takes clients: it takes none until {@link Actions#rejoin}. */
     public WorkHolder(Settings settings, Instant now, Actions actions) {
@@ -88,6 +92,11 @@
         return line;
     }
 
+    /** What speaks against the next turn, as the leader said last; empty where nothing does. */
+    public String standing() {
+        return standing;
+    }
+
     public boolean isKnown() {
         return isKnown;
     }
@@ -112,38 +121,50 @@
     private void ask(Instant now) {
         asked = now;
         askAt = now.plus(settings.poll());
-        send(++number, new Ask.Poll(settings.machine(), settings.hall()));
+        send(++number, new Ask.Poll(settings.machine(), settings.hall(), actions.service()));
     }
 
     private void send(long n, Ask.What what) {
         actions.ask(voters.get(target), new Ask(settings.node(), settings.incarnation(), 0, n, n, what));
     }
 
+    /**
+     * Guards a machine that is out: an answer to an earlier process of this node, an old one, or one that says nothing of
+     * the line never sends it back.
+     */
     public void onAnswer(Instant now, Answer answer) {
-        if (answer.number() != number || asked == null) {
+        if (answer.incarnation() != settings.incarnation() || answer.number() != number || asked == null) {
             return;
         }
-        if (answer.result().kind() == Kind.NOT_LEADER) {
+        Instant from = asked;
+        asked = null;
+        askAt = later(askAt, now.plus(OFTEN));
+        Kind kind = answer.result().kind();
+        if (kind == Kind.NOT_LEADER) {
             int named = voters.indexOf(answer.result().node());
             target = named >= 0 ? named : (target + 1) % voters.size();
-            asked = null;
             askAt = named >= 0 ? now : now.plus(OFTEN);
-        } else if (answer.result().kind() == Kind.SET) {
-            Instant from = asked;
-            asked = null;
+        } else if (kind == Kind.SET && isValid(now, from)) {
             isKnown = true;
             line = answer.line();
-            if (isValid(now, from)) {
-                act(now);
-            }
+            standing = answer.result().node();
+            act(now);
             askAt = now.plus(line == null || !line.isAway() ? settings.poll() : OFTEN);
-        } else { // not all voters understand it yet: there is no order of work
+        } else if (hasNoPart(kind) && isValid(now, from) && (line == null || !line.isAway())) {
             isKnown = true;
-            asked = null;
             rejoin();
         }
     }
 
+    /** Not all voters understand an order of work yet, so that there is none; or it has no room for one more node. */
+    private static boolean hasNoPart(Kind kind) {
+        return kind == Kind.TOO_NEW || kind == Kind.FULL;
+    }
+
+    private static Instant later(Instant a, Instant b) {
+        return a.isAfter(b) ? a : b;
+    }
+
     /** Whether what was asked for then may still be acted on. */
     protected boolean isValid(Instant now, Instant from) {
         return now.isBefore(from.plus(settings.valid()));
--- a/src/main/java/rowanplank/net/Loop.java
+++ b/src/main/java/rowanplank/net/Loop.java
@@ -76,6 +76,11 @@
 
     Clock clock();
 
+    /** The clock on the wall, which may be set back: for what is said in times of the day, and nothing else. */
+    default Clock wall() {
+        return clock();
+    }
+
     /** Runs the task on the loop's thread, soon and never within this call; may be called from any thread. */
     @Override
     void execute(Runnable task);
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -13,6 +13,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
@@ -120,6 +121,11 @@
         return clock;
     }
 
+    @Override
+    public Clock wall() {
+        return Instant::now;
+    }
+
     @Override
     public ByteBuffer readBuffer() {
         return readBuffer;
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -23,6 +23,7 @@
 import rowanplank.fleet.Fleet;
 import rowanplank.intake.admin.AdminDoor;
 import rowanplank.intake.http.Intake;
+import rowanplank.ledger.Ask;
 import rowanplank.ledger.Command;
 import rowanplank.ledger.Result;
 import rowanplank.lifecycle.Lifecycle;
@@ -254,6 +255,13 @@
         public boolean isReady() {
             return lifecycle.isReady();
         }
+
+        @Override
+        public Ask.Service answered() {
+            return new Ask.Service(counters.get(Count.ANSWERS_SERVED),
+                    counters.get(Count.ANSWERS_REJECTED) + counters.get(Count.REQUESTS_TURNED_AWAY),
+                    counters.get(Count.ANSWERS_FAILED), life.requests(), 0, 0);
+        }
     }
 
     /** What staff ask of the fleet, in the words of its ledger. */
@@ -284,6 +292,16 @@
             fleet.say(words, told);
         }
 
+        @Override
+        public void work(Consumer<JsonObject> told) {
+            fleet.work(told);
+        }
+
+        @Override
+        public JsonObject plan(List<String> machines, boolean first) {
+            return fleet.plan(machines, first);
+        }
+
         @Override
         public String resize(String budget, long whole) {
             return fleet.resize(budget, whole);
--- a/src/test/java/rowanplank/config/OperatorFileTest.java
+++ b/src/test/java/rowanplank/config/OperatorFileTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.ZoneId;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -147,5 +148,10 @@
         assertNull(OperatorFile.read("f", example()).fleet().order());
         assertTrue(faults(shared(WORK.replace("serve", "go"))).get(0).contains("fleet.work.alone: must be one of stay-out, serve"));
         assertTrue(faults(shared(WORK.replace("most_out", "most"))).get(0).contains("fleet.work.most: unknown key"));
+        assertEquals(new FleetConfig.Halts(0.5, false, 200, 0.5, ZoneId.of("+01:00")), OperatorFile.read("f", shared(WORK
+                + "least_service = 0.5\nhalt_on_dead = false\nmost_requests = 200\nmargin = 0.5\nzone = \"+01:00\"\n"))
+                .fleet().order().halts());
+        assertTrue(faults(shared(WORK + "zone = \"Mars\"\n")).get(0).contains("fleet.work.zone: must be a zone"));
+        assertTrue(faults(shared(WORK + "least_service = 2\n")).get(0).contains("must be a number from 0 to 1"));
     }
 }
--- a/src/test/java/rowanplank/fleet/wire/EnvelopeFormTest.java
+++ b/src/test/java/rowanplank/fleet/wire/EnvelopeFormTest.java
@@ -13,7 +13,9 @@
 import rowanplank.agreement.Message;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 import rowanplank.ledger.Ask;
+import rowanplank.ledger.Command;
 import rowanplank.ledger.Result;
+import rowanplank.ledger.Window;
 import rowanplank.membership.News;
 import rowanplank.membership.Note;
 
@@ -33,6 +35,9 @@
                 of(new Ask.Open()), of(new Ask.Renew()), of(new Ask.Acquire("backup", Duration.ofSeconds(4))),
                 of(new Ask.Release("backup", 12)), of(new Ask.Read("backup")),
                 of(new Ask.Claim("backup", 12, "nightly", Duration.ofDays(1), 20_000)),
+                of(new Ask.Poll("m1", "north")), of(new Ask.Poll("m1", "", new Ask.Service(1L << 40, 2, 3, 4, 5, 6))),
+                of(new Ask.Staff(new Command.Staff(7, Command.StaffWord.ASK, List.of("n1"), "n2", "", false, true, 9,
+                        Window.parse("22:00-04:30")))),
                 of(new Note.Ping(9, NEWS)), of(new Note.Ack(1L << 40, List.of())), of(new Note.PingFor(9, "n4", "10.0.0.4:7", NEWS)),
                 of(new Note.Nack(9, NEWS)), of(new Note.ListAsk("", NEWS)), of(new Note.ListReply("n4", NEWS)),
                 Envelope.of("n1", 5, 2, new Ask.Answer(44, 6, new Result(Result.Kind.HELD, 8, "n2"))));
--- a/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
+++ b/src/test/java/rowanplank/fleet/wire/LedgerFormTest.java
@@ -16,6 +16,7 @@
 import rowanplank.ledger.Ledger;
 import rowanplank.ledger.Result;
 import rowanplank.ledger.Share;
+import rowanplank.ledger.Window;
 
 class LedgerFormTest {
     private static Ledger.Picture picture(int level, List<Ledger.Run> runs) {
@@ -95,4 +96,36 @@
         int bytes = LedgerForm.picture(ledger.picture()).length;
         assertTrue(bytes < Agreement.MOST_SNAPSHOT_BYTES, bytes + " bytes");
     }
+
+    /** The order of work came with version 4, its windows, halts and forget with 5: each reads what it knows, and refuses the rest. */
+    @Test
+    void anOrderOfWorkIsWrittenForThoseThatKnowIt() throws Exception {
+        Command.Staff plain = new Command.Staff(7, Command.StaffWord.ASK, List.of("n1"), "n2", "kernel", false, true, 60_000);
+        Command.Staff night = new Command.Staff(8, Command.StaffWord.ASK, List.of("n1"), "n2", "", true, false, 9,
+                Window.parse("22:00-04:30"));
+        Command.Staff forget = new Command.Staff(9, Command.StaffWord.FORGET, List.of("n1"), "n2", "", false, false, 0);
+        assertEquals(plain, LedgerForm.command(LedgerForm.command(plain), 4));
+        for (Command later : List.of(night, forget, new Command.Halt("n1 came back badly"))) {
+            assertEquals(5, LedgerForm.versionOf(later));
+            assertEquals(later, LedgerForm.command(LedgerForm.command(later), 5));
+            assertThrows(MalformedException.class, () -> LedgerForm.command(LedgerForm.command(later), 4));
+        }
+        Ledger ledger = new Ledger(Ledger.Picture.empty());
+        ledger.apply(1, new Command.Raise(5));
+        ledger.apply(2, new Command.Announce("n1", "n1", "north"));
+        ledger.apply(3, night);
+        byte[] whole = LedgerForm.picture(ledger.picture());
+        assertEquals(5, whole[0]);
+        assertEquals(ledger.picture(), LedgerForm.picture(whole));
+        for (int length = 1; length < whole.length; length++) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThrows(MalformedException.class, () -> LedgerForm.picture(cut), length + " bytes");
+        }
+        Ledger older = new Ledger(Ledger.Picture.empty());
+        older.apply(1, new Command.Raise(4));
+        older.apply(2, new Command.Announce("n1", "n1", "north"));
+        older.apply(3, plain);
+        assertEquals(4, LedgerForm.picture(older.picture())[0]);
+        assertEquals(older.picture(), LedgerForm.picture(LedgerForm.picture(older.picture())));
+    }
 }
--- a/src/test/java/rowanplank/ledger/WorkHolderTest.java
+++ b/src/test/java/rowanplank/ledger/WorkHolderTest.java
@@ -50,6 +50,11 @@
                     public boolean isReady() {
                         return !drains;
                     }
+
+                    @Override
+                    public Ask.Service service() {
+                        return Ask.Service.NONE;
+                    }
                 });
     }
 
@@ -147,4 +152,40 @@
         holder.onTime(at(30_000));
         assertFalse(drains);
     }
+
+    private void hear(long asking, long answering, long incarnation, Result result) {
+        holder.onTime(at(asking));
+        Ask last = asked.get(asked.size() - 1);
+        holder.onAnswer(at(answering), new Answer(incarnation, last.number(), result));
+    }
+
+    /** Guards a machine that is out: what does not tell of its line does not send it back, whoever says it. */
+    @Test
+    void nothingButItsLineSendsAMachineBackThatIsOut() {
+        hear(0, 20, line(State.OUT, false, Map.of("n1", 4L)));
+        long time = 500;
+        for (Kind kind : Kind.values()) {
+            if (kind != Kind.SET) {
+                hear(time, time + 20, 5, Result.of(kind));
+                assertTrue(drains, kind + " is no word of its line");
+            }
+            time += 500;
+        }
+        hear(time, time + 20, null);
+        assertFalse(drains);
+    }
+
+    /** Guards a process that comes up: only a leader that says so tells it that there is no order of work. */
+    @Test
+    void onlyWhoeverHasNoPartInTheOrderServesWithoutALine() {
+        for (Kind kind : Kind.values()) {
+            holder = holder(false);
+            hear(0, 1000, 5, Result.of(kind));
+            assertTrue(drains, kind + ", too old");
+            hear(1500, 1520, 4, Result.of(kind));
+            assertTrue(drains, kind + ", to another process of its name");
+            hear(2500, 2520, 5, Result.of(kind));
+            assertEquals(kind != Kind.TOO_NEW && kind != Kind.FULL && kind != Kind.SET, drains, kind.toString());
+        }
+    }
 }
