Tell a reset from an answer's end, and refuse at a stop only what may be sent again

Causes: - Jetty's SocketChannelEndPoint.fill() reads a reset as -1, an orderly end; so PeerConnection.onEnd took an answer without a length that was cut by a reset for whole. Framed answers were never concerned, nor were ends within a head: ruled out by the reader's own rules (ResponseReader.end). The loop now has an end point of its own whose fill() throws once on a reset; the laboratory's does the same, so that both worlds stay alike (TcpTest holds them side by side). - Decisions.rejectAll answered all open requests with a refusal as the time after SIGTERM was up, whatever their class. The module never did: its answer() looks at what may have run. It is now told of the stop (onStop) and decides for each request; what still comes after that is refused and not sent on.

DecisionsTest.theModuleHearsOfABodyThatIsStillComing... compared a list that the loop's thread still wrote to, and failed once on a busy machine; it now compares what was there when the events had been told, which is as strict.

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -185,6 +185,13 @@
         if (!open.isEmpty()) keepTicking();
     }
 
+    public void onStop(double nowMs) {
+        now = nowMs;
+        for (Open r : List.copyOf(open.values())) {
+            if (!r.done) answer(r);
+        }
+    }
+
     private void keepTicking() {
         if (ticking) return;
         ticking = true;
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -77,6 +77,8 @@
     private final Set<String> ids = new LinkedHashSet<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean delivering;
+    /** All that was open has been answered: nothing is sent on any more. */
+    private boolean stopping;
     private TrySender sender;
     private Places places = Places.NONE;
     private Bounds bounds = Bounds.NONE;
@@ -121,6 +123,12 @@
     public Exchange open(RequestContext context, Exchange.Client client) {
         long number = ++requests;
         Exchange exchange = new Exchange(number, context, client, this);
+        if (stopping) {
+            counters.add(Count.REQUESTS_TAKEN);
+            counters.add(Count.ANSWERS_REJECTED);
+            exchange.answer(refusal(0));
+            return exchange;
+        }
         Entry entry = new Entry(exchange);
         entries.put(number, entry);
         ids.add(context.id());
@@ -161,10 +169,19 @@
         }
     }
 
-    /** Ends all that is open, for a node that must stop now. */
-    public void rejectAll() {
-        Answer elsewhere = new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE));
-        new ArrayList<>(entries.values()).forEach(e -> abandon(e, elsewhere));
+    /**
+     * Answers all that is open, and at once whatever still comes, for a node that must stop now. The module says which of
+     * them may be refused: a request whose attempt may have run is not, where it is unsafe to repeat.
+     */
+    public void answerAll() {
+        stopping = true;
+        deliver(() -> balancer.onStop(nowMs()));
+        new ArrayList<>(entries.values()).forEach(e -> abandon(e, new Answer.Failed()));
+    }
+
+    /** What a refused client is told of when it may come again. */
+    private Answer refusal(double retryAfterMs) {
+        return new Answer.Rejected(site.retryAfter(stopping ? RETRY_ELSEWHERE : Clock.span(retryAfterMs)));
     }
 
     private void abandon(Entry entry, Answer answer) {
@@ -340,7 +357,7 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            answer(request, new Answer.Rejected(site.retryAfter(Clock.span(retryAfterMs))));
+            answer(request, refusal(retryAfterMs));
         }
 
         @Override
--- a/src/main/java/rowanplank/lab/net/SimEndPoint.java
+++ b/src/main/java/rowanplank/lab/net/SimEndPoint.java
@@ -9,8 +9,8 @@
 import org.eclipse.jetty.util.BufferUtil;
 
 /**
- * A process's side of a simulated connection. It behaves as Jetty's end point on a socket does: a reset reads as an
- * end once what came before it has been read, and fails each write.
+ * A process's side of a simulated connection. It behaves as the real loop's end point on a socket does: a reset fails a
+ * read once what came before it has been read, and fails each write.
  */
 public final class SimEndPoint extends AbstractEndPoint implements Stamped {
     private final SimProcess process;
@@ -82,8 +82,15 @@
             return -1;
         }
         int position = BufferUtil.flipToFill(buffer);
-        int filled = socket.read(buffer);
-        BufferUtil.flipToFlush(buffer, position);
+        int filled;
+        try {
+            filled = socket.read(buffer);
+        } catch (IOException e) {
+            shutdownInput();
+            throw e;
+        } finally {
+            BufferUtil.flipToFlush(buffer, position);
+        }
         if (filled < 0) {
             shutdownInput();
         } else {
--- a/src/main/java/rowanplank/lab/net/SimSocket.java
+++ b/src/main/java/rowanplank/lab/net/SimSocket.java
@@ -457,10 +457,18 @@
         return !inbox.isEmpty() || endCame || gone;
     }
 
-    /** @return how many bytes were read, 0 if none are there, -1 if none will come */
-    int read(ByteBuffer into) {
+    /**
+     * Reads what has come.
+     *
+     * @return how many bytes were read, 0 if none are there, -1 if the other side has ended its sending in order
+     * @throws SocketException if the connection was reset, and all that came before has been read
+     */
+    int read(ByteBuffer into) throws SocketException {
         if (inbox.isEmpty()) {
-            return endCame || gone ? -1 : 0;
+            if (gone && !endCame) {
+                throw new SocketException("Connection reset");
+            }
+            return endCame ? -1 : 0;
         }
         int before = into.remaining();
         firstSentAt = inbox.peek().sentAt;
--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -432,7 +432,7 @@
         @Override
         protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
             SocketChannelEndPoint endPoint =
-                    new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+                    new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
             endPoint.setIdleTimeout(-1);
             return endPoint;
         }
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -345,7 +345,7 @@
 
         @Override
         public void rejectOpen() {
-            decisions.rejectAll();
+            decisions.answerAll();
         }
 
         @Override
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -9,7 +9,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -149,7 +151,7 @@
                         return event.invoke(module, arguments);
                     });
         });
-        loop.call(() -> {
+        List<String> heard = loop.call(() -> {
             stays = true;
             told.sendThrough(this);
             told.servers(ListKind.FULL, List.of(server(1), server(2)));
@@ -158,9 +160,9 @@
             Transfer whole = new Transfer(new Transfer.Room(), null);
             whole.end();
             open(told, "has come", whole);
-            return null;
+            return List.copyOf(events); // on the loop's thread: the module's own timers come later
         });
-        assertEquals(List.of("onServers", "onRequest", "onRequest", "onStreamStarted", "onRequest"), events);
+        assertEquals(List.of("onServers", "onRequest", "onRequest", "onStreamStarted", "onRequest"), heard);
     }
 
     private void open(Decisions at, String id, Transfer rest) {
@@ -197,12 +199,46 @@
             List<Exchange> first = open(0, 10, order); // numbers that have gone by: later ones wrap round in a table
             first.forEach(Exchange::depart);
             open(10, 22, order);
-            decisions.rejectAll();
+            decisions.answerAll();
             rejected.add(order);
         });
         assertEquals(IntStream.range(10, 22).mapToObj(i -> "id" + i).toList(), rejected.take());
     }
 
+    /** Guards unsafe requests at a stop: one whose attempt may have run must not be told that it may be sent again. */
+    @Test
+    void atAStopARequestIsRefusedOnlyWhereARepeatIsHarmless() throws Exception {
+        String settings = SETTINGS.replace("}],", "}, {\"name\": \"b\", \"aim_ms\": 50, \"deadline_ms\": 200, "
+                + "\"effect\": \"once\"}],");
+        Decisions stopping = new Decisions(SettingsReader.parse(settings), 1, loop, counters, log);
+        Map<String, Answer> answered = loop.call(() -> {
+            Map<String, Answer> byId = new TreeMap<>();
+            stays = true;
+            stopping.sendThrough(this);
+            openAt(stopping, "held", 1, byId);
+            stopping.servers(ListKind.FULL, List.of(server(1), server(2)));
+            stopping.servers(ListKind.FULL, List.of());
+            openAt(stopping, "unsafe and held", 1, byId);
+            stopping.servers(ListKind.FULL, List.of(server(3)));
+            openAt(stopping, "unsafe and sent", 1, byId);
+            openAt(stopping, "safe and sent", 0, byId);
+            stopping.answerAll();
+            openAt(stopping, "comes after", 1, byId);
+            return byId;
+        });
+        Answer refused = new Answer.Rejected(Duration.ofMillis(10));
+        assertEquals(Map.of("held", new Answer.Failed(), "unsafe and held", new Answer.Failed(), "unsafe and sent",
+                new Answer.Failed(), "safe and sent", refused, "comes after", refused), answered);
+        assertEquals(4, tried.size(), "what comes after is not sent on");
+        assertEquals(0, counters.get(Count.INTERNAL_FAILURES));
+    }
+
+    private void openAt(Decisions at, String id, int classIndex, Map<String, Answer> answered) {
+        Instant now = clock.now();
+        at.open(new RequestContext(id, classIndex, false, now, now.plusSeconds(20),
+                new RequestContext.Payload("POST", "/a", List.of(), new byte[0])), a -> answered.put(id, a));
+    }
+
     private List<Exchange> open(int from, int to, List<String> answered) {
         Instant now = clock.now();
         return IntStream.range(from, to).mapToObj(i -> "id" + i)
--- a/src/test/java/rowanplank/lab/check/BrokenModule.java
+++ b/src/test/java/rowanplank/lab/check/BrokenModule.java
@@ -115,4 +115,7 @@
 
     @Override
     public void onTimer(double nowMs, long token) { }
+
+    @Override
+    public void onStop(double nowMs) { }
 }
--- a/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
+++ b/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
@@ -172,6 +172,11 @@
         public void onTimer(double nowMs, long token) {
             balancer.onTimer(nowMs, token);
         }
+
+        @Override
+        public void onStop(double nowMs) {
+            balancer.onStop(nowMs);
+        }
     }
 
     /** A node's core and its peers' side on the client's loop, and one server on the other. */
@@ -280,7 +285,7 @@
                 }
                 case NODE_STOPS -> {
                     awaitAtServer();
-                    stage.run(stage.client(), decisions::rejectAll);
+                    stage.run(stage.client(), decisions::answerAll);
                 }
                 default -> { }
             }
--- a/src/test/java/rowanplank/lab/net/Probe.java
+++ b/src/test/java/rowanplank/lab/net/Probe.java
@@ -72,6 +72,7 @@
                 }
             }
         } catch (IOException e) {
+            ended = true;
             notes.add("read failed");
         }
     }
--- a/src/test/java/rowanplank/node/StubSite.java
+++ b/src/test/java/rowanplank/node/StubSite.java
@@ -19,6 +19,8 @@
 final class StubSite implements AutoCloseable {
     /** At the end of a script's answer: the connection ends there. */
     static final String CUT = "<cut>";
+    /** At the end of a script's answer: the connection is reset there. */
+    static final String RESET = "<reset>";
 
     /** A page server: hands each request's text to its script, whose text it answers; null ends the connection. */
     static final class Peer implements AutoCloseable {
@@ -51,8 +53,11 @@
                     if (answer == null) {
                         return;
                     }
-                    String whole = answer.replace(CUT, "");
+                    String whole = answer.replace(CUT, "").replace(RESET, "");
                     socket.getOutputStream().write(whole.getBytes(StandardCharsets.ISO_8859_1));
+                    if (answer.endsWith(RESET)) {
+                        socket.setSoLinger(true, 0);
+                    }
                     if (!whole.equals(answer)) {
                         return;
                     }
