Measure hollow fleets, watches of discovery, ledgers and datagrams

The roles beside the serving node's had figures at 5 to 100 nodes and mostly without processor time.

--- a/src/test/java/rowanplank/measure/CapacityTool.java
+++ b/src/test/java/rowanplank/measure/CapacityTool.java
@@ -1,5 +1,6 @@
 package rowanplank.measure;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -16,7 +17,9 @@
  * little; nothing here needs more than one process.
  */
 @Command(name = "capacity", description = "Measures what each role costs at several sizes (docs/CAPACITY.md).",
-        subcommands = {CapacityTool.Module.class, CapacityTool.Lists.class, CapacityTool.Subsets.class})
+        subcommands = {CapacityTool.Module.class, CapacityTool.Lists.class, CapacityTool.Subsets.class,
+    CapacityTool.Fleets.class, CapacityTool.Watches.class, CapacityTool.Ledgers.class,
+    CapacityTool.Datagrams.class})
 public final class CapacityTool implements Runnable {
     /** The fleet that is to be had in some two years. */
     static final int NODES = 380;
@@ -27,6 +30,8 @@
     static final double REQUESTS = 6600;
     /** What control may cost a node, of a core. */
     static final double CONTROL_PART = 0.014;
+    /** Of configuration, each taken for the change of one server, and what restarts and failures of machines add to them. */
+    static final double CHANGES_A_SECOND = (9900 + 3 * 660 + 2 * 76) / 86_400.0;
     private static final int WARM = 10;
 
     @Override
@@ -43,6 +48,11 @@
         @Spec
         private CommandSpec spec;
 
+        @Option(names = "--no-heap", description = "Does not look at the heap, which takes a collection each time.")
+        void noHeap(boolean none) {
+            Spent.heap(!none);
+        }
+
         final void say(String line, Object... of) {
             spec.commandLine().getOut().printf(Locale.ROOT, line + "%n", of);
             spec.commandLine().getOut().flush();
@@ -160,4 +170,175 @@
             return 0;
         }
     }
+
+    /** Which roles of a fleet's node are played. */
+    enum Role { MEMBERS, LEASES, BUDGETS, WORK, ALL }
+
+    @Command(name = "fleet", description = "Hollow nodes in virtual time: messages, bytes, processor time and state of each role.")
+    static final class Fleets extends Part {
+        @Option(names = "--nodes", split = ",", defaultValue = "25,100,200,380")
+        private List<Integer> nodes;
+        @Option(names = "--voters", defaultValue = "5")
+        private int voters;
+        @Option(names = "--role", defaultValue = "MEMBERS", description = "${COMPLETION-CANDIDATES}")
+        private Role role;
+        @Option(names = "--leases", defaultValue = "1", description = "That each node holds.")
+        private int leases;
+        @Option(names = "--budgets", split = ",", defaultValue = "4", description = "That all share; varied where there is one size only.")
+        private List<Integer> budgets;
+        @Option(names = "--settle", defaultValue = "60", description = "Virtual seconds before it is counted.")
+        private int settle;
+        @Option(names = "--seconds", defaultValue = "20", description = "Virtual seconds that are counted.")
+        private int seconds;
+        @Option(names = "--death", description = "One node is killed at the end.")
+        private boolean death;
+        @Option(names = "--zone", description = "A zone's nodes are killed, and come back, instead.")
+        private boolean zone;
+
+        private HollowFleet.Plan plan(int count, int shared) {
+            boolean all = role == Role.ALL;
+            return new HollowFleet.Plan(count, Math.min(voters, count), all || role == Role.LEASES ? leases : 0,
+                    all || role == Role.BUDGETS ? shared : 0, all || role == Role.WORK);
+        }
+
+        @Override
+        public Integer call() {
+            boolean byBudgets = nodes.size() == 1 && budgets.size() > 1;
+            CapacityTable table = new CapacityTable("Hollow fleet, " + role + ", " + voters + " voters", byBudgets ? "budgets" : "nodes");
+            CapacityTable zones = new CapacityTable("A zone of " + CapacityTool.ZONES + " lost", "nodes");
+            if (!zone) { // what is not yet compiled would count for the first size
+                FleetCapacity.measure(plan(nodes.get(0), budgets.get(0)), Duration.ofSeconds(settle), Duration.ofSeconds(seconds), false);
+            }
+            for (int n : nodes) {
+                for (int b : byBudgets ? budgets : budgets.subList(0, 1)) {
+                    if (zone) {
+                        long[] ms = FleetCapacity.zone(plan(n, b), Duration.ofSeconds(settle), ZONES);
+                        zones.size(n).with("of these lost", ms[0]).with("ms until all know", ms[1]).with("ms until all know of its return", ms[2]);
+                    } else {
+                        row(table.size(byBudgets ? b : n), FleetCapacity.measure(plan(n, b), Duration.ofSeconds(settle),
+                                Duration.ofSeconds(seconds), death));
+                    }
+                }
+            }
+            print(zone ? zones : table, byBudgets ? 0 : NODES);
+            return 0;
+        }
+
+        private void row(CapacityTable table, FleetCapacity.Cost c) {
+            rate(table, "member", c.seen().member());
+            rate(table, "voter", c.seen().voter());
+            rate(table, "leader", c.seen().leader());
+            table.with("heap a node", c.heldBytes()).with("status µs", c.statusMicros()).with("status bytes", c.statusBytes())
+                    .with("disk bytes", c.diskBytes());
+            if (role == Role.WORK && c.order() != null) {
+                table.with("ms for staff's list", c.order()[0]).with("bytes of it", c.order()[1]).with("datagrams meanwhile", c.order()[2]);
+            }
+            if (death) {
+                table.with("ms until all know of a death", c.knownMs()).with("bytes a node and death", c.deathBytes());
+            }
+        }
+
+        private static void rate(CapacityTable table, String of, HollowFleet.Rate r) {
+            table.with(of + " sends B/s", r.sentBytes()).with("sends /s (" + of + ")", r.sent())
+                    .with("receives B/s (" + of + ")", r.receivedBytes()).with("receives /s (" + of + ")", r.received())
+                    .with("µs/s (" + of + ")", r.micros());
+        }
+    }
+
+    @Command(name = "watch", description = "Watches of discovery on loopback: calls, bytes and processor time of each; lists too long to be taken.")
+    static final class Watches extends Part {
+        @Option(names = "--nodes", split = ",", defaultValue = "25,100,200,380")
+        private List<Integer> nodes;
+        @Option(names = "--servers", defaultValue = "1000")
+        private int servers;
+        @Option(names = "--changes", split = ",", defaultValue = "0,1,2,4", description = "A second, at the second number of nodes.")
+        private List<Integer> changes;
+        @Option(names = "--lists", split = ",", defaultValue = "1800,1900,7200", description = "Servers in lists that one node asks for.")
+        private List<Integer> lists;
+        @Option(names = "--millis", defaultValue = "10000")
+        private int millis;
+
+        private static void row(CapacityTable table, WatchCapacity.Cost c) {
+            table.with("calls a second and node", c.calls()).with("bytes sent a second", c.sentBytes())
+                    .with("bytes received a second", c.receivedBytes()).with("µs a second", c.micros())
+                    .with("discovery's µs a second for it", c.discoveryMicros()).with("failures of all", c.failures());
+        }
+
+        @Override
+        public Integer call() throws Exception {
+            Duration length = Duration.ofMillis(millis);
+            CapacityTable rest = new CapacityTable("Watches at rest, " + servers + " servers listed", "nodes");
+            for (int n : nodes) {
+                row(rest.size(n), WatchCapacity.measure(n, servers, Duration.ZERO, length));
+            }
+            print(rest, CapacityTool.NODES);
+            int some = nodes.get(Math.min(1, nodes.size() - 1));
+            CapacityTable busy = new CapacityTable("Watches of " + some + " nodes while servers change", "changes a second");
+            for (int c : changes) {
+                row(busy.size(c), WatchCapacity.measure(some, servers, c == 0 ? Duration.ZERO : Duration.ofSeconds(1).dividedBy(c), length));
+            }
+            print(busy, CHANGES_A_SECOND);
+            for (int l : lists) {
+                WatchCapacity.Taken t = WatchCapacity.take(l, length);
+                say("a list of %d servers, one node, %d ms: %s; %d malformed, %d failures, %d calls, %d bytes sent to it", l, millis,
+                        t.lists() > 0 ? "taken" : "never taken", t.malformed(), t.failures(), t.calls(), t.bytes());
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "ledger", description = "A voter's ledger: entries, snapshots, heap; against holders, leases and budgets.")
+    static final class Ledgers extends Part {
+        @Option(names = "--holders", split = ",", defaultValue = "100,200,380")
+        private List<Integer> holders;
+        @Option(names = "--leases", split = ",", defaultValue = "1,4,16", description = "Of each holder.")
+        private List<Integer> leases;
+        @Option(names = "--budgets", split = ",", defaultValue = "4,16,57", description = "Of which each holder has a part.")
+        private List<Integer> budgets;
+
+        private CapacityTable table(String title, String unit, List<Integer> sizes, IntFunction<LedgerCapacity.Size> size) {
+            CapacityTable table = new CapacityTable(title, unit);
+            for (int s : sizes) {
+                LedgerCapacity.Cost c = LedgerCapacity.measure(size.apply(s));
+                table.size(s).with("entries", c.entries()).with("bytes of them", c.entryBytes()).with("bytes of a restart", c.restartBytes())
+                        .with("µs an entry", c.micros()).with("refused", c.refused()).with("snapshot bytes", c.snapshotBytes())
+                        .with("µs to make it", c.snapshotMicros()).with("µs to take it up", c.restoreMicros()).with("heap", c.heldBytes());
+            }
+            return table;
+        }
+
+        @Override
+        public Integer call() {
+            int all = holders.get(holders.size() - 1);
+            print(table("Ledger, one lease each and " + budgets.get(0) + " budgets", "holders", holders,
+                    n -> new LedgerCapacity.Size(n, 1, budgets.get(0))), NODES);
+            print(table("Ledger, " + all + " holders, no budgets", "leases each", leases,
+                    l -> new LedgerCapacity.Size(all, l, 0)), 0);
+            print(table("Ledger, " + all + " holders, one lease each", "budgets", budgets,
+                    b -> new LedgerCapacity.Size(all, 1, b)), 0);
+            say("%nbudgets that a ledger takes of %d: %d; of %d: %d", SERVERS, LedgerCapacity.budgetsTaken(SERVERS), TENANTS,
+                    LedgerCapacity.budgetsTaken(TENANTS));
+            say("processes that it takes of 2000, each with a session for leases and one for budgets: %d",
+                    LedgerCapacity.processesTaken(2000));
+            return 0;
+        }
+    }
+
+    @Command(name = "datagrams", description = "A datagram's processor time in the machine's sockets, sent and received.")
+    static final class Datagrams extends Part {
+        @Option(names = "--bytes", split = ",", defaultValue = "64,256,1024")
+        private List<Integer> bytes;
+        @Option(names = "--count", defaultValue = "20000")
+        private int count;
+
+        @Override
+        public Integer call() throws Exception {
+            CapacityTable table = new CapacityTable("A datagram sent and one received, loopback", "bytes");
+            for (int b : bytes) {
+                table.size(b).with("µs for both", DatagramCapacity.measure(b, count));
+            }
+            print(table, 0);
+            return 0;
+        }
+    }
 }
--- a/src/test/java/rowanplank/measure/Spent.java
+++ b/src/test/java/rowanplank/measure/Spent.java
@@ -14,6 +14,7 @@
     private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
     private static final int LOOKS = 20_000;
     private static final int BATCHES = 3;
+    private static boolean heap = true;
 
     /** Since the thread began. */
     static Spent now() {
@@ -48,6 +49,9 @@
      * meanwhile falls into one of them.
      */
     static <T> double retained(int copies, Supplier<T> make) {
+        if (!heap) {
+            return 0;
+        }
         Object[][] kept = new Object[BATCHES][copies];
         make.get(); // what is made once, classes above all, is no part of each
         long[] used = new long[BATCHES + 1];
@@ -67,8 +71,16 @@
         return each[BATCHES / 2];
     }
 
+    /** Whether the heap is looked at: each look takes a whole collection. Where it is not, nothing is held. */
+    static void heap(boolean looks) {
+        heap = looks;
+    }
+
     /** Bytes of the heap that are in use, after a collection. */
     static long used() {
+        if (!heap) {
+            return 0;
+        }
         System.gc();
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
