Ask a discovery that was down again within the 6 s after which its news count as told

Cause: AskingPace let the pause after failures grow to nodes x 200 ms (20 s with 100 nodes) and a watch's wait to 30 s, so a call that was lost before discovery's return was given up and made anew long after 6 s. Where lists are pushed the agent costs nothing, and was asked at the same pace.

Change: from the beginning of a failed call to that of the next it is 4 s at most, which leaves 2 s for connection and answer; within this the fleet's pace is kept (a node calls once in 2 to 4 s at random, up to 20 nodes together 5 to 10 times a second). Where lists are pushed: again after 25 to 50 ms, without a wait while calls fail. Connections to discovery are given up after 1 s whatever connect_timeout_ms says; the first call, which does not wait, has more patience after failures as well (it had 1 s always, so a slow queue would never have been waited out); an answer that stops half-way again and again is waited for longer. Ruled out: two calls within 6 s, which would double what the nodes ask of an overbooked queue.

--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -29,10 +30,8 @@
  * It can be stopped, for another one that watches discovery at a new address.
  */
 public final class DiscoveryWatch {
-    /** Time beyond the wait in which an answer must come, and within which it must be whole; else it is given up. */
-    private static final Duration GRACE = Duration.ofMillis(1000);
-    /** An answer of which no more has come for so long has stopped: what it was to tell counts as told meanwhile. */
-    private static final Duration STALL = Duration.ofMillis(80);
+    /** A connection that has not come up by then is tried anew, however long those to page servers may take. */
+    private static final Duration LONGEST_CONNECT = Duration.ofSeconds(1);
     private static final int MOST_ANSWER_BYTES = 4 * Messages.MOST_HELD_BYTES;
 
     /** Who is told of the peers. */
@@ -52,6 +51,8 @@
     private long revision;
     private boolean heard;
     private boolean stopped;
+    /** When the call that is out began, its connection included. */
+    private Instant begun;
     private Loop.Opening opening;
     private Loop.Timer next;
     private Call call;
@@ -66,8 +67,8 @@
             Counters counters, RateLimitedLog log, Listener listener) {
         this.address = address;
         zones = site.zones();
-        connectTimeout = site.connectTimeout();
-        pace = new AskingPace(site.module().nodes(), seed);
+        connectTimeout = site.connectTimeout().compareTo(LONGEST_CONNECT) < 0 ? site.connectTimeout() : LONGEST_CONNECT;
+        pace = new AskingPace(site.module().nodes(), !site.module().askForList(), seed);
         this.revision = revision;
         this.loop = loop;
         this.counters = counters;
@@ -91,6 +92,7 @@
             next = loop.schedule(later, this::start);
             return;
         }
+        begun = loop.clock().now();
         opening = loop.connect(address, connectTimeout, new Loop.Connector() {
             @Override
             public Connection connected(EndPoint endPoint) {
@@ -125,7 +127,11 @@
         }
         counters.add(Count.DISCOVERY_FAILURES);
         log.warn(reason);
-        next = loop.schedule(pace.failed(), this::start);
+        next = loop.schedule(pace.failed(spent()), this::start);
+    }
+
+    private Duration spent() {
+        return Duration.between(begun, loop.clock().now());
     }
 
     /** @return whether the answer could be used */
@@ -158,6 +164,7 @@
         private final ResponseReader reader = new ResponseReader(MOST_ANSWER_BYTES);
         private Loop.Timer patience;
         private Loop.Timer stall;
+        private Duration wait = Duration.ZERO;
         private int pieces;
         private String reason = "discovery closed the connection";
 
@@ -175,6 +182,7 @@
         private void askAgain() {
             Duration later = bounds.call();
             if (later.isZero()) {
+                begun = loop.clock().now();
                 ask();
             } else {
                 patience = loop.schedule(later, this::askAgain);
@@ -183,16 +191,24 @@
 
         private void ask() {
             // At first what has changed by now: a node is not taken in before it has heard of it.
-            Duration wait = heard ? pace.watchWait() : Duration.ZERO;
+            wait = heard && revision >= 0 ? pace.watchWait() : Duration.ZERO;
             String target = "/discovery/hosts"
                     + (revision < 0 ? "" : "?index=" + revision + "&wait=" + wait.toMillis());
-            patience = loop.schedule(revision < 0 ? pace.listPatience() : wait.plus(GRACE),
-                    () -> giveUp("discovery is silent"));
+            patience = loop.schedule(pace.patience(wait), this::silent);
             HttpFields.Mutable fields = HttpFields.build();
             fields.put(HttpHeader.HOST, Addresses.format(address));
             write(() -> { }, Messages.request("GET", target, fields, new byte[0]));
         }
 
+        /** Looks once more first: the node's own core may have been what was late. */
+        private void silent() {
+            int seen = pieces;
+            lastLook();
+            if (pieces == seen && !isOver()) {
+                giveUp("discovery is silent");
+            }
+        }
+
         private void giveUp(String why) {
             reason = why;
             close();
@@ -202,11 +218,12 @@
         private void awaitMore() {
             if (stall == null) {
                 patience.cancel();
-                patience = loop.schedule(GRACE, () -> giveUp("an answer of discovery takes too long"));
+                patience = loop.schedule(pace.patienceForRest(spent()),
+                        () -> giveUp("an answer of discovery takes too long"));
             } else {
                 stall.cancel();
             }
-            stall = loop.schedule(STALL, this::stalled);
+            stall = loop.schedule(pace.stall(), this::stalled);
         }
 
         /** Looks once more first: the node's own core may have been what was late. */
@@ -214,6 +231,7 @@
             int seen = pieces;
             lastLook();
             if (pieces == seen && !isOver()) {
+                pace.stalled();
                 giveUp("an answer of discovery stopped half-way");
             }
         }
@@ -255,7 +273,9 @@
             }
             if (reader.status() != 200) {
                 giveUp("discovery answered " + reader.status());
-            } else if (!take(new String(reader.body(), StandardCharsets.UTF_8))) {
+                return;
+            }
+            if (!take(new String(reader.body(), StandardCharsets.UTF_8))) {
                 giveUp("asking discovery anew");
             } else if (!reader.keepsConnection()) {
                 giveUp("discovery ends the connection");
