Look for a client's end before anything is sent for it

Cause: a connection's end was read one turn after the bytes before it, and timers, outcomes and new connections to servers are worked off before sockets are read again. So an attempt could begin for a client whose FIN or RST had already arrived: with its request, behind commands sent at once, between two attempts, when room came up for one that waited, and (where attempts can't be withdrawn) whenever a slow connection came up. An upload that waits is not read beyond its window, so its end was not seen at all.

Ruled out: reading once more after each read (an attempt can begin long after it); an interest in hang-ups (the JDK's selector has none, and drops a socket with no interest).

Change: Exchange.isWanted asks the client's side for a last look before each attempt and again when a connection came up for one; an end that is found is the departure. The look costs one read a begun attempt. It no longer reads into the loop's own buffer, which an answer may be on its way through, and takes an end for one. A connection that came up for nobody is kept.

LargeBodiesTest.aClientThatLeavesInTheMiddleEndsTheTry let the client leave before the server had the head, and then waited for a connection that is no longer opened; it now waits for the head first, and holds the same.

--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -334,7 +334,8 @@
             }
             int number = entry.sends++;
             Instant now = clock.now();
-            boolean begun = number < site.module().limits().maxAttempts() && entry.exchange.context().payload().isWhole()
+            boolean begun = entry.exchange.isWanted() && number < site.module().limits().maxAttempts()
+                    && entry.exchange.context().payload().isWhole()
                     && (number == 0 || bounds.tryAgain()) && places.begin(server, worth(entry));
             Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
             if (begun && attempt == null) {
--- a/src/main/java/rowanplank/exchange/Exchange.java
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -12,6 +12,11 @@
     /** The client's side: it is handed the final answer. */
     public interface Client {
         void answer(Answer answer);
+
+        /** Whether the client still waits, as far as can be known at this moment. */
+        default boolean isThere() {
+            return true;
+        }
     }
 
     /** Who follows the request's life. */
@@ -150,6 +155,17 @@
         }
     }
 
+    /**
+     * Whether an answer is still wanted. To be asked before a request is sent: looks for a client's end that has come
+     * in but was not yet read, and takes that for the departure it is.
+     */
+    public boolean isWanted() {
+        if (!ended && !client.isThere()) {
+            depart();
+        }
+        return !ended;
+    }
+
     /** The last byte of an upload has come. */
     public void uploaded(Instant now) {
         if (!ended) {
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -29,7 +29,7 @@
  * go through it piece by piece, in both directions.
  */
 final class ClientConnection extends LoopConnection implements ConnectionQueue.Connection, Transfer.Source,
-        LargeAnswer.Connection {
+        LargeAnswer.Connection, Exchange.Client {
     /** No body takes longer than this: the bound of its length at the slowest pace. */
     private static final Duration LONGEST_UPLOAD = Duration.ofSeconds(Messages.MOST_BODY_BYTES / BodyPace.SLOWEST);
     /** After this, a client that keeps sending ahead is served no more than what is open. */
@@ -66,6 +66,8 @@
     private Transfer upload;
     /** Whether it is still coming. */
     private boolean uploading;
+    /** Whether more of it was read than there was room for, which is done once until there is room again. */
+    private boolean lookedBeyond;
     /** The large answer that is being written; null while there is none. */
     private LargeAnswer answering;
 
@@ -261,6 +263,7 @@
 
     @Override
     public void resume() {
+        lookedBeyond = false;
         resumeReading();
     }
 
@@ -363,7 +366,7 @@
                 now.plus(large ? LONGEST_UPLOAD.plus(wait) : wait),
                 new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
                         reader.body(), rest));
-        Exchange opened = intake.exchanges.open(context, this::answer);
+        Exchange opened = intake.exchanges.open(context, this);
         exchange = opened.ended() ? null : opened;
         if (upload != null) {
             reader.passOn(this::passOn);
@@ -387,7 +390,20 @@
         };
     }
 
-    private void answer(Answer answer) {
+    /** Its end may have come in together with its request, or wait behind what it has sent ahead. */
+    @Override
+    public boolean isThere() {
+        if (isPaused() && !lookedBeyond) {
+            lookedBeyond = true;
+            lookBeyondPause();
+        } else {
+            lastLook();
+        }
+        return !isOver();
+    }
+
+    @Override
+    public void answer(Answer answer) {
         exchange = null;
         if (isOver()) {
             return;
--- a/src/main/java/rowanplank/net/LoopConnection.java
+++ b/src/main/java/rowanplank/net/LoopConnection.java
@@ -16,6 +16,8 @@
 public abstract class LoopConnection extends AbstractConnection {
     /** Guards the others: one that sends at full speed must not keep the loop for itself. */
     private static final int MOST_READS_A_TURN = 4;
+    /** What a look takes at a time, where it finds anything. */
+    private static final int LOOK_BYTES = 16 * 1024;
 
     private final Callback fillable = Callback.from(Invocable.InvocationType.NON_BLOCKING,
             this::onFillable, cause -> ended());
@@ -129,13 +131,33 @@
         close();
     }
 
-    /** Reads what has come but was not yet seen, so that a connection is not closed over it. */
+    /** Reads what has come but was not yet seen, an end as well, so that nothing is done in spite of it. */
     protected void lastLook() {
-        ByteBuffer buffer = loop.readBuffer();
-        buffer.clear().limit(0);
+        if (!paused) {
+            look();
+        }
+    }
+
+    /** The same, also where reading is paused: an end can only be seen behind the bytes before it. */
+    protected void lookBeyondPause() {
+        look();
+    }
+
+    /** Never reads into the loop's buffer: whoever has this looked at may be at work on what is in there. */
+    private void look() {
         try {
-            if (!over && !paused && getEndPoint().fill(buffer) > 0) {
-                onBytes(buffer);
+            for (int looks = 0; !over && looks < MOST_READS_A_TURN; looks++) {
+                ByteBuffer first = ByteBuffer.allocate(1).limit(0);
+                int read = getEndPoint().fill(first);
+                if (read < 0) {
+                    onEnd();
+                }
+                if (read <= 0) {
+                    return;
+                }
+                ByteBuffer bytes = ByteBuffer.allocate(LOOK_BYTES).put(first).flip();
+                getEndPoint().fill(bytes);
+                onBytes(bytes);
             }
         } catch (IOException e) {
             ended();
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -126,6 +126,16 @@
             on.send(this, Duration.between(clock.now(), attempt.until()), clock);
         }
 
+        /** Guards against a request that is written for a client that left, or was answered, while this came up. */
+        private void cameUp(PeerConnection on) {
+            if (attempt.exchange().isWanted()) {
+                goOut(on);
+            } else {
+                keep(on);
+                end(Outcome.MOOT, null);
+            }
+        }
+
         private void open() {
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
@@ -134,7 +144,7 @@
                 @Override
                 public Connection connected(EndPoint endPoint) {
                     waitNoMore();
-                    return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::goOut);
+                    return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::cameUp);
                 }
 
                 @Override
--- a/src/test/java/rowanplank/node/LargeBodiesTest.java
+++ b/src/test/java/rowanplank/node/LargeBodiesTest.java
@@ -366,12 +366,13 @@
     @Test
     void aClientThatLeavesInTheMiddleEndsTheTry() throws Exception {
         BlockingQueue<Integer> ends = new LinkedBlockingQueue<>();
-        start((head, in, out) -> {
+        Raw peer = start((head, in, out) -> {
             byte[] got = in.readNBytes(500_000);
             ends.add(got.length);
         });
         Socket client = connect("POST /order/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: 500000\r\n\r\n");
         client.getOutputStream().write(page(1, 0, 200_000));
+        assertNotNull(peer.heads.poll(60, TimeUnit.SECONDS)); // for one that has left before, nothing is sent
         client.close();
         Integer got = ends.poll(60, TimeUnit.SECONDS);
         assertNotNull(got);
