Look at time, window and client again once an attempt's connection is up

Seen through the real node on loopback sockets, with servers whose connections come up late (a full queue of the listener):

- A repeat of a request with a key was sent when its connection came up, also after the class's window: only the module's choice looked at it.
Exchange.Try now has a latest time for its first byte; connecting is given up then.
- Where may_cancel is false, a client that left while its attempt was connecting did not end that: the request went out once the connection was up.
Nothing has been sent at that point, so nothing has to be withdrawn: Decisions gives it up.
- An upload that had come whole before its connection was up told the server the client's whole time (5 s of 4 s left).
- An attempt whose time is up while it connects counts as one that could not connect, which surely never ran.

Ruled out: a client that leaves where may_cancel is true, a drain or an end of the server told while connecting (PeerEndingsTest), and small requests' X-Timeout, which is reckoned as the connection comes up.

With the mends taken out these fail: aRepeatWhoseConnectionComesUpAfterItsWindowIsNotSent, aClientThatLeavesEndsTheConnectingAtOnce, anUploadTellsTheTimeLeftOnceItHasCome. Rows without a mend were checked by breaking the guarding line once: the probe of a resting connection, RESET for what was written, sending again what never ran, and the group of a key; each broke its test. nothingIsSentOnAConnectionThatComesUpAsTimeIsUp passed before as well, since timers run first; the look at the time there is a second guard.

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -379,7 +379,7 @@
         if (r.attempts.stream().anyMatch(a -> a.target == t)) return false;
         Attempt first = r.firstMayHaveRun();
         if (first == null || r.type.effect() == Effect.REPEATABLE) return true;
-        return r.type.effect() == Effect.BY_KEY && now - first.sentAt < r.type.windowMs() * 0.9
+        return r.type.effect() == Effect.BY_KEY && now - first.sentAt < r.type.repeatWithinMs()
                 && sameGroup(r.type.group(), first.target.listed, t.listed);
     }
 
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -73,6 +73,11 @@
             require(lateWorth >= 0 && lateWorth <= 1, "classes[].late_worth");
             require(windowMs >= 0, "classes[].window_ms");
         }
+
+        /** How long after the first send that may have run a repeat may begin; the rest is for its way to the server. */
+        public double repeatWithinMs() {
+            return windowMs * 0.9;
+        }
     }
 
     /** A tenant and the requests per second, over all nodes, that count as within its share. */
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -12,10 +12,12 @@
 import java.util.Set;
 import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Effect;
 import rowanplank.balancer.BalancerApi.Events;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.SiteSettings;
@@ -184,6 +186,17 @@
         return new Answer.Rejected(site.retryAfter(stopping ? RETRY_ELSEWHERE : Clock.span(retryAfterMs)));
     }
 
+    private RequestClass type(Exchange exchange) {
+        return site.module().classes().get(exchange.context().classIndex());
+    }
+
+    /** Servers drop repeats for so long only, and a repeat's connection may take its time to come up. */
+    private Instant startBy(Exchange exchange) {
+        RequestClass type = type(exchange);
+        return exchange.mayHaveRunSince() == null || type.effect() != Effect.BY_KEY ? exchange.deadline()
+                : exchange.mayHaveRunSince().plus(Clock.span(type.repeatWithinMs()));
+    }
+
     private void abandon(Entry entry, Answer answer) {
         long number = entry.exchange.number();
         if (conclude(entry, answer)) {
@@ -264,6 +277,7 @@
     public void departed(Exchange exchange) {
         counters.add(Count.CLIENTS_DEPARTED);
         deliver(() -> {
+            giveUpUnsent(exchange);
             balancer.onDeparture(nowMs(), exchange.number());
             Entry entry = entries.get(exchange.number());
             if (entry != null) {
@@ -272,9 +286,18 @@
         });
     }
 
+    /** Nobody waits any more for a try whose connection has not come up; no module has to allow that it is given up. */
+    private void giveUpUnsent(Exchange exchange) {
+        Exchange.Try attempt = exchange.outstanding();
+        if (attempt != null && !attempt.hasGoneOut()) {
+            sender.cancel(attempt);
+        }
+    }
+
     private boolean conclude(Entry entry, Answer answer) {
         boolean first = entry.exchange.answer(answer);
         if (first) {
+            giveUpUnsent(entry.exchange);
             counters.add(answer instanceof Answer.Served || answer instanceof Answer.Begun ? Count.ANSWERS_SERVED
                     : answer instanceof Answer.Rejected ? Count.ANSWERS_REJECTED : Count.ANSWERS_FAILED);
         }
@@ -322,7 +345,7 @@
     }
 
     private double worth(Entry entry) {
-        return site.module().classes().get(entry.exchange.context().classIndex()).worth();
+        return type(entry.exchange).worth();
     }
 
     private final class ModuleActions implements Actions {
@@ -337,7 +360,8 @@
             boolean begun = entry.exchange.isWanted() && number < site.module().limits().maxAttempts()
                     && entry.exchange.context().payload().isWhole()
                     && (number == 0 || bounds.tryAgain()) && places.begin(server, worth(entry));
-            Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
+            Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs)),
+                    startBy(entry.exchange)) : null;
             if (begun && attempt == null) {
                 places.end(server, true);
             }
--- a/src/main/java/rowanplank/exchange/Exchange.java
+++ b/src/main/java/rowanplank/exchange/Exchange.java
@@ -42,15 +42,18 @@
         private final int number;
         private final long peer;
         private final Instant until;
+        private final Instant startBy;
         private Instant started;
+        private boolean goneOut;
         private boolean begun;
         private boolean ended;
 
-        private Try(int number, long peer, Instant started, Instant until) {
+        private Try(int number, long peer, Instant started, Instant until, Instant startBy) {
             this.number = number;
             this.peer = peer;
             this.started = started;
             this.until = until;
+            this.startBy = startBy;
         }
 
         /** Tells the outcome; only the first one counts, since a try may fail in more than one place. */
@@ -60,6 +63,9 @@
             }
             ended = true;
             outstanding = null;
+            if (mayHaveRunSince == null && !outcome.neverRan()) {
+                mayHaveRunSince = started;
+            }
             listener.tryEnded(this, outcome, served);
         }
 
@@ -73,6 +79,21 @@
             return begun;
         }
 
+        /** Whether its first byte may be written now: its connection may have come up too late, or for nobody. */
+        public boolean mayGoOut(Instant now) {
+            return !ended && !Exchange.this.ended && now.isBefore(startBy()) && now.isBefore(until());
+        }
+
+        /** Its first byte is being written. */
+        public void goesOut() {
+            goneOut = true;
+        }
+
+        /** Whether something of it was written; before that it surely has not run. */
+        public boolean hasGoneOut() {
+            return goneOut;
+        }
+
         /** The request's last byte has gone out: only from now on can the peer's time be told. */
         public void sent(Instant now) {
             started = now;
@@ -101,7 +122,12 @@
 
         /** No answer is waited for beyond this, the time it takes to connect included. */
         public Instant until() {
-            return until;
+            return until.isBefore(deadline) ? until : deadline;
+        }
+
+        /** Its first byte must have been written before this. */
+        public Instant startBy() {
+            return startBy;
         }
     }
 
@@ -111,6 +137,8 @@
     private final Listener listener;
     private Instant deadline;
     private Try outstanding;
+    /** When the first try began that may have run; null as long as none may have. */
+    private Instant mayHaveRunSince;
     private boolean ended;
 
     /** @param number the request's number at this node, never used twice */
@@ -129,11 +157,15 @@
      * @return null if none may go out: the request has ended, or another try is still out
      */
     public Try begin(int number, long peer, Instant now, Instant until) {
+        return begin(number, peer, now, until, until);
+    }
+
+    /** The same. @param startBy its first byte may be written before this only */
+    public Try begin(int number, long peer, Instant now, Instant until, Instant startBy) {
         if (ended || outstanding != null) {
             return null;
         }
-        Instant limit = until.isBefore(deadline) ? until : deadline;
-        outstanding = new Try(number, peer, now, limit);
+        outstanding = new Try(number, peer, now, until, startBy);
         return outstanding;
     }
 
@@ -187,6 +219,16 @@
         return outstanding;
     }
 
+    /** When the first of the tries that have ended began that may have run; null if none of them may have. */
+    public Instant mayHaveRunSince() {
+        return mayHaveRunSince;
+    }
+
+    /** Whether a server may have begun with the request, be it by a try that is still out. */
+    public boolean mayHaveRun() {
+        return mayHaveRunSince != null || outstanding != null && outstanding.hasGoneOut();
+    }
+
     public long number() {
         return number;
     }
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -83,7 +83,7 @@
             fields.put(HttpHeader.HOST, Addresses.format(peer.address()));
         }
         fields.put("X-Request-ID", context.id());
-        Duration wait = upload == null ? left : upload.patience();
+        Duration wait = payload.isComing() && upload.patience().compareTo(left) < 0 ? upload.patience() : left;
         fields.put("X-Timeout", Math.max(1, wait.toNanos() / 1000) + "u");
         if (upload == null) {
             write(() -> written = true, Messages.request(payload.method(), payload.target(), fields, payload.body()));
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -121,9 +121,20 @@
             }
         }
 
+        /** Time is up: what waits for its connection surely has not run. */
+        private void timeUp() {
+            end(connecting != null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null);
+        }
+
         private void goOut(PeerConnection on) {
             connection = on;
-            on.send(this, Duration.between(clock.now(), attempt.until()), clock);
+            Instant now = clock.now();
+            if (attempt.mayGoOut(now)) {
+                attempt.goesOut();
+                on.send(this, Duration.between(now, attempt.until()), clock);
+            } else {
+                end(Outcome.CONNECT_FAILED, null);
+            }
         }
 
         /** Guards against a request that is written for a client that left, or was answered, while this came up. */
@@ -140,7 +151,9 @@
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
             opening.computeIfAbsent(attempt.peer(), p -> new LinkedHashSet<>()).add(this);
-            connecting = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
+            Duration useful = Duration.between(clock.now(), attempt.startBy());
+            Duration patience = useful.compareTo(connectTimeout) < 0 ? useful : connectTimeout;
+            connecting = loop.connect(member.address(), patience, new Loop.Connector() {
                 @Override
                 public Connection connected(EndPoint endPoint) {
                     waitNoMore();
@@ -187,8 +200,9 @@
     @Override
     public void send(Exchange.Try attempt) {
         Member member = group.ready(attempt.peer());
-        Duration left = Duration.between(clock.now(), attempt.until());
-        if (member == null || left.isNegative() || left.isZero()) {
+        Instant now = clock.now();
+        Duration left = Duration.between(now, attempt.until());
+        if (member == null || !attempt.mayGoOut(now)) {
             attempt.end(Outcome.MOOT, null);
             return;
         }
@@ -199,7 +213,7 @@
         }
         Sending sending = new Sending(attempt, member);
         out.put(attempt, sending);
-        sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+        sending.timer = loop.schedule(left, sending::timeUp);
         if (connection != null) {
             sending.goOut(connection);
         } else {
@@ -220,7 +234,7 @@
         Sending sending = out.get(attempt);
         if (sending != null && !attempt.begun()) {
             sending.timer.cancel();
-            sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+            sending.timer = loop.schedule(left, sending::timeUp);
         }
     }
 
--- /dev/null
+++ b/src/test/java/rowanplank/node/UpstreamRacesTest.java
@@ -0,0 +1,282 @@
+package rowanplank.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rowanplank.metrics.Counters.Count;
+import rowanplank.node.HeldServer.Accepted;
+import rowanplank.node.LoopNode.Client;
+import rowanplank.node.LoopNode.Hold;
+
+/**
+ * Events that cross on connections to upstream servers, through the whole node on loopback sockets; docs/races.md has a
+ * row for each. The servers do nothing by themselves, and the node's loop is held where events have to meet in one turn.
+ */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class UpstreamRacesTest {
+    private static final String LIMITS = """
+            "most_tries": 6, "conn_idle_ms": 30000, "connect_timeout_ms": 4000, "retry_after": true,
+            "max_retry_after_ms": 2000""";
+    private static final String TURNED_AWAY = "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+
+    /** So many tries a server is sent at once. */
+    private static final int AT_ONCE = 4;
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private StubSite site;
+    private LoopNode node;
+    private int requests;
+
+    @BeforeEach
+    void open() throws IOException {
+        site = opened(new StubSite());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable o : opened) {
+            o.close();
+        }
+        assertTrue(node.failures.isEmpty(), () -> "unforeseen: " + node.failures);
+    }
+
+    private <T extends AutoCloseable> T opened(T what) {
+        opened.add(0, what);
+        return what;
+    }
+
+    private HeldServer server() throws IOException {
+        return opened(new HeldServer());
+    }
+
+    private static String settings(boolean mayCancel, int windowMs) {
+        String figures = "\"aim_ms\": 2000, \"deadline_ms\": 20000, ";
+        return "{\"zones\": [\"a\"], \"classes\": [{\"name\": \"article\", " + figures + "\"effect\": \"repeatable\"},"
+                + "{\"name\": \"order\", " + figures + "\"effect\": \"once\"},"
+                + "{\"name\": \"keyed\", " + figures + "\"effect\": \"by_key\", \"group\": \"all\", \"window_ms\": " + windowMs + "},"
+                + "{\"name\": \"celled\", " + figures + "\"effect\": \"by_key\", \"group\": \"cell\", \"window_ms\": " + windowMs + "}],"
+                + "\"ceilings\": {\"may_cancel\": " + mayCancel + ", " + LIMITS + "},"
+                + "\"rules\": {\"answer_slack_ms\": 20, \"cold_from\": 0.1, \"cold_ms\": 20000, \"fall_multiple\": 2.5}}";
+    }
+
+    private void startWith(String settings, String... members) throws Exception {
+        site.list(members);
+        node = opened(new LoopNode(folder, settings, site.address()));
+    }
+
+    private void start(String... members) throws Exception {
+        startWith(settings(true, 10_000), members);
+    }
+
+    /** Tells another whole list, and returns when the node has it. */
+    private void list(String... members) throws Exception {
+        long before = node.count(Count.DISCOVERY_LISTS);
+        site.list(members);
+        node.awaitCount(Count.DISCOVERY_LISTS, before + 1);
+    }
+
+    private String request(String kind, String timeout, int length) {
+        String method = kind.equals("article") ? "GET" : "POST";
+        return method + " /" + kind + "/7 HTTP/1.1\r\nHost: x\r\nX-Request-ID: r" + ++requests + "\r\nX-Timeout: " + timeout
+                + "\r\n" + (kind.equals("article") ? "" : "Content-Length: " + length + "\r\n") + "\r\n" + "x".repeat(length);
+    }
+
+    private String request(String kind) {
+        return request(kind, "10000m", 0);
+    }
+
+    private Client ask(String kind) throws IOException {
+        return node.ask(request(kind));
+    }
+
+    /** The connection that a first request leaves at rest. */
+    private Accepted rested(HeldServer server) throws Exception {
+        Client first = ask("article");
+        Accepted connection = server.accept();
+        connection.serve(StubSite.ok("first"));
+        assertTrue(first.answer().endsWith("first"));
+        return connection;
+    }
+
+    private static long timeoutMicros(String request) {
+        Matcher m = Pattern.compile("X-Timeout: (\\d+)u\r\n").matcher(request);
+        assertTrue(m.find(), request);
+        return Long.parseLong(m.group(1));
+    }
+
+    /** Guards requests against connections whose end came in the turn in which they were to be used again. */
+    @Test
+    void aRestingConnectionThatEndsInTheTurnOfItsUseIsNotUsed() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        List<Client> clients = new ArrayList<>();
+        List<Accepted> resting = new ArrayList<>();
+        for (int i = 0; i < AT_ONCE; i++) {
+            clients.add(ask("article"));
+            resting.add(server.accept());
+            resting.get(i).request();
+        }
+        for (int i = 0; i < AT_ONCE; i++) {
+            resting.get(i).write(StubSite.ok("page"));
+            clients.get(i).answer();
+        }
+        try (Hold hold = node.hold()) {
+            hold.await();
+            for (int i = 0; i < AT_ONCE; i++) { // whichever of these the node sees first
+                clients.get(i).send(request("order"));
+                if (i % 2 == 0) {
+                    resting.get(i).reset();
+                } else {
+                    resting.get(i).close();
+                }
+            }
+        }
+        for (int i = 0; i < AT_ONCE; i++) {
+            server.accept().serve(StubSite.ok("order"));
+        }
+        for (Client client : clients) {
+            assertTrue(client.answer().endsWith("order"));
+        }
+        assertEquals(0, node.count(Count.TRIES_RESET));
+    }
+
+    private Client lostAfterItsLastByte(HeldServer server, String kind, boolean reset) throws Exception {
+        Accepted resting = rested(server);
+        Client client = ask(kind);
+        assertTrue(resting.request().startsWith(kind.equals("article") ? "GET" : "POST"));
+        if (reset) {
+            resting.reset();
+        } else {
+            resting.close();
+        }
+        return client;
+    }
+
+    /** Once the last byte was written the request may have run, whatever ended the connection. */
+    @Test
+    void whatMustNotRunTwiceIsFailedOnceItsLastByteWasWritten() throws Exception {
+        HeldServer server = server();
+        HeldServer other = server();
+        start(server.ready("s-1"));
+        Client closed = lostAfterItsLastByte(server, "order", false);
+        assertEquals(502, closed.status());
+        Client reset = lostAfterItsLastByte(server, "order", true);
+        assertEquals(502, reset.status());
+        list(server.ready("s-1"), other.ready("s-2"));
+        assertEquals(2, node.count(Count.TRIES_RESET));
+        assertFalse(other.isAsked(), "nothing was sent again");
+    }
+
+    /** What surely never ran goes to another server, also where its effect must not come about twice. */
+    @Test
+    void whatSurelyNeverRanIsSentAgain() throws Exception {
+        HeldServer server = server();
+        HeldServer other = server();
+        start(server.ready("s-1"));
+        Accepted resting = rested(server);
+        Client client = ask("order");
+        resting.request();
+        list(server.ready("s-1"), other.ready("s-2"));
+        resting.write(TURNED_AWAY);
+        other.accept().serve(StubSite.ok("order"));
+        assertTrue(client.answer().endsWith("order"));
+        assertEquals(1, node.count(Count.TRIES_FULL));
+    }
+
+    /** A repeat for a key goes to the servers that know of the key, and nothing is called harmless that is not. */
+    @Test
+    void aKeyedRequestIsRepeatedWithinItsGroupOnly() throws Exception {
+        HeldServer server = server();
+        HeldServer elsewhere = server();
+        start(server.ready("s-1"));
+        Client celled = lostAfterItsLastByte(server, "celled", true);
+        list(elsewhere.ready("s-2").replace("\"cell\":0", "\"cell\":1"));
+        Client free = ask("keyed");
+        Accepted second = elsewhere.accept();
+        assertTrue(second.request().startsWith("POST /keyed"), "the other one did not go out of its group");
+        second.write(StubSite.ok("keyed"));
+        assertTrue(free.answer().endsWith("keyed"));
+        assertEquals(502, celled.status());
+    }
+
+    /** Guards the window in which servers drop repeats: a repeat's connection may come up after it. */
+    @Test
+    void aRepeatWhoseConnectionComesUpAfterItsWindowIsNotSent() throws Exception {
+        HeldServer server = server();
+        HeldServer late = opened(HeldServer.full());
+        startWith(settings(true, 500), server.ready("s-1"));
+        Accepted resting = rested(server);
+        Client client = ask("keyed");
+        resting.request();
+        list(server.ready("s-1"), late.ready("s-2"));
+        resting.reset();
+        node.awaitCount(Count.TRIES_SENT, 3);
+        late.makeRoom();
+        assertEquals(503, client.status());
+        assertFalse(late.isAsked(), "it was given up before it came up");
+        assertEquals(1, node.count(Count.TRIES_CONNECT_FAILED));
+    }
+
+    /** No module has to allow that a connection is given up on which nothing was sent. */
+    @Test
+    void aClientThatLeavesEndsTheConnectingAtOnce() throws Exception {
+        HeldServer late = opened(HeldServer.full());
+        startWith(settings(false, 10_000), late.ready("s-1"));
+        Client client = ask("article");
+        node.awaitCount(Count.TRIES_SENT, 1);
+        client.close();
+        node.awaitCount(Count.CLIENTS_DEPARTED, 1);
+        assertEquals(1, node.count(Count.TRIES_CANCELLED));
+        late.makeRoom();
+        Client next = ask("article");
+        Accepted only = late.accept();
+        assertTrue(only.serve(StubSite.ok("next")).contains("X-Request-ID: r2\r\n"));
+        assertTrue(next.answer().endsWith("next"));
+    }
+
+    /** The connection is up, and in the same turn nobody waits for it any more. */
+    @Test
+    void nothingIsSentOnAConnectionThatComesUpAsTimeIsUp() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Hold hold = node.holdAfterTries(1);
+        Client client = node.ask(request("article", "60m", 0));
+        Accepted connection;
+        try (hold) {
+            hold.await();
+            connection = server.accept();
+            Thread.sleep(100); // its time is up, whenever this returns
+        }
+        assertEquals(503, client.status());
+        assertEquals(0, connection.bytesToItsEnd());
+        assertEquals(0, node.count(Count.TRIES_TIMEOUT), "it surely has not run");
+    }
+
+    /** Guards servers against work for clients that no longer wait: what they are told is what is left. */
+    @Test
+    void anUploadTellsTheTimeLeftOnceItHasCome() throws Exception {
+        HeldServer late = opened(HeldServer.full());
+        start(late.ready("s-1"));
+        Client client = node.ask(request("order", "5000m", 100_000));
+        node.awaitCount(Count.UPLOADS, 1);
+        node.awaitCount(Count.TRIES_SENT, 1);
+        late.makeRoom();
+        String request = late.accept().serve(StubSite.ok("order"));
+        assertTrue(timeoutMicros(request) < 4_800_000, request.substring(0, 200));
+        assertTrue(client.answer().endsWith("order"));
+    }
+}
