Refuse at a node's end, and after a broken upload, only what may be asked again

Decisions answered 503 to all that was open when a node has to stop, also to requests of effect once, or with a key of a zone or cell, whose attempt was out: clients take a 503 as leave to ask again, and the effect came about twice. What may have run and must not run twice is now failed.

A large body of which something was sent can't be sent again. After its attempt had broken, the module held the request for another server until its hold was over; the client got 408 once its body had stood still, or an answer seconds late. It is answered as the attempt ends.

Seen to fail with the mends taken out: aNodeThatEndsFailsWhatMayHaveRunAndMustNotRunTwice (503 for 502), whatBrokeBeforeItsLastByteMayBeAskedAgain (408 for 503). Read through and found right: Balancer.answer, mayGo and sendAgain, Decisions.overdue (fails whatever is left), Exchange.begin (one attempt outstanding).

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -185,13 +185,6 @@
         if (!open.isEmpty()) keepTicking();
     }
 
-    public void onStop(double nowMs) {
-        now = nowMs;
-        for (Open r : List.copyOf(open.values())) {
-            if (!r.done) answer(r);
-        }
-    }
-
     private void keepTicking() {
         if (ticking) return;
         ticking = true;
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -164,9 +164,6 @@
         void onDeparture(double nowMs, long request);
 
         void onTimer(double nowMs, long token);
-
-        /** The node is about to end: whatever is open is owed its final answer now. */
-        void onStop(double nowMs);
     }
 
     /** What the balancer asks of the node. */
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -14,6 +14,7 @@
 import rowanplank.balancer.BalancerApi.Actions;
 import rowanplank.balancer.BalancerApi.Effect;
 import rowanplank.balancer.BalancerApi.Events;
+import rowanplank.balancer.BalancerApi.Group;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
@@ -128,7 +129,7 @@
         if (stopping) {
             counters.add(Count.REQUESTS_TAKEN);
             counters.add(Count.ANSWERS_REJECTED);
-            exchange.answer(refusal(0));
+            exchange.answer(unserved(exchange));
             return exchange;
         }
         Entry entry = new Entry(exchange);
@@ -171,19 +172,18 @@
         }
     }
 
-    /**
-     * Answers all that is open, and at once whatever still comes, for a node that must stop now. The module says which of
-     * them may be refused: a request whose attempt may have run is not, where it is unsafe to repeat.
-     */
+    /** Answers all that is open, and refuses at once whatever still comes, for a node that must stop now. */
     public void answerAll() {
         stopping = true;
-        deliver(() -> balancer.onStop(nowMs()));
-        new ArrayList<>(entries.values()).forEach(e -> abandon(e, new Answer.Failed()));
+        new ArrayList<>(entries.values()).forEach(e -> abandon(e, unserved(e.exchange)));
     }
 
-    /** What a refused client is told of when it may come again. */
-    private Answer refusal(double retryAfterMs) {
-        return new Answer.Rejected(site.retryAfter(stopping ? RETRY_ELSEWHERE : Clock.span(retryAfterMs)));
+    /** A refusal says that asking again does no harm: it would, where what may have run must not run twice. */
+    private Answer unserved(Exchange exchange) {
+        RequestClass type = type(exchange);
+        boolean harmless = !exchange.mayHaveRun() || type.effect() == Effect.REPEATABLE
+                || type.effect() == Effect.BY_KEY && type.group() == Group.ALL;
+        return harmless ? new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE)) : new Answer.Failed();
     }
 
     private RequestClass type(Exchange exchange) {
@@ -253,6 +253,8 @@
             Entry entry = entries.get(exchange.number());
             if (outcome == Outcome.OK) {
                 conclude(entry, served);
+            } else if (!exchange.context().payload().isWhole()) {
+                conclude(entry, unserved(exchange)); // what has gone on of its body can't be sent again
             }
             entry.untold--;
             balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), outcome, latency, exchange.ended());
@@ -382,7 +384,7 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            answer(request, refusal(retryAfterMs));
+            answer(request, new Answer.Rejected(site.retryAfter(Clock.span(retryAfterMs))));
         }
 
         @Override
--- a/src/main/java/rowanplank/lab/policy/Carrier.java
+++ b/src/main/java/rowanplank/lab/policy/Carrier.java
@@ -183,15 +183,6 @@
         }
     }
 
-    @Override
-    public void onStop(double nowMs) {
-        for (Open r : List.copyOf(open.values())) {
-            if (!r.done) {
-                answer(r);
-            }
-        }
-    }
-
     private static boolean isOver(double nowMs, Open r) {
         return nowMs > r.request.deadlineMs() - TICK_MS;
     }
--- a/src/test/java/rowanplank/cli/SoakNode.java
+++ b/src/test/java/rowanplank/cli/SoakNode.java
@@ -65,11 +65,6 @@
         public void onTimer(double nowMs, long token) {
             time(() -> module.onTimer(nowMs, token));
         }
-
-        @Override
-        public void onStop(double nowMs) {
-            time(() -> module.onStop(nowMs));
-        }
     }
 
     public static void main(String[] args) throws Exception {
--- a/src/test/java/rowanplank/decision/DecisionsTest.java
+++ b/src/test/java/rowanplank/decision/DecisionsTest.java
@@ -84,7 +84,9 @@
     @Override
     public void send(Exchange.Try attempt) {
         tried.add(attempt.peer());
-        if (!stays) {
+        if (stays) {
+            attempt.goesOut();
+        } else {
             attempt.end(Outcome.CONNECT_FAILED, null);
         }
     }
--- a/src/test/java/rowanplank/lab/check/BrokenModule.java
+++ b/src/test/java/rowanplank/lab/check/BrokenModule.java
@@ -115,7 +115,4 @@
 
     @Override
     public void onTimer(double nowMs, long token) { }
-
-    @Override
-    public void onStop(double nowMs) { }
 }
--- a/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
+++ b/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
@@ -172,11 +172,6 @@
         public void onTimer(double nowMs, long token) {
             balancer.onTimer(nowMs, token);
         }
-
-        @Override
-        public void onStop(double nowMs) {
-            balancer.onStop(nowMs);
-        }
     }
 
     /** A node's core and its peers' side on the client's loop, and one server on the other. */
--- a/src/test/java/rowanplank/node/UpstreamRacesTest.java
+++ b/src/test/java/rowanplank/node/UpstreamRacesTest.java
@@ -112,6 +112,14 @@
         return connection;
     }
 
+    private static String head(Accepted connection) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            text.append((char) connection.socket.getInputStream().read());
+        }
+        return text.toString();
+    }
+
     private static long timeoutMicros(String request) {
         Matcher m = Pattern.compile("X-Timeout: (\\d+)u\r\n").matcher(request);
         assertTrue(m.find(), request);
@@ -181,6 +189,26 @@
         assertFalse(other.isAsked(), "nothing was sent again");
     }
 
+    /** Before that it surely has not, even where its first bytes were read. */
+    @Test
+    void whatBrokeBeforeItsLastByteMayBeAskedAgain() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        for (boolean reset : new boolean[] {false, true}) {
+            Accepted resting = rested(server);
+            Client client = node.ask(request("order", "10000m", 300_000).substring(0, 200_000));
+            assertTrue(head(resting).startsWith("POST /order"), "its first bytes have come");
+            if (reset) {
+                resting.reset();
+            } else {
+                resting.close();
+            }
+            assertEquals(503, client.status());
+        }
+        assertEquals(2, node.count(Count.TRIES_CONNECT_FAILED));
+        assertEquals(0, node.count(Count.TRIES_RESET));
+    }
+
     /** What surely never ran goes to another server, also where its effect must not come about twice. */
     @Test
     void whatSurelyNeverRanIsSentAgain() throws Exception {
@@ -279,4 +307,26 @@
         assertTrue(timeoutMicros(request) < 4_800_000, request.substring(0, 200));
         assertTrue(client.answer().endsWith("order"));
     }
+
+    /** A node that must stop now says only of that which is harmless to ask again that it is. */
+    @Test
+    void aNodeThatEndsFailsWhatMayHaveRunAndMustNotRunTwice() throws Exception {
+        HeldServer server = server();
+        HeldServer late = opened(HeldServer.full());
+        start(server.ready("s-1"));
+        Client order = ask("order");
+        server.accept().request();
+        Client article = ask("article");
+        server.accept().request();
+        Client celled = ask("celled");
+        server.accept().request();
+        list(late.ready("s-2"));
+        Client unsent = ask("order");
+        node.awaitCount(Count.TRIES_SENT, 4);
+        node.node.stop(() -> { });
+        assertEquals(502, order.status());
+        assertEquals(502, celled.status());
+        assertEquals(503, article.status());
+        assertEquals(503, unsent.status(), "it waited for its connection");
+    }
 }
