Have the client leave in the very turn in which its attempt's connection comes up

The test before had a connection come up long after its client had left. Since such connecting is now given up at once, where the settings allow no withdrawal too, no connection comes up any more, and the test could only wait in vain. Its place takes the crossing that is left: connection and client's end between two turns of the node's thread. Nothing may be written, and the attempt ends as cancelled; UpstreamRacesTest.aClientThatLeavesEndsTheConnectingAtOnce holds the other one.

--- a/src/test/java/rowanplank/node/HeldNode.java
+++ b/src/test/java/rowanplank/node/HeldNode.java
@@ -216,6 +216,13 @@
         return hold.await();
     }
 
+    /** Will hold the node's thread before it looks at its sockets again. */
+    Hold holdInNextTurn() {
+        Hold hold = new Hold("");
+        loop.execute(hold);
+        return hold;
+    }
+
     /** Will hold the node's thread when the module is next to be told this, of what is else done by then. */
     Hold holdBefore(String event) {
         Hold hold = new Hold(event);
