--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -12,10 +12,13 @@
 import java.util.Set;
 import rowanplank.balancer.Balancer;
 import rowanplank.balancer.BalancerApi.Actions;
+import rowanplank.balancer.BalancerApi.Effect;
 import rowanplank.balancer.BalancerApi.Events;
+import rowanplank.balancer.BalancerApi.Group;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
+import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.config.SiteSettings;
@@ -126,7 +129,7 @@
         if (stopping) {
             counters.add(Count.REQUESTS_TAKEN);
             counters.add(Count.ANSWERS_REJECTED);
-            exchange.answer(refusal(0));
+            exchange.answer(unserved(exchange));
             return exchange;
         }
         Entry entry = new Entry(exchange);
@@ -169,19 +172,29 @@
         }
     }
 
-    /**
-     * Answers all that is open, and at once whatever still comes, for a node that must stop now. The module says which of
-     * them may be refused: a request whose attempt may have run is not, where it is unsafe to repeat.
-     */
+    /** Answers all that is open, and refuses at once whatever still comes, for a node that must stop now. */
     public void answerAll() {
         stopping = true;
-        deliver(() -> balancer.onStop(nowMs()));
-        new ArrayList<>(entries.values()).forEach(e -> abandon(e, new Answer.Failed()));
+        new ArrayList<>(entries.values()).forEach(e -> abandon(e, unserved(e.exchange)));
     }
 
-    /** What a refused client is told of when it may come again. */
-    private Answer refusal(double retryAfterMs) {
-        return new Answer.Rejected(site.retryAfter(stopping ? RETRY_ELSEWHERE : Clock.span(retryAfterMs)));
+    /** A refusal says that asking again does no harm: it would, where what may have run must not run twice. */
+    private Answer unserved(Exchange exchange) {
+        RequestClass type = type(exchange);
+        boolean harmless = !exchange.mayHaveRun() || type.effect() == Effect.REPEATABLE
+                || type.effect() == Effect.BY_KEY && type.group() == Group.ALL;
+        return harmless ? new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE)) : new Answer.Failed();
+    }
+
+    private RequestClass type(Exchange exchange) {
+        return site.module().classes().get(exchange.context().classIndex());
+    }
+
+    /** Servers drop repeats for so long only, and a repeat's connection may take its time to come up. */
+    private Instant startBy(Exchange exchange) {
+        RequestClass type = type(exchange);
+        return exchange.mayHaveRunSince() == null || type.effect() != Effect.BY_KEY ? exchange.deadline()
+                : exchange.mayHaveRunSince().plus(Clock.span(type.repeatWithinMs()));
     }
 
     private void abandon(Entry entry, Answer answer) {
@@ -240,6 +253,8 @@
             Entry entry = entries.get(exchange.number());
             if (outcome == Outcome.OK) {
                 conclude(entry, served);
+            } else if (!exchange.context().payload().isWhole()) {
+                conclude(entry, unserved(exchange)); // what has gone on of its body can't be sent again
             }
             entry.untold--;
             balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), outcome, latency, exchange.ended());
@@ -264,6 +279,7 @@
     public void departed(Exchange exchange) {
         counters.add(Count.CLIENTS_DEPARTED);
         deliver(() -> {
+            giveUpUnsent(exchange);
             balancer.onDeparture(nowMs(), exchange.number());
             Entry entry = entries.get(exchange.number());
             if (entry != null) {
@@ -272,9 +288,18 @@
         });
     }
 
+    /** Nobody waits any more for a try whose connection has not come up; no module has to allow that it is given up. */
+    private void giveUpUnsent(Exchange exchange) {
+        Exchange.Try attempt = exchange.outstanding();
+        if (attempt != null && !attempt.hasGoneOut()) {
+            sender.cancel(attempt);
+        }
+    }
+
     private boolean conclude(Entry entry, Answer answer) {
         boolean first = entry.exchange.answer(answer);
         if (first) {
+            giveUpUnsent(entry.exchange);
             counters.add(answer instanceof Answer.Served || answer instanceof Answer.Begun ? Count.ANSWERS_SERVED
                     : answer instanceof Answer.Rejected ? Count.ANSWERS_REJECTED : Count.ANSWERS_FAILED);
         }
@@ -322,7 +347,7 @@
     }
 
     private double worth(Entry entry) {
-        return site.module().classes().get(entry.exchange.context().classIndex()).worth();
+        return type(entry.exchange).worth();
     }
 
     private final class ModuleActions implements Actions {
@@ -334,9 +359,11 @@
             }
             int number = entry.sends++;
             Instant now = clock.now();
-            boolean begun = number < site.module().limits().maxAttempts() && entry.exchange.context().payload().isWhole()
+            boolean begun = entry.exchange.isWanted() && number < site.module().limits().maxAttempts()
+                    && entry.exchange.context().payload().isWhole()
                     && (number == 0 || bounds.tryAgain()) && places.begin(server, worth(entry));
-            Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs))) : null;
+            Exchange.Try attempt = begun ? entry.exchange.begin(number, server, now, now.plus(Clock.span(timeoutMs)),
+                    startBy(entry.exchange)) : null;
             if (begun && attempt == null) {
                 places.end(server, true);
             }
@@ -357,7 +384,7 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            answer(request, refusal(retryAfterMs));
+            answer(request, new Answer.Rejected(site.retryAfter(Clock.span(retryAfterMs))));
         }
 
         @Override
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -121,20 +121,43 @@
             }
         }
 
+        /** Time is up: what waits for its connection surely has not run. */
+        private void timeUp() {
+            end(connecting != null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null);
+        }
+
         private void goOut(PeerConnection on) {
             connection = on;
-            on.send(this, Duration.between(clock.now(), attempt.until()), clock);
+            Instant now = clock.now();
+            if (attempt.mayGoOut(now)) {
+                attempt.goesOut();
+                on.send(this, Duration.between(now, attempt.until()), clock);
+            } else {
+                end(Outcome.CONNECT_FAILED, null);
+            }
+        }
+
+        /** Guards against a request that is written for a client that left, or was answered, while this came up. */
+        private void cameUp(PeerConnection on) {
+            if (attempt.exchange().isWanted()) {
+                goOut(on);
+            } else {
+                keep(on);
+                end(Outcome.MOOT, null);
+            }
         }
 
         private void open() {
             connections++;
             counters.add(Count.PEER_CONNECTIONS);
             opening.computeIfAbsent(attempt.peer(), p -> new LinkedHashSet<>()).add(this);
-            connecting = loop.connect(member.address(), connectTimeout, new Loop.Connector() {
+            Duration useful = Duration.between(clock.now(), attempt.startBy());
+            Duration patience = useful.compareTo(connectTimeout) < 0 ? useful : connectTimeout;
+            connecting = loop.connect(member.address(), patience, new Loop.Connector() {
                 @Override
                 public Connection connected(EndPoint endPoint) {
                     waitNoMore();
-                    return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::goOut);
+                    return new PeerConnection(endPoint, loop, Peers.this, member, Sending.this::cameUp);
                 }
 
                 @Override
@@ -177,8 +200,9 @@
     @Override
     public void send(Exchange.Try attempt) {
         Member member = group.ready(attempt.peer());
-        Duration left = Duration.between(clock.now(), attempt.until());
-        if (member == null || left.isNegative() || left.isZero()) {
+        Instant now = clock.now();
+        Duration left = Duration.between(now, attempt.until());
+        if (member == null || !attempt.mayGoOut(now)) {
             attempt.end(Outcome.MOOT, null);
             return;
         }
@@ -189,7 +213,7 @@
         }
         Sending sending = new Sending(attempt, member);
         out.put(attempt, sending);
-        sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+        sending.timer = loop.schedule(left, sending::timeUp);
         if (connection != null) {
             sending.goOut(connection);
         } else {
@@ -210,7 +234,7 @@
         Sending sending = out.get(attempt);
         if (sending != null && !attempt.begun()) {
             sending.timer.cancel();
-            sending.timer = loop.schedule(left, () -> sending.end(Outcome.TIMEOUT, null));
+            sending.timer = loop.schedule(left, sending::timeUp);
         }
     }
 
