Tell a large answer's outcome before its end, which may bring the next attempt

Cause: PeerConnection.finish gave the connection back, then ended the transfer, and told the attempt's outcome last. The end of the transfer completes the client's answer, and a command that was sent behind it is opened within that call and takes the connection just given back; the outcome that followed found the connection not answered and closed it, over the second attempt. It ended as reset: sent again, or of an unsafe class failed.

Ruled out: the server (the test's own stand-in keeps the connection), and the client (the same with one that waits).

Change: the outcome comes first. Seen to fail with the old order: the second command got a 503 after its aim, with tries_reset=1.

--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -288,12 +288,12 @@
         } else {
             close();
         }
+        done.end(outcome, served); // before the answer's end, which may bring the next try on this connection
         if (passed != null && outcome == Outcome.OK) {
             passed.end();
         } else if (passed != null) {
             passed.fail();
         }
-        done.end(outcome, served);
     }
 
     /** An answer without framing ends so; any other is cut short. */
--- a/src/test/java/rowanplank/node/HeldNode.java
+++ b/src/test/java/rowanplank/node/HeldNode.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -24,6 +25,7 @@
 import rowanplank.config.NodeConfig;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.Clock;
 import rowanplank.net.FileAccess;
 import rowanplank.net.SelectorLoop;
 import rowanplank.net.SystemClock;
@@ -44,6 +46,7 @@
     private final List<Throwable> failures = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile Hold awaited;
+    private volatile Duration ahead = Duration.ZERO;
     /** At 0 once the node has ended by itself. */
     final CountDownLatch ended = new CountDownLatch(1);
 
@@ -99,7 +102,8 @@
                 + "},\"settings\":{\"balancers\":1,\"position\":0,\"zone\":0,\"zones\":[\"a\"],"
                 + "\"membership_mode\":\"push\",\"classes\":[" + classes + "],\"ceilings\":{\"most_tries\":6,"
                 + "\"conn_idle_ms\":30000,\"retry_after\":true,\"max_retry_after_ms\":2000," + ceilings + "}}}");
-        SystemClock clock = new SystemClock();
+        Clock system = new SystemClock();
+        Clock clock = () -> system.now().plus(ahead);
         loop = new SelectorLoop(clock, failures::add);
         RateLimitedLog rateLimited = new RateLimitedLog(clock, (warning, line, cause) -> {
             log.add(line);
@@ -223,6 +227,11 @@
         return hold;
     }
 
+    /** Has so much time go by at once, for a node that is held; what falls due then comes before its sockets. */
+    void pass(int millis) {
+        ahead = ahead.plusMillis(millis);
+    }
+
     /** Will hold the node's thread when the module is next to be told this, of what is else done by then. */
     Hold holdBefore(String event) {
         Hold hold = new Hold(event);
@@ -233,7 +242,9 @@
     /** Waits until the node's thread has looked at its sockets so many times more. */
     void turns(int count) throws Exception {
         for (int i = 0; i < count; i++) {
-            loop.call(() -> null);
+            CountDownLatch turned = new CountDownLatch(1);
+            loop.execute(() -> loop.schedule(Duration.ZERO, turned::countDown)); // timers come after the next look
+            assertTrue(turned.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
         }
     }
 
