End resting connections by a shutdown and a bounded linger, not by a close

Cause: ConnectionQueue's evictions, the drain and the winding down closed a resting connection after one last look. What came after the look met a closed socket: a reset, which takes with it what of the last answer is still in the node's send buffer for a slow reader. A client that sent ahead more than is held was closed over unread bytes as well, its open request with it. And an answer that had not said that it is the last, but was finished during a drain or the winding down, ended the connection over commands that had been read.

Ruled out: a second look before the close (it only narrows the gap), and asking the kernel what is unsent (the JDK can't).

Change: such a connection's sending is ended, and what comes is read and dropped, as it already was behind a last answer: up to 256 KiB, 1 s, and the client's end. Descriptors: those that linger count as open; while less than an eighth of the connections is free, those long at rest are ended ahead of need, and where a descriptor is wanted now the one that has lingered longest is closed. What lingers no longer counts as a served connection. Sending ahead too much gives up what is unread and answers what is open; 256 KiB more and the client is let go. Commands read behind an answer that did not say that it is the last are served.

ConnectionQueueTest: the sorting rule no longer counts lingering connections as served ones either; all else holds as it did.

--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -104,20 +104,38 @@
     }
 
     @Override
-    public boolean closeIfIdle() {
+    public boolean endIfIdle() {
         if (isIdle()) {
             lastLook();
         }
-        if (isIdle()) {
-            close();
+        if (isIdle() && !unread.hasRemaining()) {
+            linger();
         }
-        return isOver();
+        return place.stage() == Stage.LINGERING || isOver();
+    }
+
+    @Override
+    public void closeLingering() {
+        lastLook();
+        close();
+    }
+
+    /**
+     * Ends the sending, and reads and drops what still comes: a close over bytes that nobody has read would be a reset, which
+     * takes with it what of the last answer is still on its way.
+     */
+    private void linger() {
+        lastOne = true;
+        dropped = 0;
+        place.move(Stage.LINGERING, intake.clock.now());
+        resumeReading();
+        getEndPoint().shutdownOutput();
     }
 
     @Override
     public void timeUp() {
         switch (place.stage()) {
-            case SILENT, RESTING -> closeIfIdle();
+            case SILENT, RESTING -> endIfIdle();
             case BEGINNING, GOING_ON -> {
                 lastLook();
                 if (isReading() && !isIdle() && !isOver()) {
@@ -125,7 +143,8 @@
                 }
             }
             case SENDING -> stalled();
-            case WRITING, LINGERING -> close();
+            case WRITING -> close();
+            case LINGERING -> closeLingering();
             case WAITING -> { }
         }
     }
@@ -153,14 +172,12 @@
     @Override
     protected void onBytes(ByteBuffer bytes) {
         if (place.stage() == Stage.LINGERING || lastOne) {
-            dropped += bytes.remaining(); // nothing more is answered here
-            if (dropped > MOST_LINGER_BYTES) {
-                pauseReading();
-            }
+            drop(bytes.remaining());
             return;
         }
         if (unread.remaining() + bytes.remaining() > MOST_UNREAD + Messages.MOST_HELD_BYTES) {
-            close(); // sent ahead far more than a client has reason to
+            giveUpReading(); // sent ahead far more than a client has reason to: it gets what is open, and no more
+            drop(bytes.remaining());
             return;
         }
         pace.came(intake.clock.now());
@@ -178,6 +195,16 @@
         }
     }
 
+    /** Nothing more is answered here. Reads on, for the client's end; but no client may keep the node at reading. */
+    private void drop(int bytes) {
+        dropped += bytes;
+        if (dropped > MOST_LINGER_BYTES && exchange != null) {
+            close(); // paused, its end could not be seen, and its request would be sent on
+        } else if (dropped > MOST_LINGER_BYTES) {
+            pauseReading();
+        }
+    }
+
     /** No more is taken here, and what was read is let go at once: it is the room for it that is wanting. */
     private void giveUpReading() {
         boolean unanswered = isReading();
@@ -499,12 +526,11 @@
     }
 
     private void written() {
-        Instant now = intake.clock.now();
-        if (lastOne || intake.closing()) {
-            place.move(Stage.LINGERING, now);
-            getEndPoint().shutdownOutput();
+        if (lastOne) {
+            linger();
             return;
         }
+        Instant now = intake.clock.now();
         intake.giveBack(reader);
         reader = null;
         intake.hold(unread.remaining() - held);
@@ -513,7 +539,11 @@
         pace.reset();
         place.move(Stage.RESTING, now);
         advance();
-        intake.closeServed(now);
+        if (intake.closing()) {
+            endIfIdle(); // the answer did not say that it is the last: what came behind it is still answered
+        } else {
+            intake.endServed(now);
+        }
     }
 
     @Override
--- a/src/main/java/rowanplank/intake/http/ConnectionQueue.java
+++ b/src/main/java/rowanplank/intake/http/ConnectionQueue.java
@@ -40,11 +40,15 @@
     /** What is queued here. */
     interface Connection {
         /**
-         * Closes the connection if it owes nothing, also not for what has come in but was not yet read.
+         * Ends the connection if it owes nothing, also not for what has come in but was not yet read: it lingers, or is
+         * closed where the client has ended it.
          *
-         * @return whether it is closed
+         * @return whether it is ended
          */
-        boolean closeIfIdle();
+        boolean endIfIdle();
+
+        /** Closes one that lingers, now. */
+        void closeLingering();
 
         /** It has been at its stage for too long; whatever this does, it is there anew, or no more. */
         void timeUp();
@@ -122,7 +126,7 @@
 
         /** A whole request has come, or one that can't be taken. */
         void asked() {
-            if (!asked && !left) {
+            if (!asked && !left && stage != Stage.LINGERING) {
                 asked = true;
                 served++;
             }
@@ -133,6 +137,9 @@
             places.get(stage).remove(this);
             stage = to;
             since = now;
+            if (to == Stage.LINGERING) {
+                servesNoMore();
+            }
             if (!left && to != Stage.WAITING) {
                 places.get(to).add(this);
             }
@@ -144,10 +151,15 @@
                 left = true;
                 places.get(stage).remove(this);
                 size--;
-                served -= asked ? 1 : 0;
+                servesNoMore();
             }
         }
 
+        private void servesNoMore() {
+            served -= asked ? 1 : 0;
+            asked = false;
+        }
+
         @Override
         public int compareTo(Place other) {
             int order = since.compareTo(other.since);
@@ -170,15 +182,15 @@
      * Makes room for a newcomer. Those that connect and say nothing go first: they must not push out clients that
      * are served. A connection that turns out to have sent something stays, and the next one is tried.
      *
-     * @return whether one was closed
+     * @return whether one was ended, which may linger
      */
-    boolean closeOneAtRest(Instant now) {
-        return closeFirst(Stage.SILENT, now.minus(FRESH)) || closeFirst(Stage.RESTING, now.minus(LONGEST_IDLE_CROWDED));
+    boolean endOneAtRest(Instant now) {
+        return endFirst(Stage.SILENT, now.minus(FRESH)) || endFirst(Stage.RESTING, now.minus(LONGEST_IDLE_CROWDED));
     }
 
     /** The same where none has been at rest for long. */
-    boolean closeOneIdle() {
-        return closeFirst(Stage.SILENT, Instant.MAX) || closeFirst(Stage.RESTING, Instant.MAX);
+    boolean endOneIdle() {
+        return endFirst(Stage.SILENT, Instant.MAX) || endFirst(Stage.RESTING, Instant.MAX);
     }
 
     /**
@@ -186,17 +198,31 @@
      * are held in that way, no further request finds one. The longest at rest go first; one that sends its next
      * request meanwhile sends it again on a new connection, which only a first request could not.
      *
-     * @return whether there were too many, and one was closed
+     * @return whether there were too many, and one was ended
+     */
+    boolean endOneServed(Instant now) {
+        return served > mostServed && endFirst(Stage.RESTING, now.minus(PAUSE));
+    }
+
+    /**
+     * Where there is no room for those that linger: closes the one that has for longest.
+     *
+     * @return whether there was one
      */
-    boolean closeOneServed(Instant now) {
-        return served > mostServed && closeFirst(Stage.RESTING, now.minus(PAUSE));
+    boolean closeOneLingering() {
+        TreeSet<Place> at = places.get(Stage.LINGERING);
+        if (at.isEmpty()) {
+            return false;
+        }
+        at.first().connection.closeLingering();
+        return true;
     }
 
-    /** Each that was at the stage is looked at once: one that is not closed has moved on, or come back to the end. */
-    private boolean closeFirst(Stage stage, Instant before) {
+    /** Each that was at the stage is looked at once: one that is not ended has moved on, or come back to the end. */
+    private boolean endFirst(Stage stage, Instant before) {
         TreeSet<Place> at = places.get(stage);
         for (int left = at.size(); left > 0 && isBefore(at, before); left--) {
-            if (at.first().connection.closeIfIdle()) {
+            if (at.first().connection.endIfIdle()) {
                 return true;
             }
         }
@@ -253,10 +279,10 @@
                 .flatMap(s -> places.get(s).stream()).filter(p -> p.since.isBefore(before)).count();
     }
 
-    /** Closes all that owe nothing: a look at each. */
-    void closeIdle() {
+    /** Ends all that owe nothing: a look at each. */
+    void endIdle() {
         for (Stage stage : List.of(Stage.SILENT, Stage.RESTING)) {
-            List.copyOf(places.get(stage)).forEach(p -> p.connection.closeIfIdle());
+            List.copyOf(places.get(stage)).forEach(p -> p.connection.endIfIdle());
         }
     }
 }
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -41,6 +41,9 @@
      * the descriptors that no side's connections have. */
     private static final int MOST_TOLD = 16;
 
+    /** Connections at rest are ended while so large a part is still free, so that they can linger. */
+    private static final int LINGERING_PART = 8;
+
     final SiteSettings site;
     final Exchanges exchanges;
     final Loop loop;
@@ -52,6 +55,8 @@
     /** What a connection has of a request when it has nothing. */
     final ByteBuffer noBytes = ByteBuffer.allocate(0);
     private final int mostConnections;
+    /** So many are kept free for newcomers, as long as there are connections at rest. */
+    private final int kept;
     private final Lifecycle lifecycle;
     private final ConnectionQueue connections;
     private final Deque<RequestReader> spareReaders = new ArrayDeque<>();
@@ -69,6 +74,7 @@
         this.site = site;
         this.exchanges = exchanges;
         this.mostConnections = mostConnections;
+        kept = mostConnections / LINGERING_PART;
         this.loop = loop;
         clock = loop.clock();
         this.counters = counters;
@@ -100,8 +106,12 @@
 
     private Connection accept(EndPoint endPoint) {
         counters.add(Count.CLIENT_CONNECTIONS);
-        closeServed(clock.now());
-        boolean room = connections.size() < mostConnections || closeOneAtRest()
+        Instant now = clock.now();
+        endServed(now);
+        if (connections.size() >= mostConnections - kept) {
+            counted(connections.endOneAtRest(now));
+        }
+        boolean room = connections.size() < mostConnections || closeOneAtRest(now)
                 || connections.size() < mostConnections + RESERVE || closeOneIdle();
         if (!room) {
             counters.add(Count.CLIENT_CONNECTIONS_TURNED_AWAY);
@@ -112,22 +122,29 @@
 
     /** Whether a request can be served; on the reserve's connections only questions about the node itself are. */
     boolean canServe() {
-        return connections.size() <= mostConnections || closeOneAtRest() || closeOneIdle();
+        return connections.size() <= mostConnections || closeOneAtRest(clock.now()) || closeOneIdle();
     }
 
-    private boolean closeOneAtRest() {
-        return counted(connections.closeOneAtRest(clock.now()));
+    /** It has no time to linger where its descriptor is wanted now; another that has lingered goes in its place. */
+    private boolean closeOneAtRest(Instant now) {
+        return connections.closeOneLingering() || counted(connections.endOneAtRest(now)) && isOneClosed();
     }
 
     private boolean closeOneIdle() {
-        return counted(connections.closeOneIdle());
+        return counted(connections.endOneIdle()) && isOneClosed();
+    }
+
+    /** What was just ended lingers, or is closed already: its client had ended it. */
+    private boolean isOneClosed() {
+        connections.closeOneLingering();
+        return true;
     }
 
-    /** Closes connections that were served while they are too many. */
-    void closeServed(Instant now) {
+    /** Ends connections that were served while they are too many. */
+    void endServed(Instant now) {
         boolean more;
         do {
-            more = counted(connections.closeOneServed(now));
+            more = counted(connections.endOneServed(now));
         } while (more);
     }
 
@@ -141,7 +158,7 @@
     private void sweep() {
         Instant now = clock.now();
         boolean more = connections.review(now, MOST_A_SWEEP, lifecycle.longestRest(now)) == MOST_A_SWEEP;
-        closeServed(now);
+        endServed(now);
         loop.schedule(more ? SWEEP_ON : SWEEP, this::sweep);
     }
 
@@ -190,9 +207,9 @@
         listening.close();
     }
 
-    /** Closes the connections that owe nothing. */
-    public void closeIdle() {
-        connections.closeIdle();
+    /** Ends the connections that owe nothing. */
+    public void endIdle() {
+        connections.endIdle();
     }
 
     /** How many owe nothing for longer than a drain leaves them; a look at each, for those who watch a drain. */
--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -339,7 +339,7 @@
                 log.warn("closing the listener", e);
             }
             if (lifecycle.isWindingDown(clock.now())) {
-                intake.closeIdle();
+                intake.endIdle();
             }
         }
 
--- a/src/test/java/rowanplank/intake/http/ConnectionQueueTest.java
+++ b/src/test/java/rowanplank/intake/http/ConnectionQueueTest.java
@@ -45,7 +45,7 @@
         }
 
         @Override
-        public boolean closeIfIdle() {
+        public boolean endIfIdle() {
             if (unread) {
                 unread = false;
                 place.begin(now);
@@ -58,12 +58,17 @@
         @Override
         public void timeUp() {
             if (isIdle()) {
-                closeIfIdle();
+                endIfIdle();
             } else {
                 end();
             }
         }
 
+        @Override
+        public void closeLingering() {
+            end();
+        }
+
         void end() {
             over = true;
             place.leave();
@@ -151,7 +156,7 @@
         }
 
         boolean closeOneServed() {
-            return connections.stream().filter(c -> c.asked).count() > MOST_SERVED
+            return connections.stream().filter(c -> c.asked && c.stage != Stage.LINGERING).count() > MOST_SERVED
                     && closeFirst(connections.stream().filter(c -> c.hasRested(20)));
         }
     }
@@ -178,9 +183,9 @@
                 moveOn(old, fakes.get(old.id), event);
             } else if (event < 95) {
                 boolean[] closed = switch (event % 3) {
-                    case 0 -> new boolean[] {rule.closeOneAtRest(), queue.closeOneAtRest(now)};
-                    case 1 -> new boolean[] {rule.closeOneServed(), queue.closeOneServed(now)};
-                    default -> new boolean[] {rule.closeOneIdle(), queue.closeOneIdle()};
+                    case 0 -> new boolean[] {rule.closeOneAtRest(), queue.endOneAtRest(now)};
+                    case 1 -> new boolean[] {rule.closeOneServed(), queue.endOneServed(now)};
+                    default -> new boolean[] {rule.closeOneIdle(), queue.endOneIdle()};
                 };
                 assertEquals(closed[0], closed[1]);
             } else {
@@ -274,10 +279,10 @@
             fake.place.move(Stage.RESTING, now);
         }
         now = now.plusSeconds(60);
-        assertFalse(queue.closeOneServed(now), "only one is left that was served");
+        assertFalse(queue.endOneServed(now), "only one is left that was served");
         assertEquals(1, queue.size());
-        assertTrue(queue.closeOneIdle());
-        assertFalse(queue.closeOneIdle());
+        assertTrue(queue.endOneIdle());
+        assertFalse(queue.endOneIdle());
         assertEquals(List.of("closed 0", "closed 1"), log);
     }
 }
