Let a connection rest for 10 ms before its next request, and know late second answers

A second answer that came just after the next request was written on the same connection was served as that request's: nothing tells the two apart where servers don't name what they answer. Ruled out: telling it by its haste (a true answer, a server that turns requests away above all, may come as soon), by equal bytes (pages are equal), and by mistrusting servers that did so once (each node of a fleet would have to learn it by a wrong answer). So a connection is used again only after 10 ms; until then another one that has rested is taken, or opened. Unasked bytes meanwhile end it, as before.

Beside that, on a used connection: an answer that names the request before (X-Request-ID) is not taken, nor is one that comes before a small request is written whole. An early answer to a large body is still passed on.

With the mends taken out these fail: aConnectionIsNotUsedAgainWhileASecondAnswerMayCome, aConnectionRestsBeforeItIsUsedAgain, aLateAnswerThatNamesTheRequestBeforeIsNotTaken, anAnswerThatComesBeforeTheRequestIsWrittenIsNotTaken. The probe before a connection's use was broken once: whatComesOnARestingConnectionInTheTurnOfItsUseEndsIt fails then. PeersTest's clock now goes on by a rest after each answer; its older test looks at the same connections as before.

--- a/src/main/java/rowanplank/peer/http/IdleConnections.java
+++ b/src/main/java/rowanplank/peer/http/IdleConnections.java
@@ -21,7 +21,8 @@
     record Kept<C>(C connection, long peer, Instant since, long number) implements Comparable<Kept<C>> {
         @Override
         public int compareTo(Kept<C> other) {
-            return Long.compare(number, other.number);
+            int earlier = since.compareTo(other.since);
+            return earlier != 0 ? earlier : Long.compare(number, other.number);
         }
     }
 
@@ -35,8 +36,14 @@
 
     /** Takes out the one that came last, so that those not needed grow old; null if none rests at this peer. */
     Kept<C> takeNewest(long peer) {
+        return takeNewest(peer, Instant.MAX);
+    }
+
+    /** The same of those that have rested since that time or longer. */
+    Kept<C> takeNewest(long peer, Instant until) {
         TreeSet<Kept<C>> there = byPeer.get(peer);
-        return there == null ? null : take(there.last());
+        Kept<C> newest = there == null ? null : there.floor(new Kept<>(null, peer, until, Long.MAX_VALUE));
+        return newest == null ? null : take(newest);
     }
 
     /** Takes out the one that has rested longest; null if there is none. */
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -50,6 +50,8 @@
     private boolean written;
     private boolean answered;
     private boolean moved;
+    /** The id of the request that was answered here last; null before the first answer. */
+    private String answeredLast;
     /** Where it last rested; null before it has. */
     private IdleConnections.Kept<PeerConnection> kept;
 
@@ -186,12 +188,16 @@
 
     @Override
     protected void onBytes(ByteBuffer bytes) {
-        if (sending == null) {
-            close(); // an answer that nobody asked for
+        if (sending == null || answeredLast != null && !written && upload == null) {
+            close(); // an answer that nobody asked for, or not yet
             return;
         }
         moved = true;
         ResponseReader.Progress progress = reader.read(bytes);
+        if (answersLastAgain()) {
+            close();
+            return;
+        }
         while (sending != null && progress == ResponseReader.Progress.MORE && answer == null && reader.isLarge()) {
             if (reader.status() != 200) {
                 finish(outcome(), null, false); // whatever else it says, this is known
@@ -210,6 +216,12 @@
         }
     }
 
+    /** Guards requests against a second answer to the one before, where servers name the request that they answer. */
+    private boolean answersLastAgain() {
+        return answeredLast != null && reader.hasHead() && answeredLast.equals(reader.field("X-Request-ID"))
+                && !answeredLast.equals(sending.attempt.exchange().context().id());
+    }
+
     private void whole(boolean reusable) {
         peers.answered(peer, reader::field);
         Outcome outcome = outcome();
@@ -283,6 +295,7 @@
         answered = true;
         upload = null; // what is not yet sent of it may go to another peer, if nothing of it was
         if (reusable) {
+            answeredLast = done.attempt.exchange().context().id();
             resumeReading();
             peers.keep(this);
         } else {
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -34,6 +34,8 @@
 public final class Peers implements TrySender {
     /** Idle connections are given up after this part of the time that peers keep them. */
     private static final int IDLE_PART = 2;
+    /** A second answer may come so long after the first: the connection's next request must not be out by then. */
+    static final Duration REST = Duration.ofMillis(10);
     private static final Duration SWEEP = Duration.ofSeconds(1);
     /** So many are closed in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
@@ -258,10 +260,12 @@
         }
     }
 
-    /** The newest one first, so that those not needed grow old and are closed. */
+    /** The newest one that has rested first, so that those not needed grow old and are closed. */
     private PeerConnection takeIdle(Member peer) {
-        Instant since = clock.now().minus(connIdle);
-        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer.server().id())) != null;) {
+        Instant now = clock.now();
+        Instant since = now.minus(connIdle);
+        Instant until = now.minus(REST);
+        for (Kept<PeerConnection> k; (k = idle.takeNewest(peer.server().id(), until)) != null;) {
             PeerConnection c = k.connection();
             if (k.since().isAfter(since) && group.isCurrent(c.peer()) && c.isUsable()) {
                 return c;
--- a/src/test/java/rowanplank/node/LoopNode.java
+++ b/src/test/java/rowanplank/node/LoopNode.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,13 +17,14 @@
 import rowanplank.config.NodeConfig;
 import rowanplank.metrics.Counters.Count;
 import rowanplank.metrics.RateLimitedLog;
+import rowanplank.net.Clock;
 import rowanplank.net.FileAccess;
 import rowanplank.net.SelectorLoop;
 import rowanplank.net.SystemClock;
 
 /**
- * The whole node in the test's own process, on loopback sockets and the machine's clock: a test can wait for what its
- * counters say, and hold its loop while several events come, so that the node finds them all in one turn.
+ * The whole node in the test's own process, on loopback sockets: a test can wait for what its counters say, hold its
+ * loop while several events come, so that the node finds them all in one turn, and set its clock on or hold it.
  */
 final class LoopNode implements AutoCloseable {
     private static final int PATIENCE_SECONDS = 20;
@@ -30,13 +33,34 @@
     final List<Throwable> failures = new ArrayList<>();
     final Node node;
     private final List<Client> opened = new ArrayList<>();
+    private final PassingClock clock = new PassingClock();
     private final SelectorLoop loop;
     private final int port;
 
+    /** The machine's clock, that a test can set on, or hold. It never goes back. */
+    private static final class PassingClock implements Clock {
+        private final Clock machine = new SystemClock();
+        private Duration ahead = Duration.ZERO;
+        private Instant heldAt;
+
+        @Override
+        public synchronized Instant now() {
+            return heldAt == null ? machine.now().plus(ahead) : heldAt;
+        }
+
+        synchronized void hold() {
+            heldAt = now();
+        }
+
+        synchronized void pass(Duration time) {
+            heldAt = heldAt == null ? null : heldAt.plus(time);
+            ahead = ahead.plus(time);
+        }
+    }
+
     LoopNode(Path folder, String settings, String discovery) throws Exception {
         Path config = Files.writeString(folder.resolve("node.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\","
                 + "\"discovery\":\"" + discovery + "\",\"limits\":{\"sockets\":512},\"settings\":" + settings + "}");
-        SystemClock clock = new SystemClock();
         loop = new SelectorLoop(clock, failures::add);
         node = new Node(NodeConfig.read(Map.of("EDGE_CONFIG", config.toString()), FileAccess.SYSTEM), loop,
                 new RateLimitedLog(clock, (warning, line, cause) -> { }));
@@ -87,6 +111,17 @@
         }
     }
 
+    /** The node's clock stands still from now on, and its timers with it, but for what {@link #pass} adds. */
+    void holdTime() {
+        clock.hold();
+    }
+
+    /** So much time passes for the node at once. */
+    void pass(Duration time) throws Exception {
+        clock.pass(time);
+        loop.call(() -> null); // it may be asleep until a time that has now gone by
+    }
+
     long count(Count count) throws Exception {
         return loop.call(() -> node.counters().get(count));
     }
--- a/src/test/java/rowanplank/node/UpstreamRacesTest.java
+++ b/src/test/java/rowanplank/node/UpstreamRacesTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
@@ -33,6 +34,8 @@
 
     /** So many tries a server is sent at once. */
     private static final int AT_ONCE = 4;
+    /** After this a connection has rested. */
+    private static final Duration A_WHILE = Duration.ofMillis(200);
 
     @TempDir
     Path folder;
@@ -109,6 +112,7 @@
         Accepted connection = server.accept();
         connection.serve(StubSite.ok("first"));
         assertTrue(first.answer().endsWith("first"));
+        node.pass(A_WHILE);
         return connection;
     }
 
@@ -126,9 +130,9 @@
         return Long.parseLong(m.group(1));
     }
 
-    /** Guards requests against connections whose end came in the turn in which they were to be used again. */
+    /** Guards requests against connections whose end, or unasked bytes, come in the turn of their next use. */
     @Test
-    void aRestingConnectionThatEndsInTheTurnOfItsUseIsNotUsed() throws Exception {
+    void whatComesOnARestingConnectionInTheTurnOfItsUseEndsIt() throws Exception {
         HeldServer server = server();
         start(server.ready("s-1"));
         List<Client> clients = new ArrayList<>();
@@ -142,16 +146,16 @@
             resting.get(i).write(StubSite.ok("page"));
             clients.get(i).answer();
         }
+        node.pass(A_WHILE);
         try (Hold hold = node.hold()) {
             hold.await();
-            for (int i = 0; i < AT_ONCE; i++) { // whichever of these the node sees first
-                clients.get(i).send(request("order"));
-                if (i % 2 == 0) {
-                    resting.get(i).reset();
-                } else {
-                    resting.get(i).close();
-                }
+            for (Client client : clients) { // whichever the node sees first, these or what comes below
+                client.send(request("order"));
             }
+            resting.get(0).reset();
+            resting.get(1).close();
+            resting.get(2).write(StubSite.ok("second"));
+            resting.get(3).write("HTTP/1.");
         }
         for (int i = 0; i < AT_ONCE; i++) {
             server.accept().serve(StubSite.ok("order"));
@@ -329,4 +333,45 @@
         assertEquals(503, article.status());
         assertEquals(503, unsent.status(), "it waited for its connection");
     }
+
+    /** Guards the next request against a second answer that comes some milliseconds after the first. */
+    @Test
+    void aConnectionIsNotUsedAgainWhileASecondAnswerMayCome() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        node.holdTime();
+        Client client = ask("article");
+        Accepted first = server.accept();
+        first.serve(StubSite.ok("first"));
+        client.answer();
+        client.send(request("order"));
+        Accepted fresh = server.accept();
+        fresh.request();
+        first.write(StubSite.ok("second"));
+        assertEquals(0, first.bytesToItsEnd(), "nothing more goes out where something unasked came");
+        fresh.write(StubSite.ok("order"));
+        assertTrue(client.answer().endsWith("order"));
+        node.pass(A_WHILE);
+        client.send(request("article"));
+        assertTrue(fresh.serve(StubSite.ok("third")).startsWith("GET"), "one that has rested is used");
+        assertTrue(client.answer().endsWith("third"));
+    }
+
+    /** Where servers name the request that they answer, one that comes later still is told from the next one's. */
+    @Test
+    void aLateAnswerThatNamesTheRequestBeforeIsNotTaken() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Client client = ask("article");
+        Accepted connection = server.accept();
+        String first = StubSite.ok("first").replace("\r\n\r\n", "\r\nX-Request-ID: r1\r\n\r\n");
+        connection.serve(first);
+        client.answer();
+        node.pass(A_WHILE);
+        client.send(request("order"));
+        connection.serve(first);
+        assertEquals(502, client.status(), "it may have run");
+        assertEquals(0, connection.bytesToItsEnd());
+        assertEquals(1, node.count(Count.TRIES_RESET));
+    }
 }
--- a/src/test/java/rowanplank/peer/http/IdleConnectionsTest.java
+++ b/src/test/java/rowanplank/peer/http/IdleConnectionsTest.java
@@ -34,7 +34,8 @@
                     plain.add(connection);
                 }
                 case 3 -> check(plain, plain.stream().filter(c -> c % PEERS == step % PEERS)
-                        .reduce((a, b) -> b).orElse(null), idle.takeNewest(step % PEERS));
+                        .filter(c -> step % 3 == 0 || c / PEERS <= tenAgo).reduce((a, b) -> b).orElse(null),
+                        step % 3 == 0 ? idle.takeNewest(step % PEERS) : idle.takeNewest(step % PEERS, now.minusMillis(10)));
                 case 4 -> check(plain, plain.stream().findFirst()
                         .filter(c -> step % 3 == 0 || c / PEERS <= tenAgo).orElse(null),
                         step % 3 == 0 ? idle.takeOldest() : idle.takeOldest(now.minusMillis(10)));
--- a/src/test/java/rowanplank/peer/http/PeersTest.java
+++ b/src/test/java/rowanplank/peer/http/PeersTest.java
@@ -1,6 +1,8 @@
 package rowanplank.peer.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -23,6 +25,7 @@
 import rowanplank.exchange.RequestContext;
 import rowanplank.exchange.Transfer;
 import rowanplank.metrics.Counters;
+import rowanplank.net.Clock;
 import rowanplank.net.StandingLoop;
 
 class PeersTest {
@@ -33,13 +36,20 @@
     private final Peers peers =
             new Peers(group, Duration.ofSeconds(30), Duration.ofSeconds(1), 4, loop, new Counters(),
                     new Transfer.Room());
+    private final List<Outcome> outcomes = new ArrayList<>();
     private long requests;
 
     /** A loop whose connections all come up at once. */
     private static final class OpeningLoop extends StandingLoop {
+        Instant now = NOW;
         /** By the port. */
         final Map<Integer, ByteArrayEndPoint> opened = new TreeMap<>();
 
+        @Override
+        public Clock clock() {
+            return () -> now;
+        }
+
         @Override
         public Opening connect(InetSocketAddress address, Duration timeout, Connector connector) {
             ByteArrayEndPoint endPoint = endPoint();
@@ -49,9 +59,11 @@
         }
     }
 
-    private final class Ignored implements Exchange.Listener {
+    private final class Noted implements Exchange.Listener {
         @Override
-        public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) { }
+        public void tryEnded(Exchange.Try attempt, Outcome outcome, Answer.Served served) {
+            outcomes.add(outcome);
+        }
 
         @Override
         public void departed(Exchange exchange) { }
@@ -63,9 +75,13 @@
     }
 
     private void send(long peer) {
+        send(peer, new byte[0]);
+    }
+
+    private void send(long peer, byte[] body) {
         RequestContext context = new RequestContext("r" + ++requests, 0, false, NOW, NOW.plusSeconds(9),
-                new RequestContext.Payload("GET", "/a", List.of(), new byte[0]));
-        Exchange exchange = new Exchange(requests, context, a -> { }, new Ignored());
+                new RequestContext.Payload("GET", "/a", List.of(), body));
+        Exchange exchange = new Exchange(requests, context, a -> { }, new Noted());
         peers.send(exchange.begin(0, peer, NOW, NOW.plusSeconds(9)));
         loop.run();
     }
@@ -73,6 +89,7 @@
     private void answer(long peer) {
         loop.opened.get((int) peer).addInput("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         loop.run();
+        loop.now = loop.now.plus(Peers.REST);
     }
 
     private List<Integer> closed() {
@@ -100,4 +117,31 @@
         send(6);
         assertEquals(List.of(1, 4), closed());
     }
+
+    /** What comes before a request's last byte is written can't be its answer: it is of the one before, and comes late. */
+    @Test
+    void anAnswerThatComesBeforeTheRequestIsWrittenIsNotTaken() {
+        group.apply(new HostList(1, true, List.of(member(1))));
+        send(1);
+        answer(1);
+        send(1, new byte[1 << 16]); // with its head it is longer than what the end point takes at once
+        answer(1);
+        assertEquals(List.of(Outcome.OK, Outcome.CONNECT_FAILED), outcomes);
+        assertEquals(List.of(1), closed());
+    }
+
+    /** The newest that has rested is used; one that has not is left, as long as another can be opened. */
+    @Test
+    void aConnectionRestsBeforeItIsUsedAgain() {
+        group.apply(new HostList(1, true, List.of(member(1))));
+        send(1);
+        ByteArrayEndPoint first = loop.opened.get(1);
+        answer(1);
+        loop.now = loop.now.minusNanos(1);
+        send(1);
+        assertNotSame(first, loop.opened.get(1));
+        loop.now = loop.now.plusNanos(1);
+        send(1);
+        assertTrue(first.takeOutputString().indexOf("GET", 1) > 0, "the second request on it");
+    }
 }
