--- a/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
+++ b/src/test/java/rowanplank/lab/net/PeerEndingsTest.java
@@ -53,6 +53,8 @@
             {"classes": [{"name": "a", "aim_ms": 200, "deadline_ms": 400, "effect": "repeatable"}],
              "ceilings": {"most_tries": 1, "may_cancel": true, "connect_timeout_ms": 100, "conn_idle_ms": 30000}}""";
     private static final String WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npage";
+    /** Longer than a connection rests before it is used again. */
+    private static final Duration REST = Duration.ofMillis(20);
     private static final String HEAD = WHOLE.substring(0, WHOLE.length() - 4);
 
     /** What the server does with a request, or the node's side with a try. */
@@ -241,6 +243,13 @@
             stage.until(stage.server(), () -> !accepted.isEmpty() && accepted.get(0).requests > 0);
         }
 
+        /** A connection that was just answered on is not used again at once. */
+        void awaitRest() throws Exception {
+            boolean[] rested = new boolean[1];
+            stage.run(stage.client(), () -> stage.client().schedule(REST, () -> rested[0] = true));
+            stage.until(stage.client(), () -> rested[0]);
+        }
+
         void awaitOutcomes(int count) throws Exception {
             stage.until(stage.client(), () -> heard.outcomes.size() >= count && decisions.openCount() == 0);
         }
@@ -250,6 +259,7 @@
             switch (ending) {
                 case FIN_ON_REUSE, RST_ON_REUSE -> {
                     awaitOutcomes(1);
+                    awaitRest();
                     ask();
                 }
                 case CLIENT_LEAVES_AS_IT_CONNECTS -> stage.run(stage.client(), exchange::depart);
