Tell the module of the tenant and the key that a request names

On a site with tenants every request counted against the first tenant's quota, and no key was known: the decision driver handed the module tenant 0 and key 0 (Decisions.open), and nothing read X-Tenant-Id or X-Route-Key. Ruled out: that they come in X-Attrs (no request had it), and as numbers (tenants come by name).

Now the settings' tenant names are kept, a request's tenant is looked up by its name and its key read as up to 16 hexadecimal digits.

--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -51,8 +51,11 @@
             classes.add(requestClass(c));
         }
         List<Tenant> tenants = new ArrayList<>();
-        for (JsonValue t : array(o, "tenants")) {
-            tenants.add(new Tenant(number(object(t, "tenants[]"), "quota_per_s", 0)));
+        List<String> tenantNames = new ArrayList<>();
+        for (JsonValue value : array(o, "tenants")) {
+            JsonObject t = object(value, "tenants[]");
+            tenantNames.add(string(t, "name", ""));
+            tenants.add(new Tenant(number(t, "quota_per_s", 0)));
         }
         List<String> zones = new ArrayList<>();
         for (JsonValue z : array(o, "zones")) {
@@ -65,7 +68,7 @@
                 rules(rules), "ask".equals(string(o, "membership_mode", "")),
                 flag(object(o, "specifics"), "warm_keys"), "work".equals(string(o, "counted_by", "")),
                 number(object(o, "deductions"), "cross_zone", 0));
-        return new SiteSettings(module, names, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
+        return new SiteSettings(module, names, tenantNames, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
                 Clock.span(number(ceilings, "connect_timeout_ms", 1000)),
                 Clock.span(number(rules, "answer_slack_ms", 0)));
     }
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -138,8 +138,8 @@
         counters.add(Count.REQUESTS_TAKEN);
         entry.guard = loop.schedule(untilOverdue(context), () -> overdue(entry));
         onlooker.taken(number, context);
-        deliver(() -> balancer.onRequest(nowMs(), new Request(number, context.classIndex(), 0, 0,
-                Clock.millis(context.deadline()), 0, context.repeat())));
+        deliver(() -> balancer.onRequest(nowMs(), new Request(number, context.classIndex(), context.tenant(),
+                context.key(), Clock.millis(context.deadline()), 0, context.repeat())));
         return exchange;
     }
 
--- a/src/main/java/rowanplank/exchange/RequestContext.java
+++ b/src/main/java/rowanplank/exchange/RequestContext.java
@@ -9,12 +9,18 @@
  *
  * @param id the client's own name for it, passed on to peers
  * @param classIndex its class, by its place in the settings
+ * @param tenant whose request it is, by the tenant's place in the settings; beyond them for one that they don't name
+ * @param key requests with equal keys concern the same thing; 0 means none
  * @param repeat the client says that it has asked before
  * @param deadline the client stops waiting then; of an upload that is still coming, the latest that this can be
  * @param payload what is passed on to a peer without change
  */
-public record RequestContext(String id, int classIndex, boolean repeat, Instant arrived, Instant deadline,
-        Payload payload) {
+public record RequestContext(String id, int classIndex, int tenant, long key, boolean repeat, Instant arrived,
+        Instant deadline, Payload payload) {
+    /** At a site without tenants, of a request that names no key. */
+    public RequestContext(String id, int classIndex, boolean repeat, Instant arrived, Instant deadline, Payload payload) {
+        this(id, classIndex, 0, 0, repeat, arrived, deadline, payload);
+    }
 
     /**
      * What a peer is to be sent; the core never looks inside.
--- a/src/main/java/rowanplank/http/Headers.java
+++ b/src/main/java/rowanplank/http/Headers.java
@@ -75,6 +75,15 @@
         return Duration.ofNanos(whole * unit + decimals * unit / 1_000_000);
     }
 
+    /** What a request concerns: a hexadecimal number of up to 16 digits; 0, which is none, for any other text. */
+    public static long key(String text) {
+        try {
+            return text == null || text.startsWith("+") ? 0 : Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /** The decimal number in part of a text, which every request has: a pattern would cost twenty times as much. */
     private static long number(String text, int from, int to, int mostDigits) {
         if (to <= from || to - from > mostDigits) {
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -389,7 +389,8 @@
             uploading = true;
             rest = new RequestContext.Upload(reader.length(), wait, upload);
         }
-        RequestContext context = new RequestContext(id, index, "1".equals(reader.field("X-Retried")), now,
+        RequestContext context = new RequestContext(id, index, intake.site.tenant(reader.field("X-Tenant-Id")),
+                Headers.key(reader.field("X-Route-Key")), "1".equals(reader.field("X-Retried")), now,
                 now.plus(large ? LONGEST_UPLOAD.plus(wait) : wait),
                 new RequestContext.Payload(reader.method(), target, Headers.endToEnd(reader.fields(), Header::new),
                         reader.body(), rest));
