--- a/src/test/java/rowanplank/measure/CapacityTool.java
+++ b/src/test/java/rowanplank/measure/CapacityTool.java
@@ -234,7 +234,8 @@
                 table.with("ms for staff's list", c.order()[0]).with("bytes of it", c.order()[1]).with("datagrams meanwhile", c.order()[2]);
             }
             if (death) {
-                table.with("ms until all know of a death", c.knownMs()).with("bytes a node and death", c.deathBytes());
+                table.with("ms until all know of a death", c.knownMs()).with("bytes a node and death", c.deathBytes())
+                        .with("bytes a node and restart", c.restartBytes());
             }
         }
 
--- a/src/test/java/rowanplank/measure/FleetCapacity.java
+++ b/src/test/java/rowanplank/measure/FleetCapacity.java
@@ -8,6 +8,9 @@
 final class FleetCapacity {
     private static final Duration LONGEST_NEWS = Duration.ofSeconds(120);
     private static final int CALLS = 50;
+    /** Four times the 16 s after which each member asks another one for its list. */
+    private static final int AFTER_SECONDS = 64;
+    private static final Duration AFTER = Duration.ofSeconds(AFTER_SECONDS);
 
     /**
      * @param seen at rest
@@ -16,11 +19,12 @@
      * @param statusBytes of it
      * @param diskBytes of the leader's log with its last snapshot
      * @param knownMs until all had found out of a death; -1 where it was not looked at
-     * @param deathBytes a node and death: that all sent more than at rest in the time until a whole minute was over
+     * @param deathBytes a node and death: that each sent more than at rest within {@value #AFTER_SECONDS} s
+     * @param restartBytes the same, of a dead node that comes back
      * @param order the order of work, as staff are told it: milliseconds, bytes, datagrams of all nodes meanwhile; null for none
      */
     record Cost(HollowFleet.Seen seen, double heldBytes, double statusMicros, int statusBytes, long diskBytes, long knownMs,
-            double deathBytes, long[] order) { }
+            double deathBytes, double restartBytes, long[] order) { }
 
     private FleetCapacity() { }
 
@@ -43,7 +47,6 @@
         fleet.count();
         fleet.pass(length);
         HollowFleet.Seen seen = fleet.seen(length);
-        double restBytes = fleet.bytesOfAll() / (length.toNanos() / 1e9);
         int leader = fleet.leader();
         double[] micros = new double[CALLS];
         int bytes = 0;
@@ -55,15 +58,25 @@
         long[] order = plan.work() ? fleet.work(plan.nodes() - 1) : null;
         long known = -1;
         double deathBytes = 0;
+        double restartBytes = 0;
         if (deaths) {
-            Duration minute = Duration.ofSeconds(60);
+            int last = plan.nodes() - 1;
+            double rest = bytesOf(fleet, AFTER);
             fleet.count();
-            fleet.kill(plan.nodes() - 1);
-            known = fleet.until(List.of(plan.nodes() - 1), "dead", LONGEST_NEWS);
-            fleet.pass(minute.minusMillis(Math.min(known, minute.toMillis())));
-            deathBytes = (fleet.bytesOfAll() - restBytes * minute.toSeconds()) / plan.nodes();
+            fleet.kill(last);
+            known = fleet.until(List.of(last), "dead", LONGEST_NEWS);
+            fleet.pass(AFTER.minusMillis(Math.min(Math.max(0, known), AFTER.toMillis())));
+            deathBytes = (fleet.bytesOfAll() - rest) / plan.nodes();
+            fleet.startAgain(last);
+            restartBytes = (bytesOf(fleet, AFTER) - rest) / plan.nodes();
         }
-        return new Cost(seen, held, ModuleCapacity.median(micros), bytes, fleet.diskBytes(leader), known, deathBytes, order);
+        return new Cost(seen, held, ModuleCapacity.median(micros), bytes, fleet.diskBytes(leader), known, deathBytes, restartBytes, order);
+    }
+
+    private static double bytesOf(HollowFleet fleet, Duration time) {
+        fleet.count();
+        fleet.pass(time);
+        return fleet.bytesOfAll();
     }
 
     /** @return milliseconds until all know of a whole zone's death, and until all know of its return; the most of any */
