Find a request's tenant by its name in one step, however many tenants there are

The tenant was looked for along the list of all names for each request; 2,600 are wanted in time. Of two tenants of one name the last one counts; the settings reader is to refuse that.

--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -11,7 +11,9 @@
 import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import rowanplank.balancer.BalancerApi.Effect;
 import rowanplank.balancer.BalancerApi.Group;
 import rowanplank.balancer.BalancerApi.Limits;
@@ -51,10 +53,10 @@
             classes.add(requestClass(c));
         }
         List<Tenant> tenants = new ArrayList<>();
-        List<String> tenantNames = new ArrayList<>();
+        Map<String, Integer> tenantPlaces = new LinkedHashMap<>();
         for (JsonValue value : array(o, "tenants")) {
             JsonObject t = object(value, "tenants[]");
-            tenantNames.add(string(t, "name", ""));
+            tenantPlaces.put(string(t, "name", ""), tenants.size());
             tenants.add(new Tenant(number(t, "quota_per_s", 0)));
         }
         List<String> zones = new ArrayList<>();
@@ -68,7 +70,7 @@
                 rules(rules), "ask".equals(string(o, "membership_mode", "")),
                 flag(object(o, "specifics"), "warm_keys"), "work".equals(string(o, "counted_by", "")),
                 number(object(o, "deductions"), "cross_zone", 0));
-        return new SiteSettings(module, names, tenantNames, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
+        return new SiteSettings(module, names, tenantPlaces, zones, Clock.span(number(ceilings, "conn_idle_ms", 30_000)),
                 Clock.span(number(ceilings, "connect_timeout_ms", 1000)),
                 Clock.span(number(rules, "answer_slack_ms", 0)));
     }
--- a/src/main/java/rowanplank/config/SiteSettings.java
+++ b/src/main/java/rowanplank/config/SiteSettings.java
@@ -1,7 +1,10 @@
 package rowanplank.config;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import rowanplank.balancer.BalancerApi.Settings;
 import rowanplank.net.Clock;
 
@@ -9,24 +12,23 @@
  * The settings of a site: those of the decision module, and what only the node around it needs.
  *
  * @param classNames names of the classes, in the order of the module's
- * @param tenantNames names of the tenants, in the order of the module's
+ * @param tenants the tenants' places among the module's, by their names
  * @param zones zone names; their places are the module's zones
  * @param connIdle when page servers close an idle connection at the latest
  * @param connectTimeout how long a connection may take to open
  * @param answerSlack how long after its deadline a request's answer is still in time
  */
-public record SiteSettings(Settings module, List<String> classNames, List<String> tenantNames, List<String> zones,
+public record SiteSettings(Settings module, List<String> classNames, Map<String, Integer> tenants, List<String> zones,
         Duration connIdle, Duration connectTimeout, Duration answerSlack) {
     public SiteSettings {
         classNames = List.copyOf(classNames);
-        tenantNames = List.copyOf(tenantNames);
+        tenants = Collections.unmodifiableMap(new LinkedHashMap<>(tenants));
         zones = List.copyOf(zones);
     }
 
     /** A tenant's place in the settings; beyond all of them where they don't name it, or it is null. */
     public int tenant(String name) {
-        int index = tenantNames.indexOf(name);
-        return index < 0 ? tenantNames.size() : index;
+        return tenants.getOrDefault(name, module.tenants().size());
     }
 
     /** The nearest to a wanted advice that the site allows; zero where clients are told none. */
--- a/src/test/java/rowanplank/measure/WatchCapacity.java
+++ b/src/test/java/rowanplank/measure/WatchCapacity.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -160,7 +161,7 @@
 
     private static SiteSettings site(int nodes) {
         Settings module = ModuleCapacity.settings(new ModuleCapacity.Size(1, nodes, 1, 1, 0, 1));
-        return new SiteSettings(module, List.of("class"), ListCapacity.zones(CapacityTool.ZONES), Duration.ofSeconds(30), CONNECT,
+        return new SiteSettings(module, List.of("class"), Map.of(), ListCapacity.zones(CapacityTool.ZONES), Duration.ofSeconds(30), CONNECT,
                 Duration.ZERO);
     }
 
