Break off an answer that has begun and stands still once its client's time is up

A chunked or large answer that had begun to be passed on and then stopped kept its client for 10 s beyond its last byte, whatever the client's time: longer than the half second after which an answer counts as lost. As the deadline comes Peers now looks whether the answer moves within 0.3 s; if not, the attempt ends and the client sees that the answer is not whole. One that moves comes whole, one that waits for its client is left, and so is a class whose answers are streams. Answers without a length and short of 64 KiB are held to their end and were bounded before.

With the mend taken out anAnswerThatHasBegunAndNeverEndsIsBrokenOffOnceItsTimeIsUp fails.

--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -221,6 +221,8 @@
             entry.transferring = true;
             if (!conclude(entry, begun)) {
                 begun.body().abandon();
+            } else if (!type(exchange).streaming()) {
+                sender.expectEnd(attempt, Duration.between(clock.now(), exchange.deadline()));
             }
             entry.untold--;
             balancer.onOutcome(nowMs(), exchange.number(), attempt.number(), Outcome.OK, latency, exchange.ended());
--- a/src/main/java/rowanplank/exchange/TrySender.java
+++ b/src/main/java/rowanplank/exchange/TrySender.java
@@ -12,5 +12,8 @@
     /** From now on a try that is out ends with a time-out after this time, unless its answer has begun. */
     void limit(Exchange.Try attempt, Duration left);
 
+    /** A try whose answer has begun ends if that answer stands still once this time has passed. */
+    default void expectEnd(Exchange.Try attempt, Duration left) { }
+
     void closeIdle(long peer);
 }
--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -50,6 +50,7 @@
     private boolean written;
     private boolean answered;
     private boolean moved;
+    private long pieces;
     /** The id of the request that was answered here last; null before the first answer. */
     private String answeredLast;
     /** Where it last rested; null before it has. */
@@ -158,6 +159,16 @@
         return stalled;
     }
 
+    /** How many pieces have come here: it grows as long as an answer moves. */
+    long pieces() {
+        return pieces;
+    }
+
+    /** Whether the next piece is not read because the client has not taken those before. */
+    boolean isHeldByClient() {
+        return isPaused();
+    }
+
     /** Whether the try's answer has come whole, so that the connection can be kept. */
     boolean answered() {
         return answered;
@@ -193,6 +204,7 @@
             return;
         }
         moved = true;
+        pieces++;
         ResponseReader.Progress progress = reader.read(bytes);
         if (answersLastAgain()) {
             close();
@@ -270,6 +282,7 @@
     @Override
     public void resume() {
         moved = true;
+        pieces++;
         resumeReading();
     }
 
--- a/src/main/java/rowanplank/peer/http/Peers.java
+++ b/src/main/java/rowanplank/peer/http/Peers.java
@@ -36,6 +36,8 @@
     private static final int IDLE_PART = 2;
     /** A second answer may come so long after the first: the connection's next request must not be out by then. */
     static final Duration REST = Duration.ofMillis(10);
+    /** An answer that has begun and does not move for so long after its client's time is up is given up. */
+    private static final Duration LATE_PAUSE = Duration.ofMillis(300);
     private static final Duration SWEEP = Duration.ofSeconds(1);
     /** So many are closed in a sweep; where more are due, the next one follows after a moment. */
     private static final int MOST_A_SWEEP = 64;
@@ -83,6 +85,8 @@
         final Exchange.Try attempt;
         private final Member member;
         private Loop.Timer timer;
+        /** Looks whether an answer that has begun still moves as its client's time is up; null before it begins. */
+        private Loop.Timer late;
         private Loop.Opening connecting;
         private PeerConnection connection;
 
@@ -97,6 +101,9 @@
                 return;
             }
             timer.cancel();
+            if (late != null) {
+                late.cancel();
+            }
             if (connecting != null) {
                 connecting.abandon();
                 waitNoMore();
@@ -123,6 +130,18 @@
             }
         }
 
+        /** A client may still read what comes late, but is owed an end of what does not come. */
+        private void expectEnd(Duration left) {
+            late = loop.schedule(left, () -> {
+                long before = connection.pieces();
+                late = loop.schedule(LATE_PAUSE, () -> {
+                    if (connection.pieces() == before && !connection.isHeldByClient()) {
+                        end(Outcome.TIMEOUT, null);
+                    }
+                });
+            });
+        }
+
         /** Time is up: what waits for its connection surely has not run. */
         private void timeUp() {
             end(connecting != null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null);
@@ -240,6 +259,14 @@
         }
     }
 
+    @Override
+    public void expectEnd(Exchange.Try attempt, Duration left) {
+        Sending sending = out.get(attempt);
+        if (sending != null) {
+            sending.expectEnd(left);
+        }
+    }
+
     @Override
     public void closeIdle(long peer) {
         for (Kept<PeerConnection> k; (k = idle.takeNewest(peer)) != null;) {
--- a/src/test/java/rowanplank/node/LoopNode.java
+++ b/src/test/java/rowanplank/node/LoopNode.java
@@ -118,10 +118,15 @@
 
     /** So much time passes for the node at once. */
     void pass(Duration time) throws Exception {
-        clock.pass(time);
+        passLater(time);
         loop.call(() -> null); // it may be asleep until a time that has now gone by
     }
 
+    /** The same for a node that is held: its timers run once it is not. */
+    void passLater(Duration time) {
+        clock.pass(time);
+    }
+
     long count(Count count) throws Exception {
         return loop.call(() -> node.counters().get(count));
     }
@@ -142,6 +147,13 @@
         return holdOnce(() -> true);
     }
 
+    /** The same, before the timers of a turn are looked at, which come before its sockets. */
+    Hold holdBeforeTimers() {
+        Hold hold = new Hold(loop, () -> true);
+        loop.execute(() -> loop.schedule(Duration.ZERO, hold::look));
+        return hold;
+    }
+
     /** The same, between the turn in which this comes to hold and the next one. */
     Hold holdOnce(BooleanSupplier condition) {
         Hold hold = new Hold(loop, condition);
--- a/src/test/java/rowanplank/node/UpstreamRacesTest.java
+++ b/src/test/java/rowanplank/node/UpstreamRacesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -374,4 +375,223 @@
         assertEquals(0, connection.bytesToItsEnd());
         assertEquals(1, node.count(Count.TRIES_RESET));
     }
+
+    /** What the client got of an answer: all to the end of its connection. */
+    private static String toTheEnd(Client client) throws IOException {
+        client.socket.setSoTimeout(20_000);
+        StringBuilder text = new StringBuilder();
+        try {
+            for (int b; (b = client.socket.getInputStream().read()) >= 0;) {
+                text.append((char) b);
+            }
+        } catch (SocketException e) {
+            text.append("<reset>");
+        }
+        return text.toString();
+    }
+
+    /** A server that hangs in the middle of an answer holds neither its client nor a connection. */
+    @Test
+    void anAnswerThatStopsHalfWayEndsWithItsTime() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        for (String kind : new String[] {"article", "order"}) {
+            Client client = node.ask(request(kind, "3000m", 0));
+            Accepted connection = server.accept();
+            connection.serve("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha");
+            node.pass(Duration.ofSeconds(3));
+            assertEquals(kind.equals("article") ? 503 : 502, client.status());
+            assertEquals(0, connection.bytesToItsEnd());
+        }
+    }
+
+    /** Once something of it was passed on the client sees that it is not whole, soon after its time. */
+    @Test
+    void anAnswerThatHasBegunAndNeverEndsIsBrokenOffOnceItsTimeIsUp() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Client client = node.ask(request("article", "3000m", 0));
+        Accepted connection = server.accept();
+        connection.serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        node.awaitCount(Count.TRANSFERS, 1);
+        node.pass(Duration.ofMillis(3400));
+        String got = toTheEnd(client);
+        assertTrue(got.startsWith("HTTP/1.1 200") && !got.endsWith("0\r\n\r\n"), got);
+        assertEquals(0, connection.bytesToItsEnd());
+        assertEquals(1, node.count(Count.TRANSFERS_BROKEN));
+    }
+
+    @Test
+    void anAnswerThatStillMovesAsItsTimeIsUpComesWhole() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Client client = node.ask(request("article", "3000m", 0));
+        Accepted connection = server.accept();
+        connection.serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        node.awaitCount(Count.TRANSFERS, 1);
+        node.holdTime();
+        node.pass(Duration.ofSeconds(3));
+        connection.write("4\r\nmore\r\n");
+        while (!readLine(client).equals("more")) { } // the node has read it
+        node.pass(Duration.ofMillis(300));
+        connection.write("0\r\n\r\n");
+        while (!readLine(client).equals("0")) { }
+        assertEquals(0, node.count(Count.TRANSFERS_BROKEN));
+    }
+
+    private static String readLine(Client client) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b; (b = client.socket.getInputStream().read()) != '\n';) {
+            assertTrue(b >= 0, "ended after " + line);
+            line.append((char) b);
+        }
+        return line.toString().trim();
+    }
+
+    /** The end of the stream is no end of chunks, whether or not something was passed on. */
+    @Test
+    void aChunkedAnswerThatEndsWithItsConnectionIsNotWhole() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        String half = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        Client order = ask("order");
+        Accepted atOnce = server.accept();
+        atOnce.serve(half);
+        atOnce.close();
+        assertEquals(502, order.status());
+        Client begun = ask("order");
+        Accepted later = server.accept();
+        later.serve(half);
+        node.awaitCount(Count.TRANSFERS, 1);
+        later.close();
+        String got = toTheEnd(begun);
+        assertTrue(got.contains("\r\nhalf\r\n") && !got.endsWith("0\r\n\r\n"), got);
+    }
+
+    /** A reset in the middle of a large answer is seen by its client, in each framing. */
+    @Test
+    void aResetUnderALargeAnswerIsSeenByItsClient() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        String page = "x".repeat(100_000);
+        String[] heads = {"Content-Length: 200000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"};
+        for (int i = 0; i < heads.length; i++) {
+            Client client = ask("article");
+            Accepted connection = server.accept();
+            connection.serve("HTTP/1.1 200 OK\r\n" + heads[i] + page);
+            node.awaitCount(Count.TRANSFERS, i + 1);
+            connection.reset();
+            String got = toTheEnd(client);
+            assertTrue(got.startsWith("HTTP/1.1 200") && !got.endsWith("0\r\n\r\n"), "framing " + i);
+            assertTrue(got.length() < 120_000, "framing " + i);
+        }
+    }
+
+    /** The end of the stream ends an answer without length, but none to a request that the server does not have whole. */
+    @Test
+    void anEndBeforeTheRequestsLastByteIsNoAnswer() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Client client = node.ask(request("order", "10000m", 300_000).substring(0, 200_000));
+        Accepted connection = server.accept();
+        head(connection);
+        connection.write("HTTP/1.1 200 OK\r\n\r\nearly");
+        connection.socket.shutdownOutput();
+        assertEquals(503, client.status(), "it never ran");
+    }
+
+    /** Interim answers are none: what ends after them has not been answered. */
+    @Test
+    void interimAnswersAreFollowedByOneOrByNone() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        String interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(3);
+        Client served = ask("order");
+        Accepted connection = server.accept();
+        connection.serve(interim);
+        connection.write(StubSite.ok("order"));
+        assertTrue(served.answer().endsWith("order"));
+        node.pass(A_WHILE);
+        Client lost = ask("order");
+        connection.serve(interim);
+        connection.close();
+        assertEquals(502, lost.status());
+        assertEquals(1, node.count(Count.TRIES_RESET));
+    }
+
+    /** The attempt is withdrawn and its answer comes in one turn: it is closed first, and the next one's answer counts. */
+    @Test
+    void aWithdrawnAttemptIsClosedBeforeTheNextBegins() throws Exception {
+        HeldServer server = server();
+        HeldServer other = server();
+        start(server.ready("s-1"));
+        Accepted resting = rested(server);
+        Client client = ask("article");
+        resting.request();
+        list(server.ready("s-1"), other.ready("s-2"));
+        try (Hold hold = node.holdBeforeTimers()) {
+            hold.await();
+            node.passLater(Duration.ofMillis(1100));
+            resting.write(StubSite.ok("late"));
+        }
+        Accepted second = other.accept();
+        second.request();
+        assertEquals(0, resting.bytesToItsEnd(), "it has ended by now");
+        second.write(StubSite.ok("second"));
+        assertTrue(client.answer().endsWith("second"));
+        assertEquals(1, node.count(Count.TRIES_CANCELLED));
+    }
+
+    /** The client leaves and its answer comes in one turn: one outcome, and the next request gets its own answer. */
+    @Test
+    void anAnswerThatCrossesItsClientsLeavingEndsTheTryOnce() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Client leaving = ask("article");
+        Accepted connection = server.accept();
+        connection.request();
+        try (Hold hold = node.hold()) {
+            hold.await();
+            leaving.close();
+            connection.write(StubSite.ok("nobody's"));
+        }
+        node.pass(A_WHILE);
+        Client next = ask("article");
+        Accepted last = node.count(Count.TRIES_CANCELLED) == 0 ? connection : server.accept();
+        last.serve(StubSite.ok("next"));
+        assertTrue(next.answer().endsWith("next"));
+        assertEquals(2, node.count(Count.TRIES_OK) + node.count(Count.TRIES_CANCELLED));
+    }
+
+    /** A server that drains, or is another process by now, gets nothing of what was chosen before. */
+    @Test
+    void whatWaitsForAConnectionDoesNotGoToAServerThatHasChangedSince() throws Exception {
+        HeldServer late = opened(HeldServer.full());
+        HeldServer other = server();
+        String[] changes = {late.member("s-1", "draining", 0), late.member("s-1", "ready", System.currentTimeMillis()),
+            late.member("s-9", "draining", 0)};
+        start(late.ready("s-1"));
+        for (int i = 0; i < changes.length; i++) {
+            Client client = ask("order");
+            node.awaitCount(Count.TRIES_SENT, 2 * i + 1);
+            list(changes[i], other.ready("s-2"));
+            assertEquals(i + 1, node.count(Count.TRIES_MOOT));
+            other.accept().serve(StubSite.ok("order"));
+            assertTrue(client.answer().endsWith("order"));
+            list(late.ready("s-1"));
+        }
+        late.makeRoom();
+        assertFalse(late.isAsked());
+    }
+
+    /** A resting connection to a process is of no use for the one that came up at its address. */
+    @Test
+    void aRestingConnectionIsClosedAsItsServerComesBackCold() throws Exception {
+        HeldServer server = server();
+        start(server.ready("s-1"));
+        Accepted resting = rested(server);
+        node.holdTime(); // else it would be closed in the end for its long rest
+        list(server.member("s-1", "ready", System.currentTimeMillis()));
+        assertEquals(0, resting.bytesToItsEnd());
+    }
 }
