At the end of a shutdown, take what still comes in order, and reject it in time

Cause, each in Lifecycle.leave or beside it: a connection accepted in the moment in which nothing else was open is handed over some turns of the loop later, was not counted, and the process ended under it. A request that became whole after all that was open had been rejected was sent on, and lost with the process. Where the winding down and the last rejects fell due at once, the rejects came first and did not say Connection: close. A listener whose queue could not be taken (no descriptor left) stayed open. And SIGTERM was heard only from the line after the start on: until then it ended the process at once, whatever had been taken.

Ruled out: counting what the listener takes (acceptPending): connections taken in the ordinary way a turn before are not counted yet either; seen with the test, which still failed.

Change: after the listener is closed six looks, 50 ms, find nothing open before the end; new requests are rejected once the open ones have been; the winding down comes before the rejects; the handler of SIGTERM is set before the node starts, and taken back where it can't start. Told to stop before it has begun, a node ends without the half second of accepting.

No test forces SIGTERM between the start and the next line of the main thread; the other crossings of ShutdownTest passed before as well.

--- a/src/main/java/rowanplank/cli/Serve.java
+++ b/src/main/java/rowanplank/cli/Serve.java
@@ -58,7 +58,6 @@
             if (!heard) {
                 System.err.println("SIGHUP is ignored by what started this process: reloads will not be heard of");
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "stop"));
             return 0;
         } catch (InheritedListener.UnusableException e) {
             return Status.failed(Status.USAGE, "EDGE_FD: " + e.getMessage());
@@ -82,7 +81,6 @@
             Running running = start(told.node(), told.fleet(), parts, clock);
             running.told().set(told);
             started.complete(running);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "stop"));
             return 0;
         } catch (ConfigException e) {
             e.faults().forEach(f -> Status.failed(Status.USAGE, f));
@@ -136,11 +134,38 @@
             return null;
         });
         WarmUp.run(config.site());
-        loop.call(() -> {
-            node.start();
-            return null;
-        });
-        return new Running(node, fleet, loop, new AtomicReference<>(), log);
+        Running running = new Running(node, fleet, loop, new AtomicReference<>(), log);
+        Thread hook = new Thread(() -> stop(running), "stop");
+        if (isHooked(hook)) { // before the first client: a SIGTERM right behind the start must not end what was taken
+            startNode(running, hook);
+        }
+        return running;
+    }
+
+    /** Whether the process was not told to end before; else nothing is begun any more. */
+    private static boolean isHooked(Thread hook) {
+        try {
+            Runtime.getRuntime().addShutdownHook(hook);
+            return true;
+        } catch (IllegalStateException e) {
+            return false;
+        }
+    }
+
+    private static void startNode(Running running, Thread hook) throws Exception {
+        try {
+            running.loop().call(() -> {
+                running.node().start();
+                return null;
+            });
+        } catch (IOException | RuntimeException e) {
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook); // there is nothing to be stopped
+            } catch (IllegalStateException ending) {
+                // it is at work, and ends by itself
+            }
+            throw e;
+        }
     }
 
     /** Processes of one name differ in the microsecond of their start, or in their number; see docs/agreement.md, (e). */
--- a/src/main/java/rowanplank/intake/http/ClientConnection.java
+++ b/src/main/java/rowanplank/intake/http/ClientConnection.java
@@ -364,7 +364,7 @@
             respond(409, HttpFields.build(), NOTHING);
             return;
         }
-        if (!intake.canServe()) {
+        if (intake.rejectsAll() || !intake.canServe()) {
             intake.counters.add(Count.REQUESTS_TURNED_AWAY);
             lastOne = true;
             reject(NO_ROOM);
--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -190,6 +190,11 @@
         return held <= MOST_HELD;
     }
 
+    /** Whether a request that comes now would not be answered before the node ends. */
+    boolean rejectsAll() {
+        return lifecycle.rejectsAll();
+    }
+
     /** Whether connections are closed with their answers. */
     boolean closing() {
         return lifecycle.closesWithAnswers();
@@ -201,10 +206,13 @@
      * @param takeWaiting whether those that wait in the system's queue are taken first: closing would reset them
      */
     public void acceptNoMore(boolean takeWaiting) throws IOException {
-        if (takeWaiting) {
-            listening.acceptPending();
+        try {
+            if (takeWaiting) {
+                listening.acceptPending();
+            }
+        } finally {
+            listening.close();
         }
-        listening.close();
     }
 
     /** Ends the connections that owe nothing. */
--- a/src/main/java/rowanplank/lifecycle/Lifecycle.java
+++ b/src/main/java/rowanplank/lifecycle/Lifecycle.java
@@ -24,7 +24,7 @@
  * front has seen this one go; once none is connected, or the longest deadline is nearly over, it accepts no more and
  * each answer is its connection's last. With a listener that another process shares (a new version under load): it
  * accepts no more at once, since what waits there is the other's, and each answer is its connection's last. In both
- * cases it ends once nothing is open, and rejects what is open shortly before it would be killed.
+ * cases it ends once nothing is open, and rejects what is open, and what still comes, shortly before it would be killed.
  */
 public final class Lifecycle {
     /** Where a node is in its life. */
@@ -69,6 +69,8 @@
     private static final Duration WINDING_DOWN = Duration.ofMillis(450);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
     private static final Duration LOOK_AGAIN = Duration.ofMillis(10);
+    /** A connection that was accepted last is counted as open some turns of the loop later: so many looks, with the first. */
+    private static final int LAST_LOOKS = 6;
     /** So long after it was told to stop, new connections may still come. */
     private static final Duration STILL_ACCEPTING = Duration.ofMillis(500);
     /** Connections at rest are kept so long into a drain: until then the front may still send over them. */
@@ -96,6 +98,8 @@
     private boolean accepting;
     private boolean closing;
     private boolean rejected;
+    /** How often it still looks whether something is open after all, before it ends. */
+    private int looksLeft;
     private boolean ended;
 
     public Lifecycle(Settings settings, Actions actions) {
@@ -174,7 +178,7 @@
         }
         leavingSince = now;
         since = now;
-        if (settings.shared()) {
+        if (settings.shared() || started == null) {
             close(false);
             actions.wake(LOOK_AGAIN);
         } else {
@@ -208,17 +212,17 @@
 
     private void leave(Instant now) {
         Duration all = deadline.plus(STOPS_WITHIN);
+        if (!closing && (passed(now, leavingSince, all.minus(WINDING_DOWN))
+                || actions.openCount() == 0 && passed(now, leavingSince, STILL_ACCEPTING))) {
+            close(true);
+        }
         if (!rejected && passed(now, leavingSince, all.minus(LAST_ANSWERS))) {
             rejected = true;
             actions.rejectOpen();
         }
         boolean open = actions.openCount() > 0;
-        if (!closing && (passed(now, leavingSince, all.minus(WINDING_DOWN))
-                || !open && passed(now, leavingSince, STILL_ACCEPTING))) {
-            close(true);
-            open = actions.openCount() > 0;
-        }
-        if (closing && !open || passed(now, leavingSince, all)) {
+        looksLeft -= looksLeft > 0 ? 1 : 0;
+        if (closing && !open && looksLeft == 0 || passed(now, leavingSince, all)) {
             ended = true;
             actions.end(!open);
         } else {
@@ -227,14 +231,15 @@
     }
 
     private void accept() {
-        accepting = true;
         actions.accept();
+        accepting = true;
     }
 
     private void close(boolean takeWaiting) {
         closing = true;
         if (accepting) {
             accepting = false;
+            looksLeft = takeWaiting ? LAST_LOOKS : 0;
             actions.acceptNoMore(takeWaiting);
         }
     }
@@ -263,6 +268,11 @@
         return state() == State.SERVING && accepting;
     }
 
+    /** Whether new requests are rejected, as those that were open have been: no answer would come in time. */
+    public boolean rejectsAll() {
+        return rejected;
+    }
+
     /** Whether an answer that begins now is its connection's last. */
     public boolean closesWithAnswers() {
         return closing || drainingSince != null;
--- a/src/test/java/rowanplank/node/HeldNode.java
+++ b/src/test/java/rowanplank/node/HeldNode.java
@@ -49,6 +49,8 @@
     private volatile Duration ahead = Duration.ZERO;
     /** At 0 once the node has ended by itself. */
     final CountDownLatch ended = new CountDownLatch(1);
+    /** How many requests had been served by then. */
+    volatile long servedAtEnd;
 
     /** An upstream server of which the test itself does each step, on sockets. */
     static final class Wire implements AutoCloseable {
@@ -178,7 +180,10 @@
 
     /** Tells the node to stop. What a process would do at its end is done by {@link #close}. */
     void stop() {
-        node.stop(ended::countDown);
+        node.stop(() -> {
+            servedAtEnd = node.counters().get(Count.ANSWERS_SERVED);
+            ended.countDown();
+        });
     }
 
     Socket connect() throws IOException {
