--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -555,9 +555,7 @@
 
     /** The final answer: a refusal where trying again is harmless, else a failure. */
     private void answer(Open r) {
-        boolean mayHaveRun = r.firstMayHaveRun() != null;
-        boolean harmless = !mayHaveRun || r.type.effect() == Effect.REPEATABLE
-                || r.type.effect() == Effect.BY_KEY && r.type.group() == Group.ALL;
+        boolean harmless = r.type.mayBeRefused(r.firstMayHaveRun() != null);
         // Where clients heed it, they come back when room may have come up, and still in time for their aim.
         double retryAfter = Math.min(settings.limits().maxRetryAfterMs(), RETRY_AFTER_SHARE * r.type.aimMs());
         if (harmless) actions.refuse(r.request.id(), retryAfter);
--- a/src/main/java/rowanplank/balancer/BalancerApi.java
+++ b/src/main/java/rowanplank/balancer/BalancerApi.java
@@ -74,6 +74,15 @@
             require(windowMs >= 0, "classes[].window_ms");
         }
 
+        /**
+         * Whether a client may be told that asking again is harmless.
+         *
+         * @param mayHaveRun whether an attempt of its request may have had its effect, or may yet
+         */
+        public boolean mayBeRefused(boolean mayHaveRun) {
+            return !mayHaveRun || effect == Effect.REPEATABLE || effect == Effect.BY_KEY && group == Group.ALL;
+        }
+
         /** How long after the first send that may have run a repeat may begin; the rest is for its way to the server. */
         public double repeatWithinMs() {
             return windowMs * 0.9;
--- a/src/main/java/rowanplank/decision/Decisions.java
+++ b/src/main/java/rowanplank/decision/Decisions.java
@@ -14,7 +14,6 @@
 import rowanplank.balancer.BalancerApi.Actions;
 import rowanplank.balancer.BalancerApi.Effect;
 import rowanplank.balancer.BalancerApi.Events;
-import rowanplank.balancer.BalancerApi.Group;
 import rowanplank.balancer.BalancerApi.ListKind;
 import rowanplank.balancer.BalancerApi.Outcome;
 import rowanplank.balancer.BalancerApi.Request;
@@ -180,10 +179,7 @@
 
     /** A refusal says that asking again does no harm: it would, where what may have run must not run twice. */
     private Answer unserved(Exchange exchange) {
-        RequestClass type = type(exchange);
-        boolean harmless = !exchange.mayHaveRun() || type.effect() == Effect.REPEATABLE
-                || type.effect() == Effect.BY_KEY && type.group() == Group.ALL;
-        return harmless ? new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE)) : new Answer.Failed();
+        return type(exchange).mayBeRefused(exchange.mayHaveRun()) ? new Answer.Rejected(site.retryAfter(RETRY_ELSEWHERE)) : new Answer.Failed();
     }
 
     private RequestClass type(Exchange exchange) {
