Take lists that end with their connection, and pause where a watch is answered with nothing new

Causes, each seen on the real node with a discovery that says each byte when the test does: an answer without a length or of HTTP/1.0 was never taken (onEnd dropped it); one with Connection: close, and a connection that ended between two calls, counted as failures; a watch that was answered at once with nothing newer was asked again at once, without end (a broken discovery and a loop at full speed); a revision below zero was taken and then meant that there is no list, so the whole list was asked for without end.

Change: DiscoveryWatch takes what is whole at the connection's end and makes the next call at once; an early answer with the revision asked from is followed by AskingPace's pause; a revision below zero is malformed. A whole list still counts whatever its revision is.

--- a/src/main/java/rowanplank/discovery/DiscoveryWatch.java
+++ b/src/main/java/rowanplank/discovery/DiscoveryWatch.java
@@ -26,7 +26,9 @@
 /**
  * Asks discovery for the whole list, then watches it for changes, one call at a time; with a list of its last life
  * it asks for what has changed since. A call that fails or stays silent is made again on a new connection, at the pace
- * of {@link AskingPace}; a malformed answer changes nothing, and the whole list is asked for anew.
+ * of {@link AskingPace}; so is a watch that is answered at once with nothing new, on the connection that it has. A
+ * malformed answer changes nothing, and the whole list is asked for anew. An answer may be the last on its connection,
+ * and end with it.
  * It can be stopped, for another one that watches discovery at a new address.
  */
 public final class DiscoveryWatch {
@@ -134,11 +136,14 @@
         return Duration.between(begun, loop.clock().now());
     }
 
-    /** @return whether the answer could be used */
-    private boolean take(String text) {
+    /** @return the list that was told; null where the answer could not be used */
+    private HostList take(String text) {
         HostList list;
         try {
             list = HostList.parse(text, zones);
+            if (list.revision() < 0) {
+                throw new ConfigException("a revision below zero");
+            }
             if (revision < 0 && !list.complete()) {
                 throw new ConfigException("changes to a list that was never told");
             }
@@ -149,14 +154,13 @@
             counters.add(Count.DISCOVERY_MALFORMED);
             log.warn("malformed answer of discovery, the old list stands: " + e.getMessage());
             revision = -1;
-            return false;
+            return null;
         }
         revision = list.revision();
-        pace.answered();
         heard = true;
         counters.add(Count.DISCOVERY_LISTS);
         listener.told(this, list);
-        return true;
+        return list;
     }
 
     /** A connection to discovery, with one call after the other on it. */
@@ -165,7 +169,10 @@
         private Loop.Timer patience;
         private Loop.Timer stall;
         private Duration wait = Duration.ZERO;
+        private long asked;
         private int pieces;
+        /** Until the next call, where this connection's last answer was a good one; null while a call is out. */
+        private Duration pause;
         private String reason = "discovery closed the connection";
 
         Call(EndPoint endPoint) {
@@ -192,6 +199,8 @@
         private void ask() {
             // At first what has changed by now: a node is not taken in before it has heard of it.
             wait = heard && revision >= 0 ? pace.watchWait() : Duration.ZERO;
+            asked = revision;
+            pause = null;
             String target = "/discovery/hosts"
                     + (revision < 0 ? "" : "?index=" + revision + "&wait=" + wait.toMillis());
             patience = loop.schedule(pace.patience(wait), this::silent);
@@ -275,18 +284,38 @@
                 giveUp("discovery answered " + reader.status());
                 return;
             }
-            if (!take(new String(reader.body(), StandardCharsets.UTF_8))) {
+            HostList list = take(new String(reader.body(), StandardCharsets.UTF_8));
+            if (list == null) {
                 giveUp("asking discovery anew");
-            } else if (!reader.keepsConnection()) {
-                giveUp("discovery ends the connection");
-            } else {
-                reader.reset();
+                return;
+            }
+            pause = pauseAfter(list);
+            if (!reader.keepsConnection()) {
+                close();
+                return;
+            }
+            reader.reset();
+            if (pause.isZero()) {
                 askAgain();
+            } else {
+                patience = loop.schedule(pause, this::askAgain);
             }
         }
 
+        /** Guards discovery, and this loop, against a watch that is answered at once, again and again, with nothing new. */
+        private Duration pauseAfter(HostList list) {
+            if (list.revision() == asked && spent().compareTo(wait.dividedBy(2)) < 0) {
+                return pace.failed(spent());
+            }
+            pace.answered();
+            return Duration.ZERO;
+        }
+
         @Override
         protected void onEnd() {
+            if (pause == null && reader.end() == ResponseReader.Progress.WHOLE) {
+                answered();
+            }
             close();
         }
 
@@ -295,7 +324,11 @@
             if (patience != null) {
                 calm();
             }
-            again(reason);
+            if (pause != null && !stopped) {
+                next = loop.schedule(pause, DiscoveryWatch.this::start);
+            } else {
+                again(reason);
+            }
         }
     }
 }
