Tell the module of a list before connections to what it leaves out are given up

Cause: Node.apply changed the group, then Peers.groupChanged ended the attempts that waited for a connection to servers that were gone, and only then the module heard of the list. It sent each such request on at once, to others that it still held for there; each of these was MOOT and used up one of the request's attempts, until the request was answered 503 with a good server listed.

Change: the module is told first, then connections are dropped. Ruled out: a stale connection in between, as Peers asks the group before it uses one.

DiscoveryRaceTest.whatAWholeListLeavesOutIsGoneInAllPartsAtOnce was seen to fail without it (503 for 200). Also new, where nothing had to change: SIGHUP with a new address in each state of the old and of the new discovery, twice, and back again; unusable files; files with other classes and deadlines under an open request; readiness while discovery is down, with and without a known list.

--- a/src/main/java/rowanplank/node/Node.java
+++ b/src/main/java/rowanplank/node/Node.java
@@ -204,8 +204,9 @@
         if (taken.size() < list.members().size()) {
             log.warn(list.members().size() - taken.size() + " peers beyond the bound were left out");
         }
-        peers.groupChanged(change.outdated());
+        // The module first: what is given up next is sent elsewhere, and not to others that have gone with it.
         decisions.servers(kind, taken.stream().map(HostList.Member::server).toList());
+        peers.groupChanged(change.outdated());
     }
 
     private void lookAtPeers(boolean told) {
--- a/src/test/java/rowanplank/node/DiscoveryRaceTest.java
+++ b/src/test/java/rowanplank/node/DiscoveryRaceTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rowanplank.node.ScriptedDiscovery.changes;
@@ -9,9 +10,15 @@
 import static rowanplank.node.ScriptedDiscovery.whole;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -283,4 +290,236 @@
         assertEquals("/discovery/hosts?index=1&wait=0", node.callWithin(MOMENT, discovery).target);
         assertEquals(0, node.count(Count.DISCOVERY_FAILURES));
     }
+
+    /** A page server whose connections never come up. */
+    private String unreachable(String id) throws IOException {
+        ServerSocket full = opened(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        for (int i = 0; i < 2; i++) {
+            opened(new Socket(full.getInetAddress(), full.getLocalPort()));
+        }
+        return one.member(id, "ready").replace(one.address(), "127.0.0.1:" + full.getLocalPort());
+    }
+
+    /**
+     * Guards a request whose attempt still waits for a connection: the server is left out of a whole list, and so are the
+     * others but one. Its attempt is given up at once and costs none of its further ones, and what idles is closed.
+     */
+    @Test
+    void whatAWholeListLeavesOutIsGoneInAllPartsAtOnce() throws Exception {
+        Call watch = serve(SETTINGS);
+        String lone = whole(2, one.member("s-1", "ready"));
+        watch.answer(lone);
+        watch = discovery.next();
+        assertOnly("one"); // and its connection idles now
+        String[] gone = {unreachable("s-3"), unreachable("s-4"), unreachable("s-5"), unreachable("s-6")};
+        watch.answer(whole(3, gone));
+        watch = discovery.next();
+        assertNotNull(one.ended.poll(20, TimeUnit.SECONDS), "what idles is closed");
+        long sent = node.count(Count.TRIES_SENT);
+        try (Socket client = new Socket("127.0.0.1", node.port())) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write(("GET /article/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: waits\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            node.await(Count.TRIES_SENT, sent + 1);
+            watch.answer(whole(4, other.member("s-2", "ready")));
+            String answer = StubSite.readMessage(client.getInputStream());
+            assertTrue(answer.endsWith("\r\n\r\nother"), answer);
+        }
+        assertEquals(sent + 2, node.count(Count.TRIES_SENT));
+        assertEquals(1, node.count(Count.TRIES_MOOT));
+        assertOnly("other");
+    }
+
+    /** In which state a discovery is that a node was told to leave, or to go to. */
+    enum State { SILENT, REFUSES, NEVER_COMES_UP, RESETS }
+
+    private void bring(ScriptedDiscovery which, State state) throws IOException {
+        switch (state) {
+            case SILENT -> { }
+            case REFUSES, RESETS -> which.refuse();
+            case NEVER_COMES_UP -> which.neverComeUp();
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    /** Answers from now on; a call that the node has given up meanwhile is answered in vain, and the next one is not. */
+    private void answerNow(ScriptedDiscovery where, Duration within, String list, long lists) throws Exception {
+        for (int calls = 0; node.count(Count.DISCOVERY_LISTS) < lists; calls++) {
+            assertTrue(calls < 20, node.log.toString());
+            Call call = node.callWithin(within, where);
+            try {
+                call.answer(list);
+            } catch (IOException e) {
+                // given up
+            }
+        }
+    }
+
+    private void moveTo(ScriptedDiscovery where) throws Exception {
+        node.file = config(SETTINGS, where.address(), null);
+        node.hangUp();
+    }
+
+    /** Guards drains after a move: the old discovery is gone, or says nothing; what the new one tells counts in 4 s. */
+    @ParameterizedTest
+    @EnumSource
+    void aNewAddressIsAskedAtOnceWhateverBecameOfTheOldOne(State old) throws Exception {
+        Call watch = serve(SETTINGS);
+        if (old == State.RESETS) {
+            watch.reset();
+        }
+        bring(discovery, old);
+        ScriptedDiscovery moved = opened(new ScriptedDiscovery());
+        moveTo(moved);
+        Call first = moved.next();
+        assertEquals("/discovery/hosts", first.target);
+        assertTrue(node.isUp(), "the old list stands until the new one is in");
+        first.answer(whole(1, other.member("s-2", "ready")));
+        assertEquals("/discovery/hosts?index=1&wait=2000", moved.next().target);
+        assertOnly("other");
+        watch.awaitClosed();
+    }
+
+    /** The same where the new one is down at first: it is asked again until it is there, and the old one is heard. */
+    @ParameterizedTest
+    @EnumSource(value = State.class, names = "RESETS", mode = EnumSource.Mode.EXCLUDE)
+    void aNewDiscoveryThatIsDownAtFirstIsAskedUntilItIsThereAndTheOldOneIsHeard(State fresh) throws Exception {
+        Call watch = serve(SETTINGS);
+        ScriptedDiscovery moved = opened(new ScriptedDiscovery());
+        bring(moved, fresh);
+        moveTo(moved);
+        node.pass(Duration.ofMillis(1500));
+        watch.answer(whole(2, one.member("s-1", "ready")));
+        node.await(Count.DISCOVERY_LISTS, 2);
+        assertOnly("one");
+        if (fresh != State.SILENT) {
+            moved.comeBack();
+        }
+        answerNow(moved, Duration.ofSeconds(2), whole(1, other.member("s-2", "ready")), 3);
+        assertOnly("other");
+    }
+
+    /**
+     * Guards against a late answer of a discovery that was left while a call to it was out: SIGHUP comes twice, the address
+     * goes back and forth, and only who is asked now is heard.
+     */
+    @Test
+    void onlyTheDiscoveryThatIsAskedNowIsHeardHoweverOftenTheAddressChanges() throws Exception {
+        Call watch = serve(SETTINGS);
+        ScriptedDiscovery moved = opened(new ScriptedDiscovery());
+        moveTo(moved);
+        Call left = moved.next();
+        moveTo(moved);
+        assertNull(moved.calls.poll(), "twice the same address is one watch");
+        moveTo(discovery); // back, before the new one has said anything
+        left.awaitClosed();
+        watch.answer(whole(2, one.member("s-1", "ready")));
+        watch = discovery.next();
+        assertEquals("/discovery/hosts?index=2&wait=2000", watch.target, "the old watch has gone on");
+        assertOnly("one");
+        moveTo(moved);
+        moved.next().answer(whole(1, other.member("s-2", "ready")));
+        Call second = moved.next();
+        watch.awaitClosed();
+        assertOnly("other");
+        moveTo(discovery);
+        Call back = discovery.next();
+        assertEquals("/discovery/hosts", back.target, "no change in between is missed");
+        back.answer(whole(3, one.member("s-1", "ready")));
+        second.awaitClosed();
+        assertOnly("one");
+        assertEquals(4, node.count(Count.DISCOVERY_LISTS));
+    }
+
+    /** Guards a running node: a file that can't be used, or a part of one, is one line and changes nothing. */
+    @Test
+    void anUnusableFileIsOneLineAndTheWatchGoesOn() throws Exception {
+        Call watch = serve(SETTINGS);
+        ScriptedDiscovery moved = opened(new ScriptedDiscovery());
+        String good = config(SETTINGS, moved.address(), null);
+        String[] bad = {"", good.substring(0, good.length() / 2), good.replace(moved.address(), "nowhere"),
+            good.replace("20000, \"effect\"", "-1, \"effect\""), good.replace("article", ""), "[]"};
+        for (int i = 0; i < bad.length; i++) {
+            int lines = node.log.size();
+            node.file = bad[i];
+            node.hangUp();
+            assertEquals(i + 1, node.count(Count.RELOADS_UNUSABLE), bad[i]);
+            assertEquals(lines + 1, node.log.size(), node.log.toString());
+            assertTrue(node.log.get(lines).contains("the new configuration can't be used, the old one stands: EDGE_CONFIG"));
+        }
+        assertNull(moved.calls.poll());
+        watch.answer(whole(2, other.member("s-2", "ready")));
+        assertEquals("/discovery/hosts?index=2&wait=2000", discovery.next().target);
+        assertOnly("other");
+    }
+
+    /** Guards requests under way: a file with other classes and deadlines moves discovery, and nothing else of it counts. */
+    @Test
+    void otherSettingsInANewFileChangeNoRequest() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        StubSite.Peer slow = peer(r -> {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return StubSite.ok("slow");
+        });
+        Call watch = serve(SETTINGS);
+        watch.answer(whole(2, slow.member("s-1", "ready")));
+        watch = discovery.next();
+        try (Socket client = new Socket("127.0.0.1", node.port())) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write(("GET /article/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: open\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(slow.requests.take().contains("X-Timeout: 20000000u"));
+            ScriptedDiscovery moved = opened(new ScriptedDiscovery());
+            node.file = config(SETTINGS.replace("article", "video").replace("2000, \"deadline_ms\": 20000", "20, \"deadline_ms\": 50")
+                    .replace("\"zones\": [\"a\"]", "\"zones\": [\"b\"]"), moved.address(), whole(9));
+            node.hangUp();
+            moved.next().answer(whole(1, slow.member("s-1", "ready"), other.member("s-2", "ready")));
+            moved.next();
+            node.pass(Duration.ofMillis(500)); // beyond the deadline of the new file
+            assertEquals(1, node.count(Count.REQUESTS_TAKEN) - node.count(Count.ANSWERS_SERVED));
+            answer.countDown();
+            assertTrue(StubSite.readMessage(client.getInputStream()).endsWith("slow"));
+        }
+        assertTrue(node.get("/video/7").startsWith("HTTP/1.1 404 "));
+        while (other.requests.isEmpty()) {
+            assertTrue(node.get("/article/7").startsWith("HTTP/1.1 200 "));
+        }
+        assertTrue(other.requests.take().matches("(?s).*X-Timeout: 20000000u.*"));
+    }
+
+    /** Guards readiness: with the list of its last life a node serves soon, in whatever state discovery is. */
+    @ParameterizedTest
+    @EnumSource(value = State.class, names = "RESETS", mode = EnumSource.Mode.EXCLUDE)
+    void aNodeWithAKnownListIsUpSoonWhileDiscoveryIsDown(State state) throws Exception {
+        bring(discovery, state);
+        node = new DrivenNode(config(SETTINGS, discovery.address(), whole(7, one.member("s-1", "ready"))));
+        assertFalse(node.isUp());
+        node.pass(Duration.ofMillis(250));
+        assertTrue(node.isUp());
+        assertOnly("one");
+        if (state != State.SILENT) {
+            discovery.comeBack();
+        }
+        Call call = node.callWithin(Duration.ofSeconds(2), discovery);
+        assertEquals("/discovery/hosts?index=7&wait=0", call.target);
+    }
+
+    /** The same without any list: it is not up, and is as soon as discovery has told one. */
+    @ParameterizedTest
+    @EnumSource(value = State.class, names = "RESETS", mode = EnumSource.Mode.EXCLUDE)
+    void aNodeWithoutAListIsUpAsSoonAsDiscoveryIsBack(State state) throws Exception {
+        bring(discovery, state);
+        node = new DrivenNode(config(SETTINGS, discovery.address(), null));
+        node.pass(Duration.ofSeconds(12));
+        assertFalse(node.isUp());
+        if (state != State.SILENT) {
+            discovery.comeBack();
+        }
+        answerNow(discovery, Duration.ofSeconds(2), both(), 1);
+        assertTrue(node.isUp());
+    }
 }
--- a/src/test/java/rowanplank/node/ScriptedDiscovery.java
+++ b/src/test/java/rowanplank/node/ScriptedDiscovery.java
@@ -4,6 +4,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -124,23 +125,37 @@
     /** New connections never come up from now on: the queue is full, and the system drops what else would connect. */
     void neverComeUp() throws IOException {
         listener.close();
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(address, 1);
+        listen(1);
         for (int i = 0; i < 2; i++) {
             opened.add(new Socket(address.getAddress(), address.getPort()));
         }
     }
 
+    /** At the address that it had; a thread that still accepts there leaves it a moment after the close. */
+    private void listen(int backlog) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (true) {
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            try {
+                listener.bind(address, backlog);
+                return;
+            } catch (BindException e) {
+                listener.close();
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     /** It accepts again. */
     void comeBack() throws Exception {
         for (Closeable o : opened) {
             o.close();
         }
         if (listener.isClosed()) {
-            listener = new ServerSocket();
-            listener.setReuseAddress(true);
-            listener.bind(address, BACKLOG);
+            listen(BACKLOG);
         }
         accept();
     }
