Let a lingering connection make room only where just one is too many

Cause: with the linger of resting connections, the closing of any lingering one counted as room, also of one that had been told that there is none; so a crowd held 464 where 480 were to be held (IntakeTest.aCrowdThatStopsHalfWayNeverHoldsMoreThanTheBound, expected 480, was 464). Now one that lingers gives way only at the bound itself; beyond it those at rest are ended as before.

--- a/src/main/java/rowanplank/intake/http/Intake.java
+++ b/src/main/java/rowanplank/intake/http/Intake.java
@@ -111,7 +111,7 @@
         if (connections.size() >= mostConnections - kept) {
             counted(connections.endOneAtRest(now));
         }
-        boolean room = connections.size() < mostConnections || closeOneAtRest(now)
+        boolean room = connections.size() < mostConnections || closeOneLingering(mostConnections) || closeOneAtRest(now)
                 || connections.size() < mostConnections + RESERVE || closeOneIdle();
         if (!room) {
             counters.add(Count.CLIENT_CONNECTIONS_TURNED_AWAY);
@@ -122,12 +122,18 @@
 
     /** Whether a request can be served; on the reserve's connections only questions about the node itself are. */
     boolean canServe() {
-        return connections.size() <= mostConnections || closeOneAtRest(clock.now()) || closeOneIdle();
+        return connections.size() <= mostConnections || closeOneLingering(mostConnections + 1)
+                || closeOneAtRest(clock.now()) || closeOneIdle();
+    }
+
+    /** One that lingers makes room only where just one is too many: those told that there is none linger beyond the bound. */
+    private boolean closeOneLingering(int full) {
+        return connections.size() == full && connections.closeOneLingering();
     }
 
     /** It has no time to linger where its descriptor is wanted now; another that has lingered goes in its place. */
     private boolean closeOneAtRest(Instant now) {
-        return connections.closeOneLingering() || counted(connections.endOneAtRest(now)) && isOneClosed();
+        return counted(connections.endOneAtRest(now)) && isOneClosed();
     }
 
     private boolean closeOneIdle() {
