--- a/src/main/java/rowanplank/config/HostList.java
+++ b/src/main/java/rowanplank/config/HostList.java
@@ -48,6 +48,9 @@
         if (o.get("revision") == null || o.get("complete") == null || o.get("members") == null) {
             throw new ConfigException("a list needs revision, complete and members");
         }
+        if (JsonFields.flag(o, "complete") && o.get("members").isNull()) {
+            throw new ConfigException("members of a complete list is not a list"); // it would leave out every server
+        }
         return new HostList((long) JsonFields.number(o, "revision", 0), JsonFields.flag(o, "complete"), members);
     }
 
--- a/src/main/java/rowanplank/config/SettingsReader.java
+++ b/src/main/java/rowanplank/config/SettingsReader.java
@@ -44,19 +44,30 @@
         }
     }
 
+    /** Guards one customer's requests against another's settings: of two of one name only one could be meant. */
+    private static void requireNew(boolean known, String key, String name) {
+        if (known) {
+            throw new IllegalArgumentException("setting out of range: " + key + " names " + name + " twice");
+        }
+    }
+
     private static SiteSettings settings(JsonObject o) {
         List<RequestClass> classes = new ArrayList<>();
         List<String> names = new ArrayList<>();
         for (JsonValue value : array(o, "classes")) {
             JsonObject c = object(value, "classes[]");
-            names.add(string(c, "name", ""));
+            String name = string(c, "name", "");
+            requireNew(!name.isEmpty() && names.contains(name), "classes[].name", name);
+            names.add(name);
             classes.add(requestClass(c));
         }
         List<Tenant> tenants = new ArrayList<>();
         Map<String, Integer> tenantPlaces = new LinkedHashMap<>();
         for (JsonValue value : array(o, "tenants")) {
             JsonObject t = object(value, "tenants[]");
-            tenantPlaces.put(string(t, "name", ""), tenants.size());
+            String name = string(t, "name", "");
+            requireNew(!name.isEmpty() && tenantPlaces.containsKey(name), "tenants[].name", name);
+            tenantPlaces.put(name, tenants.size());
             tenants.add(new Tenant(number(t, "quota_per_s", 0)));
         }
         List<String> zones = new ArrayList<>();
--- a/src/test/java/rowanplank/config/HostListTest.java
+++ b/src/test/java/rowanplank/config/HostListTest.java
@@ -45,6 +45,15 @@
         assertEquals(0x2cf24dba5fb0a30eL, HostList.number("hello"));
     }
 
+    /** Guards the servers: a complete list whose members are unknown must not pass for one of none. */
+    @Example
+    void aCompleteListOfUnknownMembersIsMalformed() {
+        String unknown = "{\"revision\":42,\"complete\":%s,\"members\":null}";
+        assertThrows(ConfigException.class, () -> HostList.parse(unknown.formatted("true"), ZONES));
+        assertEquals(List.of(), HostList.parse(unknown.formatted("false"), ZONES).members());
+        assertEquals(List.of(), HostList.parse("{\"revision\":42,\"complete\":true,\"members\":[]}", ZONES).members());
+    }
+
     @Property(seed = "31")
     void aCutListIsMalformed(@ForAll @IntRange(max = 240) int length) {
         String cut = LIST.substring(0, Math.min(length, LIST.length() - 1));
--- a/src/test/java/rowanplank/config/SettingsReaderTest.java
+++ b/src/test/java/rowanplank/config/SettingsReaderTest.java
@@ -17,6 +17,30 @@
                 .crossingPrice());
     }
 
+    /** Guards one tenant's share against another's requests, and requests that name no tenant, or one that is not listed. */
+    @Test
+    void aTenantIsFoundByItsName() {
+        SiteSettings none = SettingsReader.parse(SETTINGS.formatted("0"));
+        assertEquals(0, none.tenant(null));
+        assertEquals(0, none.tenant("anyone"));
+        SiteSettings two = SettingsReader.parse(SETTINGS.formatted("0").replace("\"deductions\"",
+                "\"tenants\": [{\"name\": \"north\"}, {\"name\": \"south\"}], \"deductions\""));
+        assertEquals(1, two.tenant("south"));
+        assertEquals(0, two.tenant("north"));
+        assertEquals(2, two.tenant(null));
+        assertEquals(2, two.tenant("South"));
+    }
+
+    @Test
+    void twoOfOneNameAreRefused() {
+        String two = "[{\"name\": \"x\", \"aim_ms\": 4, \"deadline_ms\": 9}, {\"name\": \"x\", \"aim_ms\": 4, \"deadline_ms\": 9}]";
+        var e = assertThrows(ConfigException.class, () -> SettingsReader.parse("{\"classes\": " + two + "}"));
+        assertTrue(e.getMessage().contains("classes[].name names x twice"), e.getMessage());
+        e = assertThrows(ConfigException.class, () -> SettingsReader.parse(SETTINGS.formatted("0")
+                .replace("\"deductions\"", "\"tenants\": " + two + ", \"deductions\"")));
+        assertTrue(e.getMessage().contains("tenants[].name names x twice"), e.getMessage());
+    }
+
     @Test
     void aPriceThatIsNoneIsRefusedByItsName() {
         for (String price : new String[] {"-0.01", "\"much\"", "1e999"}) {
