Let go of the last answer as a connection comes to rest

A connection at rest kept the body of its last answer until its next use; since connections rest for 10 ms before that, more of them are open. Ruled out: a leak, the reader lets go at its reset. It is reset as the connection comes to rest now.

--- a/src/main/java/rowanplank/peer/http/PeerConnection.java
+++ b/src/main/java/rowanplank/peer/http/PeerConnection.java
@@ -309,6 +309,7 @@
         upload = null; // what is not yet sent of it may go to another peer, if nothing of it was
         if (reusable) {
             answeredLast = done.attempt.exchange().context().id();
+            reader.reset(); // connections that rest are many: none keeps its last answer
             resumeReading();
             peers.keep(this);
         } else {
