Have the laboratory tell a request that crossed a shutdown from one that was read before it

Resting connections are ended by a shutdown and read on, so that the request's bytes were read, and dropped; the laboratory's client took what was read for taken, whenever that was. By the protocol a close between two requests may cross one that the node has not read, and a request that is read after the shutdown must not be sent on. So what counts is what had been read when the sending was ended. Nothing is eased for what is sent on: Losses still holds each such request lost if an attempt of it began. LabTest, BrokenNodesTest, RulesTest, LawfulStreamsTest, TcpTest, SimNetworkTest, FrontTest and RulesOfDaysTest pass.

--- a/src/main/java/rowanplank/lab/net/SimSocket.java
+++ b/src/main/java/rowanplank/lab/net/SimSocket.java
@@ -59,6 +59,8 @@
 
     private final Segments inbox = new Segments();
     private long read;
+    /** How much of that was read before this side ended its sending. */
+    private long readAtEnd;
     private long told;
     private boolean endCame;
     private long endSentAt = Stamped.NEVER;
@@ -207,6 +209,7 @@
     void endOutput() {
         if (!gone && endedAt == Stamped.NEVER) {
             endedAt = world.nanos();
+            readAtEnd = read;
             waiting.add(Segment.end(this, endedAt));
             pump();
         }
@@ -233,6 +236,7 @@
         }
         if (endedAt == Stamped.NEVER) {
             endedAt = world.nanos();
+            readAtEnd = read;
         }
         sendReset();
         forget();
@@ -490,8 +494,9 @@
         return filled;
     }
 
+    /** Whether the other side had read all that was written here; once it has ended its sending, before it did so. */
     boolean allRead() {
-        return other != null && other.read == written;
+        return other != null && (other.endedAt == Stamped.NEVER ? other.read : other.readAtEnd) == written;
     }
 
     long firstByteSentAt() {
--- a/src/main/java/rowanplank/lab/net/Stamped.java
+++ b/src/main/java/rowanplank/lab/net/Stamped.java
@@ -20,6 +20,6 @@
      */
     long endSentAt();
 
-    /** Whether the other side's process has read all that was written here. */
+    /** Whether the other side's process has read all that was written here, and had before it ended its sending. */
     boolean allRead();
 }
