Move the random neural network to a package of its own, rowanplank.neural

Cause: the router fleet's data nodes decide by the same network as the page node's module, and nothing is to be written twice. The network's tests moved with it (NetworkTest of the balancer is RandomNeuralNetworkTest there).

--- a/src/main/java/rowanplank/balancer/Balancer.java
+++ b/src/main/java/rowanplank/balancer/Balancer.java
@@ -4,6 +4,7 @@
 import java.util.stream.*;
 import rowanplank.balancer.BalancerApi.*;
 import rowanplank.balancer.NodeState.*;
+import rowanplank.neural.*;
 import rowanplank.route.Route;
 import rowanplank.subset.ColdStart;
 import rowanplank.subset.Subset;
@@ -78,7 +79,7 @@
     private final List<Open> held = new ArrayList<>();
     /** Servers no longer listed at which tries are still out; no more than there are such tries. */
     private final Map<Long, Target> left = new LinkedHashMap<>();
-    private final Network[] networks;
+    private final RandomNeuralNetwork[] networks;
     private final double[] tenantTokens;
     private double tenantTokensAt;
     private Target[] drawn = new Target[0];
@@ -101,7 +102,9 @@
                 SATURATED);
         Rules rules = settings.rules();
         cold = new ColdStart(rules.coldFrom(), rules.coldMs(), rules.fallMultiple());
-        networks = settings.classes().stream().map(c -> new Network()).toArray(Network[]::new);
+        networks = settings.classes().stream()
+                .map(c -> new RandomNeuralNetwork())
+                .toArray(RandomNeuralNetwork[]::new);
         tenantTokens = IntStream.range(0, settings.tenants().size()).mapToDouble(this::tenantRate).toArray();
         if (settings.askForList()) actions.watchServers();
     }
@@ -120,7 +123,7 @@
         subset.servers(listed.size(), zones(listed.values().stream()));
         List.copyOf(ready).stream().filter(t -> !stays(t)).forEach(this::leave);
         listed.values().stream().filter(this::isMine).forEach(this::update);
-        for (Network n : networks) n.settle();
+        for (RandomNeuralNetwork n : networks) n.settle();
         sharers = subset.nodesAServer();
         route.servers(zones(ready.stream().map(t -> t.listed)));
         drawn = drawn.length < ready.size() ? new Target[ready.size() + 8] : drawn;
@@ -135,7 +138,7 @@
         retryBudget = Math.min(RETRY_BURST, retryBudget + RETRY_SHARE);
         r.rank = (overShare(request.tenant(), request.repeat()) ? settings.overShareWorth() : 1)
                 * (request.repeat() ? Math.max(LEAST_REPEAT_WORTH, type.lateWorth()) : 1);
-        double mean = networks[request.classIndex()].meanLatency;
+        double mean = networks[request.classIndex()].meanLatency();
         r.worthDensity = r.rank * type.worth() / (settings.worthByWork() || mean == 0 ? 1 : mean);
         if (r.rank < bar && now < barUntil) answer(r);
         else if (!trySend(r)) hold(r);
@@ -228,7 +231,7 @@
         Target before = left.remove(s.id());
         // One that was off the list for a moment still holds what was sent to it, and is as it was.
         Target t = before != null && s.startedAtMs() <= before.listed.startedAtMs() ? before : newcomer(s);
-        t.neurons = Stream.of(networks).map(Network::enter).toArray(Neuron[]::new);
+        t.neurons = Stream.of(networks).map(RandomNeuralNetwork::enter).toArray(Neuron[]::new);
         targets.put(s.id(), t);
         ready.add(t);
     }
@@ -304,7 +307,7 @@
         double nearest = Double.MAX_VALUE;
         for (int i = from; i < n && key != 0; i++) {
             double lot = new SplittableRandom(key ^ drawn[i].listed.id()).nextDouble();
-            double distance = -Math.log(1 - lot) / drawn[i].neurons[c].q;
+            double distance = -Math.log(1 - lot) / drawn[i].neurons[c].quality();
             if (distance < nearest) chosen = i;
             nearest = Math.min(nearest, distance);
         }
@@ -324,7 +327,7 @@
 
     private double score(Target t, int c) {
         double zone = t.listed.zone() == settings.zone() ? 1 : CROSS_ZONE;
-        return (t.limit.inFlight + 1) / (t.neurons[c].q * t.listed.share()) * zone;
+        return (t.limit.inFlight + 1) / (t.neurons[c].quality() * t.listed.share()) * zone;
     }
 
     /**
@@ -340,7 +343,7 @@
         if (cold.isWarm(now, a.target.listed.startedAtMs())) return;
         // What it fails, turns away or does in vain counts as work that it gets: the place stays taken for
         // as long as an answer takes, as it would if one came.
-        double answer = Math.max(a.target.limit.lastMs, networks[r.request.classIndex()].meanLatency);
+        double answer = Math.max(a.target.limit.lastMs, networks[r.request.classIndex()].meanLatency());
         a.target.limit.restsUntil = Math.max(a.target.limit.restsUntil, a.sentAt + answer);
     }
 
@@ -483,7 +486,7 @@
 
     /** After this an answer would come too late to be worth the server's time. */
     private double holdUntil(Open r) {
-        double aimed = r.type.aimMs() - 2 * networks[r.request.classIndex()].meanLatency;
+        double aimed = r.type.aimMs() - 2 * networks[r.request.classIndex()].meanLatency();
         double most = r.attempts.isEmpty() ? HOLD_UNTRIED * (r.request.deadlineMs() - r.arrivedAt)
                 : r.request.deadlineMs() - r.arrivedAt;
         return r.arrivedAt + Math.min(Math.max(aimed, HOLD_SHARE * r.type.aimMs()), most - 2 * TICK_MS);
@@ -536,7 +539,7 @@
      * That no server has room is no reason to keep it: such tries are what takes the room.
      */
     private boolean isStuck(Open r, Attempt a) {
-        double mean = networks[r.request.classIndex()].meanLatency;
+        double mean = networks[r.request.classIndex()].meanLatency();
         return now - a.sentAt > Math.max(STUCK_SHARE * r.type.aimMs(), STUCK_MEANS * mean) && mean > 0
                 && r.type.effect() == Effect.REPEATABLE && settings.limits().cancel() && retryBudget >= 1
                 && r.attempts.size() < settings.limits().maxAttempts();
@@ -596,113 +599,4 @@
     private double tenantRate(int tenant) {
         return Math.max(2, settings.tenants().get(tenant).quotaPerS() / settings.nodes());
     }
-
-    /**
-     * The random neural network of one class, a neuron per ready server. An update for the answering neuron i
-     * changes the weights of every other row j alike: columns less rows hold the N x N weights (see Neuron).
-     */
-    static final class Network {
-        private static final double LAMBDA = 0.25;
-        /** Memory of the threshold and of the mean latency that makes payoffs unit-free. */
-        private static final double ALPHA = 0.95;
-        /** Payoff of a mean answer, and the decay of what was learned: their ratio bounds the weights. */
-        private static final double PAYOFF = 0.1;
-        private static final double DECAY = 0.01;
-        private static final double HIGHEST_PAYOFF = 3;
-        private static final int MOST_ITERATIONS = 4;
-        private static final double SETTLED = 1e-4;
-
-        final List<Neuron> neurons = new ArrayList<>();
-        /** Of all neurons; newcomers like it leave it as it is. Null where it must be reckoned anew. */
-        private Neuron average;
-        double threshold = PAYOFF;
-        double meanLatency;
-
-        /** A newcomer is held to be like the average; {@link #settle} is to follow, once for a whole list. */
-        Neuron enter() {
-            if (average == null) average = average();
-            Neuron entered = new Neuron();
-            entered.q = average.q;
-            entered.up = average.up;
-            entered.upRow = average.upRow;
-            entered.down = average.down;
-            entered.downRow = average.downRow;
-            neurons.add(entered);
-            return entered;
-        }
-
-        private Neuron average() {
-            Neuron mean = new Neuron();
-            int n = neurons.size();
-            for (int i = 0; i < n; i++) {
-                Neuron other = neurons.get(i);
-                mean.q += (other.q - 0.5) / n;
-                mean.up += other.up / n;
-                mean.upRow += other.upRow / n;
-                mean.down += other.down / n;
-                mean.downRow += other.downRow / n;
-            }
-            return mean;
-        }
-
-        void leave(Neuron left) {
-            neurons.remove(left);
-            average = null;
-        }
-
-        void learn(Neuron i, double latency, boolean ok) {
-            if (ok) meanLatency = meanLatency == 0 ? latency : ALPHA * meanLatency + (1 - ALPHA) * latency;
-            double mean = meanLatency == 0 ? latency : meanLatency;
-            double payoff = PAYOFF * Math.min(HIGHEST_PAYOFF, mean / Math.max(latency, 1e-3));
-            threshold = ALPHA * threshold + (1 - ALPHA) * payoff;
-            boolean won = payoff > threshold;
-            double share = neurons.size() > 2 ? payoff / (neurons.size() - 2) : 0;
-            for (Neuron k : neurons) {
-                k.up = k.up * (1 - DECAY) + (won ? k == i ? payoff : 0 : k == i ? 0 : share);
-                k.down = k.down * (1 - DECAY) + (won ? k == i ? 0 : share : k == i ? payoff : 0);
-                k.upRow *= 1 - DECAY;
-                k.downRow *= 1 - DECAY;
-            }
-            i.upRow += won ? 0 : share;
-            i.downRow += won ? share : 0;
-            settle();
-        }
-
-        /** Iterates q from where it stood; with fewer than two neurons there is nothing to compare. */
-        void settle() {
-            average = null;
-            int n = neurons.size();
-            double w0 = 0.5 / (n - 1);
-            double columns = 0;
-            double total = 0;
-            double upRows = 0;
-            double downRows = 0;
-            // Once: each change of a q is added to these sums below.
-            for (int k = 0; k < n; k++) {
-                Neuron j = neurons.get(k);
-                columns += j.up + j.down;
-                total += j.q;
-                upRows += j.q * j.upRow;
-                downRows += j.q * j.downRow;
-            }
-            double change = n < 2 ? 0 : 1;
-            for (int round = 0; round < MOST_ITERATIONS && change > SETTLED; round++) {
-                change = 0;
-                for (int k = 0; k < n; k++) {
-                    Neuron i = neurons.get(k);
-                    double others = total - i.q;
-                    double excites = others * (w0 + i.up) - (upRows - i.q * i.upRow);
-                    double inhibits = others * (w0 + i.down) - (downRows - i.q * i.downRow);
-                    double rate = 1 + columns - i.up - i.down - (n - 1) * (i.upRow + i.downRow);
-                    double next = Math.min(1, (LAMBDA + Math.max(0, excites))
-                            / Math.max(LAMBDA, rate + Math.max(0, inhibits)));
-                    change = Math.max(change, Math.abs(next - i.q) / next);
-                    total += next - i.q;
-                    upRows += (next - i.q) * i.upRow;
-                    downRows += (next - i.q) * i.downRow;
-                    i.q = next;
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/rowanplank/balancer/NodeState.java
+++ b/src/main/java/rowanplank/balancer/NodeState.java
@@ -5,6 +5,7 @@
 import rowanplank.balancer.BalancerApi.Request;
 import rowanplank.balancer.BalancerApi.RequestClass;
 import rowanplank.balancer.BalancerApi.Server;
+import rowanplank.neural.Neuron;
 
 /** What a {@link Balancer} remembers of servers and requests: plain records of fact, no decisions. */
 final class NodeState {
@@ -37,18 +38,6 @@
         }
     }
 
-    /**
-     * A server's place in a network. The weights between neurons j and k are w+(j,k) = w0 + k.up - j.upRow and
-     * w-(j,k) = w0 + k.down - j.downRow.
-     */
-    static final class Neuron {
-        double q = 0.5;
-        double up;
-        double upRow;
-        double down;
-        double downRow;
-    }
-
     /** How many requests may be in flight at a server. */
     static final class Limit {
         /** Part that is left of the first limit. */
--- a/src/test/java/rowanplank/balancer/HardCasesTest.java
+++ b/src/test/java/rowanplank/balancer/HardCasesTest.java
@@ -9,6 +9,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import rowanplank.balancer.MiniSite.Kind;
+import rowanplank.neural.Neuron;
+import rowanplank.neural.RandomNeuralNetwork;
 
 /**
  * The first seconds after a trouble, and an instance that comes up empty on a hard day: whom the modules favour, by the
@@ -105,10 +107,10 @@
     /** No answer has come yet, so there is no mean: what failed must all the same not look like a mean answer. */
     @Test
     void withoutAnyAnswerTheServersThatFailedAreTheWorse() {
-        Balancer.Network network = new Balancer.Network();
-        List<NodeState.Neuron> all = Stream.generate(network::enter).limit(10).toList();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
+        List<Neuron> all = Stream.generate(network::enter).limit(10).toList();
         network.settle();
         network.learn(all.get(0), 1700, false);
-        assertTrue(all.get(0).q < all.get(1).q, all.get(0).q + " against " + all.get(1).q);
+        assertTrue(all.get(0).quality() < all.get(1).quality(), all.get(0).quality() + " against " + all.get(1).quality());
     }
 }
--- a/src/test/java/rowanplank/balancer/ModuleRulesTest.java
+++ b/src/test/java/rowanplank/balancer/ModuleRulesTest.java
@@ -30,7 +30,7 @@
 import rowanplank.balancer.BalancerApi.Rules;
 import rowanplank.balancer.BalancerApi.Server;
 import rowanplank.balancer.BalancerApi.Settings;
-import rowanplank.balancer.NodeState.Neuron;
+import rowanplank.neural.Neuron;
 import rowanplank.balancer.NodeState.Target;
 
 /**
@@ -314,8 +314,8 @@
                     breaks(Rule.COUNTS, t.limit.inFlight + " counted at " + t.listed.id() + ", out " + there);
                 }
                 for (Neuron n : t.neurons) {
-                    if (!(n.q > 0 && n.q <= 1)) {
-                        breaks(Rule.COUNTS, "q " + n.q);
+                    if (!(n.quality() > 0 && n.quality() <= 1)) {
+                        breaks(Rule.COUNTS, "q " + n.quality());
                     }
                 }
             }
--- a/src/test/java/rowanplank/balancer/NetworkTest.java
+++ b/src/test/java/rowanplank/neural/RandomNeuralNetworkTest.java
@@ -1,4 +1,4 @@
-package rowanplank.balancer;
+package rowanplank.neural;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,14 +7,13 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import rowanplank.balancer.Balancer.Network;
-import rowanplank.balancer.NodeState.Neuron;
 
-class NetworkTest {
+/** What the random neural network learns, and what it keeps. */
+class RandomNeuralNetworkTest {
     /** The fixed point of q = (1/4 + q/2) / (1 + q/2), which equal weights give. */
     private static final double EQUAL_Q = (Math.sqrt(3) - 1) / 2;
 
-    private static List<Neuron> enter(Network network, int n) {
+    private static List<Neuron> enter(RandomNeuralNetwork network, int n) {
         List<Neuron> neurons = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             neurons.add(network.enter());
@@ -25,14 +24,14 @@
 
     @Test
     void equalWeightsGiveTheFixedPointWorkedByHand() {
-        for (Neuron neuron : enter(new Network(), 5)) {
+        for (Neuron neuron : enter(new RandomNeuralNetwork(), 5)) {
             assertEquals(EQUAL_Q, neuron.q, 1e-3);
         }
     }
 
     @Test
     void aloneAServerKeepsItsQ() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         Neuron only = network.enter();
         network.settle();
         network.learn(only, 10, true);
@@ -41,7 +40,7 @@
 
     @Test
     void oneRewardChangesTheWeightsAsWorkedByHand() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 4);
         network.learn(s.get(0), 100, true); // sets the mean; payoff equals the threshold, so it counts as no win
         double before = s.get(1).up;
@@ -55,7 +54,7 @@
 
     @Test
     void ofTwoServersTheFasterHasTheHigherQ() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 2);
         for (int i = 0; i < 50; i++) {
             network.learn(s.get(0), 10, true);
@@ -66,7 +65,7 @@
 
     @Test
     void failuresLowerQ() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 4);
         for (int i = 0; i < 200; i++) {
             network.learn(s.get(i % 4), i % 4 == 3 ? 1000 : 20, i % 4 != 3);
@@ -76,7 +75,7 @@
 
     @Test
     void qStaysWithinBoundsAfterALongOneSidedRun() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 6);
         for (int i = 0; i < 100_000; i++) {
             network.learn(s.get(i % 2), i % 2 == 0 ? 0.001 : 10_000, i % 2 == 0);
@@ -88,7 +87,7 @@
 
     @Test
     void aSlowdownOfAllServersBlamesNone() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 4);
         for (int i = 0; i < 2000; i++) {
             network.learn(s.get(i % 4), i < 1000 ? 20 : 200, true);
@@ -100,7 +99,7 @@
 
     @Test
     void entryAndExitKeepWhatOthersLearned() {
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, 4);
         for (int i = 0; i < 400; i++) {
             network.learn(s.get(i % 4), 10 + 20 * (i % 4), true);
@@ -118,7 +117,7 @@
     @Test
     void columnFormEqualsThePlainSquareForm() {
         int n = 7;
-        Network network = new Network();
+        RandomNeuralNetwork network = new RandomNeuralNetwork();
         List<Neuron> s = enter(network, n);
         double[][] up = new double[n][n];
         double[][] down = new double[n][n];
