--- a/src/main/java/rowanplank/lab/trial/Recorder.java
+++ b/src/main/java/rowanplank/lab/trial/Recorder.java
@@ -43,14 +43,15 @@
     }
 
     /**
-     * What a task or a worker runs to act on it: when it is asked to end it says so and ends.
+     * What a task or a worker runs to act on it: when it is asked to end it says so and ends. It opens the pipe once, and only
+     * where there is one: a redirection to a pipe that was removed would leave a plain file in its place.
      *
      * @param takes how many seconds it takes, as the shell reads it
      */
     List<String> command(String takes) {
-        String tell = "echo \"$1 ${FLEET_LEASE:-$FLEET_BUDGET} ${FLEET_FENCE:-$FLEET_EPOCH} $FLEET_NODE $$ ${FLEET_PERIOD:--}\" > '"
-                + pipe + "'";
-        return List.of("sh", "-c", "tell() { " + tell + "; }; trap 'tell end; exit 0' TERM; tell begin; sleep " + takes
+        String tell = "echo \"$1 ${FLEET_LEASE:-$FLEET_BUDGET} ${FLEET_FENCE:-$FLEET_EPOCH} $FLEET_NODE $$ ${FLEET_PERIOD:--}\" >&3";
+        String open = "[ -p '" + pipe + "' ] || exit 0; exec 3> '" + pipe + "'; ";
+        return List.of("sh", "-c", open + "tell() { " + tell + "; }; trap 'tell end; exit 0' TERM; tell begin; sleep " + takes
                 + " & wait $!; tell end");
     }
 
--- a/src/main/java/rowanplank/lab/trial/Trial.java
+++ b/src/main/java/rowanplank/lab/trial/Trial.java
@@ -98,6 +98,7 @@
     /** What each node thinks of each other one, as was heard last. */
     private final Map<String, String> seen = new TreeMap<>();
     private Recorder recorder;
+    private final TaskCommands commands = new TaskCommands();
     private Relays relays;
     /** Null before the trial counts, and where nobody asks for a lease but nodes. */
     private LedgerClient client;
@@ -182,6 +183,7 @@
             over.countDown();
             disk.join();
             children.close();
+            commands.close();
             loop.call(() -> {
                 if (relays != null) {
                     relays.close();
@@ -462,8 +464,12 @@
             over.countDown();
             return;
         }
-        tell(new Event(at, words[0].equals("begin") ? Kind.BEGIN : Kind.END, words[3], words[1],
-                Long.parseLong(words[2]), Long.parseLong(words[4]), words[5].equals("-") ? "" : words[5]));
+        boolean begins = words[0].equals("begin");
+        long pid = Long.parseLong(words[4]);
+        if (begins) {
+            commands.began(pid);
+        }
+        tell(new Event(at, begins ? Kind.BEGIN : Kind.END, words[3], words[1], Long.parseLong(words[2]), pid, words[5].equals("-") ? "" : words[5]));
         if (!subject.isHeld(words[1])) {
             return;
         }
--- a/src/main/java/rowanplank/net/ChildProcesses.java
+++ b/src/main/java/rowanplank/net/ChildProcesses.java
@@ -4,11 +4,15 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.IntConsumer;
 
 /**
@@ -17,7 +21,7 @@
  * there has to take that for its end. May be used from any thread.
  */
 public final class ChildProcesses implements AutoCloseable {
-    private static final long ENDS_WITHIN_SECONDS = 5;
+    private static final Duration ENDS_WITHIN = Duration.ofSeconds(5);
 
     /** One of them. */
     public static final class Child {
@@ -97,21 +101,37 @@
         return child;
     }
 
-    /** Ends all of them and starts no more. */
+    /** Ends all of them, and what they have started themselves, and starts no more. */
     @Override
     public void close() {
-        List<Child> left;
+        List<ProcessHandle> left = new ArrayList<>();
         synchronized (this) {
             closed = true;
-            left = List.copyOf(children);
-            left.forEach(Child::kill);
+            for (Child child : children) {
+                child.process.toHandle().descendants().forEach(left::add);
+                left.add(child.process.toHandle());
+            }
         }
+        killAndAwait(left, ENDS_WITHIN);
+    }
+
+    /**
+     * Kills these processes (SIGKILL) and waits for the ends of all.
+     *
+     * @param most how long it waits altogether
+     * @return whether all have ended
+     */
+    public static boolean killAndAwait(Collection<ProcessHandle> processes, Duration most) {
+        processes.forEach(ProcessHandle::destroyForcibly);
+        CompletableFuture<?>[] ends = processes.stream().map(ProcessHandle::onExit).toArray(CompletableFuture[]::new);
         try {
-            for (Child c : left) {
-                c.process.waitFor(ENDS_WITHIN_SECONDS, TimeUnit.SECONDS);
-            }
+            CompletableFuture.allOf(ends).get(most.toMillis(), TimeUnit.MILLISECONDS);
+            return true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return false;
+        } catch (TimeoutException | ExecutionException e) {
+            return false;
         }
     }
 
