--- /dev/null
+++ b/src/main/java/routerfleet/cli/FleetCommands.java
@@ -0,0 +1,145 @@
+package routerfleet.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import rowanplank.cli.Hangup;
+import routerfleet.control.ControlNode;
+import routerfleet.data.DataNode;
+import routerfleet.demo.Rehearsal;
+import routerfleet.settings.LocalSettings;
+import routerfleet.settings.SettingsException;
+import routerfleet.settings.SettingsWatch;
+
+/** The commands of the router fleet: its two programs, and the check of a settings file. */
+public final class FleetCommands {
+    private static final String DATA_PLANE = "data-plane";
+    private static final String CONTROL_PLANE = "control-plane";
+    private static final String SYSTEM = "system";
+    private static final int DONE = 0;
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    /** Options that every command has. */
+    private static class Common {
+        @Parameter(names = {"-h", "--help"}, help = true, description = "Show this help and end")
+        private boolean help;
+    }
+
+    @Parameters(commandDescription = "A node that takes requests and forwards them; settings from $ROWANPLANK_BOOT")
+    private static final class DataPlaneCommand extends Common { }
+
+    @Parameters(commandDescription = "A node that keeps configuration and sessions; settings from $ROWANPLANK_BOOT")
+    private static final class ControlPlaneCommand extends Common { }
+
+    @Parameters(commandDescription = "check FILE: whether a settings file can be used; rehearse: a small fleet on loopback")
+    private static final class SystemCommand extends Common {
+        @Parameter(description = "check FILE | rehearse")
+        private List<String> words = new ArrayList<>();
+    }
+
+    private FleetCommands() { }
+
+    /** Runs a command line. @return the exit status; where it is 0, a started node runs on */
+    public static int run(String[] args) {
+        if (args.length == 1 && args[0].equals(DATA_PLANE)) {
+            return run(FleetCommands::dataPlane); // nothing to parse, and each node of a fleet starts so
+        }
+        if (args.length == 1 && args[0].equals(CONTROL_PLANE)) {
+            return run(FleetCommands::controlPlane);
+        }
+        SystemCommand system = new SystemCommand();
+        Common[] commands = {new DataPlaneCommand(), new ControlPlaneCommand(), system};
+        JCommander parser = JCommander.newBuilder().programName("rowanplank").addCommand(DATA_PLANE, commands[0])
+                .addCommand(CONTROL_PLANE, commands[1]).addCommand(SYSTEM, system).build();
+        try {
+            parser.parse(args);
+        } catch (ParameterException e) {
+            return fail(USAGE, e.getMessage());
+        }
+        for (Common command : commands) {
+            if (command.help) {
+                parser.getUsageFormatter().usage(parser.getParsedCommand());
+                return DONE;
+            }
+        }
+        return run(() -> system(system.words));
+    }
+
+    private static int run(Callable<Integer> command) {
+        try {
+            return command.call();
+        } catch (SettingsException e) {
+            return fail(USAGE, e.getMessage());
+        } catch (Exception e) {
+            return fail(FAILED, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static int fail(int status, String line) {
+        System.err.println(line);
+        return status;
+    }
+
+    private static int system(List<String> words) throws Exception {
+        if (words.equals(List.of("rehearse"))) {
+            System.out.println(Rehearsal.run() + " requests served");
+            return DONE;
+        }
+        if (words.size() != 2 || !words.get(0).equals("check")) {
+            return fail(USAGE, "usage: rowanplank system check FILE | rehearse");
+        }
+        LocalSettings.load(words.get(1));
+        System.out.println(words.get(1) + " can be used");
+        return DONE;
+    }
+
+    private static String settingsFile() throws SettingsException {
+        String file = System.getenv(LocalSettings.VARIABLE);
+        if (file == null) {
+            throw SettingsException.missing("$" + LocalSettings.VARIABLE, "names no settings file");
+        }
+        return file;
+    }
+
+    private static int dataPlane() throws Exception {
+        String file = settingsFile();
+        LocalSettings settings = LocalSettings.load(file);
+        require(file, "listen.frontend", settings.frontend());
+        require(file, "listen.readiness", settings.readiness());
+        DataNode node = new DataNode(settings);
+        watch(file, settings, node::reload);
+        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "shutdown"));
+        node.start();
+        return DONE;
+    }
+
+    private static int controlPlane() throws Exception {
+        String file = settingsFile();
+        LocalSettings settings = LocalSettings.load(file);
+        require(file, "listen.control_plane", settings.controlPlane());
+        require(file, "data_path", settings.dataPath());
+        ControlNode node = new ControlNode(settings);
+        watch(file, settings, node::reload);
+        node.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "shutdown"));
+        return DONE;
+    }
+
+    private static void require(String file, String key, Object value) throws SettingsException {
+        if (value == null) {
+            throw SettingsException.missing(file + ": " + key, "is missing");
+        }
+    }
+
+    private static void watch(String file, LocalSettings settings, Consumer<LocalSettings> node) {
+        SettingsWatch watch = new SettingsWatch(file, settings, node);
+        Hangup.handle(watch::look);
+        watch.start();
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/config/ConfigFault.java
@@ -0,0 +1,26 @@
+package routerfleet.config;
+
+/**
+ * Why a configuration is not taken.
+ *
+ * @param kind which answer the operator gets
+ * @param item the item at fault, as {@code routes[name]}; empty for the whole
+ */
+public record ConfigFault(Kind kind, String item, String problem) {
+    /** The answers to an order that is not taken. */
+    public enum Kind {
+        /** It can't be read, or breaks a rule of configurations. */
+        INVALID,
+        /** It builds on another version than the current one. */
+        CONFLICT
+    }
+
+    static ConfigFault invalid(String item, String problem) {
+        return new ConfigFault(Kind.INVALID, item, problem);
+    }
+
+    @Override
+    public String toString() {
+        return item.isEmpty() ? problem : item + ": " + problem;
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/control/ControlPeers.java
@@ -0,0 +1,148 @@
+package routerfleet.control;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import routerfleet.settings.HostPort;
+import routerfleet.wire.PeerDialer;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+
+/**
+ * The other control nodes: which there are, the connections to and from them, and when each was last there. Every node
+ * opens a connection to every other one and sends on it; what comes in on the others' connections is only read and
+ * answered.
+ */
+final class ControlPeers {
+    private static final int MOST_PEERS = 64;
+    /** A node that was not heard of for so long is no longer called, unless it is a seed or a replica. */
+    private static final long FORGET_MS = 60_000;
+
+    /** What is known of a control node that has introduced itself. */
+    record Peer(String ip, String replica) { }
+
+    private final String selfIp;
+    private final int port;
+    private final Map<String, PeerLink> outgoing = new TreeMap<>();
+    private final Map<PeerLink, Peer> incoming = new LinkedHashMap<>();
+    private final Map<String, Long> lastHeardNanos = new TreeMap<>();
+    private final Set<String> known = new TreeSet<>();
+    private PeerDialer dialer;
+
+    ControlPeers(String selfIp, int port) {
+        this.selfIp = selfIp;
+        this.port = port;
+    }
+
+    /** @param opener opens the connections */
+    void start(PeerDialer opener) {
+        dialer = opener;
+    }
+
+    /** Learns that a control node may be there. */
+    void learn(String ip, long nowNanos) {
+        if (!ip.equals(selfIp) && known.size() < MOST_PEERS && known.add(ip)) {
+            lastHeardNanos.putIfAbsent(ip, nowNanos);
+            dialer.want(new HostPort(ip, port));
+        }
+    }
+
+    /** Gives up nodes that have been gone for long. @param kept addresses that are called whatever happens */
+    void forget(Set<String> kept, long nowNanos) {
+        for (String ip : List.copyOf(known)) {
+            boolean old = nowNanos - lastHeardNanos.getOrDefault(ip, nowNanos) > TimeUnit.MILLISECONDS.toNanos(FORGET_MS);
+            if (old && !kept.contains(ip) && !outgoing.containsKey(ip)) {
+                known.remove(ip);
+                lastHeardNanos.remove(ip);
+                dialer.forget(new HostPort(ip, port));
+            }
+        }
+    }
+
+    List<String> known() {
+        List<String> all = new ArrayList<>(known);
+        all.add(selfIp);
+        return all;
+    }
+
+    /** Addresses of the control nodes that are connected, this one included. */
+    List<String> connected() {
+        List<String> all = new ArrayList<>(outgoing.keySet());
+        all.add(selfIp);
+        return all;
+    }
+
+    void outgoingOpened(String ip, PeerLink link) {
+        outgoing.put(ip, link);
+    }
+
+    void outgoingClosed(String ip, PeerLink link) {
+        outgoing.remove(ip, link);
+    }
+
+    void introduced(PeerLink link, PeerMessage.ControlHello hello, long nowNanos) {
+        incoming.put(link, new Peer(hello.ip(), hello.replica()));
+        learn(hello.ip(), nowNanos);
+        hello.controlNodes().forEach(ip -> learn(ip, nowNanos));
+    }
+
+    void incomingClosed(PeerLink link, long nowNanos) {
+        Peer peer = incoming.remove(link);
+        if (peer != null) {
+            lastHeardNanos.put(peer.ip(), nowNanos);
+        }
+    }
+
+    /** Who has opened a connection; null where it has not introduced itself as a control node. */
+    Peer find(PeerLink link) {
+        return incoming.get(link);
+    }
+
+    /** Which control nodes have a connection to this one. */
+    ReplicaPlanner.Presence presence(long nowNanos) {
+        return new ReplicaPlanner.Presence() {
+            @Override
+            public List<String> replicas() {
+                return incoming.values().stream().map(Peer::replica).toList();
+            }
+
+            @Override
+            public long absentMs(String ip) {
+                return ControlPeers.this.absentMs(ip, nowNanos);
+            }
+        };
+    }
+
+    private long absentMs(String ip, long nowNanos) {
+        for (Peer peer : incoming.values()) {
+            if (peer.ip().equals(ip)) {
+                return 0;
+            }
+        }
+        Long heard = lastHeardNanos.get(ip);
+        return heard == null ? 0 : TimeUnit.NANOSECONDS.toMillis(nowNanos - heard);
+    }
+
+    /** @return whether there is a connection to send on */
+    boolean send(String ip, PeerMessage message) {
+        PeerLink link = outgoing.get(ip);
+        if (link == null) {
+            return false;
+        }
+        link.send(message);
+        return true;
+    }
+
+    void sendToAll(PeerMessage message) {
+        outgoing.values().forEach(link -> link.send(message));
+    }
+
+    int outgoingCount() {
+        return outgoing.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/control/DataNodeService.java
@@ -0,0 +1,96 @@
+package routerfleet.control;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.SessionView;
+
+/** Tells data nodes of sessions and configurations, as they change and when asked. */
+final class DataNodeService {
+    /** Changes within this time go out together. */
+    private static final long GATHER_MS = 4;
+
+    private final EventLoop loop;
+    private final long epoch;
+    private final SessionTable table;
+    private final DataNodes nodes;
+    private final ControlPeers peers;
+    private final ReplicaGroup group;
+    private final Freshness freshness;
+    private final long warmUntilNanos;
+    private boolean flushPlanned;
+
+    /** @param warmMs after the start, for which the session table may still lack servers */
+    DataNodeService(EventLoop loop, long epoch, SessionTable table, DataNodes nodes, ControlPeers peers,
+            ReplicaGroup group, Freshness freshness, long warmMs) {
+        this.loop = loop;
+        this.epoch = epoch;
+        this.table = table;
+        this.nodes = nodes;
+        this.peers = peers;
+        this.group = group;
+        this.freshness = freshness;
+        warmUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(warmMs);
+    }
+
+    void hello(PeerLink link, PeerMessage.DataHello hello) {
+        DataNodes.Session session = nodes.open(link, hello.ip());
+        boolean known = hello.epoch() == epoch && hello.revision() <= table.revision();
+        session.sentRevision = known ? hello.revision() : 0;
+        if (!known) {
+            session.sentRevision = table.revision();
+            link.send(new PeerMessage.SessionChanges(epoch, table.revision(), true, table.changesAfter(0)));
+        }
+        flush(session);
+    }
+
+    void poll(PeerLink link, PeerMessage.Poll poll) {
+        DataNodes.Session session = nodes.find(link);
+        if (session == null) {
+            return;
+        }
+        long now = System.nanoTime();
+        boolean becamePrimary = poll.primary() && !session.primary;
+        nodes.polled(session, poll, now);
+        if (becamePrimary) {
+            session.sentGeneration = poll.generation(); // so far it has only been told the number
+        }
+        link.send(new PeerMessage.PollReply(poll.id(), group.generation(), freshness.ageMicros(now),
+                now - warmUntilNanos < 0, nodes.present(now), peers.connected(), group.replicaAddresses()));
+        flush(session);
+    }
+
+    void configuration(PeerLink link, long knownGeneration) {
+        if (group.generation() > knownGeneration) {
+            link.send(new PeerMessage.ConfigDocument(group.generation(), group.document()));
+        }
+    }
+
+    /** Something has changed that data nodes have to hear of. */
+    void changed() {
+        if (!flushPlanned) {
+            flushPlanned = true;
+            loop.schedule(this::flushAll, GATHER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void flushAll() {
+        flushPlanned = false;
+        nodes.sessions().forEach(this::flush);
+    }
+
+    private void flush(DataNodes.Session session) {
+        if (session.sentRevision < table.revision()) {
+            List<SessionView> changes = table.changesAfter(session.sentRevision);
+            session.sentRevision = table.revision();
+            session.link.send(new PeerMessage.SessionChanges(epoch, table.revision(), false, changes));
+        }
+        if (session.polled && session.sentGeneration < group.generation()) {
+            session.sentGeneration = group.generation();
+            session.link.send(session.primary ? new PeerMessage.ConfigDocument(group.generation(), group.document())
+                    : new PeerMessage.ConfigNotice(group.generation()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/control/Freshness.java
@@ -0,0 +1,105 @@
+package routerfleet.control;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+
+/**
+ * Knows a point in time on this node's steady clock up to which everything that was acknowledged by the configuration
+ * shard is applied here. A leader has its leadership confirmed by a majority; a follower asks the leader for its commit
+ * index (a read index, Ongaro's thesis, section 6.4) and waits until that is applied.
+ */
+final class Freshness {
+    private static final long WAIT_MS = 850;
+    private static final long REFRESH_MS = 220;
+    private static final int MOST_WAITING = 256;
+
+    private record Waiter(long sinceNanos, Runnable fresh, Runnable late) { }
+
+    private final ReplicaGroup group;
+    private final ControlPeers peers;
+    private final Map<Long, Long> asked = new HashMap<>();
+    private final Deque<Waiter> waiters = new ArrayDeque<>();
+    private long lastId;
+    private long freshNanos;
+    private boolean everFresh;
+
+    Freshness(ReplicaGroup group, ControlPeers peers) {
+        this.group = group;
+        this.peers = peers;
+    }
+
+    /** How old the fresh point is, in microseconds; negative where there has been none. */
+    long ageMicros(long nowNanos) {
+        return everFresh ? TimeUnit.NANOSECONDS.toMicros(nowNanos - freshNanos) : -1;
+    }
+
+    /** Called regularly; seeks a newer point where the last one is no longer young. */
+    void tick() {
+        long now = System.nanoTime();
+        expire(now);
+        if (!everFresh || now - freshNanos > TimeUnit.MILLISECONDS.toNanos(REFRESH_MS)) {
+            refresh();
+        }
+    }
+
+    private void refresh() {
+        long now = System.nanoTime();
+        if (group.leads()) {
+            group.confirmLeadership(() -> freshSince(now), () -> { });
+        } else if (group.leader() != null) {
+            long id = ++lastId;
+            asked.put(id, now);
+            peers.send(ReplicaNames.ip(group.leader()), new PeerMessage.ReadIndexRequest(id));
+        }
+    }
+
+    /** Runs one of the two: once all that is acknowledged before this call is applied here, or after a time. */
+    void whenFresh(Runnable fresh, Runnable late) {
+        if (waiters.size() >= MOST_WAITING) {
+            late.run();
+            return;
+        }
+        waiters.add(new Waiter(System.nanoTime(), fresh, late));
+        refresh();
+    }
+
+    /** Answers another node's question, as a leader. */
+    void answer(PeerLink link, long id) {
+        group.readIndex(index -> link.send(new PeerMessage.ReadIndexReply(id, index)));
+    }
+
+    void answered(PeerMessage.ReadIndexReply reply) {
+        Long since = asked.remove(reply.id());
+        if (since != null && reply.index() >= 0) {
+            group.whenApplied(reply.index(), () -> freshSince(since));
+        }
+    }
+
+    private void freshSince(long nanos) {
+        if (!everFresh || nanos - freshNanos > 0) {
+            freshNanos = nanos;
+            everFresh = true;
+        }
+        while (!waiters.isEmpty() && waiters.peek().sinceNanos() - freshNanos <= 0) {
+            waiters.poll().fresh().run();
+        }
+    }
+
+    private void expire(long now) {
+        long since = now - TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        for (Iterator<Long> i = asked.values().iterator(); i.hasNext();) {
+            if (i.next() - since < 0) {
+                i.remove();
+            }
+        }
+        while (!waiters.isEmpty() && waiters.peek().sinceNanos() - since < 0) {
+            waiters.poll().late().run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/control/SessionService.java
@@ -0,0 +1,146 @@
+package routerfleet.control;
+
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.SessionRecord;
+
+/**
+ * Takes heartbeats of model servers and replicates them to the other control nodes. That a server drains or is gone is
+ * acknowledged only once so many control nodes hold it that the loss of the tolerated number leaves one that does. Tables
+ * are reconciled by digests.
+ */
+final class SessionService {
+    private static final long ACK_TIMEOUT_MS = 850;
+    private static final int MOST_PENDING = 4_096;
+    private static final int UNAVAILABLE = 503;
+    private static final int BAD_REQUEST = 400;
+
+    /** A record that waits to be held by enough other nodes. */
+    private static final class Pending {
+        private final Consumer<ControlHttp.Response> answer;
+        private int missing;
+
+        Pending(Consumer<ControlHttp.Response> answer, int missing) {
+            this.answer = answer;
+            this.missing = missing;
+        }
+    }
+
+    private final EventLoop loop;
+    private final SessionTable table;
+    private final ControlPeers peers;
+    private final int copiesElsewhere;
+    private final Runnable changed;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private long lastId;
+
+    /**
+     * @param copiesElsewhere how many other control nodes have to hold a promise
+     * @param changed run when data nodes have to hear of something
+     */
+    SessionService(EventLoop loop, SessionTable table, ControlPeers peers, int copiesElsewhere, Runnable changed) {
+        this.loop = loop;
+        this.table = table;
+        this.peers = peers;
+        this.copiesElsewhere = copiesElsewhere;
+        this.changed = changed;
+    }
+
+    /** A server's heartbeat. */
+    void heartbeat(String uid, byte[] body, Consumer<ControlHttp.Response> answer) {
+        Either<String, SessionRecord> read = HeartbeatJson.read(uid, body);
+        if (read.isLeft()) {
+            answer.accept(ControlHttp.Response.error(BAD_REQUEST, read.getLeft()));
+        } else {
+            take(read.get(), answer);
+        }
+    }
+
+    /** A server says that it ends. */
+    void deregister(String uid, Consumer<ControlHttp.Response> answer) {
+        SessionRecord known = table.find(uid);
+        SessionRecord gone = known == null
+                ? new SessionRecord(uid, "", "0.0.0.0:1", "", 0, SessionRecord.Phase.GONE, 0, 0)
+                : known.notBefore(SessionRecord.Phase.GONE);
+        take(gone, answer);
+    }
+
+    private void take(SessionRecord session, Consumer<ControlHttp.Response> answer) {
+        if (peers.outgoingCount() < copiesElsewhere) {
+            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too few control nodes are connected"));
+            return;
+        }
+        merge(session);
+        SessionRecord merged = table.find(session.uid());
+        if (merged == null) {
+            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too many sessions"));
+            return;
+        }
+        if (merged.phase() == SessionRecord.Phase.READY || copiesElsewhere == 0) {
+            peers.sendToAll(new PeerMessage.Sessions(0, List.of(merged)));
+            answer.accept(ControlHttp.Response.ok());
+            return;
+        }
+        replicate(merged, answer);
+    }
+
+    private void replicate(SessionRecord session, Consumer<ControlHttp.Response> answer) {
+        if (pending.size() >= MOST_PENDING) {
+            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too many promises wait"));
+            return;
+        }
+        long id = ++lastId;
+        pending.put(id, new Pending(answer, copiesElsewhere));
+        peers.sendToAll(new PeerMessage.Sessions(id, List.of(session)));
+        loop.schedule(() -> {
+            Pending late = pending.remove(id);
+            if (late != null) {
+                late.answer.accept(ControlHttp.Response.error(UNAVAILABLE, "not held by enough control nodes"));
+            }
+        }, ACK_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Records that another control node has sent on a connection of its own. */
+    void received(PeerLink link, PeerMessage.Sessions message) {
+        message.sessions().forEach(this::merge);
+        if (message.id() != 0) {
+            link.send(new PeerMessage.SessionsAck(message.id()));
+        }
+    }
+
+    void acknowledged(long id) {
+        Pending waiting = pending.get(id);
+        if (waiting != null && --waiting.missing == 0) {
+            pending.remove(id);
+            waiting.answer.accept(ControlHttp.Response.ok());
+        }
+    }
+
+    /** Another node's digest: where it differs, that node gets all records. */
+    void reconcile(String ip, long digest) {
+        if (digest != table.digest()) {
+            peers.send(ip, new PeerMessage.Sessions(0, table.records()));
+        }
+    }
+
+    /** Looks for silent sessions, and tells the others this table's digest. */
+    void tick() {
+        if (table.expire(System.nanoTime())) {
+            changed.run();
+        }
+        peers.sendToAll(new PeerMessage.SessionsDigest(table.digest()));
+    }
+
+    private void merge(SessionRecord session) {
+        if (table.merge(session, System.nanoTime())) {
+            changed.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/AdmittedRequest.java
@@ -0,0 +1,75 @@
+package routerfleet.data;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.vavr.control.Either;
+import routerfleet.config.RouteConfig;
+import routerfleet.config.TenantConfig;
+
+/**
+ * What the configuration says of one request: its route, service and tenant, and how long it may take.
+ *
+ * @param key of the client; null where the route needs none
+ * @param tenant that holds the key; null where the route needs none
+ * @param backend the service that gets it
+ * @param deadlineMs until when it has to be answered, on the steady clock
+ */
+record AdmittedRequest(String id, RouteConfig route, String key, TenantConfig tenant, String backend,
+        PromptPrefix prefix, long deadlineMs) {
+    private static final long DEFAULT_AIM_MS = 500;
+
+    /**
+     * Reads a request against the configuration that is in force here.
+     *
+     * @param receivedMs when its first byte was read, on the steady clock
+     * @return why it is not taken, or what is known of it
+     */
+    static Either<Refusal, AdmittedRequest> read(DataPlane plane, HttpRequest request, long receivedMs) {
+        RoutingTable table = plane.table();
+        HttpHeaders headers = request.headers();
+        if (table.generation() == 0) {
+            return Either.left(Refusal.notReady());
+        }
+        RoutingTable.Route found = table.route(headers.get(HttpHeaderNames.HOST), request.uri());
+        if (found == null) {
+            return Either.left(Refusal.fault(404, "no route"));
+        }
+        String id = headers.get(HopHeaders.ATTEMPT_ID);
+        if (id == null || id.isBlank()) {
+            return Either.left(Refusal.fault(400, "Rowanplank-Attempt-Id is missing"));
+        }
+        boolean keyed = table.hasTenants() && !found.config().isPublic();
+        if (keyed && !plane.keysAreFresh()) {
+            return Either.left(Refusal.notReady());
+        }
+        String key = keyed ? headers.get(HopHeaders.API_KEY) : null;
+        TenantConfig tenant = key == null ? null : table.tenant(key);
+        if (keyed && tenant == null) {
+            return Either.left(Refusal.fault(401, "no such key"));
+        }
+        return Either.right(new AdmittedRequest(id, found.config(), key, tenant, found.backend(plane.lot()),
+                PromptPrefix.parse(headers.get(HopHeaders.PROMPT_PREFIX)),
+                receivedMs + timeAllowed(headers.get(HopHeaders.DEADLINE), found.config().timeoutMs())));
+    }
+
+    private static long timeAllowed(String header, long timeoutMs) {
+        long told = timeoutMs;
+        try {
+            told = header == null ? timeoutMs : (long) Double.parseDouble(header.strip());
+        } catch (NumberFormatException e) {
+            // as if the client had said nothing
+        }
+        return Math.max(1, Math.min(told, timeoutMs));
+    }
+
+    /** The time within which an answer earns its full worth, in milliseconds. */
+    long aimMs() {
+        return route.targetLatencyMs() > 0 ? route.targetLatencyMs() : DEFAULT_AIM_MS;
+    }
+
+    /** Whether the key still holds: the process may have stood still since it was checked. */
+    boolean keyHolds(DataPlane plane) {
+        return tenant == null || plane.keysAreFresh() && plane.table().tenant(key) != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/ControlClient.java
@@ -0,0 +1,262 @@
+package routerfleet.data;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import routerfleet.settings.HostPort;
+import routerfleet.settings.LocalSettings;
+import routerfleet.wire.LinkTiming;
+import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerDialer;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+
+/**
+ * This node's sessions with the control nodes: a connection to each, regular questions on them, and what comes back:
+ * servers, configurations, grants of tenants' limits, and up to when the configuration is known to be the newest.
+ *
+ * <p>One connection is the primary one, which brings configurations whole; the others tell their numbers, and are asked
+ * where the primary one does not deliver.
+ */
+final class ControlClient {
+    /** Questions are asked on the primary connection at each tick, on the others each so many ticks. */
+    private static final long TICK_MS = 400;
+    private static final int OTHER_TICKS = 4;
+    /** Past this the node asks on all connections and more often: it may not serve much longer, or not yet. */
+    private static final long STALE_MS = 1_500;
+    private static final long STALE_TICK_MS = 100;
+    private static final long FETCH_AFTER_MS = 150;
+    private static final long FORGET_MS = 30_000;
+    private static final int MOST_OPEN_POLLS = 64;
+
+    /** Who hears what control nodes say. */
+    interface Listener {
+        /** A configuration newer than any before. */
+        void configuration(long generation, byte[] document);
+
+        /** How many data nodes there are. @param warming whether the control node that says so has only just started */
+        void dataNodes(int present, boolean warming);
+
+        /** An answer to a question about a tenant's limit. */
+        void quotaAnswered(PeerMessage.QuotaAnswer answer);
+
+        /** There is no connection to that control node any more. */
+        void disconnected(String controlNode);
+    }
+
+    private record FreshPoint(long nanos, long generation) { }
+
+    private final class Link implements PeerLink.Listener {
+        private final String ip;
+        /** When each open question was asked, on the steady clock in nanoseconds, by its number. */
+        private final Map<Long, Long> polls = new TreeMap<>();
+        private PeerLink link;
+        private int turn;
+        private long heardNanos = System.nanoTime();
+
+        Link(String ip) {
+            this.ip = ip;
+        }
+
+        @Override
+        public void opened(PeerLink opened) {
+            link = opened;
+            heardNanos = System.nanoTime();
+            polls.clear();
+            opened.send(new PeerMessage.DataHello(settings.nodeName(), settings.ip(), settings.zone(),
+                    registry.epoch(ip), registry.revision(ip)));
+            choosePrimary();
+            poll(this);
+        }
+
+        @Override
+        public void received(PeerLink from, PeerMessage message) {
+            heardNanos = System.nanoTime();
+            ControlClient.this.received(this, message);
+        }
+
+        @Override
+        public void closed(PeerLink closed) {
+            if (link == closed) {
+                link = null;
+                registry.disconnected(ip);
+                choosePrimary();
+                listener.disconnected(ip);
+            }
+        }
+    }
+
+    private final EventLoop loop;
+    private final LocalSettings settings;
+    private final ServerRegistry registry;
+    private final Listener listener;
+    private final PeerDialer dialer;
+    private final Map<String, Link> links = new TreeMap<>();
+    private List<HostPort> seeds;
+    /** Control nodes that hold replicas of the configuration shard, as last told. */
+    private List<String> replicas = List.of();
+    private Link primary;
+    private long lastPoll;
+    private long generation;
+    private long freshNanos;
+    private boolean everFresh;
+    private FreshPoint waitingForGeneration;
+    private final int preference;
+
+    ControlClient(EventLoop loop, LocalSettings settings, ServerRegistry registry, PeerCodec codec, Listener listener) {
+        this.loop = loop;
+        this.settings = settings;
+        this.registry = registry;
+        this.listener = listener;
+        seeds = settings.seeds();
+        preference = settings.nodeName().hashCode();
+        dialer = new PeerDialer(loop, codec, LinkTiming.DATA, address -> links.get(address.host()));
+    }
+
+    void start() {
+        seeds.forEach(seed -> learn(seed.host()));
+        tick();
+    }
+
+    /** Takes other seeds. */
+    void seeds(List<HostPort> changed) {
+        seeds = changed;
+        seeds.forEach(seed -> learn(seed.host()));
+    }
+
+    /** For how long the configuration has not been known to be the newest, in milliseconds. */
+    long staleMs() {
+        return everFresh ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - freshNanos) : Long.MAX_VALUE;
+    }
+
+    /** Control nodes that hold replicas of the configuration shard; empty before one has been heard. */
+    List<String> replicas() {
+        return replicas;
+    }
+
+    /** @return whether there is a connection to that control node to send on */
+    boolean send(String ip, PeerMessage message) {
+        Link link = links.get(ip);
+        if (link == null || link.link == null) {
+            return false;
+        }
+        link.link.send(message);
+        return true;
+    }
+
+    private void learn(String ip) {
+        if (!links.containsKey(ip)) {
+            links.put(ip, new Link(ip));
+            dialer.want(new HostPort(ip, settings.internalPort()));
+        }
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        boolean stale = staleMs() > STALE_MS;
+        for (Link link : List.copyOf(links.values())) {
+            boolean seed = seeds.stream().anyMatch(s -> s.host().equals(link.ip));
+            if (!seed && link.link == null && now - link.heardNanos > TimeUnit.MILLISECONDS.toNanos(FORGET_MS)) {
+                links.remove(link.ip);
+                dialer.forget(new HostPort(link.ip, settings.internalPort()));
+            } else if (++link.turn % (stale || link == primary ? 1 : OTHER_TICKS) == 0) {
+                poll(link);
+            }
+        }
+        loop.schedule(this::tick, stale ? STALE_TICK_MS : TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void choosePrimary() {
+        if (primary != null && primary.link != null) {
+            return;
+        }
+        primary = null;
+        int best = 0;
+        for (Link link : links.values()) {
+            int rank = (link.ip.hashCode() * 31 ^ preference) * 0x9E3779B1;
+            if (link.link != null && (primary == null || rank > best)) {
+                primary = link;
+                best = rank;
+            }
+        }
+    }
+
+    private void poll(Link link) {
+        if (link.link == null) {
+            return;
+        }
+        if (link.polls.size() >= MOST_OPEN_POLLS) {
+            link.polls.clear();
+        }
+        long id = ++lastPoll;
+        link.polls.put(id, System.nanoTime());
+        link.link.send(new PeerMessage.Poll(id, generation, link == primary));
+    }
+
+    private void received(Link link, PeerMessage message) {
+        if (message instanceof PeerMessage.PollReply reply) {
+            polled(link, reply);
+        } else if (message instanceof PeerMessage.SessionChanges changes) {
+            registry.told(link.ip, changes);
+        } else if (message instanceof PeerMessage.ConfigNotice notice) {
+            fetchIfMissing(link, notice.generation());
+        } else if (message instanceof PeerMessage.ConfigDocument document) {
+            take(document);
+        } else if (message instanceof PeerMessage.QuotaAnswer answer) {
+            listener.quotaAnswered(answer);
+        }
+    }
+
+    private void polled(Link link, PeerMessage.PollReply reply) {
+        registry.polled(link.ip, reply.warming());
+        reply.controlNodes().forEach(this::learn);
+        fetchIfMissing(link, reply.generation());
+        replicas = reply.replicas();
+        listener.dataNodes(reply.dataNodes(), reply.warming());
+        Long askedNanos = link.polls.remove(reply.id());
+        if (askedNanos == null) {
+            return;
+        }
+        if (reply.freshAgeMicros() >= 0) {
+            // Counted from before the question, so that the time on the way makes the point older, never newer.
+            fresh(new FreshPoint(askedNanos - TimeUnit.MICROSECONDS.toNanos(reply.freshAgeMicros()),
+                    reply.generation()));
+        }
+    }
+
+    private void fresh(FreshPoint point) {
+        if (point.generation() > generation) {
+            if (waitingForGeneration == null || point.nanos() - waitingForGeneration.nanos() > 0) {
+                waitingForGeneration = point;
+            }
+        } else if (!everFresh || point.nanos() - freshNanos > 0) {
+            freshNanos = point.nanos();
+            everFresh = true;
+        }
+    }
+
+    private void fetchIfMissing(Link link, long newest) {
+        if (newest > generation) {
+            loop.schedule(() -> {
+                if (newest > generation && link.link != null) {
+                    link.link.send(new PeerMessage.ConfigRequest(generation));
+                }
+            }, FETCH_AFTER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void take(PeerMessage.ConfigDocument document) {
+        if (document.generation() <= generation) {
+            return;
+        }
+        generation = document.generation();
+        listener.configuration(generation, document.document());
+        if (waitingForGeneration != null && waitingForGeneration.generation() <= generation) {
+            FreshPoint point = waitingForGeneration;
+            waitingForGeneration = null;
+            fresh(point);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/DataNode.java
@@ -0,0 +1,257 @@
+package routerfleet.data;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import java.net.BindException;
+import java.security.SecureRandom;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import routerfleet.config.ConfigFault;
+import routerfleet.config.ConfigJson;
+import routerfleet.config.FleetConfiguration;
+import routerfleet.settings.LocalSettings;
+import routerfleet.wire.Listeners;
+import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.SteadyClock;
+
+/**
+ * A data node: takes clients' requests and forwards them to model servers. It keeps nothing on disk; configuration,
+ * servers and parts of limits come from the control nodes. Everything runs on one event loop.
+ */
+public final class DataNode {
+    private static final System.Logger LOG = System.getLogger("routerfleet.data");
+    private static final int MOST_LINE_BYTES = 8 << 10;
+    private static final int MOST_CHUNK_BYTES = 16 << 10;
+    private static final int READINESS_BODY_BYTES = 1 << 12;
+    private static final long REVIEW_MS = 250;
+    private static final long SECOND_MS = 1_000;
+    /** How long the ingress may take to notice that a node is not ready: two questions, a second apart, and some. */
+    private static final long NOTICED_MS = 3_200;
+    /** Before the platform kills the process, what has not run is refused. */
+    private static final long LAST_WORDS_MS = 900;
+    private static final long STOP_CHECK_MS = 50;
+
+    /** Without a quiet period an event loop may end before it has closed its sockets. */
+    private static final long CRASH_QUIET_MS = 10;
+    private static final long CRASH_MOST_MS = 2_000;
+
+    private final LocalSettings settings;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final SecureRandom random = new SecureRandom();
+    private final ServerRegistry registry = new ServerRegistry(random.nextLong());
+    private final FleetSize fleetSize = new FleetSize();
+    private final QuotaClient quotas;
+    private final DataPlane plane;
+    private final ControlClient control;
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private Channel frontend;
+
+    /** @param settings with addresses for clients and readiness */
+    public DataNode(LocalSettings settings) {
+        this.settings = settings;
+        quotas = new QuotaClient(settings.bounds(), fleetSize, new QuotaTransport());
+        plane = new DataPlane(loop, settings.bounds(), registry, quotas, fleetSize, random.nextLong());
+        control = new ControlClient(loop, settings, registry, new PeerCodec(), new ControlListener());
+        plane.control(control);
+    }
+
+    /** Listens; readiness says no until a configuration is here. @throws BindException if an address is taken */
+    public void start() throws BindException {
+        listenForReadiness();
+        frontend = Listeners.listen(group, settings.frontend(), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                ClientConnection connection = new ClientConnection(plane, clients);
+                channel.pipeline().addLast(new ReadWatch(connection), new HttpServerCodec(MOST_LINE_BYTES,
+                        plane.table().limits().maxHeaderBytes(), MOST_CHUNK_BYTES), connection);
+            }
+        });
+        loop.execute(control::start);
+        loop.scheduleWithFixedDelay(this::review, REVIEW_MS, REVIEW_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(registry::tick, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        LOG.log(System.Logger.Level.INFO, "data node " + settings.nodeName() + " listens at " + settings.frontend());
+    }
+
+    private void listenForReadiness() throws BindException {
+        Listeners.listen(group, settings.readiness(), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(READINESS_BODY_BYTES),
+                        new Readiness());
+            }
+        });
+    }
+
+    private void review() {
+        long now = SteadyClock.millis();
+        if (plane.isReady()) {
+            ready.complete(null);
+        }
+        plane.open().forEach(exchange -> exchange.review(now));
+        List.copyOf(clients).forEach(client -> client.review(now));
+    }
+
+    /** Takes new settings: only the seeds may change while the process runs. */
+    public void reload(LocalSettings changed) {
+        loop.execute(() -> control.seeds(changed.seeds()));
+    }
+
+    /**
+     * Leaves in order: not ready at once; clients are served until the ingress has noticed, each connection then ends with
+     * its answer. Blocks until nothing is open, at most for the platform's grace.
+     */
+    public void stop() {
+        long startMs = SteadyClock.millis();
+        long graceMs = (long) (settings.bounds().graceS() * SECOND_MS);
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            plane.leave();
+            loop.scheduleWithFixedDelay(() -> leave(startMs, graceMs, done), STOP_CHECK_MS, STOP_CHECK_MS,
+                    TimeUnit.MILLISECONDS);
+        });
+        try {
+            done.await(graceMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends at once. */
+    public void crash() {
+        group.shutdownGracefully(CRASH_QUIET_MS, CRASH_MOST_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    /** Complete once the node has been ready for the first time. */
+    public CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    private void leave(long startMs, long graceMs, CountDownLatch done) {
+        long passed = SteadyClock.millis() - startMs;
+        if (passed < Math.min(NOTICED_MS, graceMs / 2)) {
+            return;
+        }
+        frontend.close();
+        List.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+        if (passed > graceMs - LAST_WORDS_MS) {
+            plane.open().forEach(Exchange::shutDown);
+        }
+        if (clients.isEmpty()) {
+            done.countDown();
+        }
+    }
+
+    /** Tells a connection that bytes have come, before they are parsed. */
+    private static final class ReadWatch extends ChannelInboundHandlerAdapter {
+        private final ClientConnection connection;
+
+        ReadWatch(ClientConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf) {
+                connection.bytesRead();
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
+    /** Answers whether the node wants clients. */
+    private final class Readiness extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    plane.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    Unpooled.EMPTY_BUFFER);
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
+            HttpUtil.setKeepAlive(response, keepAlive);
+            context.writeAndFlush(response).addListener(written -> {
+                if (!keepAlive) {
+                    context.close();
+                }
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private final class ControlListener implements ControlClient.Listener {
+        @Override
+        public void configuration(long generation, byte[] document) {
+            Either<ConfigFault, FleetConfiguration> read = ConfigJson.read(document);
+            if (read.isLeft()) {
+                LOG.log(System.Logger.Level.ERROR, "a committed configuration can't be read: " + read.getLeft());
+                return;
+            }
+            plane.table(new RoutingTable(read.get()));
+        }
+
+        @Override
+        public void dataNodes(int present, boolean warming) {
+            fleetSize.told(present, warming, SteadyClock.millis());
+        }
+
+        @Override
+        public void quotaAnswered(PeerMessage.QuotaAnswer answer) {
+            quotas.answered(answer);
+        }
+
+        @Override
+        public void disconnected(String controlNode) {
+            quotas.disconnected(controlNode);
+        }
+    }
+
+    private final class QuotaTransport implements QuotaClient.Transport {
+        @Override
+        public List<String> controlNodes() {
+            return control.replicas();
+        }
+
+        @Override
+        public boolean send(String controlNode, PeerMessage message) {
+            return control.send(controlNode, message);
+        }
+
+        @Override
+        public long nowMs() {
+            return SteadyClock.millis();
+        }
+
+        @Override
+        public void schedule(Runnable task, long delayMs) {
+            loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/DataPlane.java
@@ -0,0 +1,120 @@
+package routerfleet.data;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import routerfleet.settings.Bounds;
+
+/** What all requests of a node share. For one event loop. */
+final class DataPlane {
+    /** What a request may still need to be read and checked, off the time until removed keys are refused. */
+    private static final long REVOKE_MARGIN_MS = 400;
+    private static final int LEAST_IN_FLIGHT = 4;
+    private static final double SHARE_FACTOR = 2;
+    private static final double CONNECTIONS_PART = 0.9;
+
+    private final EventLoop loop;
+    private final Bounds bounds;
+    private final ServerRegistry registry;
+    private final QuotaClient quotas;
+    private final FleetSize fleetSize;
+    private final SplittableRandom random;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Set<Exchange> open = new LinkedHashSet<>();
+    private RoutingTable table = RoutingTable.EMPTY;
+    private ControlClient control;
+    private boolean leaving;
+
+    DataPlane(EventLoop loop, Bounds bounds, ServerRegistry registry, QuotaClient quotas, FleetSize fleetSize,
+            long seed) {
+        this.loop = loop;
+        this.bounds = bounds;
+        this.registry = registry;
+        this.quotas = quotas;
+        this.fleetSize = fleetSize;
+        random = new SplittableRandom(seed);
+    }
+
+    void control(ControlClient client) {
+        control = client;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    ServerRegistry registry() {
+        return registry;
+    }
+
+    QuotaClient quotas() {
+        return quotas;
+    }
+
+    RoutingTable table() {
+        return table;
+    }
+
+    void table(RoutingTable newer) {
+        table = newer;
+        quotas.configure(newer.tenants());
+        budgets.keySet().removeIf(backend -> newer.backend(backend) == null);
+    }
+
+    FleetSize fleetSize() {
+        return fleetSize;
+    }
+
+    double lot() {
+        return random.nextDouble();
+    }
+
+    RetryBudget budget(String backend) {
+        return budgets.computeIfAbsent(backend, b -> new RetryBudget(bounds));
+    }
+
+    /** Whether keys may be trusted: no configuration that took one away can be in force without being known here. */
+    boolean keysAreFresh() {
+        return !bounds.revocation() || control.staleMs() < bounds.revokeMs() - REVOKE_MARGIN_MS;
+    }
+
+    /** Whether the node can serve. */
+    boolean isReady() {
+        return !leaving && table.generation() > 0 && keysAreFresh();
+    }
+
+    /** Takes no new clients from now on. */
+    void leave() {
+        leaving = true;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** How many requests this node may have in flight at one server. */
+    int inFlightLimit(String backend, int capacity) {
+        int nodes = fleetSize.latest();
+        routerfleet.config.BackendConfig config = table.backend(backend);
+        int connections = config == null || config.maxConnections() == 0 ? Integer.MAX_VALUE : config.maxConnections();
+        int part = Math.max(LEAST_IN_FLIGHT, (int) Math.ceil(SHARE_FACTOR * capacity / nodes));
+        return Math.max(1, Math.min(part, (int) (CONNECTIONS_PART * connections / nodes)));
+    }
+
+    void opened(Exchange exchange) {
+        open.add(exchange);
+    }
+
+    void closed(Exchange exchange) {
+        open.remove(exchange);
+    }
+
+    /** Requests without a final answer. */
+    List<Exchange> open() {
+        return List.copyOf(open);
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/EventParser.java
@@ -0,0 +1,93 @@
+package routerfleet.data;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Cuts a {@code text/event-stream} (WHATWG HTML, section 9.2) into whole events, whatever the pieces in which it comes.
+ * Bound: an event of {@value #MOST_EVENT_BYTES} bytes.
+ */
+final class EventParser {
+    private static final int MOST_EVENT_BYTES = 1 << 20;
+    private static final int FIRST_BYTES = 512;
+
+    /** Who gets events. */
+    interface Sink {
+        /**
+         * @param bytes the event as it came, with the empty line that ends it
+         * @param id its number; negative where it has none
+         */
+        void event(byte[] bytes, long id);
+    }
+
+    private byte[] buffer = new byte[FIRST_BYTES];
+    private int length;
+    private int scanned;
+
+    /** Whether a part of an event is waiting for its end. */
+    boolean hasPart() {
+        return length > 0;
+    }
+
+    /** Takes a piece in. @return false where an event is too long */
+    boolean feed(ByteBuf piece, Sink sink) {
+        int added = piece.readableBytes();
+        if (length + added > MOST_EVENT_BYTES) {
+            return false;
+        }
+        if (length + added > buffer.length) {
+            buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, length + added));
+        }
+        piece.readBytes(buffer, length, added);
+        length += added;
+        int start = 0;
+        for (int i = scanned; i < length; i++) {
+            if (buffer[i] == '\n' && endsEvent(start, i)) {
+                byte[] event = Arrays.copyOfRange(buffer, start, i + 1);
+                start = i + 1;
+                sink.event(event, id(event));
+            }
+        }
+        System.arraycopy(buffer, start, buffer, 0, length - start);
+        length -= start;
+        scanned = length;
+        return true;
+    }
+
+    private boolean endsEvent(int start, int newline) {
+        int before = newline - 1;
+        if (before >= start && buffer[before] == '\r') {
+            before--;
+        }
+        return before >= start && buffer[before] == '\n';
+    }
+
+    private static long id(byte[] event) {
+        String text = new String(event, StandardCharsets.ISO_8859_1);
+        for (int at = 0; at >= 0 && at < text.length(); at = text.indexOf('\n', at) + 1) {
+            if (text.startsWith("id:", at)) {
+                return number(text, at + 3);
+            }
+            if (text.indexOf('\n', at) < 0) {
+                break;
+            }
+        }
+        return -1;
+    }
+
+    private static long number(String text, int from) {
+        int at = from;
+        while (at < text.length() && text.charAt(at) == ' ') {
+            at++;
+        }
+        long value = 0;
+        int digits = 0;
+        while (at < text.length() && Character.isDigit(text.charAt(at)) && digits < 18) {
+            value = value * 10 + text.charAt(at) - '0';
+            at++;
+            digits++;
+        }
+        return digits == 0 ? -1 : value;
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/PromptPrefix.java
@@ -0,0 +1,53 @@
+package routerfleet.data;
+
+import routerfleet.wire.HashMix;
+
+/**
+ * The shared part of a prompt that decides where its request is best read.
+ *
+ * @param key the same for requests that share the part; 0 where nothing worth finding again is shared
+ * @param tokens length of what is shared
+ */
+record PromptPrefix(long key, long tokens) {
+    static final PromptPrefix NONE = new PromptPrefix(0, 0);
+
+    /** Shorter parts are read anew faster than a server is chosen for them. */
+    private static final long LEAST_TOKENS = 512;
+
+    /**
+     * Reads a list of ID:TOKENS. The last part belongs to the request itself; of the others the chain up to the longest
+     * one counts.
+     */
+    static PromptPrefix parse(String header) {
+        if (header == null) {
+            return NONE;
+        }
+        String[] parts = header.split(",");
+        long chain = 0;
+        long tokens = 0;
+        long longest = 0;
+        PromptPrefix found = NONE;
+        for (int i = 0; i < parts.length - 1; i++) {
+            int colon = parts[i].indexOf(':');
+            if (colon < 0) {
+                return NONE;
+            }
+            long length = number(parts[i].substring(colon + 1));
+            chain = HashMix.mix(chain * 31 + parts[i].substring(0, colon).strip().hashCode());
+            tokens += length;
+            if (length >= longest) {
+                longest = length;
+                found = new PromptPrefix(chain | 1, tokens);
+            }
+        }
+        return found.tokens >= LEAST_TOKENS ? found : NONE;
+    }
+
+    private static long number(String text) {
+        try {
+            return Math.max(0, Long.parseLong(text.strip()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/RestLimit.java
@@ -0,0 +1,29 @@
+package routerfleet.data;
+
+/**
+ * For how long connections to a service's servers may rest before they are used again. Servers may forget idle
+ * connections without a word, sooner than they say; a request that is sent on such a connection is reset, and may have
+ * run. Once that is seen, connections that have rested long are no longer used for a while.
+ */
+final class RestLimit {
+    /** After a shorter rest a reset has another cause. */
+    private static final long LEAST_REST_MS = 40;
+    private static final long HOLDS_MS = 20_000;
+
+    private long limitMs = Long.MAX_VALUE;
+    private long untilMs;
+
+    /** The longest rest after which a connection may be used, in milliseconds. */
+    long longestRestMs(long nowMs) {
+        return nowMs < untilMs ? limitMs : Long.MAX_VALUE;
+    }
+
+    /** A connection that had rested was gone when it was used. */
+    void lost(long restedMs, long nowMs) {
+        if (restedMs < LEAST_REST_MS) {
+            return;
+        }
+        limitMs = Math.min(longestRestMs(nowMs), restedMs / 2);
+        untilMs = nowMs + HOLDS_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/RoutingTable.java
@@ -0,0 +1,144 @@
+package routerfleet.data;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import routerfleet.config.BackendConfig;
+import routerfleet.config.ClientLimits;
+import routerfleet.config.FleetConfiguration;
+import routerfleet.config.RouteConfig;
+import routerfleet.config.TenantConfig;
+
+/**
+ * One generation of the configuration, arranged for look-ups. Immutable. Finding a route costs one hash look-up for each
+ * slash in the path; a key costs one.
+ */
+final class RoutingTable {
+    /** What a node has before it has heard of any configuration. */
+    static final RoutingTable EMPTY = new RoutingTable(new FleetConfiguration(0, null, null, null, null));
+
+    private static final int MOST_SEGMENTS = 32;
+
+    /** A route, and where the running sums of its services' weights stand. */
+    static final class Route {
+        private final RouteConfig config;
+        private final List<String> backends = new ArrayList<>();
+        private final List<Double> upTo = new ArrayList<>();
+
+        Route(RouteConfig config) {
+            this.config = config;
+            double sum = 0;
+            if (config.trafficSplit() != null) {
+                for (RouteConfig.WeightedBackend part : config.trafficSplit()) {
+                    if (part.weight() > 0) {
+                        sum += part.weight();
+                        backends.add(part.backend());
+                        upTo.add(sum);
+                    }
+                }
+            }
+            if (backends.isEmpty()) {
+                backends.add(config.backend());
+                upTo.add(1.0);
+            }
+        }
+
+        RouteConfig config() {
+            return config;
+        }
+
+        /** @param lot from 0 to below 1 */
+        String backend(double lot) {
+            double point = lot * upTo.get(upTo.size() - 1);
+            for (int i = 0; i < backends.size(); i++) {
+                if (point < upTo.get(i)) {
+                    return backends.get(i);
+                }
+            }
+            return backends.get(backends.size() - 1);
+        }
+    }
+
+    private final long generation;
+    private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+    private final Map<String, TenantConfig> keys = new HashMap<>();
+    private final Map<String, BackendConfig> backends = new HashMap<>();
+    private final List<TenantConfig> tenants;
+    private final ClientLimits limits;
+
+    RoutingTable(FleetConfiguration configuration) {
+        generation = configuration.generation();
+        limits = configuration.limits();
+        tenants = configuration.tenants();
+        for (RouteConfig route : configuration.routes()) {
+            hosts.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new HashMap<>())
+                    .put(route.pathPrefix(), new Route(route));
+        }
+        for (BackendConfig backend : configuration.backends()) {
+            backends.put(backend.name(), backend);
+        }
+        for (TenantConfig tenant : tenants) {
+            if (tenant.apiKeys() != null) {
+                tenant.apiKeys().forEach(key -> keys.put(key, tenant));
+            }
+        }
+    }
+
+    long generation() {
+        return generation;
+    }
+
+    ClientLimits limits() {
+        return limits;
+    }
+
+    List<TenantConfig> tenants() {
+        return tenants;
+    }
+
+    /** The service of that name; null where there is none. */
+    BackendConfig backend(String name) {
+        return backends.get(name);
+    }
+
+    /** The tenant that holds a key; null where none does. */
+    TenantConfig tenant(String key) {
+        return keys.get(key);
+    }
+
+    /** Whether requests need a key. */
+    boolean hasTenants() {
+        return !tenants.isEmpty();
+    }
+
+    /** The route of that host with the longest prefix of the path; null where there is none. */
+    Route route(String host, String target) {
+        Map<String, Route> routes = host == null ? null : hosts.get(hostName(host));
+        if (routes == null) {
+            return null;
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        int end = path.length();
+        for (int i = 0; i < MOST_SEGMENTS; i++) {
+            int slash = path.lastIndexOf('/', end - 1);
+            if (slash < 0) {
+                return null;
+            }
+            Route route = routes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return route;
+            }
+            end = slash;
+        }
+        return null;
+    }
+
+    private static String hostName(String header) {
+        int colon = header.lastIndexOf(':');
+        String name = colon > 0 ? header.substring(0, colon) : header;
+        return name.strip().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/Server.java
@@ -0,0 +1,176 @@
+package routerfleet.data;
+
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import routerfleet.settings.HostPort;
+import routerfleet.wire.SessionRecord;
+
+/** A model server as this node knows it: its session, connections, and what came of this node's own requests. */
+final class Server {
+    private static final long FIRST_PAUSE_MS = 400;
+    private static final long LONGEST_PAUSE_MS = 6_000;
+    /** Weight of one answer in the failure rate: two failures in a row are no single case. */
+    private static final double FAILURE_GAIN = 0.25;
+    private static final double AVOID_ABOVE = 0.4;
+
+    /** An idle connection, since when it rests and until when it may be used, on the steady clock in milliseconds. */
+    record Idle(UpstreamConnection connection, long sinceMs, long usableUntilMs) { }
+
+    private final String uid;
+    private final String backend;
+    private final HostPort address;
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private int capacity;
+    private boolean listed;
+    private int connections;
+    private int inFlight;
+    private long pauseMs = FIRST_PAUSE_MS;
+    private long avoidUntilMs;
+    private boolean trialOut;
+    private double failureRate;
+    private long lastHeardMs;
+    /** When the oldest request that has had no sign of the server since was sent; 0 for none. */
+    private long silentSinceMs;
+
+    Server(SessionRecord session) {
+        uid = session.uid();
+        backend = session.backend();
+        address = HostPort.parse(session.address());
+        capacity = session.capacity();
+    }
+
+    String uid() {
+        return uid;
+    }
+
+    String backend() {
+        return backend;
+    }
+
+    HostPort address() {
+        return address;
+    }
+
+    int capacity() {
+        return capacity;
+    }
+
+    void capacity(int changed) {
+        capacity = changed;
+    }
+
+    /** Whether it may be sent new requests, as far as control nodes say. */
+    boolean listed() {
+        return listed;
+    }
+
+    void listed(boolean isListed) {
+        listed = isListed;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    int connections() {
+        return connections;
+    }
+
+    void connectionOpened() {
+        connections++;
+    }
+
+    void connectionClosed(UpstreamConnection connection) {
+        connections--;
+        idle.removeIf(i -> i.connection() == connection);
+    }
+
+    void sent(long nowMs) {
+        inFlight++;
+        if (silentSinceMs == 0) {
+            silentSinceMs = nowMs;
+        }
+        if (isAvoided(nowMs) || avoidUntilMs != 0) {
+            trialOut = true;
+        }
+    }
+
+    void ended() {
+        inFlight--;
+        trialOut = false;
+        if (inFlight == 0) {
+            silentSinceMs = 0;
+        }
+    }
+
+    /** Bytes have come from it. */
+    void heard(long nowMs) {
+        lastHeardMs = nowMs;
+        silentSinceMs = inFlight > 0 ? nowMs : 0;
+    }
+
+    /** For how long it has been silent while it owed something, in milliseconds. */
+    long silentMs(long nowMs) {
+        return silentSinceMs == 0 ? 0 : nowMs - silentSinceMs;
+    }
+
+    long lastHeardMs() {
+        return lastHeardMs;
+    }
+
+    /** It answered as it should. */
+    void succeeded() {
+        failureRate -= FAILURE_GAIN * failureRate;
+        pauseMs = FIRST_PAUSE_MS;
+        avoidUntilMs = 0;
+    }
+
+    /** It gave no answer, or a failure: left alone only where that is no single case. */
+    void erred(long nowMs) {
+        failureRate += FAILURE_GAIN * (1 - failureRate);
+        if (failureRate > AVOID_ABOVE) {
+            failed(nowMs);
+        }
+    }
+
+    /** It failed, or could not be reached: it is left alone for a while, longer each time. */
+    void failed(long nowMs) {
+        if (nowMs >= avoidUntilMs) {
+            avoidUntilMs = nowMs + pauseMs;
+            pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+        }
+    }
+
+    /** Whether it is left alone now; after the pause, one request at a time tries it. */
+    boolean isAvoided(long nowMs) {
+        return nowMs < avoidUntilMs || avoidUntilMs != 0 && trialOut;
+    }
+
+    /**
+     * Takes an idle connection that may be used, the one used last; null where there is none.
+     *
+     * @param longestRestMs for how long it may have rested
+     */
+    Idle takeIdle(long nowMs, long longestRestMs) {
+        for (Idle found = idle.pollLast(); found != null; found = idle.pollLast()) {
+            Channel channel = found.connection().channel();
+            boolean rested = nowMs - found.sinceMs() > longestRestMs;
+            if (channel.isActive() && nowMs < found.usableUntilMs() && !rested) {
+                return found;
+            }
+            channel.close();
+        }
+        return null;
+    }
+
+    void putIdle(UpstreamConnection connection, long nowMs, long usableUntilMs) {
+        idle.addLast(new Idle(connection, nowMs, usableUntilMs));
+    }
+
+    void closeIdle() {
+        for (Idle found = idle.pollLast(); found != null; found = idle.pollLast()) {
+            found.connection().channel().close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -0,0 +1,205 @@
+package routerfleet.data;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import rowanplank.neural.Neuron;
+import rowanplank.neural.RandomNeuralNetwork;
+import routerfleet.wire.HashMix;
+
+/**
+ * The listed servers of one service, and the choice among them.
+ *
+ * <p>The design: a random neural network for each class of request with a neuron for each listed server; two servers are
+ * drawn, and the one with the lower (own requests in flight + 1) / q gets the request. Where a long part of the prompt is
+ * shared, the two are drawn from a hash ring: the servers where that part has been read before.
+ *
+ * <p>Cost of a choice: two draws, or a binary search on the ring. Bound: {@value #MOST_CLASSES} networks; further
+ * classes share the last one.
+ */
+final class ServerPool {
+    private static final int MOST_CLASSES = 32;
+    private static final int POINTS = 48;
+    private static final int DRAWS = 6;
+    /** How much worse the home of a shared part may look than the other server drawn: reading it anew costs more. */
+    private static final double WARM = 0.3;
+    /** Requests that both count for beside those in flight, so that a few of them do not send a part elsewhere. */
+    private static final double WARM_DEPTH = 4;
+
+    /** The network of one class. */
+    private static final class ClassNetwork {
+        private final RandomNeuralNetwork network = new RandomNeuralNetwork();
+        private final Map<Server, Neuron> neurons = new HashMap<>();
+    }
+
+    /** A server's place on the hash ring. */
+    private record Point(long at, Server server) { }
+
+    private final SplittableRandom random;
+    private final RestLimit restLimit = new RestLimit();
+    private final List<Server> servers = new ArrayList<>();
+    private final Map<String, ClassNetwork> classes = new HashMap<>();
+    private long[] ringPoints = {};
+    private Server[] ringServers = {};
+
+    ServerPool(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** For how long connections to its servers may rest. */
+    RestLimit restLimit() {
+        return restLimit;
+    }
+
+    int size() {
+        return servers.size();
+    }
+
+    List<Server> servers() {
+        return servers;
+    }
+
+    void add(Server server) {
+        servers.add(server);
+        for (ClassNetwork network : classes.values()) {
+            network.neurons.put(server, network.network.enter());
+            network.network.settle();
+        }
+        buildRing();
+    }
+
+    void remove(Server server) {
+        if (!servers.remove(server)) {
+            return;
+        }
+        for (ClassNetwork network : classes.values()) {
+            network.network.leave(network.neurons.remove(server));
+            network.network.settle();
+        }
+        buildRing();
+    }
+
+    private void buildRing() {
+        List<Point> points = new ArrayList<>();
+        for (Server server : servers) {
+            for (int i = 0; i < POINTS; i++) {
+                points.add(new Point(HashMix.mix(server.uid().hashCode() * 1_000_003L + i), server));
+            }
+        }
+        points.sort((a, b) -> Long.compare(a.at(), b.at()));
+        ringPoints = points.stream().mapToLong(Point::at).toArray();
+        ringServers = points.stream().map(Point::server).toArray(Server[]::new);
+    }
+
+    private ClassNetwork network(String requestClass) {
+        ClassNetwork found = classes.get(requestClass);
+        if (found != null) {
+            return found;
+        }
+        if (classes.size() >= MOST_CLASSES) {
+            return classes.computeIfAbsent("", this::newNetwork);
+        }
+        return classes.computeIfAbsent(requestClass, this::newNetwork);
+    }
+
+    private ClassNetwork newNetwork(String requestClass) {
+        ClassNetwork created = new ClassNetwork();
+        servers.forEach(server -> created.neurons.put(server, created.network.enter()));
+        created.network.settle();
+        return created;
+    }
+
+    /** One answer of a server, or how long a failure counts as, in milliseconds. */
+    void learn(String requestClass, Server server, double latencyMs, boolean ok) {
+        ClassNetwork network = network(requestClass);
+        Neuron neuron = network.neurons.get(server);
+        if (neuron != null) {
+            network.network.learn(neuron, latencyMs, ok);
+        }
+    }
+
+    /**
+     * Chooses a server.
+     *
+     * @param limit how many requests this node may have in flight at one server
+     * @param tried servers that this request has been sent to
+     * @return null where none may take it
+     */
+    Server choose(String requestClass, PromptPrefix prefix, int limit, List<Server> tried, long nowMs) {
+        if (servers.isEmpty()) {
+            return null;
+        }
+        ClassNetwork network = network(requestClass);
+        Server chosen = prefix.key() != 0 ? fromRing(network, prefix, limit, tried, nowMs)
+                : ofTwo(network, limit, tried, nowMs);
+        return chosen != null ? chosen : any(network, limit, tried);
+    }
+
+    private Server ofTwo(ClassNetwork network, int limit, List<Server> tried, long nowMs) {
+        Server first = draw(null, limit, tried, nowMs);
+        Server second = first == null ? null : draw(first, limit, tried, nowMs);
+        return better(network, first, second);
+    }
+
+    private Server fromRing(ClassNetwork network, PromptPrefix prefix, int limit, List<Server> tried, long nowMs) {
+        int at = Arrays.binarySearch(ringPoints, HashMix.mix(prefix.key()));
+        int start = at < 0 ? -at - 1 : at;
+        Server home = null;
+        for (int i = 0; i < ringServers.length; i++) {
+            Server next = ringServers[(start + i) % ringServers.length];
+            if (next == home || !mayTake(next, limit, tried, nowMs)) {
+                continue;
+            }
+            if (home == null) {
+                home = next;
+            } else {
+                return warmScore(network, home) * WARM <= warmScore(network, next) ? home : next;
+            }
+        }
+        return home;
+    }
+
+    private Server draw(Server other, int limit, List<Server> tried, long nowMs) {
+        for (int i = 0; i < DRAWS; i++) {
+            Server drawn = servers.get(random.nextInt(servers.size()));
+            if (drawn != other && mayTake(drawn, limit, tried, nowMs)) {
+                return drawn;
+            }
+        }
+        return null;
+    }
+
+    private static boolean mayTake(Server server, int limit, List<Server> tried, long nowMs) {
+        return server.inFlight() < limit && !server.isAvoided(nowMs) && !tried.contains(server);
+    }
+
+    /** Where all draws failed: whichever has room, one that is left alone only if there is no other. */
+    private Server any(ClassNetwork network, int limit, List<Server> tried) {
+        Server best = null;
+        for (Server server : servers) {
+            if (server.inFlight() < limit && !tried.contains(server)) {
+                best = better(network, server, best);
+            }
+        }
+        return best;
+    }
+
+    private Server better(ClassNetwork network, Server a, Server b) {
+        if (a == null || b == null) {
+            return a == null ? b : a;
+        }
+        return score(network, a) <= score(network, b) ? a : b;
+    }
+
+    /** Of a server that may have read a part already: one answer moves q too far to send the part elsewhere. */
+    private static double warmScore(ClassNetwork network, Server server) {
+        return (server.inFlight() + WARM_DEPTH) / Math.sqrt(network.neurons.get(server).quality());
+    }
+
+    private static double score(ClassNetwork network, Server server) {
+        return (server.inFlight() + 1) / network.neurons.get(server).quality();
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -0,0 +1,179 @@
+package routerfleet.data;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.SessionRecord;
+import routerfleet.wire.SessionView;
+
+/**
+ * The servers that this node may use, put together from what each control node says. A server is listed while at least
+ * one control node has it live and none has told that it drains or is gone. What a control node said stays while it
+ * cannot be reached, and while its table fills after a start, if there is no other that says more.
+ *
+ * <p>Bound: {@value #MOST_SERVERS} servers; the ends of {@value #MOST_ENDED} are remembered.
+ */
+final class ServerRegistry {
+    private static final int MOST_SERVERS = 20_000;
+    private static final int MOST_ENDED = 20_000;
+    private static final long ABSENT_VIEW_MS = 3_000;
+
+    /** What one control node says. */
+    private static final class View {
+        private long epoch;
+        private long revision;
+        private boolean warming = true;
+        private boolean connected;
+        private long heardNanos;
+        private final Map<String, SessionView> sessions = new HashMap<>();
+        /** What it said before it was started again, until its new table has filled. */
+        private final Map<String, SessionView> before = new HashMap<>();
+    }
+
+    private final Map<String, View> views = new HashMap<>();
+    private final Map<String, Server> servers = new HashMap<>();
+    private final Map<String, ServerPool> pools = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
+    private final long seed;
+
+    ServerRegistry(long seed) {
+        this.seed = seed;
+    }
+
+    /** The listed servers of a service; empty where there are none. */
+    ServerPool pool(String backend) {
+        return pools.computeIfAbsent(backend, b -> new ServerPool(seed ^ b.hashCode()));
+    }
+
+    /** Servers, listed or not, that this node still knows. */
+    Iterable<Server> servers() {
+        return servers.values();
+    }
+
+    long epoch(String controlNode) {
+        View view = views.get(controlNode);
+        return view == null ? 0 : view.epoch;
+    }
+
+    long revision(String controlNode) {
+        View view = views.get(controlNode);
+        return view == null ? 0 : view.revision;
+    }
+
+    void told(String controlNode, PeerMessage.SessionChanges changes) {
+        View view = views.computeIfAbsent(controlNode, c -> new View());
+        view.connected = true;
+        view.heardNanos = System.nanoTime();
+        if (changes.whole()) {
+            if (view.epoch != changes.epoch()) {
+                view.before.putAll(view.sessions);
+                view.warming = true;
+            }
+            view.sessions.clear();
+        }
+        view.epoch = changes.epoch();
+        view.revision = changes.revision();
+        Set<String> touched = new HashSet<>();
+        for (SessionView told : changes.sessions()) {
+            SessionRecord session = told.session();
+            touched.add(session.uid());
+            if (session.phase() == SessionRecord.Phase.READY) {
+                view.sessions.put(session.uid(), told);
+                enter(session);
+            } else {
+                view.sessions.remove(session.uid());
+                end(session.uid());
+            }
+        }
+        if (changes.whole()) {
+            touched.addAll(servers.keySet());
+        }
+        touched.forEach(this::review);
+    }
+
+    /** @param warming whether its table may still lack servers */
+    void polled(String controlNode, boolean warming) {
+        View view = views.computeIfAbsent(controlNode, c -> new View());
+        view.heardNanos = System.nanoTime();
+        view.connected = true;
+        if (view.warming && !warming) {
+            view.warming = false;
+            view.before.clear();
+            List.copyOf(servers.keySet()).forEach(this::review);
+        }
+    }
+
+    void disconnected(String controlNode) {
+        View view = views.get(controlNode);
+        if (view != null) {
+            view.connected = false;
+        }
+    }
+
+    /** Drops what long absent control nodes have said, where others are there, and servers that are done with. */
+    void tick() {
+        long now = System.nanoTime();
+        boolean anyThere = views.values().stream().anyMatch(v -> v.connected && !v.warming);
+        for (Iterator<View> i = views.values().iterator(); i.hasNext();) {
+            View view = i.next();
+            boolean absent = now - view.heardNanos > TimeUnit.MILLISECONDS.toNanos(ABSENT_VIEW_MS);
+            if (absent && !view.connected && anyThere) {
+                i.remove();
+            }
+        }
+        List.copyOf(servers.keySet()).forEach(this::review);
+        servers.values().removeIf(s -> !s.listed() && s.inFlight() == 0 && s.connections() == 0);
+    }
+
+    private void enter(SessionRecord session) {
+        Server known = servers.get(session.uid());
+        if (known != null) {
+            known.capacity(session.capacity());
+        } else if (!ended.contains(session.uid()) && servers.size() < MOST_SERVERS) {
+            servers.put(session.uid(), new Server(session));
+        }
+    }
+
+    /** A server answered under another name, or has said that it ends: it gets nothing more. */
+    void end(String uid) {
+        if (ended.size() >= MOST_ENDED) {
+            ended.clear();
+        }
+        ended.add(uid);
+        review(uid);
+    }
+
+    private void review(String uid) {
+        Server server = servers.get(uid);
+        if (server == null) {
+            return;
+        }
+        boolean wanted = !ended.contains(uid) && isLive(uid);
+        if (wanted && !server.listed()) {
+            server.listed(true);
+            pool(server.backend()).add(server);
+        } else if (!wanted && server.listed()) {
+            server.listed(false);
+            pool(server.backend()).remove(server);
+            server.closeIdle();
+        }
+    }
+
+    private boolean isLive(String uid) {
+        for (View view : views.values()) {
+            SessionView session = view.sessions.get(uid);
+            if (session == null) {
+                session = view.before.get(uid);
+            }
+            if (session != null && session.live()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -0,0 +1,220 @@
+package routerfleet.data;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import routerfleet.wire.SteadyClock;
+
+/**
+ * One connection to a model server: one request at a time, and the answer handed to its receiver as it comes. An answer
+ * that belongs to another request is passed over; bytes that no request waits for end the connection.
+ */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MOST_LINE_BYTES = 8 << 10;
+    private static final int MOST_HEADER_BYTES = 32 << 10;
+    private static final int MOST_CHUNK_BYTES = 32 << 10;
+    private static final long USABLE_IDLE_MS = 20_000;
+    private static final long KEEP_ALIVE_MARGIN_MS = 400;
+    private static final int MOST_PASSED_OVER = 2;
+
+    /** Who gets an answer. Every answer ends with {@link #complete} or {@link #broken}. */
+    interface Receiver {
+        /** The head of the answer. */
+        void head(HttpResponse response);
+
+        /** A piece of the body; valid during the call. */
+        void content(ByteBuf piece);
+
+        /** The answer is whole. */
+        void complete();
+
+        /** No whole answer will come; the request may have run. */
+        void broken(String why);
+    }
+
+    private final Server server;
+    private Channel channel;
+    private Receiver receiver;
+    private String expectedId;
+    private boolean inAnswer;
+    private boolean passingOver;
+    private int passedOver;
+    private boolean reusable;
+    private long usableIdleMs = USABLE_IDLE_MS;
+
+    private UpstreamConnection(Server server) {
+        this.server = server;
+    }
+
+    /** Opens a connection. The future tells when it is up. */
+    static ChannelFuture open(EventLoop loop, Server server) {
+        UpstreamConnection connection = new UpstreamConnection(server);
+        server.connectionOpened();
+        ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connection.channel = channel;
+                        channel.pipeline().addLast(new HttpClientCodec(MOST_LINE_BYTES, MOST_HEADER_BYTES,
+                                MOST_CHUNK_BYTES, false), connection);
+                    }
+                }).connect(server.address().socketAddress());
+        connected.channel().closeFuture().addListener(closed -> server.connectionClosed(connection));
+        return connected;
+    }
+
+    /** The handler of a channel that {@link #open} has opened. */
+    static UpstreamConnection of(Channel channel) {
+        return channel.pipeline().get(UpstreamConnection.class);
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    /** Sends a request. @param id that the answer has to carry, if it carries any */
+    void send(FullHttpRequest request, String id, Receiver to) {
+        receiver = to;
+        expectedId = id;
+        inAnswer = false;
+        passingOver = false;
+        passedOver = 0;
+        reusable = true;
+        channel.writeAndFlush(request).addListener(written -> {
+            if (!written.isSuccess()) {
+                fail("write failed: " + written.cause());
+            }
+        });
+    }
+
+    /** Gives up the answer that is awaited, and the connection. */
+    void abandon() {
+        receiver = null;
+        channel.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            server.heard(SteadyClock.millis());
+            if (receiver == null) {
+                context.close(); // bytes that belong to no request
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                onHead(response);
+            }
+            if (message instanceof HttpContent content && receiver != null) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            fail("not an answer in the protocol");
+            return;
+        }
+        inAnswer = true;
+        String id = response.headers().get(HopHeaders.ATTEMPT_ID);
+        passingOver = id != null && !id.equals(expectedId);
+        if (passingOver) {
+            if (++passedOver > MOST_PASSED_OVER) {
+                fail("answers to other requests");
+            }
+            return;
+        }
+        boolean bounded = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+                || response.status().code() == 204 || response.status().code() == 304;
+        if (!bounded) {
+            fail("an answer without an end");
+            return;
+        }
+        reusable = HttpUtil.isKeepAlive(response);
+        usableIdleMs = keepAliveMs(response);
+        receiver.head(response);
+    }
+
+    private static long keepAliveMs(HttpResponse response) {
+        String keepAlive = response.headers().get("Keep-Alive");
+        int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+        if (at < 0) {
+            return USABLE_IDLE_MS;
+        }
+        String digits = keepAlive.substring(at + "timeout=".length()).split("[^0-9]", 2)[0];
+        return digits.isEmpty() || digits.length() > 6 ? USABLE_IDLE_MS
+                : Math.max(0, Long.parseLong(digits) * 1_000 - KEEP_ALIVE_MARGIN_MS);
+    }
+
+    private void onContent(HttpContent content) {
+        if (content.decoderResult().isFailure() || !inAnswer) {
+            fail("not an answer in the protocol");
+            return;
+        }
+        if (!passingOver && content.content().isReadable()) {
+            receiver.content(content.content());
+        }
+        if (receiver == null || !(content instanceof LastHttpContent)) {
+            return;
+        }
+        inAnswer = false;
+        if (passingOver) {
+            passingOver = false;
+            return;
+        }
+        Receiver done = receiver;
+        receiver = null;
+        if (reusable && server.listed()) {
+            long now = SteadyClock.millis();
+            server.putIdle(this, now, now + usableIdleMs);
+        } else {
+            channel.close();
+        }
+        done.complete();
+    }
+
+    private void fail(String why) {
+        Receiver waiting = receiver;
+        receiver = null;
+        channel.close();
+        if (waiting != null) {
+            waiting.broken(why);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail("connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(String.valueOf(cause.getMessage()));
+    }
+
+    /** Whether the body of an answer with that head is a series of events. */
+    static boolean isEventStream(HttpResponse response) {
+        String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        return type != null && type.startsWith("text/event-stream");
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -0,0 +1,224 @@
+package routerfleet.demo;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import routerfleet.settings.HostPort;
+
+/**
+ * A model server for the demo and the tests: speaks the servers' side of the protocol on a loopback address, with
+ * answers that it makes up. Each connection has a thread.
+ */
+public final class EmulatedServer implements AutoCloseable {
+    private static final int CAPACITY = 16;
+    private static final long HEARTBEAT_MS = 100;
+
+    /** What it does with requests. */
+    public enum Behaviour {
+        /** Answers whole. */
+        SERVE,
+        /** Rejects as if it were full. */
+        SHED,
+        /** Ends a stream inside its third event. */
+        CUT,
+        /** Reads a request and closes the connection. */
+        HANG_UP
+    }
+
+    /** A request as it arrived. */
+    public record Arrival(String path, Map<String, String> headers, String body) { }
+
+    private final String uid;
+    private final String backend;
+    private final List<HostPort> controlNodes;
+    private final int events;
+    private final ServerSocket socket;
+    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread thread = new Thread(r, "heartbeat");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger sequence = new AtomicInteger();
+    private volatile Behaviour behaviour = Behaviour.SERVE;
+    private volatile String phase = "ready";
+
+    /** Starts to listen and to send heartbeats. @param events of each stream */
+    public EmulatedServer(String uid, String backend, List<HostPort> controlNodes, int events) throws IOException {
+        this.uid = uid;
+        this.backend = backend;
+        this.controlNodes = List.copyOf(controlNodes);
+        this.events = events;
+        socket = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        daemon(this::accept);
+        heartbeats.scheduleWithFixedDelay(this::heartbeat, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "emulated-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Names this incarnation. */
+    public String uid() {
+        return uid;
+    }
+
+    /** Requests that have arrived. */
+    public List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
+    /** Changes what it does from now on. */
+    public void behave(Behaviour changed) {
+        behaviour = changed;
+    }
+
+    /** Says that it leaves. @return whether a control node has acknowledged that */
+    public boolean drain() {
+        phase = "draining";
+        return heartbeat();
+    }
+
+    private boolean heartbeat() {
+        String body = "{\"backend\":\"" + backend + "\",\"address\":\"127.0.0.1:" + socket.getLocalPort()
+                + "\",\"zone\":\"a\",\"generation\":\"v1\",\"capacity\":" + CAPACITY + ",\"phase\":\"" + phase
+                + "\",\"warmup_left_ms\":0,\"sequence\":" + sequence.incrementAndGet() + "}";
+        for (HostPort control : controlNodes) {
+            try {
+                LoopbackHttp.Answer answer = LoopbackHttp.call(control, "POST",
+                        "/rowanplank/instances/" + uid + "/heartbeat", Map.of("Content-Type", "application/json"),
+                        body.getBytes(StandardCharsets.UTF_8));
+                if (answer.status() == 200) {
+                    return true;
+                }
+            } catch (IOException e) {
+                // the next one is called
+            }
+        }
+        return false;
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket accepted = socket.accept();
+                daemon(() -> serve(accepted));
+            } catch (IOException e) {
+                return; // closed
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            while (answer(in, connection.getOutputStream())) {
+                // one request after the other
+            }
+        } catch (IOException e) {
+            // the caller has gone
+        }
+    }
+
+    private boolean answer(InputStream in, OutputStream out) throws IOException {
+        String requestLine = line(in);
+        if (requestLine == null) {
+            return false;
+        }
+        Map<String, String> headers = new LinkedHashMap<>();
+        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+        }
+        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        if (!uid.equals(headers.get("rowanplank-expect-instance"))) {
+            write(out, "421 Misdirected Request", "Rowanplank-Instance-Id: " + uid + "\r\n", "");
+            return true;
+        }
+        arrivals.add(new Arrival(requestLine.split(" ")[1], headers, new String(body, StandardCharsets.UTF_8)));
+        return act(out, headers);
+    }
+
+    private boolean act(OutputStream out, Map<String, String> headers) throws IOException {
+        String stamp = "Rowanplank-Attempt-Id: " + headers.get("rowanplank-attempt-id")
+                + "\r\nRowanplank-Server-Signature: " + uid + ".1\r\n";
+        switch (behaviour) {
+            case HANG_UP:
+                return false;
+            case SHED:
+                write(out, "503 Service Unavailable", "Rowanplank-Not-Executed: 1\r\n", "");
+                return true;
+            default:
+                if (events == 0) {
+                    write(out, "200 OK", stamp, "served by " + uid);
+                    return true;
+                }
+                return stream(out, stamp, headers);
+        }
+    }
+
+    private boolean stream(OutputStream out, String stamp, Map<String, String> headers) throws IOException {
+        boolean cuts = behaviour == Behaviour.CUT;
+        out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + stamp
+                + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        int from = Integer.parseInt(headers.getOrDefault("last-event-id", "-1")) + 1;
+        for (int i = from; i < events; i++) {
+            String event = "id: " + i + "\ndata: piece " + i + "\n\n";
+            if (cuts && i == 2) {
+                chunk(out, event.substring(0, event.length() / 2));
+                return false;
+            }
+            chunk(out, event);
+        }
+        chunk(out, "");
+        return true;
+    }
+
+    private static void chunk(OutputStream out, String text) throws IOException {
+        out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    private static void write(OutputStream out, String status, String headers, String body) throws IOException {
+        out.write(("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        int c = in.read();
+        if (c < 0) {
+            return null;
+        }
+        while (c >= 0 && c != '\n') {
+            if (c != '\r') {
+                line.append((char) c);
+            }
+            c = in.read();
+        }
+        return line.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        heartbeats.shutdownNow();
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -0,0 +1,178 @@
+package routerfleet.demo;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import routerfleet.control.ControlNode;
+import routerfleet.data.DataNode;
+import routerfleet.settings.Bounds;
+import routerfleet.settings.HostPort;
+import routerfleet.settings.LocalSettings;
+
+/**
+ * A whole fleet in one process, on loopback addresses: control nodes at 127.0.0.1 and on, data nodes at 127.0.1.1 and on,
+ * each with its own event loop. For the demo and the tests.
+ */
+public final class LoopbackFleet implements AutoCloseable {
+    private static final int READY_S = 30;
+    private static final int MOST_CALLS = 200;
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+
+    private final Path folder;
+    private final int internalPort;
+    private final int controlPort;
+    private final List<HostPort> seeds = new ArrayList<>();
+    private final Map<Integer, ControlNode> controlNodes = new TreeMap<>();
+    private final List<DataNode> dataNodes = new ArrayList<>();
+    private final List<HostPort> frontends = new ArrayList<>();
+    private final int toleratedLosses;
+
+    /** @param folder for the control nodes' disks; @param controls how many of them there are as the system starts */
+    public LoopbackFleet(Path folder, int controls) throws IOException {
+        this.folder = folder;
+        internalPort = freePort();
+        controlPort = freePort();
+        toleratedLosses = (controls - 1) / 2;
+        for (int i = 1; i <= Math.min(3, controls); i++) {
+            seeds.add(controlAddress(i));
+        }
+        for (int i = 1; i <= controls; i++) {
+            startControl(i, true);
+        }
+    }
+
+    /** A port that is free now, below those that the system gives to outgoing connections. */
+    private static int freePort() throws IOException {
+        for (int i = 0; i < MOST_CALLS; i++) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("0.0.0.0", port));
+                return port;
+            } catch (BindException e) {
+                // taken: another one
+            }
+        }
+        throw new BindException("no port is free");
+    }
+
+    private static String controlIp(int number) {
+        return "127.0.0." + number;
+    }
+
+    /** Where a control node answers the operator and servers. */
+    public HostPort controlAddress(int number) {
+        return new HostPort(controlIp(number), controlPort);
+    }
+
+    /** Where the first control nodes answer. */
+    public List<HostPort> seeds() {
+        return List.copyOf(seeds);
+    }
+
+    private Path disk(int number) {
+        return folder.resolve("control-" + number);
+    }
+
+    /** Starts a control node. @param bootstrap whether the whole system starts for the first time */
+    public void startControl(int number, boolean bootstrap) throws IOException {
+        LocalSettings settings = new LocalSettings("control-" + number, controlIp(number), "a", null, null,
+                controlAddress(number), internalPort, seeds, bootstrap, disk(number), 200, toleratedLosses,
+                Bounds.defaults());
+        ControlNode node = new ControlNode(settings);
+        node.start();
+        controlNodes.put(number, node);
+    }
+
+    /** Ends a control node as a crash would: nothing is handed on. */
+    public void crashControl(int number) {
+        controlNodes.remove(number).crash();
+    }
+
+    /** Takes a stopped control node's disk away. */
+    public void wipe(int number) throws IOException {
+        try (Stream<Path> files = Files.walk(disk(number))) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Starts a data node, and waits until it is ready if a configuration is there. @return its place in the list */
+    public int startData(boolean waitUntilReady) throws IOException {
+        String ip = "127.0.1." + (dataNodes.size() + 1);
+        HostPort frontend = new HostPort(ip, freePort());
+        LocalSettings settings = new LocalSettings("data-" + (dataNodes.size() + 1), ip, "a", frontend,
+                new HostPort(ip, freePort()), null, internalPort, seeds, true, null, 200, toleratedLosses,
+                Bounds.defaults());
+        DataNode node = new DataNode(settings);
+        node.start();
+        dataNodes.add(node);
+        frontends.add(frontend);
+        if (waitUntilReady) {
+            awaitReady(dataNodes.size() - 1);
+        }
+        return dataNodes.size() - 1;
+    }
+
+    /** Waits until a data node says that it is ready. */
+    public void awaitReady(int index) {
+        dataNodes.get(index).ready().orTimeout(READY_S, TimeUnit.SECONDS).join();
+    }
+
+    /** Where clients reach a data node. */
+    public HostPort frontend(int index) {
+        return frontends.get(index);
+    }
+
+    /** Ends a data node in order. */
+    public void stopData(int index) {
+        dataNodes.get(index).stop();
+    }
+
+    /**
+     * Gives an order, as the operator does: to one control node after the other until there is a clear answer.
+     *
+     * @param kind {@code replace} or {@code patch}
+     * @return the status
+     */
+    public int order(String kind, long base, String json) throws IOException {
+        List<Integer> numbers = new ArrayList<>(controlNodes.keySet());
+        for (int i = 0; i < MOST_CALLS; i++) {
+            int status = orderAt(numbers.get(i % numbers.size()), kind, base, json);
+            if (status / 100 != 5) {
+                return status;
+            }
+        }
+        throw new IOException("no clear answer");
+    }
+
+    /** Gives an order to one control node. @return the status */
+    public int orderAt(int number, String kind, long base, String json) throws IOException {
+        return LoopbackHttp.call(controlAddress(number), "POST", "/rowanplank/config/" + kind,
+                Map.of("Rowanplank-Base-Version", Long.toString(base)), json.getBytes(StandardCharsets.UTF_8)).status();
+    }
+
+    /** Reads the configuration back at a control node. */
+    public LoopbackHttp.Answer configuration(int number) throws IOException {
+        return LoopbackHttp.call(controlAddress(number), "GET", "/rowanplank/config/get", Map.of(), new byte[0]);
+    }
+
+    @Override
+    public void close() {
+        dataNodes.forEach(DataNode::crash);
+        controlNodes.values().forEach(ControlNode::crash);
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/demo/Rehearsal.java
@@ -0,0 +1,90 @@
+package routerfleet.demo;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import routerfleet.settings.LocalSettings;
+import routerfleet.settings.SettingsException;
+import routerfleet.settings.SettingsWatch;
+
+/**
+ * Runs a small fleet through its usual work once: orders, heartbeats, pages, streams. Shows on any machine, in one
+ * process, that an installation works.
+ */
+public final class Rehearsal {
+    private static final int REQUESTS = 40;
+    private static final int EVENTS = 4;
+    private static final String CONFIGURATION = """
+            {"generation":1,"routes":[
+            {"name":"pages","host":"demo.example","path_prefix":"/pages/","type":"safe","timeout_ms":3000,
+             "target_latency_ms":300,"priority":0,"backend":"web","max_attempts":2,"public":false},
+            {"name":"drafts","host":"demo.example","path_prefix":"/drafts/","type":"streaming","timeout_ms":3000,
+             "target_latency_ms":300,"priority":1,"traffic_split":[{"backend":"llm","weight":1}],"max_attempts":2,
+             "public":false,"session_affinity":true,"stream_resume":true,"gap_aim_ms":300}],
+            "backends":[{"name":"web","max_connections":90},
+             {"name":"llm","max_connections":90,"runtime":{"capacity":16,"kv_capacity":1000,"stride":5}}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
+             "idle_timeout_ms":15000},
+            "tenants":[{"name":"one","api_keys":["key"],"priority":0,"unit":"token_count","uncached_tokens":10,
+             "rate_per_s":100000,"burst":100000}]}""";
+
+    private static final String SETTINGS = """
+            node_name=rehearsal
+            ip=127.0.0.1
+            zone=a
+            listen.frontend=127.0.0.1:8662
+            listen.readiness=127.0.0.1:8663
+            port_range=7680,7695
+            seed_nodes=127.0.0.1:8665,127.0.0.2:8665
+            bootstrap=true
+            heartbeat_ms=1200
+            fault_tolerance.hosts_lost=1
+            bounds.grace_s=8
+            bounds.revocation=true
+            bounds.retry_budget_ratio=0.2
+            """;
+
+    private Rehearsal() { }
+
+    /** @return how many requests were served */
+    public static int run() throws IOException {
+        Path folder = Files.createTempDirectory("rehearsal");
+        readSettings(folder);
+        int served = 0;
+        try (LoopbackFleet fleet = new LoopbackFleet(folder, 3);
+                EmulatedServer web = new EmulatedServer("web-1", "web", fleet.seeds(), 0);
+                EmulatedServer llm = new EmulatedServer("llm-1", "llm", fleet.seeds(), EVENTS)) {
+            fleet.order("replace", 0, CONFIGURATION);
+            fleet.order("patch", 1, "{\"generation\":2,\"delete\":{\"routes\":[\"none\"]}}");
+            int node = fleet.startData(true);
+            for (int i = 0; i < REQUESTS; i++) {
+                served += request(fleet, node, i) == 200 ? 1 : 0;
+            }
+            fleet.configuration(1);
+            web.drain();
+            llm.drain();
+        }
+        return served;
+    }
+
+    /** Reads a settings file as each process does at its start, so that the archive of classes has what that takes. */
+    private static void readSettings(Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("local.conf"), SETTINGS);
+        try {
+            LocalSettings settings = LocalSettings.load(file.toString());
+            new SettingsWatch(file.toString(), settings, changed -> { }).look();
+        } catch (SettingsException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static int request(LoopbackFleet fleet, int node, int number) throws IOException {
+        Map<String, String> headers = Map.of("Host", "demo.example", "Rowanplank-Attempt-Id", "r" + number,
+                "Rowanplank-Deadline-Ms", "2000", "Api-Key", "key", "Rowanplank-Token-Usage", "100,20",
+                "Rowanplank-Prompt-Prefix", "5c1e07a2:8000,e4402b7d:20");
+        return LoopbackHttp.call(fleet.frontend(node), "POST", number % 2 == 0 ? "/pages/1" : "/drafts/1", headers,
+                "question".getBytes(StandardCharsets.UTF_8)).status();
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/settings/SettingsFile.java
@@ -0,0 +1,89 @@
+package routerfleet.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.Properties;
+
+/**
+ * The fields of a settings file by their keys, each read as what it is to be. A field without a value counts as absent.
+ *
+ * <p>The format is that of {@link Properties}. Binding the file to records by Jackson took a sixth of a process's start.
+ */
+final class SettingsFile {
+    private final String file;
+    private final String text;
+    private final Properties fields = new Properties();
+
+    /** @throws SettingsException if the text is not of the format */
+    SettingsFile(String file, String text) throws SettingsException {
+        this.file = file;
+        this.text = text;
+        try {
+            fields.load(new StringReader(text));
+        } catch (IOException | IllegalArgumentException e) {
+            throw fault("file", "malformed: " + e.getMessage());
+        }
+    }
+
+    /** The value of a field; null where it is absent. */
+    String text(String key) {
+        String value = fields.getProperty(key);
+        return value == null || value.isBlank() ? null : value.strip();
+    }
+
+    /** The value of a field that has to be there. */
+    String required(String key) throws SettingsException {
+        String value = text(key);
+        if (value == null) {
+            throw fault(key, "is missing");
+        }
+        return value;
+    }
+
+    /** A whole number; null where the field is absent. */
+    Long number(String key) throws SettingsException {
+        Double value = fraction(key);
+        return value == null ? null : (Long) Math.round(value);
+    }
+
+    /** A number; null where the field is absent. */
+    Double fraction(String key) throws SettingsException {
+        String value = text(key);
+        if (value == null) {
+            return null;
+        }
+        try {
+            return Double.valueOf(value);
+        } catch (NumberFormatException e) {
+            throw fault(key, "'" + value + "' is no number");
+        }
+    }
+
+    /** True or false; null where the field is absent. */
+    Boolean flag(String key) throws SettingsException {
+        String value = text(key);
+        if (value == null) {
+            return null;
+        }
+        if (!value.equals("true") && !value.equals("false")) {
+            throw fault(key, "'" + value + "' is neither true nor false");
+        }
+        return Boolean.valueOf(value);
+    }
+
+    /** What is wrong with a field, as one line with file, line and key. */
+    SettingsException fault(String key, String problem) {
+        return new SettingsException(file, lineOf(key), key, problem.lines().findFirst().orElse(""));
+    }
+
+    private int lineOf(String key) {
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            if (line.strip().startsWith(key)) {
+                return number;
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/rowanplank/cli/Hangup.java
+++ b/src/main/java/rowanplank/cli/Hangup.java
@@ -9,14 +9,14 @@
  * Hears SIGHUP, on which a Java process would else end. The platform's only way, {@code sun.misc.Signal}, is called
  * by its name: the compiler warns of it in a way that can't be suppressed, and warnings are errors here.
  */
-final class Hangup {
+public final class Hangup {
     private Hangup() { }
 
     /**
      * @param task run on a thread of its own, once for each signal from now on
      * @return whether signals are heard: a process whose starter ignores them, as nohup does, goes on ignoring them
      */
-    static boolean handle(Runnable task) {
+    public static boolean handle(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/rowanplank/fleet/wire/DiskForm.java
+++ b/src/main/java/rowanplank/fleet/wire/DiskForm.java
@@ -127,7 +127,61 @@
         return new Read(saved, in.position(), chain);
     }
 
+    /**
+     * What a file that may end in a torn write holds, up to there.
+     *
+     * @param fleet and node, the names in its head
+     */
+    public record Recovered(String fleet, String node, Saved saved, int length, int chain) { }
+
+    /**
+     * Reads a file whose writer syncs each write before it begins the next: then at most the last write is torn, nobody
+     * was told of it, and everything from the first record that does not fit is dropped. Damage to what was synced is
+     * taken for a torn write; so this is for disks that keep what they have synced.
+     *
+     * @return null where not even the first record of a state is whole
+     */
+    public static Recovered recover(byte[] file) {
+        ByteBuffer in = ByteBuffer.wrap(file);
+        String[] names = null;
+        Saved saved = null;
+        int chain = 0;
+        int whole = 0;
+        try {
+            while (in.remaining() >= HEAD) {
+                int start = in.position();
+                int length = in.getInt();
+                boolean isLength = in.getInt() == checksum(chain, length, ByteBuffer.allocate(0)) && length >= 0;
+                int sum = in.getInt();
+                if (!isLength || length > in.remaining()
+                        || checksum(chain, length, in.slice(in.position(), length)) != sum) {
+                    break;
+                }
+                byte[] content = new byte[length];
+                in.get(content);
+                if (names == null) {
+                    names = names(new Unpacker(content));
+                } else {
+                    saved = with(saved, new Unpacker(content), start);
+                }
+                chain = sum;
+                whole = in.position();
+            }
+        } catch (MalformedException e) {
+            return null;
+        }
+        return saved == null ? null : new Recovered(names[0], names[1], saved, whole, chain);
+    }
+
     private static void head(Unpacker in, String fleet, String node) throws MalformedException {
+        String[] names = names(in);
+        if (!names[0].equals(fleet) || !names[1].equals(node)) {
+            throw new MalformedException("of node " + names[1] + " in fleet " + names[0]);
+        }
+    }
+
+    /** The fleet's and the node's name. */
+    private static String[] names(Unpacker in) throws MalformedException {
         if (in.octet() != 0) {
             throw new MalformedException("no voter's file");
         }
@@ -135,12 +189,9 @@
         if (version != VERSION) {
             throw new MalformedException("of version " + version + ", and this one knows " + VERSION);
         }
-        String itsFleet = in.text();
-        String itsNode = in.text();
-        if (!itsFleet.equals(fleet) || !itsNode.equals(node)) {
-            throw new MalformedException("of node " + itsNode + " in fleet " + itsFleet);
-        }
+        String[] names = {in.text(), in.text()};
         in.end();
+        return names;
     }
 
     private static Saved with(Saved before, Unpacker in, int start) throws MalformedException {
--- /dev/null
+++ b/src/test/java/routerfleet/control/ControlPlaneTest.java
@@ -0,0 +1,125 @@
+package routerfleet.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import routerfleet.demo.Configurations;
+import routerfleet.demo.LoopbackFleet;
+import routerfleet.demo.LoopbackHttp;
+
+/** What was acknowledged outlives crashes, lost disks and replaced nodes, and is answered the same again. */
+class ControlPlaneTest {
+    private static final int MOST_TRIES = 400;
+
+    @TempDir
+    private Path folder;
+    private LoopbackFleet fleet;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new LoopbackFleet(folder, 3);
+        assertThat(fleet.order("replace", 0, Configurations.whole(3)), is(200));
+    }
+
+    @AfterEach
+    void end() {
+        fleet.close();
+    }
+
+    private String readBack(int number) throws IOException {
+        LoopbackHttp.Answer answer = fleet.configuration(number);
+        for (int i = 0; answer.status() != 200 && i < MOST_TRIES; i++) {
+            answer = fleet.configuration(number);
+        }
+        return answer.body();
+    }
+
+    private static String patch(long generation) {
+        return "{\"generation\":" + generation + ",\"delete\":{\"routes\":[\"drafts\"]}}";
+    }
+
+    @Test
+    void theSameOrderIsAcknowledgedAgainAtEveryNode() throws IOException {
+        for (int i = 1; i <= 3; i++) {
+            int status = fleet.orderAt(i, "replace", 0, Configurations.whole(3));
+            assertThat(status, is(200));
+        }
+    }
+
+    @Test
+    void ofTwoOrdersOnTheSameVersionOneWins() throws IOException {
+        assertThat(fleet.order("patch", 3, patch(5)), is(200));
+        assertThat(fleet.order("patch", 3, patch(6)), is(412));
+        assertThat(fleet.order("patch", 3, patch(5)), is(200));
+    }
+
+    @Test
+    void invalidConfigurationsAreRefusedAndChangeNothing() throws IOException {
+        String[] invalid = {
+            Configurations.whole(5).substring(0, 200),
+            Configurations.whole(5).replace("\"backend\":\"web\"", "\"backend\":\"none\""),
+            Configurations.whole(5).replace("/drafts/", "/pages/"),
+            Configurations.whole(5).replace("\"backend\":\"web\"",
+                    "\"traffic_split\":[{\"backend\":\"web\",\"weight\":0}]"),
+            Configurations.whole(5).replace("\"timeout_ms\":4000", "\"timeout_ms\":0"),
+            Configurations.whole(2), Configurations.whole(3),
+            Configurations.whole(5).replace("\"tenants\":[", "\"tenants\":[{\"name\":\"two\",\"api_keys\":[\"k1\"]},"),
+        };
+        for (String body : invalid) {
+            assertThat(body, fleet.order("replace", 3, body) / 100, is(4));
+        }
+        assertThat(readBack(1), containsString("\"generation\":3"));
+    }
+
+    @Test
+    void everyNodeAtOnceMayCrashAndComeBack() throws IOException {
+        for (int i = 1; i <= 3; i++) {
+            fleet.crashControl(i);
+        }
+        for (int i = 1; i <= 3; i++) {
+            fleet.startControl(i, false);
+        }
+        assertThat(readBack(2), containsString("\"generation\":3"));
+        assertThat(fleet.order("replace", 0, Configurations.whole(3)), is(200));
+        assertThat(fleet.order("patch", 3, patch(4)), is(200));
+    }
+
+    @Test
+    void aLostDiskIsANewReplicaAndWhatWasAcknowledgedStays() throws IOException {
+        for (int i = 1; i <= 3; i++) {
+            fleet.crashControl(i);
+            fleet.wipe(i);
+            fleet.startControl(i, false);
+            assertThat(readBack(i), containsString("\"generation\":" + (2 + i)));
+            assertThat(fleet.order("patch", 2 + i, patch(3 + i)), is(200));
+        }
+    }
+
+    @Test
+    void aWipedReplicaAloneDoesNotMakeAMajority() throws IOException {
+        for (int i = 1; i <= 3; i++) {
+            fleet.crashControl(i);
+        }
+        fleet.wipe(1);
+        fleet.wipe(2);
+        fleet.startControl(1, false);
+        fleet.startControl(2, false);
+        assertThat(fleet.configuration(1).status(), is(503));
+        assertThat(fleet.orderAt(2, "replace", 0, Configurations.whole(9)), is(503));
+    }
+
+    @Test
+    void aNodeAtAnotherAddressTakesTheGonesPlace() throws IOException {
+        fleet.crashControl(2);
+        fleet.startControl(4, false);
+        assertThat(readBack(4), containsString("\"generation\":3"));
+        assertThat(fleet.order("patch", 3, patch(4)), is(200));
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/control/ReplicaStorageTest.java
@@ -0,0 +1,125 @@
+package routerfleet.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rowanplank.agreement.Entry;
+import rowanplank.agreement.Saved;
+import rowanplank.agreement.Snapshot;
+import rowanplank.agreement.Write;
+
+/** What a replica finds on its disk after writes, torn writes and crashes. */
+class ReplicaStorageTest {
+    private static final List<String> VOTERS = List.of("a/0", "b/0", "c/0");
+
+    @TempDir
+    private Path folder;
+
+    private static Entry entry(long index) {
+        return Entry.command(index, 1, ("entry " + index).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void store(ReplicaStorage storage, Write write) {
+        CompletableFuture<Void> stored = new CompletableFuture<>();
+        storage.store(write, () -> stored.complete(null));
+        stored.join();
+    }
+
+    private void fill(int entries) throws IOException {
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            assertThat(storage.open(), is(nullValue()));
+            storage.start("a/0", Saved.nothing(VOTERS));
+            store(storage, new Write.Vote(1, "b/0"));
+            for (int i = 1; i <= entries; i++) {
+                store(storage, new Write.Entries(List.of(entry(i))));
+            }
+        }
+    }
+
+    private ReplicaStorage.Opened open() throws IOException {
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            return storage.open();
+        }
+    }
+
+    private Path newestSlot() throws IOException {
+        return Files.size(folder.resolve("slot-1")) > 0 ? folder.resolve("slot-1") : folder.resolve("slot-0");
+    }
+
+    @Test
+    void whatWasStoredIsThereAgain() throws IOException {
+        fill(5);
+        ReplicaStorage.Opened opened = open();
+        assertThat(opened.replica(), is("a/0"));
+        assertThat(opened.saved().vote(), is("b/0"));
+        assertThat(opened.saved().entries().size(), is(5));
+    }
+
+    @Test
+    void aTornLastWriteCostsNoEarlierOneWhereverItIsTorn() throws IOException {
+        fill(3);
+        byte[] before = Files.readAllBytes(newestSlot());
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            storage.open();
+            storage.start("a/0", null);
+            store(storage, new Write.Entries(List.of(entry(4))));
+        }
+        byte[] after = Files.readAllBytes(newestSlot());
+        for (int length = before.length; length < after.length; length++) {
+            Files.write(newestSlot(), Arrays.copyOf(after, length));
+            assertThat(open().saved().entries().size(), is(3));
+            byte[] zeros = Arrays.copyOf(Arrays.copyOf(after, length), after.length);
+            Files.write(newestSlot(), zeros);
+            assertThat(open().saved().entries().size(), is(greaterThanOrEqualTo(3)));
+        }
+    }
+
+    @Test
+    void aTornSnapshotLeavesTheOtherSlotInForce() throws IOException {
+        fill(3);
+        Path old = newestSlot();
+        byte[] oldBytes = Files.readAllBytes(old);
+        Snapshot snapshot = new Snapshot(3, 1, VOTERS, new byte[] {1, 2, 3});
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            storage.open();
+            storage.start("a/0", null);
+            store(storage, new Write.Whole(new Saved(1, "b/0", snapshot, List.of())));
+        }
+        Path fresh = folder.resolve(old.endsWith("slot-1") ? "slot-0" : "slot-1");
+        byte[] freshBytes = Files.readAllBytes(fresh);
+        assertThat(open().saved().snapshot().index(), is(3L));
+        for (int length = 0; length < freshBytes.length; length++) {
+            Files.write(fresh, Arrays.copyOf(freshBytes, length));
+            Files.write(old, oldBytes);
+            ReplicaStorage.Opened opened = open();
+            assertThat(opened, is(notNullValue()));
+            assertThat(opened.saved().entries().size(), is(3));
+        }
+    }
+
+    @Test
+    void writesGoOnBehindATornTail() throws IOException {
+        fill(2);
+        Path slot = newestSlot();
+        byte[] torn = Arrays.copyOf(Files.readAllBytes(slot), (int) Files.size(slot) + 7);
+        Files.write(slot, torn);
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            storage.open();
+            storage.start("a/0", null);
+            store(storage, new Write.Entries(List.of(entry(3))));
+        }
+        assertThat(open().saved().entries().size(), is(3));
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/data/EventParserTest.java
@@ -0,0 +1,43 @@
+package routerfleet.data;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Events cut out of a stream of bytes. */
+class EventParserTest {
+    private static final String TEXT =
+            "id: 4\ndata: a\n\nid:5\r\ndata: b\r\n\r\nversions: 3\nid: 6\ndata: c\n\ndata: d\n\nid: 9";
+
+    @Test
+    void findsTheSameEventsHoweverTheBytesAreCut() {
+        byte[] bytes = TEXT.getBytes(StandardCharsets.US_ASCII);
+        for (int size = 1; size <= bytes.length; size++) {
+            EventParser parser = new EventParser();
+            List<String> events = new ArrayList<>();
+            List<Long> ids = new ArrayList<>();
+            for (int at = 0; at < bytes.length; at += size) {
+                parser.feed(Unpooled.wrappedBuffer(bytes, at, Math.min(size, bytes.length - at)), (event, id) -> {
+                    events.add(new String(event, StandardCharsets.US_ASCII));
+                    ids.add(id);
+                });
+            }
+            assertThat(ids, is(List.of(4L, 5L, 6L, -1L)));
+            assertThat(String.join("", events) + "id: 9", is(TEXT));
+            assertThat(parser.hasPart(), is(true));
+        }
+    }
+
+    @Test
+    void anEventWithoutEndIsBounded() {
+        EventParser parser = new EventParser();
+        byte[] piece = new byte[600_000];
+        assertThat(parser.feed(Unpooled.wrappedBuffer(piece), (event, id) -> { }), is(true));
+        assertThat(parser.feed(Unpooled.wrappedBuffer(piece), (event, id) -> { }), is(false));
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/data/QuotaClientTest.java
@@ -0,0 +1,235 @@
+package routerfleet.data;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import routerfleet.data.QuotaSimulation.Fault;
+import routerfleet.wire.PeerMessage;
+
+/** Tenants' limits over all nodes, with the control nodes' real grantors in virtual time. */
+class QuotaClientTest {
+    private static final double RATE = QuotaSimulation.RATE;
+    /** The rule: (rate * window + burst) * (1 + overshoot) + slack. */
+    private static final double ALLOWED = (RATE * 8 + RATE) * 1.1 + 40_000;
+    private static final long PLAYED_MS = 40_000;
+    private static final int SEEDS = 12;
+    private static final double SMALL = 150;
+    private static final double LARGE = 3_600;
+    private static final double FAIR = 80;
+
+    @ParameterizedTest
+    @EnumSource(value = Fault.class, names = "GRANTS_EVERYTHING", mode = EnumSource.Mode.EXCLUDE)
+    void noWindowHoldsMoreThanTheLimitWhateverControlNodesDo(Fault fault) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            for (int controls = 1; controls <= 5; controls += 2) {
+                assertThat(new QuotaSimulation(seed, controls, 6, fault).play(PLAYED_MS, 8 * RATE, SMALL, 0.5)
+                        .mostInWindow(), is(lessThanOrEqualTo(ALLOWED)));
+                assertThat(new QuotaSimulation(seed, controls, 60, fault).play(PLAYED_MS, 3 * RATE, LARGE, 0)
+                        .mostInWindow(), is(lessThanOrEqualTo(ALLOWED)));
+            }
+        }
+    }
+
+    @Test
+    void theCheckFindsControlNodesThatGrantEverything() {
+        assertThat(new QuotaSimulation(1, 3, 6, Fault.GRANTS_EVERYTHING).play(PLAYED_MS, 3 * RATE, SMALL, 0)
+                .mostInWindow(), is(greaterThan(ALLOWED)));
+    }
+
+    @Test
+    void demandBelowTheLimitIsAdmittedWhereverItIs() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            assertThat(new QuotaSimulation(seed, 3, 6, Fault.NONE).play(PLAYED_MS, 0.75 * RATE, SMALL, 0.2)
+                    .admittedPart(), is(greaterThan(0.99)));
+            assertThat(new QuotaSimulation(seed, 3, 6, Fault.NONE).play(PLAYED_MS, 0.75 * RATE, SMALL, 0.8)
+                    .admittedPart(), is(greaterThan(0.99)));
+        }
+    }
+
+    private static double meanAdmittedOfLargeRequests(int controls) {
+        double sum = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            sum += new QuotaSimulation(seed, controls, 60, Fault.NONE).play(PLAYED_MS, 0.75 * RATE, LARGE, 0)
+                    .admittedPart();
+        }
+        return sum / SEEDS;
+    }
+
+    @Test
+    void largeRequestsBelowTheLimitAreAdmittedHoweverManyNodesThereAre() {
+        double undivided = meanAdmittedOfLargeRequests(1);
+        double divided = meanAdmittedOfLargeRequests(5);
+        assertThat(divided, is(greaterThan(0.95)));
+        assertThat("the division costs little", undivided - divided, is(lessThan(0.04)));
+    }
+
+    @Test
+    void oneControlNodeThatIsSilentTakesNoMoreThanItsPart() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            assertThat(new QuotaSimulation(seed, 3, 6, Fault.SILENCE).play(PLAYED_MS, 0.6 * RATE, SMALL, 0.2)
+                    .admittedPart(), is(greaterThan(0.97)));
+        }
+    }
+
+    @Test
+    void withoutControlNodesOnlyTheReservesAreUsed() {
+        QuotaSimulation.Result result = new QuotaSimulation(1, 3, 6, Fault.ALL_SILENT).play(PLAYED_MS, RATE, SMALL, 0);
+        double slack = 40_000 + 0.1 * 9 * RATE;
+        assertThat(result.mostInWindow(), is(lessThanOrEqualTo(0.35 * slack)));
+        assertThat(result.admittedPart(), is(greaterThan(0.05)));
+        assertThat(result.admittedPart(), is(lessThan(0.35 * slack / 8 / RATE + 0.01)));
+    }
+
+    /** Keeps what is sent, and answers nothing by itself. */
+    private static final class HeldTransport implements QuotaClient.Transport {
+        private final List<PeerMessage.QuotaAsk> sent = new ArrayList<>();
+        private final List<Runnable> scheduled = new ArrayList<>();
+        private long nowMs = 1_000;
+
+        @Override
+        public List<String> controlNodes() {
+            return List.of("a", "b");
+        }
+
+        @Override
+        public boolean send(String controlNode, PeerMessage message) {
+            sent.add((PeerMessage.QuotaAsk) message);
+            return true;
+        }
+
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void schedule(Runnable task, long delayMs) {
+            scheduled.add(task);
+        }
+    }
+
+    @Test
+    void whatIsGrantedToARequestThatHasGoneServesAnotherOneForAWhile() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        client.admit(QuotaSimulation.TENANT, 100, admission -> false);
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(0).id()));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 90, admission -> outcomes.add(admission.outcome()));
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
+        transport.nowMs += 1_000;
+        client.admit(QuotaSimulation.TENANT, 5, admission -> outcomes.add(admission.outcome()));
+        assertThat("what is kept expires", transport.sent.size(), is(2));
+    }
+
+    private static void denyTwice(QuotaClient client, HeldTransport transport, double available) {
+        int sent = transport.sent.size();
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(sent - 1).id(), 700, available, FAIR));
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(sent).id(), 300, available, FAIR));
+    }
+
+    @Test
+    void aDenialIsFinalOnlyOnceEveryHolderHasBeenAsked() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Admission> admissions = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 4_100, admissions::add);
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(0).id(), 700, 50, FAIR));
+        assertThat(admissions.size(), is(0));
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(1).id(), 300, 50, FAIR));
+        assertThat(admissions, is(List.of(new QuotaClient.Admission(QuotaClient.Outcome.DENIED, 300))));
+        client.admit(QuotaSimulation.TENANT, 4_100, admissions::add);
+        assertThat("denied anew without a question", transport.sent.size(), is(2));
+        client.admit(QuotaSimulation.TENANT, 50, admissions::add);
+        assertThat("a smaller one is asked for", transport.sent.size(), is(3));
+    }
+
+    @Test
+    void belowTheFairLevelRequestsOfEverySizeAreDenied() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Admission> admissions = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 10, admissions::add);
+        denyTwice(client, transport, 30);
+        assertThat("20 of 80 are missing, at 10,000 a second", admissions,
+                is(List.of(new QuotaClient.Admission(QuotaClient.Outcome.DENIED, 2))));
+        client.admit(QuotaSimulation.TENANT, 5, admissions::add);
+        assertThat("denied without a question", transport.sent.size(), is(2));
+    }
+
+    @Test
+    void requestsOfAllSizesAreServedAlikeWhereATenantAsksForMoreThanItsLimit() {
+        double small = 0;
+        double large = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            QuotaSimulation.Mixed mixed = new QuotaSimulation(seed, 3, 6, Fault.NONE).playMixed(PLAYED_MS, 4 * RATE, 400,
+                    LARGE);
+            small += mixed.smallPart() / SEEDS;
+            large += mixed.largePart() / SEEDS;
+        }
+        assertThat(small, is(lessThan(0.5)));
+        assertThat(large, is(greaterThan(0.5 * small)));
+        assertThat(small, is(greaterThan(0.5 * large)));
+    }
+
+    @Test
+    void holdersThatHoldEnoughOnlyTogetherEachGivePart() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 100, admission -> outcomes.add(admission.outcome()));
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(0).id(), 100, 60, FAIR));
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(1).id(), 100, 70, FAIR));
+        assertThat(transport.sent.get(2).amount(), is(60.0));
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(2).id()));
+        assertThat(transport.sent.get(3).amount(), is(40.0));
+        assertThat(outcomes.size(), is(0));
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(3).id()));
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
+    }
+
+    @Test
+    void aHolderThatDoesNotAnswerIsPassedOver() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 100, admission -> outcomes.add(admission.outcome()));
+        transport.scheduled.get(0).run();
+        assertThat(transport.sent.size(), is(2));
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(1).id()));
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
+    }
+
+    /** Guards the reserves together: a node that does not know how many share them has none. */
+    @Test
+    void thereIsNoReserveBeforeTheFleetsSizeIsKnown() {
+        HeldTransport transport = new HeldTransport();
+        FleetSize size = new FleetSize();
+        size.told(1, true, transport.nowMs);
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, size, transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 10, admission -> outcomes.add(admission.outcome()));
+        transport.scheduled.get(0).run();
+        transport.scheduled.get(1).run();
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.UNKNOWN)));
+        size.told(6, false, transport.nowMs);
+        client.admit(QuotaSimulation.TENANT, 10, admission -> outcomes.add(admission.outcome()));
+        transport.scheduled.get(2).run();
+        transport.scheduled.get(3).run();
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.UNKNOWN, QuotaClient.Outcome.ADMITTED)));
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -0,0 +1,113 @@
+package routerfleet.data;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import routerfleet.wire.SessionRecord;
+
+/** The choice among listed servers. */
+class ServerPoolTest {
+    private static final int ROOM = 100;
+
+    private static Server server(int number) {
+        Server server = new Server(new SessionRecord("s" + number, "llm", "127.0.0.1:" + (1000 + number), "a", 16,
+                SessionRecord.Phase.READY, 1, 0));
+        server.listed(true);
+        return server;
+    }
+
+    private static List<Server> fill(ServerPool pool, int count) {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            servers.add(server(i));
+            pool.add(servers.get(i));
+        }
+        return servers;
+    }
+
+    @Test
+    void fasterServersDrawMore() {
+        ServerPool pool = new ServerPool(1);
+        List<Server> servers = fill(pool, 4);
+        Map<Server, Integer> chosen = new HashMap<>();
+        for (int i = 0; i < 4_000; i++) {
+            Server server = pool.choose("c", PromptPrefix.NONE, ROOM, List.of(), 1);
+            pool.learn("c", server, server == servers.get(0) ? 400 : 50, true);
+            chosen.merge(server, 1, Integer::sum);
+        }
+        assertThat(chosen.get(servers.get(0)), is(lessThan(chosen.get(servers.get(1)) / 2)));
+    }
+
+    @Test
+    void aSharedPartKeepsItsHomeAsServersComeAndGo() {
+        ServerPool pool = new ServerPool(1);
+        fill(pool, 6);
+        Map<Integer, Server> homes = new HashMap<>();
+        for (int part = 0; part < 200; part++) {
+            homes.put(part, pool.choose("c", new PromptPrefix(part + 1, 9_000), ROOM, List.of(), 1));
+        }
+        pool.add(server(99));
+        int same = 0;
+        for (int part = 0; part < 200; part++) {
+            same += homes.get(part) == pool.choose("c", new PromptPrefix(part + 1, 9_000), ROOM, List.of(), 1) ? 1 : 0;
+        }
+        assertThat(same, is(greaterThan(140)));
+    }
+
+    /** Guards kept parts: one good answer of another server is not worth reading a long part anew there. */
+    @Test
+    void oneGoodAnswerElsewhereDoesNotTakeASharedPartAway() {
+        ServerPool pool = new ServerPool(1);
+        fill(pool, 40);
+        PromptPrefix part = new PromptPrefix(7, 13_000);
+        Server home = pool.choose("c", part, ROOM, List.of(), 1);
+        Server next = pool.choose("c", part, ROOM, List.of(home), 1);
+        Server third = pool.choose("c", part, ROOM, List.of(home, next), 1);
+        pool.learn("c", third, 200, true);
+        pool.learn("c", next, 100, true);
+        home.sent(1);
+        assertThat(pool.choose("c", part, ROOM, List.of(), 1), is(home));
+        home.failed(10);
+        assertThat("one that is left alone loses it", pool.choose("c", part, ROOM, List.of(), 11), is(not(home)));
+    }
+
+    @Test
+    void aServerIsNotTriedTwiceAndFullOnesGetNothing() {
+        ServerPool pool = new ServerPool(1);
+        List<Server> servers = fill(pool, 2);
+        Server first = pool.choose("c", PromptPrefix.NONE, ROOM, List.of(), 1);
+        assertThat(pool.choose("c", PromptPrefix.NONE, ROOM, List.of(first), 1), is(not(first)));
+        servers.forEach(s -> s.sent(1));
+        assertThat(pool.choose("c", PromptPrefix.NONE, 1, List.of(), 1), is(nullValue()));
+    }
+
+    @Test
+    void aServerThatFailedIsLeftAloneForAWhileUnlessThereIsNoOther() {
+        ServerPool pool = new ServerPool(1);
+        List<Server> servers = fill(pool, 2);
+        servers.get(0).failed(10);
+        for (int i = 0; i < 50; i++) {
+            assertThat(pool.choose("c", PromptPrefix.NONE, ROOM, List.of(), 11), is(servers.get(1)));
+        }
+        servers.get(1).failed(10);
+        assertThat(pool.choose("c", PromptPrefix.NONE, ROOM, List.of(), 11), is(not(nullValue())));
+    }
+
+    @Test
+    void theChainUpToTheLongestSharedPartCounts() {
+        PromptPrefix a = PromptPrefix.parse("5c1e07a2:13000,91bd3f06:41,e4402b7d:25");
+        PromptPrefix b = PromptPrefix.parse("5c1e07a2:13000,77777777:30,e4402b7e:25");
+        assertThat(a.key(), is(b.key()));
+        assertThat(PromptPrefix.parse("5c1e07a2:55,e4402b7d:2500"), is(PromptPrefix.NONE));
+        assertThat(PromptPrefix.parse("garbage"), is(PromptPrefix.NONE));
+    }
+}
--- a/src/test/java/rowanplank/node/NodeTest.java
+++ b/src/test/java/rowanplank/node/NodeTest.java
@@ -618,6 +618,7 @@
     }
 
     private void signalHangup() throws Exception {
+        assertFalse(node.ignoresHangup(), "whoever started the tests ignores SIGHUP, as nohup does");
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.process.pid())).start().waitFor());
     }
 
