Keep a connection that took the last descriptor when the next accept fails

Cause of the red test NodeTest.aCrowdKeepsNeitherOperatorsNorRequestsOut: Jetty's acceptor takes connections in a loop and, where an accept throws, closes the channel of the turn before. On Linux accept looks for a free descriptor before it looks for a waiting connection, so it fails with EMFILE right after whichever connection took the last one, and that client or operator is reset.

--- a/src/main/java/rowanplank/net/SelectorLoop.java
+++ b/src/main/java/rowanplank/net/SelectorLoop.java
@@ -45,6 +45,8 @@
     private static final int READ_BYTES = 1 << 15;
     /** Each connection has a time-out of its own within this: Jetty keeps what it knows of one for so long. */
     private static final Duration LONGEST_CONNECT = Duration.ofSeconds(10);
+    /** After an accept that failed, as it does without a free descriptor. */
+    private static final Duration ACCEPT_PAUSE = Duration.ofMillis(10);
 
     /** How a timer is waited for. */
     public enum Wait {
@@ -415,11 +417,37 @@
             return wait == Wait.AWAKE ? idle.toMillis() : idle.plusNanos(999_999).toMillis();
         }
 
-        /** What it returns is handed to {@link #accepted} next, on this thread. */
+        /**
+         * What it returns is handed to {@link #accepted} next, on this thread. Never throws: Jetty's acceptor closes the
+         * connection that it accepted before, where the next accept fails. That happens to whichever connection takes
+         * the last descriptor.
+         */
         @Override
-        protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+        protected SelectableChannel doAccept(SelectableChannel server) {
             accepting = listeners.get(server);
-            return accepting == null ? null : super.doAccept(server);
+            if (accepting == null) {
+                return null;
+            }
+            try {
+                return super.doAccept(server);
+            } catch (IOException e) {
+                report(e);
+                pauseAccepting(server);
+                return null;
+            }
+        }
+
+        /** Guards the processor: a connection that can't be accepted would wake the selector again and again. */
+        private void pauseAccepting(SelectableChannel server) {
+            SelectionKey key = server.keyFor(selector.getSelector());
+            if (key != null && key.isValid()) {
+                key.interestOps(0);
+                schedule(ACCEPT_PAUSE, () -> {
+                    if (key.isValid()) {
+                        key.interestOps(SelectionKey.OP_ACCEPT);
+                    }
+                });
+            }
         }
 
         @Override
