Build the ring of servers once for all servers that come at one time

Cause: a data node that starts hears of all servers in one message and built the hash ring, and settled each class's network, anew after each of them. Both are done once at the end now; a server that has left is passed over until then. ServerPoolTest has the case.

--- a/src/main/java/routerfleet/data/ServerPool.java
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -44,6 +44,7 @@
     private final Map<String, ClassNetwork> classes = new HashMap<>();
     private long[] ringPoints = {};
     private Server[] ringServers = {};
+    private boolean changed;
 
     ServerPool(long seed) {
         random = new SplittableRandom(seed);
@@ -62,24 +63,28 @@
         return servers;
     }
 
+    /** {@link #settle} is to follow, once for all servers that come and go at one time. */
     void add(Server server) {
         servers.add(server);
-        for (ClassNetwork network : classes.values()) {
-            network.neurons.put(server, network.network.enter());
-            network.network.settle();
-        }
-        buildRing();
+        classes.values().forEach(network -> network.neurons.put(server, network.network.enter()));
+        changed = true;
     }
 
+    /** {@link #settle} is to follow. */
     void remove(Server server) {
-        if (!servers.remove(server)) {
-            return;
+        if (servers.remove(server)) {
+            classes.values().forEach(network -> network.network.leave(network.neurons.remove(server)));
+            changed = true;
         }
-        for (ClassNetwork network : classes.values()) {
-            network.network.leave(network.neurons.remove(server));
-            network.network.settle();
+    }
+
+    /** Takes servers that came or went into the choice. Costs O(n log n) for n servers where any did, else nothing. */
+    void settle() {
+        if (changed) {
+            changed = false;
+            classes.values().forEach(network -> network.network.settle());
+            buildRing();
         }
-        buildRing();
     }
 
     private void buildRing() {
@@ -173,7 +178,7 @@
     }
 
     private static boolean mayTake(Server server, int limit, List<Server> tried, long nowMs) {
-        return server.inFlight() < limit && !server.isAvoided(nowMs) && !tried.contains(server);
+        return server.listed() && server.inFlight() < limit && !server.isAvoided(nowMs) && !tried.contains(server);
     }
 
     /** Where all draws failed: whichever has room, one that is left alone only if there is no other. */
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -93,7 +93,7 @@
         if (changes.whole()) {
             touched.addAll(servers.keySet());
         }
-        touched.forEach(this::review);
+        reviewAll(touched);
     }
 
     /** @param warming whether its table may still lack servers */
@@ -104,7 +104,7 @@
         if (view.warming && !warming) {
             view.warming = false;
             view.before.clear();
-            List.copyOf(servers.keySet()).forEach(this::review);
+            reviewAll(servers.keySet());
         }
     }
 
@@ -126,7 +126,7 @@
                 i.remove();
             }
         }
-        List.copyOf(servers.keySet()).forEach(this::review);
+        reviewAll(servers.keySet());
         servers.values().removeIf(s -> !s.listed() && s.inFlight() == 0 && s.connections() == 0);
     }
 
@@ -145,7 +145,12 @@
             ended.clear();
         }
         ended.add(uid);
-        review(uid);
+        reviewAll(Set.of(uid));
+    }
+
+    private void reviewAll(Set<String> uids) {
+        List.copyOf(uids).forEach(this::review);
+        pools.values().forEach(ServerPool::settle);
     }
 
     private void review(String uid) {
--- a/src/test/java/routerfleet/data/ServerPoolTest.java
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -31,6 +31,7 @@
             servers.add(server(i));
             pool.add(servers.get(i));
         }
+        pool.settle();
         return servers;
     }
 
@@ -56,6 +57,7 @@
             homes.put(part, pool.choose("c", new PromptPrefix(part + 1, 9_000), ROOM, List.of(), 1));
         }
         pool.add(server(99));
+        pool.settle();
         int same = 0;
         for (int part = 0; part < 200; part++) {
             same += homes.get(part) == pool.choose("c", new PromptPrefix(part + 1, 9_000), ROOM, List.of(), 1) ? 1 : 0;
@@ -110,4 +112,21 @@
         assertThat(PromptPrefix.parse("5c1e07a2:55,e4402b7d:2500"), is(PromptPrefix.NONE));
         assertThat(PromptPrefix.parse("garbage"), is(PromptPrefix.NONE));
     }
+
+    /** Guards requests between a server's leaving and the settling that follows: the ring still has the one that left. */
+    @Test
+    void aServerThatLeftGetsNothingFromThenOn() {
+        ServerPool pool = new ServerPool(1);
+        List<Server> servers = fill(pool, 3);
+        pool.learn("c", servers.get(0), 50, true);
+        servers.get(0).listed(false);
+        pool.remove(servers.get(0));
+        for (int part = 1; part < 100; part++) {
+            assertThat(pool.choose("c", new PromptPrefix(part, 9_000), ROOM, List.of(), 1), not(servers.get(0)));
+        }
+        pool.settle();
+        for (int part = 1; part < 100; part++) {
+            assertThat(pool.choose("c", new PromptPrefix(part, 9_000), ROOM, List.of(), 1), not(servers.get(0)));
+        }
+    }
 }
