--- a/src/main/java/routerfleet/cli/FleetCommands.java
+++ b/src/main/java/routerfleet/cli/FleetCommands.java
@@ -6,15 +6,11 @@
 import com.beust.jcommander.Parameters;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.function.Consumer;
-import rowanplank.cli.Hangup;
-import routerfleet.control.ControlNode;
-import routerfleet.data.DataNode;
 import routerfleet.demo.Rehearsal;
+import routerfleet.log.LibraryLoggers;
+import routerfleet.process.NodeProcess;
 import routerfleet.settings.LocalSettings;
 import routerfleet.settings.SettingsException;
-import routerfleet.settings.SettingsWatch;
 
 /** The commands of the router fleet: its two programs, and the check of a settings file. */
 public final class FleetCommands {
@@ -47,11 +43,9 @@
 
     /** Runs a command line. @return the exit status; where it is 0, a started node runs on */
     public static int run(String[] args) {
-        if (args.length == 1 && args[0].equals(DATA_PLANE)) {
-            return run(FleetCommands::dataPlane); // nothing to parse, and each node of a fleet starts so
-        }
-        if (args.length == 1 && args[0].equals(CONTROL_PLANE)) {
-            return run(FleetCommands::controlPlane);
+        LibraryLoggers.use();
+        if (args.length == 1 && (args[0].equals(DATA_PLANE) || args[0].equals(CONTROL_PLANE))) {
+            return start(args[0]); // nothing to parse, and each node of a fleet starts so
         }
         SystemCommand system = new SystemCommand();
         Common[] commands = {new DataPlaneCommand(), new ControlPlaneCommand(), system};
@@ -68,12 +62,17 @@
                 return DONE;
             }
         }
-        return run(() -> system(system.words));
+        return system(system.words);
     }
 
-    private static int run(Callable<Integer> command) {
+    private static int start(String role) {
         try {
-            return command.call();
+            if (role.equals(DATA_PLANE)) {
+                NodeProcess.startDataNode(settingsFile());
+            } else {
+                NodeProcess.startControlNode(settingsFile());
+            }
+            return DONE;
         } catch (SettingsException e) {
             return fail(USAGE, e.getMessage());
         } catch (Exception e) {
@@ -86,7 +85,17 @@
         return status;
     }
 
-    private static int system(List<String> words) throws Exception {
+    private static int system(List<String> words) {
+        try {
+            return systemCommand(words);
+        } catch (SettingsException e) {
+            return fail(USAGE, e.getMessage());
+        } catch (Exception e) {
+            return fail(FAILED, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static int systemCommand(List<String> words) throws Exception {
         if (words.equals(List.of("rehearse"))) {
             System.out.println(Rehearsal.run() + " requests served");
             return DONE;
@@ -106,40 +115,4 @@
         }
         return file;
     }
-
-    private static int dataPlane() throws Exception {
-        String file = settingsFile();
-        LocalSettings settings = LocalSettings.load(file);
-        require(file, "listen.frontend", settings.frontend());
-        require(file, "listen.readiness", settings.readiness());
-        DataNode node = new DataNode(settings);
-        watch(file, settings, node::reload);
-        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "shutdown"));
-        node.start();
-        return DONE;
-    }
-
-    private static int controlPlane() throws Exception {
-        String file = settingsFile();
-        LocalSettings settings = LocalSettings.load(file);
-        require(file, "listen.control_plane", settings.controlPlane());
-        require(file, "data_path", settings.dataPath());
-        ControlNode node = new ControlNode(settings);
-        watch(file, settings, node::reload);
-        node.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "shutdown"));
-        return DONE;
-    }
-
-    private static void require(String file, String key, Object value) throws SettingsException {
-        if (value == null) {
-            throw SettingsException.missing(file + ": " + key, "is missing");
-        }
-    }
-
-    private static void watch(String file, LocalSettings settings, Consumer<LocalSettings> node) {
-        SettingsWatch watch = new SettingsWatch(file, settings, node);
-        Hangup.handle(watch::look);
-        watch.start();
-    }
 }
--- a/src/main/java/routerfleet/control/DataNodeService.java
+++ b/src/main/java/routerfleet/control/DataNodeService.java
@@ -64,7 +64,7 @@
 
     void configuration(PeerLink link, long knownGeneration) {
         if (group.generation() > knownGeneration) {
-            link.send(new PeerMessage.ConfigDocument(group.generation(), group.document()));
+            link.send(new PeerMessage.CommittedConfig(group.configuration()));
         }
     }
 
@@ -89,7 +89,7 @@
         }
         if (session.polled && session.sentGeneration < group.generation()) {
             session.sentGeneration = group.generation();
-            session.link.send(session.primary ? new PeerMessage.ConfigDocument(group.generation(), group.document())
+            session.link.send(session.primary ? new PeerMessage.CommittedConfig(group.configuration())
                     : new PeerMessage.ConfigNotice(group.generation()));
         }
     }
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -22,6 +22,7 @@
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.FleetConfiguration;
 import routerfleet.config.TenantConfig;
 import routerfleet.wire.PeerCodec;
 import routerfleet.wire.SteadyClock;
@@ -131,6 +132,11 @@
         return store.document();
     }
 
+    /** The newest configuration that is known to be committed, as typed values. */
+    FleetConfiguration configuration() {
+        return store.configuration();
+    }
+
     // ---- events
 
     void received(String from, Message message) {
--- a/src/main/java/routerfleet/data/ControlClient.java
+++ b/src/main/java/routerfleet/data/ControlClient.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import routerfleet.config.FleetConfiguration;
 import routerfleet.settings.HostPort;
 import routerfleet.settings.LocalSettings;
 import routerfleet.wire.LinkTiming;
@@ -34,7 +35,7 @@
     /** Who hears what control nodes say. */
     interface Listener {
         /** A configuration newer than any before. */
-        void configuration(long generation, byte[] document);
+        void configuration(FleetConfiguration configuration);
 
         /** How many data nodes there are. @param warming whether the control node that says so has only just started */
         void dataNodes(int present, boolean warming);
@@ -202,8 +203,8 @@
             registry.told(link.ip, changes);
         } else if (message instanceof PeerMessage.ConfigNotice notice) {
             fetchIfMissing(link, notice.generation());
-        } else if (message instanceof PeerMessage.ConfigDocument document) {
-            take(document);
+        } else if (message instanceof PeerMessage.CommittedConfig committed) {
+            take(committed.configuration());
         } else if (message instanceof PeerMessage.QuotaAnswer answer) {
             listener.quotaAnswered(answer);
         }
@@ -247,12 +248,12 @@
         }
     }
 
-    private void take(PeerMessage.ConfigDocument document) {
-        if (document.generation() <= generation) {
+    private void take(FleetConfiguration configuration) {
+        if (configuration.generation() <= generation) {
             return;
         }
-        generation = document.generation();
-        listener.configuration(generation, document.document());
+        generation = configuration.generation();
+        listener.configuration(configuration);
         if (waitingForGeneration != null && waitingForGeneration.generation() <= generation) {
             FreshPoint point = waitingForGeneration;
             waitingForGeneration = null;
--- a/src/main/java/routerfleet/data/DataNode.java
+++ b/src/main/java/routerfleet/data/DataNode.java
@@ -19,19 +19,17 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.vavr.control.Either;
 import java.net.BindException;
-import java.security.SecureRandom;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import routerfleet.config.ConfigFault;
-import routerfleet.config.ConfigJson;
 import routerfleet.config.FleetConfiguration;
 import routerfleet.settings.LocalSettings;
+import routerfleet.wire.HashMix;
 import routerfleet.wire.Listeners;
 import routerfleet.wire.PeerCodec;
 import routerfleet.wire.PeerMessage;
@@ -61,8 +59,8 @@
     private final LocalSettings settings;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final SecureRandom random = new SecureRandom();
-    private final ServerRegistry registry = new ServerRegistry(random.nextLong());
+    private final SplittableRandom random;
+    private final ServerRegistry registry;
     private final FleetSize fleetSize = new FleetSize();
     private final QuotaClient quotas;
     private final DataPlane plane;
@@ -74,6 +72,9 @@
     /** @param settings with addresses for clients and readiness */
     public DataNode(LocalSettings settings) {
         this.settings = settings;
+        // Choices need no secrecy, and a secure source costs each start some 10 ms; the name keeps nodes apart.
+        random = new SplittableRandom(HashMix.of(settings.nodeName()) ^ System.nanoTime());
+        registry = new ServerRegistry(random.nextLong());
         quotas = new QuotaClient(settings.bounds(), fleetSize, new QuotaTransport());
         plane = new DataPlane(loop, settings.bounds(), registry, quotas, fleetSize, random.nextLong());
         control = new ControlClient(loop, settings, registry, new PeerCodec(), new ControlListener());
@@ -126,6 +127,9 @@
      * its answer. Blocks until nothing is open, at most for the platform's grace.
      */
     public void stop() {
+        if (loop.isShuttingDown()) {
+            return;
+        }
         long startMs = SteadyClock.millis();
         long graceMs = (long) (settings.bounds().graceS() * SECOND_MS);
         CountDownLatch done = new CountDownLatch(1);
@@ -208,13 +212,8 @@
 
     private final class ControlListener implements ControlClient.Listener {
         @Override
-        public void configuration(long generation, byte[] document) {
-            Either<ConfigFault, FleetConfiguration> read = ConfigJson.read(document);
-            if (read.isLeft()) {
-                LOG.log(System.Logger.Level.ERROR, "a committed configuration can't be read: " + read.getLeft());
-                return;
-            }
-            plane.table(new RoutingTable(read.get()));
+        public void configuration(FleetConfiguration configuration) {
+            plane.table(new RoutingTable(configuration));
         }
 
         @Override
--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -14,12 +14,15 @@
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import routerfleet.control.ControlNode;
 import routerfleet.data.DataNode;
+import routerfleet.process.NodeProcess;
 import routerfleet.settings.Bounds;
 import routerfleet.settings.HostPort;
 import routerfleet.settings.LocalSettings;
+import routerfleet.settings.SettingsException;
 
 /**
  * A whole fleet in one process, on loopback addresses: control nodes at 127.0.0.1 and on, data nodes at 127.0.1.1 and on,
@@ -30,6 +33,7 @@
     private static final int MOST_CALLS = 200;
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 18_000;
+    private static final int HEARTBEAT_MS = 200;
 
     private final Path folder;
     private final int internalPort;
@@ -89,7 +93,7 @@
     /** Starts a control node. @param bootstrap whether the whole system starts for the first time */
     public void startControl(int number, boolean bootstrap) throws IOException {
         LocalSettings settings = new LocalSettings("control-" + number, controlIp(number), "a", null, null,
-                controlAddress(number), internalPort, seeds, bootstrap, disk(number), 200, toleratedLosses,
+                controlAddress(number), internalPort, seeds, bootstrap, disk(number), HEARTBEAT_MS, toleratedLosses,
                 Bounds.defaults());
         ControlNode node = new ControlNode(settings);
         node.start();
@@ -112,13 +116,61 @@
 
     /** Starts a data node, and waits until it is ready if a configuration is there. @return its place in the list */
     public int startData(boolean waitUntilReady) throws IOException {
-        String ip = "127.0.1." + (dataNodes.size() + 1);
+        String ip = nextDataIp();
         HostPort frontend = new HostPort(ip, freePort());
-        LocalSettings settings = new LocalSettings("data-" + (dataNodes.size() + 1), ip, "a", frontend,
-                new HostPort(ip, freePort()), null, internalPort, seeds, true, null, 200, toleratedLosses,
+        LocalSettings settings = new LocalSettings(nextDataName(), ip, "a", frontend,
+                new HostPort(ip, freePort()), null, internalPort, seeds, true, null, HEARTBEAT_MS, toleratedLosses,
                 Bounds.defaults());
         DataNode node = new DataNode(settings);
         node.start();
+        return added(node, frontend, waitUntilReady);
+    }
+
+    /**
+     * Starts a data node as a process of its own does, by a settings file, and waits until it says that it is ready.
+     *
+     * @param file where the settings are written
+     * @return its place in the list
+     */
+    public int startDataByFile(Path file) throws IOException {
+        String ip = nextDataIp();
+        HostPort frontend = new HostPort(ip, freePort());
+        HostPort readiness = new HostPort(ip, freePort());
+        Files.writeString(file, """
+                node_name=%s
+                ip=%s
+                zone=a
+                listen.frontend=%s
+                listen.readiness=%s
+                port_range=%d,%d
+                seed_nodes=%s
+                bootstrap=true
+                heartbeat_ms=%d
+                fault_tolerance.hosts_lost=%d
+                bounds.grace_s=8
+                bounds.revocation=true
+                bounds.retry_budget_ratio=0.2
+                """.formatted(nextDataName(), ip, frontend, readiness, internalPort, internalPort,
+                seeds.stream().map(HostPort::toString).collect(Collectors.joining(",")), HEARTBEAT_MS,
+                toleratedLosses));
+        try {
+            int index = added(NodeProcess.startDataNode(file.toString()), frontend, true);
+            LoopbackHttp.call(readiness, "GET", "/rowanplank/readyz", Map.of(), new byte[0]);
+            return index;
+        } catch (SettingsException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private String nextDataIp() {
+        return "127.0.1." + (dataNodes.size() + 1);
+    }
+
+    private String nextDataName() {
+        return "data-" + (dataNodes.size() + 1);
+    }
+
+    private int added(DataNode node, HostPort frontend, boolean waitUntilReady) {
         dataNodes.add(node);
         frontends.add(frontend);
         if (waitUntilReady) {
--- a/src/main/java/routerfleet/demo/Rehearsal.java
+++ b/src/main/java/routerfleet/demo/Rehearsal.java
@@ -5,9 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import routerfleet.settings.LocalSettings;
-import routerfleet.settings.SettingsException;
-import routerfleet.settings.SettingsWatch;
 
 /**
  * Runs a small fleet through its usual work once: orders, heartbeats, pages, streams. Shows on any machine, in one
@@ -30,35 +27,18 @@
             "tenants":[{"name":"one","api_keys":["key"],"priority":0,"unit":"token_count","uncached_tokens":10,
              "rate_per_s":100000,"burst":100000}]}""";
 
-    private static final String SETTINGS = """
-            node_name=rehearsal
-            ip=127.0.0.1
-            zone=a
-            listen.frontend=127.0.0.1:8662
-            listen.readiness=127.0.0.1:8663
-            port_range=7680,7695
-            seed_nodes=127.0.0.1:8665,127.0.0.2:8665
-            bootstrap=true
-            heartbeat_ms=1200
-            fault_tolerance.hosts_lost=1
-            bounds.grace_s=8
-            bounds.revocation=true
-            bounds.retry_budget_ratio=0.2
-            """;
-
     private Rehearsal() { }
 
     /** @return how many requests were served */
     public static int run() throws IOException {
         Path folder = Files.createTempDirectory("rehearsal");
-        readSettings(folder);
         int served = 0;
         try (LoopbackFleet fleet = new LoopbackFleet(folder, 3);
                 EmulatedServer web = new EmulatedServer("web-1", "web", fleet.seeds(), 0);
                 EmulatedServer llm = new EmulatedServer("llm-1", "llm", fleet.seeds(), EVENTS)) {
             fleet.order("replace", 0, CONFIGURATION);
             fleet.order("patch", 1, "{\"generation\":2,\"delete\":{\"routes\":[\"none\"]}}");
-            int node = fleet.startData(true);
+            int node = fleet.startDataByFile(folder.resolve("data.conf"));
             for (int i = 0; i < REQUESTS; i++) {
                 served += request(fleet, node, i) == 200 ? 1 : 0;
             }
@@ -69,17 +49,6 @@
         return served;
     }
 
-    /** Reads a settings file as each process does at its start, so that the archive of classes has what that takes. */
-    private static void readSettings(Path folder) throws IOException {
-        Path file = Files.writeString(folder.resolve("local.conf"), SETTINGS);
-        try {
-            LocalSettings settings = LocalSettings.load(file.toString());
-            new SettingsWatch(file.toString(), settings, changed -> { }).look();
-        } catch (SettingsException e) {
-            throw new IOException(e);
-        }
-    }
-
     private static int request(LoopbackFleet fleet, int node, int number) throws IOException {
         Map<String, String> headers = Map.of("Host", "demo.example", "Rowanplank-Attempt-Id", "r" + number,
                 "Rowanplank-Deadline-Ms", "2000", "Api-Key", "key", "Rowanplank-Token-Usage", "100,20",
--- a/src/main/java/routerfleet/settings/LocalSettings.java
+++ b/src/main/java/routerfleet/settings/LocalSettings.java
@@ -28,7 +28,7 @@
     }
 
     /** What a file says, as it stands there. @throws SettingsException if it can't be read */
-    static String text(String file) throws SettingsException {
+    public static String text(String file) throws SettingsException {
         try {
             return Files.readString(Path.of(file), StandardCharsets.UTF_8);
         } catch (IOException e) {
@@ -36,7 +36,7 @@
         }
     }
 
-    static LocalSettings parse(String file, String text) throws SettingsException {
+    public static LocalSettings parse(String file, String text) throws SettingsException {
         SettingsFile fields = new SettingsFile(file, text);
         String dataPath = fields.text("data_path");
         return new LocalSettings(
--- a/src/main/java/routerfleet/settings/SettingsWatch.java
+++ b/src/main/java/routerfleet/settings/SettingsWatch.java
@@ -16,15 +16,17 @@
     private final String file;
     private final Consumer<LocalSettings> taken;
     private LocalSettings current;
-    private String readText = "";
+    private String readText;
     private String fault = "";
 
     /**
-     * @param current what the file has said so far
+     * @param readText the file's text so far
+     * @param current what that text says
      * @param taken gets the settings whenever they have changed
      */
-    public SettingsWatch(String file, LocalSettings current, Consumer<LocalSettings> taken) {
+    public SettingsWatch(String file, String readText, LocalSettings current, Consumer<LocalSettings> taken) {
         this.file = file;
+        this.readText = readText;
         this.current = current;
         this.taken = taken;
     }
--- a/src/main/java/routerfleet/wire/PeerCodec.java
+++ b/src/main/java/routerfleet/wire/PeerCodec.java
@@ -11,8 +11,13 @@
 import java.util.TreeMap;
 import rowanplank.agreement.Entry;
 import rowanplank.agreement.Message;
+import routerfleet.config.BackendConfig;
+import routerfleet.config.ClientLimits;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.FleetConfiguration;
+import routerfleet.config.RouteConfig;
+import routerfleet.config.TenantConfig;
 
 /**
  * Turns messages and stored records into bytes and back with Kryo. Only registered types are read. For one thread; the
@@ -31,7 +36,9 @@
                 LinkedHashMap.class, Entry.class, Message.VoteAsk.class, Message.VoteReply.class, Message.Append.class,
                 Message.AppendReply.class, Message.Piece.class, Message.PieceReply.class, Message.TakeOver.class,
                 ConfigOrder.Kind.class, ConfigOrder.class, ConfigStore.State.class, SessionRecord.Phase.class,
-                SessionRecord.class, SessionView.class, PeerMessage.QuotaVerdict.class}) {
+                SessionRecord.class, SessionView.class, PeerMessage.QuotaVerdict.class, FleetConfiguration.class,
+                RouteConfig.class, RouteConfig.WeightedBackend.class, BackendConfig.class, BackendConfig.Engine.class,
+                ClientLimits.class, TenantConfig.class}) {
             kryo.register(type);
         }
         for (Class<?> type : PeerMessage.class.getPermittedSubclasses()) {
--- a/src/main/java/routerfleet/wire/PeerMessage.java
+++ b/src/main/java/routerfleet/wire/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import rowanplank.agreement.Message;
 import routerfleet.config.ConfigOrder;
+import routerfleet.config.FleetConfiguration;
 
 /** What processes of the fleet say to each other, over connections that keep the order of messages. */
 public sealed interface PeerMessage {
@@ -125,5 +126,5 @@
     record ConfigRequest(long knownGeneration) implements PeerMessage { }
 
     /** A committed configuration. */
-    record ConfigDocument(long generation, byte[] document) implements PeerMessage { }
+    record CommittedConfig(FleetConfiguration configuration) implements PeerMessage { }
 }
--- a/src/main/java/rowanplank/cli/Hangup.java
+++ b/src/main/java/rowanplank/cli/Hangup.java
@@ -1,9 +1,7 @@
 package rowanplank.cli;
 
-import java.lang.invoke.MethodHandle;
-import java.lang.invoke.MethodHandleProxies;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.MethodType;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
 
 /**
  * Hears SIGHUP, on which a Java process would else end. The platform's only way, {@code sun.misc.Signal}, is called
@@ -20,14 +18,26 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            MethodHandle run = MethodHandles.lookup()
-                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(task);
+            Object runs = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> called(task, proxy, method, arguments));
             Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
-                    .newInstance("HUP"), MethodHandleProxies.asInterfaceInstance(handler,
-                            MethodHandles.dropArguments(run, 0, signal)));
+                    .newInstance("HUP"), runs);
             return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this platform has no SIGHUP to hear", e);
         }
     }
+
+    /** Runs the task for a signal; what else a handler may be asked is what every object is. */
+    private static Object called(Runnable task, Object proxy, Method method, Object[] arguments) {
+        return switch (method.getName()) {
+            case "handle" -> {
+                task.run();
+                yield null;
+            }
+            case "equals" -> proxy == arguments[0];
+            case "hashCode" -> 1; // there is only one
+            default -> "the handler of SIGHUP";
+        };
+    }
 }
--- a/src/test/java/routerfleet/FleetArchitectureTest.java
+++ b/src/test/java/routerfleet/FleetArchitectureTest.java
@@ -24,12 +24,16 @@
                 .layer("control").definedBy("routerfleet.control..")
                 .layer("data").definedBy("routerfleet.data..")
                 .layer("demo").definedBy("routerfleet.demo..")
+                .layer("process").definedBy("routerfleet.process..")
+                .layer("log").definedBy("routerfleet.log..")
                 .layer("cli").definedBy("routerfleet.cli..")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .whereLayer("demo").mayOnlyBeAccessedByLayers("cli")
-                .whereLayer("control").mayOnlyBeAccessedByLayers("demo", "cli")
-                .whereLayer("data").mayOnlyBeAccessedByLayers("demo", "cli")
-                .whereLayer("wire").mayOnlyBeAccessedByLayers("control", "data", "demo", "cli")
+                .whereLayer("log").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("process").mayOnlyBeAccessedByLayers("demo", "cli")
+                .whereLayer("control").mayOnlyBeAccessedByLayers("process", "demo")
+                .whereLayer("data").mayOnlyBeAccessedByLayers("process", "demo")
+                .whereLayer("wire").mayOnlyBeAccessedByLayers("control", "data")
                 .check(PROGRAM);
     }
 
--- a/src/test/java/routerfleet/settings/SettingsWatchTest.java
+++ b/src/test/java/routerfleet/settings/SettingsWatchTest.java
@@ -26,7 +26,8 @@
     @Test
     void changesAreTakenOnceAndFaultsChangeNothing() throws Exception {
         Path file = write("10.0.0.2:8000");
-        SettingsWatch watch = new SettingsWatch(file.toString(), LocalSettings.load(file.toString()),
+        SettingsWatch watch = new SettingsWatch(file.toString(), LocalSettings.text(file.toString()),
+                LocalSettings.load(file.toString()),
                 changed -> taken.add(changed.seeds()));
         watch.look();
         assertThat("the same as before", taken.size(), is(0));
