--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -52,6 +52,8 @@
 
     private static final System.Logger LOG = System.getLogger("routerfleet.control.replica");
     private static final Duration ELECTION = Duration.ofMillis(400);
+    /** All machines may start at one time, and serve nothing until there is a leader. */
+    private static final Duration FIRST_ELECTION = Duration.ofMillis(100);
     private static final Duration HEARTBEAT = Duration.ofMillis(100);
     private static final int MOST_MESSAGE_BYTES = 256 << 10;
     private static final int MOST_UNDECIDED = 512;
@@ -90,8 +92,8 @@
         this.storage = storage;
         this.surroundings = surroundings;
         restore(saved.snapshot());
-        agreement = new Agreement(new Agreement.Settings(self, ELECTION, HEARTBEAT, MOST_MESSAGE_BYTES, MOST_UNDECIDED,
-                seed), saved, SteadyClock.now(), new AgreementActions());
+        agreement = new Agreement(new Agreement.Settings(self, ELECTION, FIRST_ELECTION, HEARTBEAT, MOST_MESSAGE_BYTES,
+                MOST_UNDECIDED, seed), saved, SteadyClock.now(), new AgreementActions());
         schedule();
     }
 
--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -43,11 +43,18 @@
     /**
      * @param self this voter's name
      * @param election without a leader for one to two of these, a voter stands; a leader without a majority steps down
+     * @param firstElection takes the place of {@code election} until a voter has heard of a leader since its start: it asks
+     *     whether it would get the votes that much sooner. Voters that hear a leader say nothing to that
      * @param heartbeat how often a leader is heard at least
      * @param mostBytes of the entries, or the piece of a snapshot, in one message
      */
-    public record Settings(String self, Duration election, Duration heartbeat, int mostBytes, int mostUndecided,
-            long seed) { }
+    public record Settings(String self, Duration election, Duration firstElection, Duration heartbeat, int mostBytes,
+            int mostUndecided, long seed) {
+        /** With the first election no sooner than later ones. */
+        public Settings(String self, Duration election, Duration heartbeat, int mostBytes, int mostUndecided, long seed) {
+            this(self, election, election, heartbeat, mostBytes, mostUndecided, seed);
+        }
+    }
 
     /** What it asks of its owner; none of these calls back into it. */
     public interface Actions {
@@ -129,7 +136,7 @@
         applied = commit;
         durable = log.last();
         voters = log.voters();
-        awaitElection(now);
+        awaitElection(now, settings.firstElection());
     }
 
     // ---- asked
@@ -229,7 +236,11 @@
     }
 
     private void awaitElection(Instant now) {
-        long least = settings.election().toNanos();
+        awaitElection(now, settings.election());
+    }
+
+    private void awaitElection(Instant now, Duration wait) {
+        long least = wait.toNanos();
         electionDue = now.plusNanos(least + random.nextLong(least));
     }
 
@@ -266,7 +277,7 @@
 
     /** Would I get the votes? Guards against a voter that was cut off and comes back with a high term. */
     private void ask(Instant now) {
-        awaitElection(now);
+        awaitElection(now, leaderHeard == null ? settings.firstElection() : settings.election());
         role = Role.ASKING;
         leader = null;
         granted.clear();
--- a/src/test/java/rowanplank/agreement/AgreementTest.java
+++ b/src/test/java/rowanplank/agreement/AgreementTest.java
@@ -37,9 +37,15 @@
         final int mostBytes;
         /** With the voters' names. */
         int longestPiece;
+        final Duration firstElection;
         Instant now = ZERO;
 
         Group(int count, boolean countOlder, int mostBytes) {
+            this(count, countOlder, mostBytes, ELECTION);
+        }
+
+        Group(int count, boolean countOlder, int mostBytes, Duration firstElection) {
+            this.firstElection = firstElection;
             this.countOlder = countOlder;
             this.mostBytes = mostBytes;
             List<String> names = new ArrayList<>();
@@ -91,8 +97,8 @@
                     told.add(name + " confirmed " + round);
                 }
             };
-            self[0] = new Agreement(new Agreement.Settings(name, ELECTION, Duration.ofMillis(75), mostBytes, 100,
-                    name.hashCode()), saved, now, actions) {
+            self[0] = new Agreement(new Agreement.Settings(name, ELECTION, firstElection, Duration.ofMillis(75),
+                    mostBytes, 100, name.hashCode()), saved, now, actions) {
                 @Override
                 protected boolean mayCount(long index) {
                     return countOlder || super.mayCount(index);
@@ -189,6 +195,21 @@
         assertFalse(g.leaderName().equals(old));
     }
 
+    /** Guards a fleet that lost its power: it serves nothing until there is a leader. */
+    @Test
+    void votersThatStartTogetherElectSoonerThanLaterOnes() {
+        Duration first = ELECTION.dividedBy(4);
+        Group g = new Group(3, false, 1000, first);
+        g.pass(first.toMillis() * 2 + 50);
+        assertTrue(g.told.stream().anyMatch(t -> t.contains("leads")), g.told::toString);
+        String leader = g.leaderName();
+        long term = g.leader().term();
+        g.start(g.other(leader), Saved.nothing(g.leader().voters()));
+        g.pass(5000);
+        assertEquals(leader, g.leaderName(), "one that starts alone unseats nobody");
+        assertEquals(term, g.leader().term());
+    }
+
     /** Guards the others: one that was away for long must not unseat a leader that they hear (pre-vote). */
     @Test
     void whoComesBackDisturbsNobody() {
