Refuse configurations with null items and patches that are no objects by name

ConfigStoreTest has the cases and fails without the change on the patch (the others were not tried without it).

--- a/src/main/java/routerfleet/config/ConfigJson.java
+++ b/src/main/java/routerfleet/config/ConfigJson.java
@@ -43,7 +43,8 @@
             if (!(node instanceof ObjectNode object)) {
                 return Either.left(ConfigFault.invalid("", "is no JSON object"));
             }
-            if (!object.path(GENERATION).isIntegralNumber()) {
+            JsonNode generation = object.path(GENERATION);
+            if (!generation.isIntegralNumber() || !generation.canConvertToLong()) {
                 return Either.left(ConfigFault.invalid(GENERATION, "is no whole number"));
             }
             return Either.right(object);
@@ -66,6 +67,11 @@
 
     /** The document with a patch's items put in place of those of the same name, and its deletions taken out. */
     static Either<ConfigFault, ObjectNode> patched(ObjectNode document, ObjectNode patch) {
+        for (String part : new String[] {DELETE, UPSERT}) {
+            if (patch.has(part) && !patch.get(part).isObject()) {
+                return Either.left(ConfigFault.invalid(part, "is no object of lists"));
+            }
+        }
         ObjectNode result = document.deepCopy();
         result.set(GENERATION, patch.get(GENERATION));
         for (Map.Entry<String, JsonNode> list : patch.path(DELETE).properties()) {
--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -44,6 +44,12 @@
         return generation;
     }
 
+    /** What would be wrong with this as a first configuration; null where it could be taken. */
+    public static ConfigFault check(byte[] document) {
+        ConfigStore empty = new ConfigStore();
+        return empty.examine(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, document)).fold(fault -> fault, taken -> null);
+    }
+
     /** Whether this very order has been taken before. */
     public boolean hasTaken(ConfigOrder order) {
         return outcomes.containsKey(order.digest());
--- a/src/main/java/routerfleet/config/RouteConfig.java
+++ b/src/main/java/routerfleet/config/RouteConfig.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.Pattern;
 import jakarta.validation.constraints.Positive;
 import jakarta.validation.constraints.PositiveOrZero;
@@ -30,7 +31,7 @@
         @JsonProperty("target_latency_ms") @PositiveOrZero long targetLatencyMs,
         @PositiveOrZero int priority,
         String backend,
-        @JsonProperty("traffic_split") @Valid List<WeightedBackend> trafficSplit,
+        @JsonProperty("traffic_split") List<@NotNull @Valid WeightedBackend> trafficSplit,
         @JsonProperty("max_attempts") @PositiveOrZero int maxAttempts,
         @JsonProperty("public") boolean isPublic,
         @JsonProperty("session_affinity") boolean sessionAffinity,
--- a/src/main/java/routerfleet/config/TenantConfig.java
+++ b/src/main/java/routerfleet/config/TenantConfig.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.PositiveOrZero;
 import java.util.List;
 
@@ -16,7 +17,7 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record TenantConfig(
         @NotBlank String name,
-        @JsonProperty("api_keys") List<String> apiKeys,
+        @JsonProperty("api_keys") List<@NotNull String> apiKeys,
         @PositiveOrZero int priority,
         String unit,
         @JsonProperty("uncached_tokens") @PositiveOrZero double uncachedTokens,
--- /dev/null
+++ b/src/test/java/routerfleet/config/ConfigStoreTest.java
@@ -0,0 +1,64 @@
+package routerfleet.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import routerfleet.demo.Configurations;
+
+/** Which orders change the configuration, and what is told of those that don't. */
+class ConfigStoreTest {
+    private final ConfigStore store = new ConfigStore();
+
+    private static ConfigOrder order(ConfigOrder.Kind kind, long base, String body) {
+        return new ConfigOrder(kind, base, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String faultOf(ConfigOrder.Kind kind, long base, String body) {
+        return store.apply(order(kind, base, body)).fold(ConfigFault::toString, taken -> "taken");
+    }
+
+    /** Guards the replicas: an item that is null must be refused as any other, not fail where it is looked at. */
+    @Test
+    void nullItemsAreNamedAndRefused() {
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 0, "{\"generation\":1,\"routes\":[null]}"),
+                containsString("routes[0]"));
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 0, "{\"generation\":1,\"backends\":[null]}"),
+                containsString("backends[0]"));
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 0, "{\"generation\":1,\"tenants\":[null]}"),
+                containsString("tenants[0]"));
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 0,
+                "{\"generation\":1,\"tenants\":[{\"name\":\"a\",\"api_keys\":[null]}]}"),
+                containsString("tenants[0].apiKeys[0]"));
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(2).replace("\"backend\":\"web\"",
+                "\"traffic_split\":[null]")), containsString("trafficSplit[0]"));
+        assertThat(store.generation(), is(0L));
+    }
+
+    @Test
+    void whatIsNoConfigurationIsRefused() {
+        String[] bodies = {"", "[]", "null", "7", "{}", "{\"generation\":1.5}", "{\"generation\":99999999999999999999}",
+            "{\"generation\":1,\"routes\":7}", "{\"generation\":1,\"routes\":{}}", "{\"generation\":1}}",
+            "{\"generation\":1,\"generation\":2}", "{\"generation\":1,\"limits\":{\"max_body_bytes\":-1}}"};
+        for (String body : bodies) {
+            assertThat(body, store.examine(order(ConfigOrder.Kind.REPLACE, 0, body)).isLeft(), is(true));
+        }
+        assertThat(ConfigStore.check(Configurations.whole(2).getBytes(StandardCharsets.UTF_8)), nullValue());
+    }
+
+    @Test
+    void patchesThatNameNothingUsefulChangeNothing() {
+        store.apply(order(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(2)));
+        String[] bodies = {"{\"generation\":3,\"upsert\":{\"routes\":7}}",
+            "{\"generation\":3,\"delete\":{\"routes\":\"x\"}}",
+            "{\"generation\":3,\"upsert\":{\"routes\":[null]}}", "{\"generation\":3,\"upsert\":{\"routes\":[7]}}",
+            "{\"generation\":3,\"upsert\":[]}", "{\"generation\":3,\"delete\":7}"};
+        for (String body : bodies) {
+            String fault = faultOf(ConfigOrder.Kind.PATCH, 2, body);
+            assertThat(body + " " + fault, store.generation(), is(2L));
+        }
+    }
+}
