Refuse settings that are not finite or below 0, and name the line of the very key

Cause: Double.valueOf takes NaN and Infinity, and the line of a fault was that of the first key that begins alike. LocalSettingsTest has both.

--- a/src/main/java/routerfleet/settings/LocalSettings.java
+++ b/src/main/java/routerfleet/settings/LocalSettings.java
@@ -36,6 +36,13 @@
         }
     }
 
+    /**
+     * Reads settings.
+     *
+     * @param file what faults name
+     * @param text what the file holds
+     * @throws SettingsException if they can't be used
+     */
     public static LocalSettings parse(String file, String text) throws SettingsException {
         SettingsFile fields = new SettingsFile(file, text);
         String dataPath = fields.text("data_path");
--- a/src/main/java/routerfleet/settings/SettingsFile.java
+++ b/src/main/java/routerfleet/settings/SettingsFile.java
@@ -52,11 +52,16 @@
         if (value == null) {
             return null;
         }
+        double number;
         try {
-            return Double.valueOf(value);
+            number = Double.parseDouble(value);
         } catch (NumberFormatException e) {
             throw fault(key, "'" + value + "' is no number");
         }
+        if (!Double.isFinite(number) || number < 0) {
+            throw fault(key, "'" + value + "' is no finite number from 0 on");
+        }
+        return number;
     }
 
     /** True or false; null where the field is absent. */
@@ -76,14 +81,16 @@
         return new SettingsException(file, lineOf(key), key, problem.lines().findFirst().orElse(""));
     }
 
+    /** The last line with the key, whose value counts; 0 where there is none. */
     private int lineOf(String key) {
+        int found = 0;
         int number = 0;
         for (String line : text.lines().toList()) {
             number++;
-            if (line.strip().startsWith(key)) {
-                return number;
+            if (line.split("[=:\\s]", 2)[0].equals(key)) {
+                found = number;
             }
         }
-        return 0;
+        return found;
     }
 }
--- a/src/test/java/routerfleet/settings/LocalSettingsTest.java
+++ b/src/test/java/routerfleet/settings/LocalSettingsTest.java
@@ -62,6 +62,10 @@
             {"bootstrap=true", "bootstrap=yes", "local.conf:9: bootstrap: "},
             {"bounds.revoke_ms=4321", "bounds.revoke_ms=soon", "local.conf:14: bounds.revoke_ms: "},
             {"ip=10.1.0.17\n", "", "local.conf:0: ip: is missing"},
+            {"heartbeat_ms=1200", "heartbeat_ms=NaN", "local.conf:11: heartbeat_ms: "},
+            {"heartbeat_ms=1200", "heartbeat_ms=-1", "local.conf:11: heartbeat_ms: "},
+            {"bounds.revoke_ms=4321", "bounds.revoke_ms=Infinity", "local.conf:14: bounds.revoke_ms: "},
+            {"heartbeat_ms=1200", "heartbeat_ms_of_others=1\nheartbeat_ms=x", "local.conf:12: heartbeat_ms: "},
         };
         for (String[] fault : faults) {
             SettingsException e = assertThrows(SettingsException.class, () -> load(FILE.replace(fault[0], fault[1])));
