--- a/src/main/java/routerfleet/cli/FleetCommands.java
+++ b/src/main/java/routerfleet/cli/FleetCommands.java
@@ -33,10 +33,17 @@
     @Parameters(commandDescription = "A node that keeps configuration and sessions; settings from $ROWANPLANK_BOOT")
     private static final class ControlPlaneCommand extends Common { }
 
-    @Parameters(commandDescription = "check FILE: whether a settings file can be used; rehearse: a small fleet on loopback")
+    @Parameters(commandDescription = "check FILE: whether a settings file can be used; "
+            + "rehearse: a small fleet on loopback; config: the configuration of a running fleet")
     private static final class SystemCommand extends Common {
-        @Parameter(description = "check FILE | rehearse")
+        @Parameter(description = "check FILE | rehearse | config " + ConfigCommands.USAGE)
         private List<String> words = new ArrayList<>();
+
+        @Parameter(names = "--at", description = "Addresses of control nodes, for config")
+        private List<String> at = new ArrayList<>();
+
+        @Parameter(names = "--base", description = "Version that an order builds on, for config; else the current one")
+        private Long base;
     }
 
     private FleetCommands() { }
@@ -62,7 +69,7 @@
                 return DONE;
             }
         }
-        return system(system.words);
+        return system(system);
     }
 
     private static int start(String role) {
@@ -85,23 +92,28 @@
         return status;
     }
 
-    private static int system(List<String> words) {
+    private static int system(SystemCommand command) {
         try {
-            return systemCommand(words);
-        } catch (SettingsException e) {
+            return systemCommand(command);
+        } catch (SettingsException | ConfigCommands.UnusableException e) {
             return fail(USAGE, e.getMessage());
         } catch (Exception e) {
             return fail(FAILED, String.valueOf(e.getMessage()));
         }
     }
 
-    private static int systemCommand(List<String> words) throws Exception {
+    private static int systemCommand(SystemCommand command) throws Exception {
+        List<String> words = command.words;
+        if (!words.isEmpty() && words.get(0).equals("config")) {
+            System.out.println(ConfigCommands.run(words.subList(1, words.size()), command.at, command.base));
+            return DONE;
+        }
         if (words.equals(List.of("rehearse"))) {
             System.out.println(Rehearsal.run() + " requests served");
             return DONE;
         }
         if (words.size() != 2 || !words.get(0).equals("check")) {
-            return fail(USAGE, "usage: rowanplank system check FILE | rehearse");
+            return fail(USAGE, "usage: rowanplank system check FILE | rehearse | config ...");
         }
         LocalSettings.load(words.get(1));
         System.out.println(words.get(1) + " can be used");
