--- a/src/test/java/rowanplank/lab/trial/TrialTest.java
+++ b/src/test/java/rowanplank/lab/trial/TrialTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -19,6 +20,7 @@
 import rowanplank.lab.trial.judge.Event.Kind;
 
 /** Real processes of the program, faults between them, and the judge. */
+@Tag("alone") // trials that found no time on the machine can't be played
 @Execution(ExecutionMode.CONCURRENT) // they mostly wait
 @Timeout(value = 200, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class TrialTest {
