Write a refusal's time and read a keep-alive time without formatter and regular expression

Cause: String.format loads the platform's number formats at a node's first refusal, and costs more than all the rest of one; a split by a pattern was compiled for each answer that names a keep-alive time. Not measured by itself.

--- a/src/main/java/routerfleet/data/Refusal.java
+++ b/src/main/java/routerfleet/data/Refusal.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 
 /**
  * An answer of this node's own to a request that no server has answered.
@@ -17,7 +16,7 @@
     private static final long MOST_COME_BACK_MS = 1_200;
     /** A node that can't serve yet, or no more, may be able to after so long. */
     private static final long NOT_READY_MS = 900;
-    private static final double MS_A_SECOND = 1_000;
+    private static final int MS_A_SECOND = 1_000;
 
     /** The request is at fault, or what became of it is not known. */
     static Refusal fault(int status, String text) {
@@ -43,12 +42,18 @@
         return Math.max(LEAST_COME_BACK_MS, (long) (COME_BACK_PART * aimMs));
     }
 
+    /** Seconds with three decimals. The platform's formatter would cost each refusal more than all the rest of it. */
+    static String seconds(long ms) {
+        String thousandths = Long.toString(MS_A_SECOND + ms % MS_A_SECOND).substring(1);
+        return ms / MS_A_SECOND + "." + thousandths;
+    }
+
     /** Gives the answer. */
     void to(ClientReply reply) {
         HttpHeaders headers = HopHeaders.fresh();
         if (comeBackMs >= 0) {
             headers.set(HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", Math.min(MOST_COME_BACK_MS, comeBackMs) / MS_A_SECOND));
+                    seconds(Math.min(MOST_COME_BACK_MS, comeBackMs)));
         }
         reply.respond(status, headers, (text + "\n").getBytes(StandardCharsets.US_ASCII));
     }
--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -31,6 +31,7 @@
     private static final int MOST_CHUNK_BYTES = 32 << 10;
     private static final long USABLE_IDLE_MS = 20_000;
     private static final long KEEP_ALIVE_MARGIN_MS = 400;
+    private static final int MOST_TIMEOUT_DIGITS = 6;
     private static final int MOST_PASSED_OVER = 2;
 
     /** Who gets an answer. Every answer ends with {@link #complete} or {@link #broken}. */
@@ -161,9 +162,13 @@
         if (at < 0) {
             return USABLE_IDLE_MS;
         }
-        String digits = keepAlive.substring(at + "timeout=".length()).split("[^0-9]", 2)[0];
-        return digits.isEmpty() || digits.length() > 6 ? USABLE_IDLE_MS
-                : Math.max(0, Long.parseLong(digits) * 1_000 - KEEP_ALIVE_MARGIN_MS);
+        int from = at + "timeout=".length();
+        int to = from;
+        while (to < keepAlive.length() && keepAlive.charAt(to) >= '0' && keepAlive.charAt(to) <= '9') {
+            to++;
+        }
+        return to == from || to - from > MOST_TIMEOUT_DIGITS ? USABLE_IDLE_MS
+                : Math.max(0, Long.parseLong(keepAlive, from, to, 10) * 1_000 - KEEP_ALIVE_MARGIN_MS);
     }
 
     private void onContent(HttpContent content) {
