Sync the folder of a slot before anything in it is told to be stored

Cause, found by reading: the folder was synced only where the slot's file did not exist. Where the disk refused that first sync, or the process ended between making the file and the sync, the next write found the file and acknowledged; a loss of power could then have taken the whole slot. The first write to each slot of a process syncs the folder now. ReplicaStorageTest has both cases by a folder that refuses once; they were not run against the old code, which has no place for one.

--- a/src/main/java/routerfleet/control/ReplicaStorage.java
+++ b/src/main/java/routerfleet/control/ReplicaStorage.java
@@ -35,10 +35,18 @@
      */
     record Opened(String replica, Saved saved) { }
 
+    /** Makes the entries of a folder outlive a loss of power. */
+    interface FolderSync {
+        void sync(Path folder) throws IOException;
+    }
+
     private record Job(Write write, Runnable stored) { }
 
     private final Path folder;
     private final Executor loop;
+    private final FolderSync folderSync;
+    /** Whether the folder's entry of a slot is known to be synced: else the slot may be lost whole with the power. */
+    private final boolean[] entered = new boolean[SLOTS];
     private final LinkedBlockingQueue<Job> jobs = new LinkedBlockingQueue<>();
     private final Thread writer = new Thread(this::run, "replica-storage");
     private String replica;
@@ -51,8 +59,13 @@
 
     /** @param loop where it is told that something is stored */
     ReplicaStorage(Path folder, Executor loop) {
+        this(folder, loop, ReplicaStorage::syncFolder);
+    }
+
+    ReplicaStorage(Path folder, Executor loop, FolderSync folderSync) {
         this.folder = folder;
         this.loop = loop;
+        this.folderSync = folderSync;
         writer.setDaemon(true);
     }
 
@@ -166,6 +179,7 @@
         records.forEach(bytes::put);
         writeAll(channel, bytes.flip(), length);
         channel.force(true);
+        syncEntry(slot); // the process before may have ended between making the slot and syncing the folder
         length += size;
         chain = newChain;
     }
@@ -174,15 +188,12 @@
         int other = (slot + 1) % SLOTS;
         Path file = slotFile(other);
         DiskForm.Written written = DiskForm.anew(Long.toString(slotSequence + 1), replica, whole);
-        boolean isNew = !Files.exists(file);
         FileChannel fresh = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         try {
             fresh.truncate(0);
             writeAll(fresh, ByteBuffer.wrap(written.bytes()), 0);
             fresh.force(true);
-            if (isNew) {
-                syncFolder();
-            }
+            syncEntry(other);
         } catch (IOException e) {
             fresh.close();
             throw e;
@@ -197,7 +208,14 @@
         chain = written.chain();
     }
 
-    private void syncFolder() throws IOException {
+    private void syncEntry(int index) throws IOException {
+        if (!entered[index]) {
+            folderSync.sync(folder);
+            entered[index] = true;
+        }
+    }
+
+    private static void syncFolder(Path folder) throws IOException {
         try (FileChannel directory = FileChannel.open(folder)) {
             directory.force(true);
         }
--- a/src/test/java/routerfleet/control/ReplicaStorageTest.java
+++ b/src/test/java/routerfleet/control/ReplicaStorageTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rowanplank.agreement.Entry;
@@ -122,4 +123,37 @@
         }
         assertThat(open().saved().entries().size(), is(3));
     }
+
+    /** Guards what was acknowledged: without its folder's sync a slot may be lost whole with the power. */
+    @Test
+    void nothingIsToldToBeStoredBeforeTheFolderOfItsSlotIsSynced() {
+        AtomicInteger syncs = new AtomicInteger();
+        ReplicaStorage.FolderSync refusesOnce = synced -> {
+            if (syncs.getAndIncrement() == 0) {
+                throw new IOException("no space left on device");
+            }
+        };
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run, refusesOnce)) {
+            storage.start("a/0", null);
+            store(storage, new Write.Whole(Saved.nothing(VOTERS)));
+            assertThat(syncs.get(), is(2));
+            store(storage, new Write.Whole(Saved.nothing(VOTERS)));
+            assertThat("the other slot", syncs.get(), is(3));
+            store(storage, new Write.Whole(Saved.nothing(VOTERS)));
+            assertThat("the first slot again", syncs.get(), is(3));
+        }
+    }
+
+    @Test
+    void aSlotOfTheProcessBeforeIsSyncedWithTheFirstWrite() throws IOException {
+        fill(2);
+        AtomicInteger syncs = new AtomicInteger();
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run, synced -> syncs.incrementAndGet())) {
+            assertThat(storage.open().saved().entries().size(), is(2));
+            storage.start("a/0", null);
+            store(storage, new Write.Entries(List.of(entry(3))));
+            store(storage, new Write.Entries(List.of(entry(4))));
+            assertThat(syncs.get(), is(1));
+        }
+    }
 }
