--- a/src/main/java/routerfleet/log/LogLine.java
+++ b/src/main/java/routerfleet/log/LogLine.java
@@ -10,15 +10,17 @@
 
     private LogLine() { }
 
-    /** Time (UTC, ISO 8601 with milliseconds), level, logger and message; the cause, if any, behind it. */
-    static String of(Instant time, System.Logger.Level level, String logger, String message, Throwable cause) {
+    /** Level, logger and message; the cause, if any, behind it. */
+    static String event(System.Logger.Level level, String logger, String message, Throwable cause) {
+        String event = level + " " + logger + ": " + message;
+        return cause == null ? event : event + ": " + cause;
+    }
+
+    /** What is told, behind the time (UTC, ISO 8601 with milliseconds). */
+    static String at(Instant time, String told) {
         StringBuilder line = new StringBuilder();
         appendTime(line, time);
-        line.append(' ').append(level).append(' ').append(logger).append(": ").append(message);
-        if (cause != null) {
-            line.append(": ").append(cause);
-        }
-        return line.toString();
+        return line.append(' ').append(told).toString();
     }
 
     private static void appendTime(StringBuilder line, Instant time) {
--- a/src/main/java/routerfleet/log/StandardErrorLog.java
+++ b/src/main/java/routerfleet/log/StandardErrorLog.java
@@ -11,13 +11,11 @@
 final class StandardErrorLog {
     private static final String OWN = "routerfleet";
 
-    private final Clock clock;
     private final RateLimitedLog limit;
 
     /** @param out takes each line */
     StandardErrorLog(Consumer<String> out, Clock clock) {
-        this.clock = clock;
-        limit = new RateLimitedLog(clock, (warning, line, cause) -> out.accept(line));
+        limit = new RateLimitedLog(clock, (warning, line, cause) -> out.accept(LogLine.at(clock.now(), line)));
     }
 
     boolean isLoggable(String logger, System.Logger.Level level) {
@@ -27,7 +25,7 @@
 
     void write(String logger, System.Logger.Level level, String message, Throwable cause) {
         if (isLoggable(logger, level)) {
-            limit.warn(LogLine.of(clock.now(), level, logger, message, cause));
+            limit.warn(LogLine.event(level, logger, message, cause));
         }
     }
 }
--- a/src/test/java/routerfleet/log/StandardErrorLogTest.java
+++ b/src/test/java/routerfleet/log/StandardErrorLogTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
 import java.time.Instant;
@@ -45,6 +46,7 @@
             log.write("io.netty", System.Logger.Level.WARNING, "again", null);
         }
         assertThat(lines.size(), lessThan(FLOOD / 10));
+        lines.forEach(line -> assertThat(line, startsWith("2026-01-02T03:04:05.006Z ")));
     }
 
     @Test
