Pause between rounds of the configuration commands

Cause: a control node that has just been started refuses connections for about a second, and all rounds were over by then. By hand with real processes: a patch beside a killed control node was taken after 1.2 s, read back at the restarted one after 1.5 s, and after all three had been killed after 2.2 s.

--- a/src/main/java/routerfleet/cli/ConfigClient.java
+++ b/src/main/java/routerfleet/cli/ConfigClient.java
@@ -15,7 +15,9 @@
  * a clear answer. The same order may be given again: the fleet knows it by its content.
  */
 final class ConfigClient {
-    private static final int ROUNDS = 3;
+    private static final int ROUNDS = 5;
+    /** Between two rounds: a control node that has just been started refuses connections for about so long. */
+    private static final Duration PAUSE = Duration.ofMillis(500);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     /** Longer than a control node waits for a leader before it says that nothing is clear. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
@@ -51,6 +53,9 @@
     private Answer ask(String what, HttpRequest.Builder request) throws IOException, InterruptedException {
         String problem = "";
         for (int round = 0; round < ROUNDS; round++) {
+            if (round > 0) {
+                Thread.sleep(PAUSE.toMillis());
+            }
             for (HostPort node : controlNodes) {
                 try {
                     HttpResponse<String> response = client.send(request.timeout(ANSWER_TIMEOUT)
