Count token counts that are no finite numbers as none

Cause, found by reading: a client that sent "NaN" or "Infinity" as its token usage made the size of the tenant's largest request a NaN at the control nodes, and the reserve's total one at the data node; from then on all requests of that tenant were refused there. Such counts are taken as missing, control nodes answer no question of such a size, and a size beyond the whole depth counts as the depth. Both tests fail without the change.

--- a/src/main/java/routerfleet/control/QuotaGrantor.java
+++ b/src/main/java/routerfleet/control/QuotaGrantor.java
@@ -51,7 +51,8 @@
         }
 
         void asked(double amount) {
-            largestSize = Math.max(amount, largestSize - FORGETTING * (largestSize - amount));
+            double size = Math.min(amount, depth * holders); // nobody needs more than there can be
+            largestSize = Math.max(size, largestSize - FORGETTING * (largestSize - size));
         }
 
         /** What all holders together have to hold for a request of any size. */
@@ -128,7 +129,8 @@
      */
     public PeerMessage.QuotaAnswer answer(PeerMessage.QuotaAsk ask, long confirmedAgeMs, long nowMs) {
         Bucket bucket = buckets.get(ask.tenant());
-        if (bucket == null || confirmedAgeMs < 0 || confirmedAgeMs > LEASE_MS) {
+        boolean countable = Double.isFinite(ask.amount()) && ask.amount() >= 0;
+        if (bucket == null || !countable || confirmedAgeMs < 0 || confirmedAgeMs > LEASE_MS) {
             return PeerMessage.QuotaAnswer.notHere(ask.id());
         }
         bucket.fill(nowMs);
--- a/src/main/java/routerfleet/data/QuotaClient.java
+++ b/src/main/java/routerfleet/data/QuotaClient.java
@@ -253,7 +253,7 @@
                 return tenant.uncachedTokens();
             }
         }
-        return sum;
+        return Double.isFinite(sum) ? sum : tenant.uncachedTokens();
     }
 
     /** Counts a request if it is within its tenant's limit. */
--- a/src/test/java/routerfleet/control/QuotaGrantorTest.java
+++ b/src/test/java/routerfleet/control/QuotaGrantorTest.java
@@ -118,4 +118,16 @@
         assertThat(ask(10, 0, 1_500).verdict(), is(QuotaVerdict.DENIED));
         assertThat(ask(10, 0, 2_000).verdict(), is(QuotaVerdict.GRANTED));
     }
+
+    /** Guards a tenant's other requests: one that names an absurd size must not spoil the bucket for them. */
+    @Test
+    void sizesThatAreNoNumbersLeaveTheBucketAsItWas() {
+        grantor.configure(List.of(TENANT), THREE, 0);
+        for (double absurd : new double[] {Double.NaN, Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, -1}) {
+            assertThat(ask(absurd, 0, 100).verdict(), is(QuotaVerdict.NOT_HERE));
+        }
+        assertThat(ask(30, 0, 100).verdict(), is(QuotaVerdict.GRANTED));
+        ask(Double.MAX_VALUE, 0, 200);
+        assertThat(ask(1, 0, 1_000_000).verdict(), is(QuotaVerdict.GRANTED));
+    }
 }
--- a/src/test/java/routerfleet/data/QuotaClientTest.java
+++ b/src/test/java/routerfleet/data/QuotaClientTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import routerfleet.config.TenantConfig;
 import routerfleet.data.QuotaSimulation.Fault;
 import routerfleet.wire.PeerMessage;
 
@@ -232,4 +233,13 @@
         transport.scheduled.get(3).run();
         assertThat(outcomes, is(List.of(QuotaClient.Outcome.UNKNOWN, QuotaClient.Outcome.ADMITTED)));
     }
+
+    @Test
+    void tokenCountsThatAreNoNumbersCountAsNone() {
+        TenantConfig tenant = new TenantConfig("one", List.of("k"), 0, "token_count", 70, 1_000, 1_000);
+        assertThat(QuotaClient.cost(tenant, "100,20"), is(120.0));
+        for (String absurd : new String[] {"NaN,1", "Infinity", "1e308,1e308", "x", ""}) {
+            assertThat(absurd, QuotaClient.cost(tenant, absurd), is(70.0));
+        }
+    }
 }
