Let a replica go on after one of its tasks has failed

Cause, found by reading: an exception in a deferred task left the replica marked as at work, and it did nothing from then on: no heartbeat, no order, while its process lived. A failed task is logged now, and an order that can't be examined is refused as invalid. ReplicaGroupTest fails without the change.

--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -218,7 +218,14 @@
         if (pending != current) {
             return;
         }
-        Either<ConfigFault, Long> examined = store.examine(pending.order());
+        Either<ConfigFault, Long> examined;
+        try {
+            examined = store.examine(pending.order());
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "an order can't be examined", e);
+            finish(pending, new Answer(Outcome.INVALID, "can't be examined: " + e));
+            return;
+        }
         if (examined.isLeft() || store.hasTaken(pending.order())) {
             finish(pending, answer(examined));
             return;
@@ -257,13 +264,22 @@
         }
         draining = true;
         for (Runnable task = deferred.poll(); task != null; task = deferred.poll()) {
-            task.run();
+            run(task);
         }
         draining = false;
         compact();
         schedule();
     }
 
+    /** Guards the replica: what fails in one task must not keep it from all that follows. */
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a task of the replica failed", e);
+        }
+    }
+
     private void compact() {
         if (agreement.decidedBehindSnapshot() > COMPACT_AFTER_ENTRIES || bytesSinceSnapshot > COMPACT_AFTER_BYTES) {
             bytesSinceSnapshot = 0;
--- /dev/null
+++ b/src/test/java/routerfleet/control/ReplicaGroupTest.java
@@ -0,0 +1,76 @@
+package routerfleet.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rowanplank.agreement.Message;
+import rowanplank.agreement.Saved;
+import routerfleet.config.ConfigOrder;
+import routerfleet.demo.Configurations;
+import routerfleet.wire.PeerCodec;
+
+/** A group of one replica, on a disk of its own. */
+class ReplicaGroupTest {
+    private static final String SELF = "127.0.0.1/0";
+    private static final int WAIT_S = 20;
+
+    @TempDir
+    private Path folder;
+
+    private final EventLoop loop = new DefaultEventLoop();
+    private ReplicaStorage storage;
+
+    @AfterEach
+    void end() {
+        storage.close();
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private ReplicaGroup group(ReplicaGroup.Surroundings surroundings) throws Exception {
+        storage = new ReplicaStorage(folder, loop);
+        storage.open();
+        Saved saved = Saved.nothing(List.of(SELF));
+        storage.start(SELF, saved);
+        return loop.submit(() -> new ReplicaGroup(loop, new PeerCodec(), SELF, saved, storage, 1, surroundings)).get();
+    }
+
+    private ReplicaGroup.Outcome order(ReplicaGroup group, long base, String body) throws Exception {
+        ReplicaGroup.Outcome outcome;
+        do {
+            CompletableFuture<ReplicaGroup.Outcome> answer = new CompletableFuture<>();
+            ConfigOrder order = new ConfigOrder(ConfigOrder.Kind.REPLACE, base, body.getBytes(StandardCharsets.UTF_8));
+            loop.execute(() -> group.order(order, given -> answer.complete(given.outcome())));
+            outcome = answer.get(WAIT_S, TimeUnit.SECONDS);
+        } while (outcome == ReplicaGroup.Outcome.UNCLEAR); // no leader yet
+        return outcome;
+    }
+
+    /** Guards the replica: a failure in what an order brings about must not leave all later orders without an answer. */
+    @Test
+    void ordersGoOnAfterATaskHasFailed() throws Exception {
+        ReplicaGroup group = group(new ReplicaGroup.Surroundings() {
+            @Override
+            public void send(String to, Message message) {
+                throw new IllegalStateException("there is nobody to send to");
+            }
+
+            @Override
+            public void configurationChanged(long generation, byte[] document) {
+                throw new IllegalStateException("planted");
+            }
+        });
+        assertThat(order(group, 0, Configurations.whole(2)), is(ReplicaGroup.Outcome.TAKEN));
+        assertThat(order(group, 2, Configurations.whole(5)), is(ReplicaGroup.Outcome.TAKEN));
+        assertThat(order(group, 2, Configurations.whole(6)), is(ReplicaGroup.Outcome.CONFLICT));
+    }
+}
