--- a/src/main/java/routerfleet/data/QuotaClient.java
+++ b/src/main/java/routerfleet/data/QuotaClient.java
@@ -312,7 +312,9 @@
     private void unanswered(long id) {
         OpenAsk ask = open.remove(id);
         if (ask != null) {
-            suspectUntilMs.put(ask.part().controlNode(), transport.nowMs() + SUSPECT_MS);
+            if (transport.controlNodes().contains(ask.part().controlNode())) {
+                suspectUntilMs.put(ask.part().controlNode(), transport.nowMs() + SUSPECT_MS);
+            }
             late.put(id, ask);
             ask.question().askNext();
         }
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -128,6 +128,7 @@
         }
         reviewAll(servers.keySet());
         servers.values().removeIf(s -> !s.listed() && s.inFlight() == 0 && s.connections() == 0);
+        pools.values().removeIf(pool -> pool.size() == 0);
     }
 
     private void enter(SessionRecord session) {
--- a/src/main/java/rowanplank/cli/RootCommand.java
+++ b/src/main/java/rowanplank/cli/RootCommand.java
@@ -10,7 +10,8 @@
 /** The program, and the place where a new command is entered: one class for each, here and nowhere else. */
 @Command(name = "rowanplank", versionProvider = RootCommand.Version.class,
         mixinStandardHelpOptions = true, scope = ScopeType.INHERIT,
-        description = "A proxy node for page requests, and what it is tried with.",
+        description = {"A proxy node for page requests, and what it is tried with.",
+            "Of the router fleet: data-plane, control-plane, system (rowanplank system --help)."},
         synopsisSubcommandLabel = "COMMAND", commandListHeading = "%nCommands:%n",
         exitCodeListHeading = "%nExit status:%n",
         exitCodeList = {"0:done", "1:ran and failed", "2:the command line, or a file that it names, can't be used",
--- /dev/null
+++ b/src/test/java/routerfleet/data/ServerRegistryTest.java
@@ -0,0 +1,37 @@
+package routerfleet.data;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.sameInstance;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.SessionRecord;
+import routerfleet.wire.SessionView;
+
+/** The servers that a data node may use, by what control nodes tell. */
+class ServerRegistryTest {
+    private final ServerRegistry registry = new ServerRegistry(1);
+
+    private void told(long revision, String uid, String backend, SessionRecord.Phase phase) {
+        SessionRecord session = new SessionRecord(uid, backend, "127.0.0.1:1000", "a", 16, phase, revision, 0);
+        registry.told("10.0.0.1", new PeerMessage.SessionChanges(1, revision, false,
+                List.of(new SessionView(session, true))));
+    }
+
+    /** Guards memory: services come and go under new names for as long as the node runs. */
+    @Test
+    void aServiceWithoutServersIsForgotten() {
+        told(1, "s1", "llm", SessionRecord.Phase.READY);
+        ServerPool used = registry.pool("llm");
+        registry.tick();
+        assertThat(registry.pool("llm"), is(sameInstance(used)));
+        told(2, "s1", "llm", SessionRecord.Phase.GONE);
+        registry.tick();
+        assertThat(registry.pool("llm"), is(not(sameInstance(used))));
+        told(3, "s2", "llm", SessionRecord.Phase.READY);
+        assertThat(registry.pool("llm").size(), is(1));
+    }
+}
--- a/src/test/java/rowanplank/cli/CliTest.java
+++ b/src/test/java/rowanplank/cli/CliTest.java
@@ -71,6 +71,15 @@
         });
     }
 
+    /** Guards newcomers: the router fleet's commands are read elsewhere, and a list without them would hide them. */
+    @Test
+    void theListOfCommandsNamesTheRouterFleets() throws Exception {
+        String help = run("--help").out();
+        for (String command : List.of("data-plane", "control-plane", "system")) {
+            assertTrue(help.contains(command), help);
+        }
+    }
+
     @Test
     void theVersionIsTheBuilds() throws Exception {
         Said said = run("--version");
