Make room for new classes of requests once a configuration drops old ones

Cause, found by reading: a service keeps 32 networks by the routes' names, and names that were no more kept theirs; after enough changes of routes all further classes shared one network. ServerPoolTest fails where old classes are kept.

--- a/src/main/java/routerfleet/data/DataPlane.java
+++ b/src/main/java/routerfleet/data/DataPlane.java
@@ -63,6 +63,7 @@
         table = newer;
         quotas.configure(newer.tenants());
         budgets.keySet().removeIf(backend -> newer.backend(backend) == null);
+        registry.retainClasses(newer.routeNames());
     }
 
     FleetSize fleetSize() {
--- a/src/main/java/routerfleet/data/RoutingTable.java
+++ b/src/main/java/routerfleet/data/RoutingTable.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import routerfleet.config.BackendConfig;
 import routerfleet.config.ClientLimits;
 import routerfleet.config.FleetConfiguration;
@@ -65,6 +67,7 @@
     private final Map<String, Map<String, Route>> hosts = new HashMap<>();
     private final Map<String, TenantConfig> keys = new HashMap<>();
     private final Map<String, BackendConfig> backends = new HashMap<>();
+    private final Set<String> routeNames = new HashSet<>();
     private final List<TenantConfig> tenants;
     private final ClientLimits limits;
 
@@ -73,6 +76,7 @@
         limits = configuration.limits();
         tenants = configuration.tenants();
         for (RouteConfig route : configuration.routes()) {
+            routeNames.add(route.name());
             hosts.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new HashMap<>())
                     .put(route.pathPrefix(), new Route(route));
         }
@@ -90,6 +94,10 @@
         return generation;
     }
 
+    Set<String> routeNames() {
+        return routeNames;
+    }
+
     ClientLimits limits() {
         return limits;
     }
--- a/src/main/java/routerfleet/data/ServerPool.java
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import rowanplank.neural.Neuron;
 import rowanplank.neural.RandomNeuralNetwork;
@@ -22,6 +23,8 @@
  */
 final class ServerPool {
     private static final int MOST_CLASSES = 32;
+    /** The network of classes beyond that. */
+    private static final String SHARED = "";
     private static final int POINTS = 48;
     private static final int DRAWS = 6;
     /** How much worse the home of a shared part may look than the other server drawn: reading it anew costs more. */
@@ -87,6 +90,11 @@
         }
     }
 
+    /** Forgets the networks of classes that are no more, so that new ones find room. */
+    void retainClasses(Set<String> names) {
+        classes.keySet().removeIf(name -> !name.equals(SHARED) && !names.contains(name));
+    }
+
     private void buildRing() {
         List<Point> points = new ArrayList<>();
         for (Server server : servers) {
@@ -105,7 +113,7 @@
             return found;
         }
         if (classes.size() >= MOST_CLASSES) {
-            return classes.computeIfAbsent("", this::newNetwork);
+            return classes.computeIfAbsent(SHARED, this::newNetwork);
         }
         return classes.computeIfAbsent(requestClass, this::newNetwork);
     }
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -50,6 +50,11 @@
         return pools.computeIfAbsent(backend, b -> new ServerPool(seed ^ b.hashCode()));
     }
 
+    /** Takes the classes of requests of a new configuration. */
+    void retainClasses(Set<String> names) {
+        pools.values().forEach(pool -> pool.retainClasses(names));
+    }
+
     /** Servers, listed or not, that this node still knows. */
     Iterable<Server> servers() {
         return servers.values();
--- a/src/test/java/routerfleet/data/ServerPoolTest.java
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import routerfleet.wire.SessionRecord;
 
@@ -129,4 +130,31 @@
             assertThat(pool.choose("c", new PromptPrefix(part, 9_000), ROOM, List.of(), 1), not(servers.get(0)));
         }
     }
+
+    /** Guards a node that runs long: classes come and go with configurations, and only so many have a network. */
+    @Test
+    void aNewClassHasANetworkOfItsOwnOnceOldOnesAreGone() {
+        ServerPool pool = new ServerPool(1);
+        List<Server> servers = fill(pool, 2);
+        for (int i = 0; i < 100; i++) {
+            pool.learn("old-" + i, servers.get(0), 50, true);
+        }
+        pool.retainClasses(Set.of("new", "other"));
+        for (int i = 0; i < 200; i++) {
+            pool.learn("new", servers.get(0), 500, true);
+            pool.learn("new", servers.get(1), 50, true);
+            pool.learn("other", servers.get(0), 50, true);
+            pool.learn("other", servers.get(1), 500, true);
+        }
+        Map<Server, Integer> chosen = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            chosen.merge(pool.choose("new", PromptPrefix.NONE, ROOM, List.of(), 1), 1, Integer::sum);
+        }
+        assertThat(chosen.getOrDefault(servers.get(1), 0), is(greaterThan(chosen.getOrDefault(servers.get(0), 0))));
+        chosen.clear();
+        for (int i = 0; i < 100; i++) {
+            chosen.merge(pool.choose("other", PromptPrefix.NONE, ROOM, List.of(), 1), 1, Integer::sum);
+        }
+        assertThat(chosen.getOrDefault(servers.get(0), 0), is(greaterThan(chosen.getOrDefault(servers.get(1), 0))));
+    }
 }
