Change voters by joint consensus, with learners that hold everything before they vote

Need: a newcomer voted before it held anything, and a replacement took two changes with one voter fewer in between. Membership is who votes and who is on the way out; while a change is under way majorities of both groups are needed (section 6 of the Raft paper). Learners get the log without a vote, and changeVoters takes only those that hold all that is decided and are there. Messages and stored records say their format; those of earlier builds on disk are read as before.

--- a/src/main/java/routerfleet/wire/PeerCodec.java
+++ b/src/main/java/routerfleet/wire/PeerCodec.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.TreeMap;
 import rowanplank.agreement.Entry;
+import rowanplank.agreement.Membership;
 import rowanplank.agreement.Message;
 import routerfleet.config.BackendConfig;
 import routerfleet.config.ClientLimits;
@@ -25,6 +26,8 @@
  */
 public final class PeerCodec {
     private static final int FIRST_BUFFER = 512;
+    /** First byte of all that is encoded; negative, as no value's bytes began before formats were numbered. */
+    private static final byte FORMAT = (byte) 0x81;
     private final Kryo kryo = new Kryo();
 
     /** Registers every type that is sent or stored. */
@@ -44,19 +47,45 @@
         for (Class<?> type : PeerMessage.class.getPermittedSubclasses()) {
             kryo.register(type);
         }
+        kryo.register(Membership.class);
     }
 
     /** The bytes of a value of a registered type. */
     public byte[] encode(Object value) {
         Output output = new Output(FIRST_BUFFER, -1);
+        output.writeByte(FORMAT);
         kryo.writeClassAndObject(output, value);
         return output.toBytes();
     }
 
-    /** @throws MalformedMessageException if the bytes are no value of that type */
+    /** Reads a message. @throws MalformedMessageException if the bytes are no value of that type, or of another format */
     public <T> T decode(byte[] bytes, Class<T> type) throws MalformedMessageException {
+        requireFormat(bytes);
+        return read(new Input(bytes, 1, bytes.length - 1), type);
+    }
+
+    /**
+     * Reads what was stored, maybe by an earlier build.
+     *
+     * @throws MalformedMessageException if the bytes are no value of that type, or of a later build
+     */
+    public <T> T decodeStored(byte[] bytes, Class<T> type) throws MalformedMessageException {
+        if (bytes.length > 0 && bytes[0] >= 0) {
+            return read(new Input(bytes), type); // from before formats were numbered
+        }
+        return decode(bytes, type);
+    }
+
+    private static void requireFormat(byte[] bytes) throws MalformedMessageException {
+        if (bytes.length == 0 || bytes[0] != FORMAT) {
+            throw new MalformedMessageException("of format " + (bytes.length == 0 ? "none" : bytes[0] & 0xff)
+                    + ", and this build reads " + (FORMAT & 0xff), null);
+        }
+    }
+
+    private <T> T read(Input input, Class<T> type) throws MalformedMessageException {
         try {
-            return type.cast(kryo.readClassAndObject(new Input(bytes)));
+            return type.cast(kryo.readClassAndObject(input));
         } catch (KryoException | ClassCastException | IllegalArgumentException | IndexOutOfBoundsException
                 | NegativeArraySizeException e) {
             throw new MalformedMessageException("no " + type.getSimpleName() + ": " + e.getMessage(), e);
--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -16,7 +16,7 @@
 /**
  * One voter's part of a log that is alike at all voters: Raft (Ongaro and Ousterhout, 2014; Ongaro's thesis, 2014), with
  * votes asked for beforehand, a leader that steps down where it hears no majority, leadership confirmed by rounds,
- * snapshots in pieces, voters changed one at a time, and leadership handed on.
+ * snapshots in pieces, voters changed one at a time or together (joint consensus), and leadership handed on.
  *
  * <p>Guaranteed, whatever is lost, late, doubled, out of order, stalled or stopped: at most one leader a term; an entry
  * handed to {@link Actions#committed} stands at that index at every voter for good; a round told to
@@ -47,12 +47,42 @@
      *     whether it would get the votes that much sooner. Voters that hear a leader say nothing to that
      * @param heartbeat how often a leader is heard at least
      * @param mostBytes of the entries, or the piece of a snapshot, in one message
+     * @param transport how messages travel
      */
     public record Settings(String self, Duration election, Duration firstElection, Duration heartbeat, int mostBytes,
-            int mostUndecided, long seed) {
-        /** With the first election no sooner than later ones. */
+            int mostUndecided, Transport transport, long seed) {
+        /** With the first election no sooner than later ones, over messages that get lost. */
         public Settings(String self, Duration election, Duration heartbeat, int mostBytes, int mostUndecided, long seed) {
-            this(self, election, election, heartbeat, mostBytes, mostUndecided, seed);
+            this(self, election, election, heartbeat, mostBytes, mostUndecided, Transport.DATAGRAMS, seed);
+        }
+
+        /** Over messages that get lost. */
+        public Settings(String self, Duration election, Duration firstElection, Duration heartbeat, int mostBytes,
+                int mostUndecided, long seed) {
+            this(self, election, firstElection, heartbeat, mostBytes, mostUndecided, Transport.DATAGRAMS, seed);
+        }
+    }
+
+    /** How messages travel, which says when one that brought no answer is sent again. */
+    public enum Transport {
+        /** Any message may be lost: again with the next heartbeat. */
+        DATAGRAMS(Duration.ZERO, 0, false),
+        /**
+         * Lost with its connection only ({@link #reconnected} is told of a new one), and slow where a link is slow: what is
+         * sent again too soon would only make it slower.
+         */
+        CONNECTIONS(Duration.ofSeconds(5), 1 << 20, true);
+
+        private final Duration patience;
+        /** Of the entries kept before the snapshot, for voters that are a moment late. */
+        private final int trailingBytes;
+        /** Whether entries are sent only once it is known where they belong. */
+        private final boolean probesFirst;
+
+        Transport(Duration patience, int trailingBytes, boolean probesFirst) {
+            this.patience = patience;
+            this.trailingBytes = trailingBytes;
+            this.probesFirst = probesFirst;
         }
     }
 
@@ -87,7 +117,7 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final EntryLog log;
-    private List<String> voters;
+    private Membership membership;
     private long term;
     private String vote;
     private long commit;
@@ -101,6 +131,8 @@
 
     /** As a leader. */
     private final Map<String, Peer> peers = new TreeMap<>();
+    /** Who gets the log without a vote. */
+    private final TreeSet<String> learners = new TreeSet<>();
     private long opening;
     private boolean established;
     private Instant heartbeatDue;
@@ -129,13 +161,13 @@
         this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(settings.seed());
-        log = new EntryLog(saved.snapshot(), saved.entries());
+        log = new EntryLog(saved.snapshot(), saved.entries(), settings.transport().trailingBytes);
         term = saved.term();
         vote = saved.vote();
         commit = saved.snapshot().index();
         applied = commit;
         durable = log.last();
-        voters = log.voters();
+        membership = log.membership();
         awaitElection(now, settings.firstElection());
     }
 
@@ -155,7 +187,12 @@
     }
 
     public List<String> voters() {
-        return voters;
+        return membership.voters();
+    }
+
+    /** Who votes, with those that are on their way out. */
+    public Membership membership() {
+        return membership;
     }
 
     /** Whether the last change of the voters is decided; until then no other one is taken. */
@@ -208,17 +245,18 @@
     }
 
     private boolean isVoter() {
-        return voters.contains(settings.self());
+        return membership.includes(settings.self());
     }
 
     private Collection<String> others() {
-        List<String> others = new ArrayList<>(voters);
+        List<String> others = membership.all();
         others.remove(settings.self());
         return others;
     }
 
-    protected int majority() {
-        return voters.size() / 2 + 1;
+    /** How many of so many voters decide. */
+    protected int majority(int voters) {
+        return voters / 2 + 1;
     }
 
     // ---- time
@@ -245,11 +283,7 @@
     }
 
     private void beat(Instant now) {
-        int hearing = 1;
-        for (Peer p : peers.values()) {
-            hearing += !p.regressed && p.heard.plus(settings.election()).isAfter(now) && voters.contains(p.name) ? 1 : 0;
-        }
-        if (hearing < enough()) {
+        if (membership.reached(name -> hears(name, now) ? 1 : 0, this::enough) < 1) {
             follow(now, term, null);
             return;
         }
@@ -257,18 +291,26 @@
             handingOverUntil = null;
         }
         for (Peer p : peers.values()) {
-            p.sendAgain();
+            p.sendAgain(now, settings.transport().patience);
         }
         beginRound(now);
     }
 
+    private boolean hears(String name, Instant now) {
+        if (name.equals(settings.self())) {
+            return true;
+        }
+        Peer p = peers.get(name);
+        return p != null && !p.regressed && p.heard.plus(settings.election()).isAfter(now);
+    }
+
     private void beginRound(Instant now) {
         round++;
         roundBegan = now;
         roundWanted = false;
         heartbeatDue = now.plus(settings.heartbeat());
         for (Peer p : peers.values()) {
-            sendTo(p);
+            sendTo(now, p);
         }
         countRounds();
     }
@@ -302,8 +344,7 @@
     }
 
     private void countVotes(Instant now) {
-        granted.retainAll(voters);
-        if (granted.size() < majority()) {
+        if (membership.reached(name -> granted.contains(name) ? 1 : 0, this::majority) < 1) {
             return;
         }
         if (role == Role.ASKING) {
@@ -357,6 +398,7 @@
         role = Role.LEADER;
         leader = settings.self();
         peers.clear();
+        learners.clear();
         for (String other : others()) {
             peers.put(other, new Peer(other, log.last() + 1, now));
         }
@@ -481,6 +523,7 @@
             throw new IllegalStateException("entry " + index + " is decided, and another leader has another one");
         }
         log.cutFrom(index);
+        membership = log.membership();
         durable = Math.min(durable, index - 1);
         unstored.clear();
     }
@@ -490,7 +533,7 @@
             return;
         }
         entries.forEach(log::append);
-        voters = log.voters();
+        membership = log.membership();
         unstored.add(new Unstored(store(new Write.Entries(entries)), log.last()));
     }
 
@@ -523,46 +566,104 @@
      */
     public long proposeVoters(Instant now, List<String> changed) {
         TreeSet<String> difference = new TreeSet<>(changed);
-        difference.removeAll(voters);
-        TreeSet<String> gone = new TreeSet<>(voters);
+        difference.removeAll(voters());
+        TreeSet<String> gone = new TreeSet<>(voters());
         gone.removeAll(changed);
-        if (!isEstablished() || handingOverUntil != null || log.lastChange() > commit || changed.isEmpty()
-                || difference.size() + gone.size() != 1) {
+        if (!mayChangeVoters() || changed.isEmpty() || difference.size() + gone.size() != 1) {
             return 0;
         }
         long index = appendOwn(Entry.voters(log.last() + 1, term, changed));
-        difference.forEach(name -> peers.put(name, new Peer(name, index + 1, now)));
+        difference.forEach(name -> peers.putIfAbsent(name, new Peer(name, index + 1, now)));
         return index;
     }
 
+    private boolean mayChangeVoters() {
+        return isEstablished() && handingOverUntil == null && log.lastChange() <= commit && !membership.isJoint();
+    }
+
+    /**
+     * Sends the log to names that have no vote, in place of those of an earlier call: as a leader only, and until it leads
+     * no more.
+     */
+    public void learners(Instant now, Collection<String> names) {
+        if (role != Role.LEADER) {
+            return;
+        }
+        learners.clear();
+        learners.addAll(names);
+        learners.remove(settings.self());
+        peers.keySet().removeIf(name -> !membership.includes(name) && !learners.contains(name));
+        for (String name : learners) {
+            peers.computeIfAbsent(name, n -> new Peer(n, log.last() + 1, now));
+        }
+    }
+
+    /** Whether a name, with a vote or without, is there and holds on its disk all that is decided; of a leader. */
+    public boolean holdsAllDecided(String name) {
+        Peer p = peers.get(name);
+        return name.equals(settings.self()) || p != null && p.counts() && p.match >= commit && hears(name, roundBegan);
+    }
+
+    /**
+     * Puts one group of voters in place of another as one step (joint consensus): until it is over, majorities of both are
+     * needed. Newcomers have to hold all that is decided, as {@link #learners}, before they get a vote.
+     *
+     * @return the first entry of the change; 0 where it can't be done now: no leader, another change is not decided yet, or
+     *     a newcomer lacks something
+     */
+    public long changeVoters(List<String> changed) {
+        boolean allThere = changed.stream().allMatch(name -> voters().contains(name) || holdsAllDecided(name));
+        if (!mayChangeVoters() || !allThere || changed.isEmpty() || changed.equals(voters())) {
+            return 0;
+        }
+        return appendOwn(Entry.changing(log.last() + 1, term, membership.changingTo(changed)));
+    }
+
+    /** There is a new connection to a voter: what was under way on the one before is lost. */
+    public void reconnected(Instant now, String name) {
+        Peer p = peers.get(name);
+        if (role == Role.LEADER && p != null) {
+            p.sendAgain(now, Duration.ZERO);
+            p.pieceSent = null;
+            sendTo(now, p);
+        }
+    }
+
     private long appendOwn(Entry entry) {
         write(List.of(entry));
         for (Peer p : peers.values()) {
-            sendTo(p);
+            sendTo(roundBegan, p);
         }
         return entry.index();
     }
 
-    private void sendTo(Peer p) {
-        if (p.next <= log.snapshot().index()) {
-            sendPiece(p);
+    private void sendTo(Instant now, Peer p) {
+        if (p.next < log.firstKept()) {
+            sendPiece(now, p);
             return;
         }
-        List<Entry> entries = p.underWay < WINDOW ? log.from(p.next, settings.mostBytes()) : List.of();
+        p.sending = null;
+        List<Entry> entries = p.mayBeSentEntries(WINDOW, settings.transport().probesFirst) ? log.from(p.next, settings.mostBytes()) : List.of();
         send(p.name, new Message.Append(term, p.next - 1, log.term(p.next - 1), commit, round, entries));
         p.sent(entries.size());
     }
 
-    private void sendPiece(Peer p) {
-        Snapshot s = log.snapshot();
-        if (p.snapshotIndex != s.index()) {
-            p.snapshotIndex = s.index();
+    /** A snapshot that is on its way stays the same until it is there, however many newer ones there are meanwhile. */
+    private void sendPiece(Instant now, Peer p) {
+        if (p.sending == null) {
+            p.sending = log.snapshot();
             p.have = 0;
+            p.pieceSent = null;
         }
-        int length = Math.min(roomBeside(s.voters()), s.data().length - p.have);
+        Snapshot s = p.sending;
+        boolean again = p.pieceSent == null || !now.isBefore(p.pieceSent.plus(settings.transport().patience));
+        int length = again ? Math.min(roomBeside(s.voters()), s.data().length - p.have) : 0;
         byte[] bytes = new byte[length];
         System.arraycopy(s.data(), p.have, bytes, 0, length);
         send(p.name, new Message.Piece(term, round, s.index(), s.term(), s.voters(), s.data().length, p.have, bytes));
+        if (again) {
+            p.pieceSent = now;
+        }
     }
 
     /** Guards against pieces that no datagram holds: the voters' names go with each, and may be long. */
@@ -584,10 +685,10 @@
             handOverTo(p);
             count(now);
             if (role == Role.LEADER && p.next <= log.last() && p.underWay < WINDOW) {
-                sendTo(p);
+                sendTo(now, p);
             }
         } else if (goesBack) {
-            sendTo(p);
+            sendTo(now, p);
         }
     }
 
@@ -599,40 +700,61 @@
 
     /** What a majority has on disk is decided. */
     private void count(Instant now) {
-        List<Long> matches = new ArrayList<>();
-        for (String voter : voters) {
-            Peer p = peers.get(voter);
-            matches.add(voter.equals(settings.self()) ? durable : p == null || !p.counts() ? 0 : p.match);
-        }
-        matches.sort(null);
-        long decided = matches.get(matches.size() - majority());
+        long decided = membership.reached(this::onDiskOf, this::majority);
         if (decided > commit && mayCount(decided)) {
             commitTo(decided);
             settle(now);
         }
     }
 
+    private long onDiskOf(String voter) {
+        if (voter.equals(settings.self())) {
+            return durable;
+        }
+        Peer p = peers.get(voter);
+        return p == null || !p.counts() ? 0 : p.match;
+    }
+
     /** Of earlier terms nothing is decided by counting (section 5.4.2 of the paper), only by what stands behind it. */
     protected boolean mayCount(long index) {
         return log.term(index) == term;
     }
 
-    /** After a decided change of the voters: those that are none any more hear nothing more, this one steps down. */
+    /**
+     * After a decided change of the voters: a joint step is followed by the last one; those that are none any more hear
+     * nothing more, this one steps down.
+     */
     private void settle(Instant now) {
-        if (log.lastChange() <= commit) {
-            peers.keySet().retainAll(voters);
-            if (!isVoter()) {
-                follow(now, term, null);
-            }
+        if (log.lastChange() > commit) {
+            return;
+        }
+        if (membership.isJoint()) {
+            appendOwn(Entry.voters(log.last() + 1, term, voters()));
+            return;
         }
+        if (!isVoter()) {
+            beginRound(now); // so that the others hear that the change is decided
+            follow(now, term, null);
+            return;
+        }
+        peers.keySet().removeIf(name -> !membership.includes(name) && !learners.contains(name));
     }
 
     // ---- snapshots
 
-    /** The state machine as it is now, in place of all entries that were handed over. */
+    /**
+     * The state machine as it is now, in place of all entries that were handed over; no effect in the midst of a change of
+     * the voters.
+     *
+     * @throws IllegalArgumentException if it is longer than any voter would take
+     */
     public void compact(byte[] data) {
-        if (applied > log.snapshot().index()) {
-            log.replace(new Snapshot(applied, log.term(applied), log.votersAfter(applied), data));
+        if (data.length > MOST_SNAPSHOT_BYTES) {
+            throw new IllegalArgumentException("a snapshot of " + data.length + " bytes, over " + MOST_SNAPSHOT_BYTES);
+        }
+        Membership then = log.membershipAfter(applied);
+        if (applied > log.snapshot().index() && !then.isJoint()) {
+            log.replace(new Snapshot(applied, log.term(applied), then.voters(), data));
             store(new Write.Whole(saved()));
         }
     }
@@ -670,7 +792,7 @@
         incoming = null;
         gathered = null;
         log.replace(snapshot);
-        voters = log.voters();
+        membership = log.membership();
         commit = snapshot.index();
         applied = commit;
         unstored.clear();
@@ -685,12 +807,13 @@
             return;
         }
         hearPeer(now, p, m.round());
-        if (p.snapshotIndex == m.index() && m.have() >= 0 && m.have() <= log.snapshot().data().length
-                && p.next <= log.snapshot().index()) {
+        if (p.sending != null && p.sending.index() == m.index() && m.have() >= 0
+                && m.have() <= p.sending.data().length) {
             boolean further = m.have() != p.have;
             p.have = m.have();
             if (further) {
-                sendTo(p);
+                p.pieceSent = null;
+                sendTo(now, p);
             }
         }
     }
@@ -716,24 +839,26 @@
     }
 
     /** From how many a leader has to hear, itself included, to go on and to have a round confirmed. */
-    protected int enough() {
-        return majority();
+    protected int enough(int voters) {
+        return majority(voters);
     }
 
     private void countRounds() {
-        List<Long> rounds = new ArrayList<>();
-        for (String voter : voters) {
-            Peer p = peers.get(voter);
-            rounds.add(voter.equals(settings.self()) ? round : p == null || !p.counts() ? 0 : p.round);
-        }
-        rounds.sort(null);
-        long by = rounds.get(rounds.size() - enough());
+        long by = membership.reached(this::roundOf, this::enough);
         if (by > confirmedRound) {
             confirmedRound = by;
             actions.confirmed(by);
         }
     }
 
+    private long roundOf(String voter) {
+        if (voter.equals(settings.self())) {
+            return round;
+        }
+        Peer p = peers.get(voter);
+        return p == null || !p.counts() ? 0 : p.round;
+    }
+
     /**
      * Asks a voter to take over, as this one is about to stop: the first that has all entries, now or as soon as it has
      * them. Until then, and for an election's length at the most, nothing is proposed here.
@@ -751,7 +876,7 @@
     }
 
     private void handOverTo(Peer p) {
-        if (handingOverUntil != null && !handedOver && p.counts() && p.match == log.last() && voters.contains(p.name)) {
+        if (handingOverUntil != null && !handedOver && p.counts() && p.match == log.last() && voters().contains(p.name)) {
             handedOver = true;
             send(p.name, new Message.TakeOver(term));
         }
--- a/src/main/java/rowanplank/agreement/EntryLog.java
+++ b/src/main/java/rowanplank/agreement/EntryLog.java
@@ -1,16 +1,35 @@
 package rowanplank.agreement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 
-/** The log in memory: a snapshot, and the entries behind it. Asking for one costs O(1). */
+/**
+ * The log in memory: a snapshot, the entries behind it, and a few of those that the snapshot took the place of, so that a
+ * voter that is a moment late need not be sent the whole snapshot. Asking for an entry costs O(1).
+ *
+ * <p>Bound: {@value #MOST_TRAILING} entries before the snapshot, and so many of their bytes as its owner allows.
+ */
 final class EntryLog {
+    private static final int MOST_TRAILING = 256;
+
+    private final int mostTrailingBytes;
     private Snapshot snapshot;
     private final List<Entry> entries;
-
-    EntryLog(Snapshot snapshot, List<Entry> entries) {
+    /** Entries up to the snapshot's, without gaps. */
+    private final Deque<Entry> trailing = new ArrayDeque<>();
+    private int trailingBytes;
+    /** The term of the entry before the first that is kept. */
+    private long termBefore;
+
+    /** @param mostTrailingBytes of the entries that are kept before the snapshot */
+    EntryLog(Snapshot snapshot, List<Entry> entries, int mostTrailingBytes) {
         this.snapshot = snapshot;
         this.entries = new ArrayList<>(entries);
+        this.mostTrailingBytes = mostTrailingBytes;
+        termBefore = snapshot.term();
     }
 
     Snapshot snapshot() {
@@ -21,6 +40,11 @@
         return snapshot.index() + 1;
     }
 
+    /** The first entry that can still be sent. */
+    long firstKept() {
+        return first() - trailing.size();
+    }
+
     long last() {
         return snapshot.index() + entries.size();
     }
@@ -37,12 +61,27 @@
         return entries.get((int) (index - first()));
     }
 
-    /** @return -1 where it is not known: before the snapshot's entry, or behind the last */
+    /** @return -1 where it is not known: too long before the snapshot's entry, or behind the last */
     long term(long index) {
         if (index == snapshot.index()) {
             return snapshot.term();
         }
-        return index < first() || index > last() ? -1 : get(index).term();
+        if (index < first()) {
+            return trailingTerm(index);
+        }
+        return index > last() ? -1 : get(index).term();
+    }
+
+    private long trailingTerm(long index) {
+        if (index == firstKept() - 1) {
+            return termBefore;
+        }
+        for (Entry entry : trailing) {
+            if (entry.index() == index) {
+                return entry.term();
+            }
+        }
+        return -1;
     }
 
     void append(Entry entry) {
@@ -61,16 +100,27 @@
     List<Entry> from(long index, int mostBytes) {
         List<Entry> found = new ArrayList<>();
         int bytes = 0;
-        for (long i = index; i <= last(); i++) {
-            bytes += get(i).bytes();
-            if (bytes > mostBytes && !found.isEmpty()) {
-                break;
+        Iterator<Entry> old = trailing.iterator();
+        while (old.hasNext() && bytes <= mostBytes) {
+            Entry entry = old.next();
+            if (entry.index() >= index) {
+                bytes += entry.bytes();
+                addWhereItFits(found, entry, bytes, mostBytes);
             }
-            found.add(get(i));
+        }
+        for (long i = Math.max(index, first()); i <= last() && bytes <= mostBytes; i++) {
+            bytes += get(i).bytes();
+            addWhereItFits(found, get(i), bytes, mostBytes);
         }
         return found;
     }
 
+    private static void addWhereItFits(List<Entry> found, Entry entry, int bytes, int mostBytes) {
+        if (bytes <= mostBytes || found.isEmpty()) {
+            found.add(entry);
+        }
+    }
+
     /** All entries behind the snapshot. */
     List<Entry> all() {
         return List.copyOf(entries);
@@ -78,37 +128,48 @@
 
     /** The snapshot takes the place of the entries up to it; those behind it stay where they follow from it. */
     void replace(Snapshot newer) {
-        if (term(newer.index()) == newer.term()) {
-            entries.subList(0, (int) (newer.index() - snapshot.index())).clear();
+        if (newer.index() >= snapshot.index() && term(newer.index()) == newer.term()) {
+            List<Entry> replaced = entries.subList(0, (int) (newer.index() - snapshot.index()));
+            replaced.forEach(this::keepTrailing);
+            replaced.clear();
         } else {
             entries.clear();
+            trailing.clear();
+            trailingBytes = 0;
+            termBefore = newer.term();
         }
         snapshot = newer;
     }
 
+    private void keepTrailing(Entry entry) {
+        trailing.add(entry);
+        trailingBytes += entry.bytes();
+        while (trailingBytes > mostTrailingBytes || trailing.size() > MOST_TRAILING) {
+            Entry oldest = trailing.poll();
+            trailingBytes -= oldest.bytes();
+            termBefore = oldest.term();
+        }
+    }
+
     /** Who votes by the last entry that says so, decided or not. */
-    List<String> voters() {
-        return votersAt(last());
+    Membership membership() {
+        return membershipAfter(last());
     }
 
-    private List<String> votersAt(long index) {
+    /** Who votes after this entry, which is not older than the snapshot. */
+    Membership membershipAfter(long index) {
         for (long i = index; i >= first(); i--) {
-            if (get(i).voters() != null) {
-                return get(i).voters();
+            if (get(i).membership() != null) {
+                return get(i).membership();
             }
         }
-        return snapshot.voters();
-    }
-
-    /** Who votes after this entry. */
-    List<String> votersAfter(long index) {
-        return votersAt(index);
+        return Membership.of(snapshot.voters());
     }
 
     /** The last entry that changes the voters; 0 if there is none behind the snapshot. */
     long lastChange() {
         for (long i = last(); i >= first(); i--) {
-            if (get(i).voters() != null) {
+            if (get(i).membership() != null) {
                 return i;
             }
         }
--- a/src/main/java/rowanplank/agreement/Peer.java
+++ b/src/main/java/rowanplank/agreement/Peer.java
@@ -1,5 +1,6 @@
 package rowanplank.agreement;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /** What a leader knows of another voter, and what it sends next. */
@@ -15,13 +16,18 @@
     long refusedRound;
     /** How many messages with entries are on their way. */
     int underWay;
-    /** How much of the snapshot at {@link #snapshotIndex} it has. */
+    /** The snapshot that is on its way to it; null where none is. */
+    Snapshot sending;
+    /** How much of it is there. */
     int have;
-    long snapshotIndex;
+    /** When its last piece was sent; null where the next one is to be sent at once. */
+    Instant pieceSent;
     Instant heard;
     /** Whether its log is known to be alike up to {@link #match}; until then it is sent the same again. */
     private boolean probed;
     private long matchBefore;
+    /** Since when it has made no progress. */
+    private Instant waitingSince;
     /** It may have less than it had told of: the round of the leader's when it first seemed so; 0 where nothing says so. */
     private long doubtedRound;
     /** It has said that it has less than it had told of before: its state is an older copy. */
@@ -46,6 +52,9 @@
         next = Math.max(next, match + 1);
         probed = true;
         underWay = Math.max(0, underWay - 1);
+        if (sending != null && index >= sending.index()) {
+            sending = null;
+        }
     }
 
     /**
@@ -74,11 +83,26 @@
         return !regressed && doubtedRound == 0;
     }
 
-    /** Once a heartbeat: what was sent and brought no progress is taken for lost. */
-    void sendAgain() {
-        if (probed && match == matchBefore) {
+    /**
+     * Whether it is to be sent entries, and not only a heartbeat.
+     *
+     * @param window how many such messages may be under way
+     * @param onlyProbed not before it is known from where on the log is not alike
+     */
+    boolean mayBeSentEntries(int window, boolean onlyProbed) {
+        return underWay < window && (probed || !onlyProbed);
+    }
+
+    /** Once a heartbeat: what was sent and brought no progress for so long is taken for lost. */
+    void sendAgain(Instant now, Duration patience) {
+        if (waitingSince == null || match != matchBefore) {
+            waitingSince = now;
+        }
+        boolean lost = match == matchBefore && !now.isBefore(waitingSince.plus(patience));
+        if (probed && lost) {
             next = match + 1;
             underWay = 0;
+            waitingSince = now;
         }
         matchBefore = match;
     }
--- a/src/main/java/rowanplank/fleet/wire/LogForm.java
+++ b/src/main/java/rowanplank/fleet/wire/LogForm.java
@@ -3,19 +3,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import rowanplank.agreement.Entry;
+import rowanplank.agreement.Membership;
 import rowanplank.fleet.wire.Unpacker.MalformedException;
 
 /** Entries of the log as bytes, alike in messages and on disk. */
 final class LogForm {
+    private static final int UNCHANGED = 0;
+    private static final int VOTERS = 1;
+    private static final int JOINT = 2;
+
     private LogForm() { }
 
     static void entries(Packer out, List<Entry> entries) {
         out.number(entries.size());
         for (Entry e : entries) {
-            out.number(e.index()).number(e.term()).flag(e.voters() != null);
-            if (e.voters() != null) {
-                names(out, e.voters());
-            }
+            out.number(e.index()).number(e.term());
+            membership(out, e.membership());
             out.bytes(e.payload());
         }
     }
@@ -23,11 +26,33 @@
     static List<Entry> entries(Unpacker in) throws MalformedException {
         List<Entry> entries = new ArrayList<>();
         for (int left = in.count(); left > 0; left--) {
-            entries.add(new Entry(in.number(), in.number(), in.flag() ? names(in) : null, in.bytes()));
+            entries.add(new Entry(in.number(), in.number(), membership(in), in.bytes()));
         }
         return entries;
     }
 
+    private static void membership(Packer out, Membership membership) {
+        if (membership == null) {
+            out.octet(UNCHANGED);
+            return;
+        }
+        out.octet(membership.isJoint() ? JOINT : VOTERS);
+        names(out, membership.voters());
+        if (membership.isJoint()) {
+            names(out, membership.outgoing());
+        }
+    }
+
+    private static Membership membership(Unpacker in) throws MalformedException {
+        int kind = in.octet();
+        return switch (kind) {
+            case UNCHANGED -> null;
+            case VOTERS -> Membership.of(names(in));
+            case JOINT -> new Membership(names(in), names(in));
+            default -> throw new MalformedException("no kind of change of voters: " + kind);
+        };
+    }
+
     static void names(Packer out, List<String> names) {
         out.number(names.size());
         names.forEach(out::text);
--- a/src/main/java/rowanplank/lab/trial/Plants.java
+++ b/src/main/java/rowanplank/lab/trial/Plants.java
@@ -179,13 +179,13 @@
         }
 
         @Override
-        protected int enough() {
-            return fault.equals("unconfirmed-renewal") ? 1 : super.enough();
+        protected int enough(int voters) {
+            return fault.equals("unconfirmed-renewal") ? 1 : super.enough(voters);
         }
 
         @Override
-        protected int majority() {
-            return fault.equals("half-is-enough") ? super.majority() - 1 : super.majority();
+        protected int majority(int voters) {
+            return fault.equals("half-is-enough") ? super.majority(voters) - 1 : super.majority(voters);
         }
 
         @Override
