Play the whole control plane in virtual time, and judge what its clients saw

Need: GroupSimulation plays a model; nothing played the real agreement, storage, freshness, sessions and HTTP together. ControlPlaneSimulation runs real control services on simulated machines, links and disks, with data nodes' view of them, operators, readers and servers, and faults of all kinds drawn from a seed: cuts, freezes, losses of power in the midst of a write, lost disks as many as may be, replacements planned and not, slow, hanging and full disks, lost answers. The checker knows observations only. SimulationCampaign plays many seeds and leaves out faults as long as the case stays broken. Orders that wait at a leader are a class of their own (OrderQueue); ControlParts makes what faults are planted in.

--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -13,7 +13,7 @@
  *
  * <p>Bound: the last {@value #MOST_OUTCOMES} orders are remembered. An older one sent again is refused as a conflict.
  */
-public final class ConfigStore {
+public class ConfigStore {
     static final int MOST_OUTCOMES = 4_096;
     private static final byte[] EMPTY = "{\"generation\":0}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
 
--- a/src/main/java/routerfleet/control/ControlNode.java
+++ b/src/main/java/routerfleet/control/ControlNode.java
@@ -44,7 +44,7 @@
         PeerCodec codec = new PeerCodec();
         storage = new ReplicaStorage(settings.dataPath(), loop);
         service = new ControlService(settings, new EventLoopScheduler(loop), new NettyPeerNetwork(group, loop, codec),
-                codec, storage, new SecureRandom());
+                codec, storage, new SecureRandom(), new ControlParts(settings.toleratedHosts()));
     }
 
     /** Reads the disk, then listens. @throws IOException if the disk can't be read or an address is taken */
--- /dev/null
+++ b/src/main/java/routerfleet/control/ControlParts.java
@@ -0,0 +1,48 @@
+package routerfleet.control;
+
+import java.time.Instant;
+import rowanplank.agreement.Agreement;
+import rowanplank.agreement.Saved;
+import routerfleet.config.ConfigStore;
+import routerfleet.wire.Scheduler;
+
+/** Makes the parts of a control service that decide something; simulations put faulty ones in their place. */
+class ControlParts {
+    /** How many control nodes may be lost at once, with their disks. */
+    protected final int toleratedHosts;
+
+    ControlParts(int toleratedHosts) {
+        this.toleratedHosts = toleratedHosts;
+    }
+
+    Agreement agreement(Agreement.Settings settings, Saved saved, Instant now, Agreement.Actions actions) {
+        return new Agreement(settings, saved, now, actions);
+    }
+
+    ReplicaPlanner planner(String self) {
+        return new ReplicaPlanner(self, toleratedHosts);
+    }
+
+    Freshness freshness(Scheduler scheduler, ReplicaGroup group, ControlPeers peers, long firstId) {
+        return new Freshness(scheduler, group, peers, firstId);
+    }
+
+    ConfigStore store() {
+        return new ConfigStore();
+    }
+
+    /** Of how many replicas a group has to be before anything is acknowledged. */
+    int leastVoters() {
+        return 2 * toleratedHosts + 1;
+    }
+
+    /** How many other control nodes have to hold that a server ends before it is acknowledged. */
+    int copiesElsewhere() {
+        return toleratedHosts;
+    }
+
+    /** The name of the replica on a disk that comes to be empty later. */
+    String freshReplica(String ip, long number) {
+        return ReplicaNames.fresh(ip, number);
+    }
+}
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -2,7 +2,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -47,6 +46,7 @@
     private final PeerCodec codec;
     private final ReplicaStorage storage;
     private final RandomGenerator random;
+    private final ControlParts parts;
     private final ControlPeers peers;
     private final DataNodes dataNodes = new DataNodes();
     private final QuotaGrantor quotas;
@@ -63,7 +63,8 @@
 
     /** @param settings with a folder on disk */
     ControlService(LocalSettings settings, Scheduler scheduler, PeerNetwork network, PeerCodec codec,
-            ReplicaStorage storage, RandomGenerator random) {
+            ReplicaStorage storage, RandomGenerator random, ControlParts parts) {
+        this.parts = parts;
         this.settings = settings;
         this.scheduler = scheduler;
         this.network = network;
@@ -91,7 +92,7 @@
             saved = Saved.nothing(founders);
             storage.found(replica, saved);
         } else {
-            replica = ReplicaNames.fresh(settings.ip(), random.nextLong() >>> 2);
+            replica = parts.freshReplica(settings.ip(), random.nextLong() >>> 2);
             saved = Saved.nothing(List.of());
             storage.start(replica, saved);
         }
@@ -99,16 +100,16 @@
 
     /** Begins, with what was loaded. */
     void begin() {
-        replicas = new ReplicaGroup(scheduler, codec, replica, saved, storage, settings.toleratedHosts(),
-                random.nextLong(), new GroupSurroundings());
+        replicas = new ReplicaGroup(scheduler, codec, replica, saved, storage, random.nextLong(),
+                new GroupSurroundings(), parts);
         saved = null;
-        planner = new ReplicaPlanner(replica, settings.toleratedHosts());
-        freshness = new Freshness(scheduler, replicas, peers, random.nextLong() >>> 2);
+        planner = parts.planner(replica);
+        freshness = parts.freshness(scheduler, replicas, peers, random.nextLong() >>> 2);
         orders = new OrderRouter(scheduler, replica, replicas, peers, random.nextLong() >>> 2);
         divideQuotas();
         dataPlane = new DataNodeService(scheduler, random.nextLong() | 1, table, dataNodes, peers, replicas, freshness,
                 (long) (settings.heartbeatMs() * WARM_BEATS));
-        sessions = new SessionService(scheduler, table, peers, settings.toleratedHosts(), dataPlane::changed);
+        sessions = new SessionService(scheduler, table, peers, parts.copiesElsewhere(), dataPlane::changed);
         peers.start(new PeerDialer(scheduler, network, LinkTiming.CONTROL,
                 address -> new OutgoingListener(address.host())));
         learnSeeds();
--- a/src/main/java/routerfleet/control/Freshness.java
+++ b/src/main/java/routerfleet/control/Freshness.java
@@ -15,7 +15,7 @@
  * shard is applied here. A leader has its leadership confirmed by a majority; a follower asks the leader for its commit
  * index (a read index, Ongaro's thesis, section 6.4) and waits until that is applied.
  */
-final class Freshness {
+class Freshness {
     private static final long WAIT_MS = 850;
     private static final long REFRESH_MS = 220;
     private static final int MOST_WAITING = 256;
--- a/src/main/java/routerfleet/control/OrderRouter.java
+++ b/src/main/java/routerfleet/control/OrderRouter.java
@@ -86,7 +86,7 @@
         }
     }
 
-    private static PeerMessage.OrderReply reply(long id, ReplicaGroup.Answer answer) {
+    private static PeerMessage.OrderReply reply(long id, OrderQueue.Answer answer) {
         int status = switch (answer.outcome()) {
             case TAKEN -> OK;
             case CONFLICT -> CONFLICT;
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -31,16 +31,9 @@
  * This node's replica of the configuration shard: drives {@link Agreement}, applies what is committed to the
  * {@link ConfigStore}, takes orders while it leads, and knows up to when everything acknowledged is known here.
  *
- * <p>An order is refused only by a leader that has had its leadership confirmed after the order came, so that no replaced
- * leader refuses what another one has acknowledged. For one event loop.
+ * <p>For one thread, the scheduler's.
  */
 final class ReplicaGroup {
-    /** Answers an order: acknowledged, refused, or not known what becomes of it. */
-    enum Outcome { TAKEN, CONFLICT, INVALID, TOO_LARGE, UNCLEAR }
-
-    /** An order's outcome and, for a refusal, the reason in one line. */
-    record Answer(Outcome outcome, String text) { }
-
     /** What it needs of the node around it. */
     interface Surroundings {
         /** Sends to the replica of that name. */
@@ -59,12 +52,9 @@
     private static final int MOST_UNDECIDED = 512;
     /** A leader whose disk has not answered for so long hands its part on. */
     private static final long DISK_STALLED_MS = 1_000;
-    private static final int MOST_ORDERS_WAITING = 64;
     private static final int COMPACT_AFTER_ENTRIES = 128;
     private static final long COMPACT_AFTER_BYTES = 1 << 20;
 
-    private record PendingOrder(ConfigOrder order, Consumer<Answer> answer) { }
-
     private record RoundWaiter(long round, Runnable confirmed, Runnable lost) { }
 
     private final Scheduler scheduler;
@@ -74,14 +64,12 @@
     private final int leastVoters;
     private final ReplicaStorage storage;
     private final Surroundings surroundings;
-    private final ConfigStore store = new ConfigStore();
+    private final ConfigStore store;
     private final Agreement agreement;
     private PeerMessage.CommittedConfig committed;
     /** What the agreement has asked for within a call, carried out once the call has returned. */
     private final Deque<Runnable> deferred = new ArrayDeque<>();
-    private final Deque<PendingOrder> orders = new ArrayDeque<>();
-    private PendingOrder current;
-    private long currentIndex;
+    private final OrderQueue orders;
     private final List<RoundWaiter> rounds = new ArrayList<>();
     private final TreeMap<Long, List<Runnable>> applyWaiters = new TreeMap<>();
     private long bytesSinceSnapshot;
@@ -94,18 +82,19 @@
     /**
      * @param self the replica's name
      * @param saved what is on its disk
-     * @param toleratedHosts how many control nodes may be lost at once; with their disks
      */
-    ReplicaGroup(Scheduler scheduler, PeerCodec codec, String self, Saved saved, ReplicaStorage storage,
-            int toleratedHosts, long seed, Surroundings surroundings) {
+    ReplicaGroup(Scheduler scheduler, PeerCodec codec, String self, Saved saved, ReplicaStorage storage, long seed,
+            Surroundings surroundings, ControlParts parts) {
         this.scheduler = scheduler;
-        leastVoters = 2 * toleratedHosts + 1;
+        leastVoters = parts.leastVoters();
+        store = parts.store();
+        orders = new OrderQueue(new Leader(), store);
         this.codec = codec;
         this.self = self;
         this.storage = storage;
         this.surroundings = surroundings;
         restore(saved.snapshot());
-        agreement = new Agreement(new Agreement.Settings(self, ELECTION, FIRST_ELECTION, HEARTBEAT, MOST_MESSAGE_BYTES,
+        agreement = parts.agreement(new Agreement.Settings(self, ELECTION, FIRST_ELECTION, HEARTBEAT, MOST_MESSAGE_BYTES,
                 MOST_UNDECIDED, Agreement.Transport.CONNECTIONS, seed), saved, scheduler.now(), new AgreementActions());
         schedule();
     }
@@ -122,8 +111,8 @@
     }
 
     /**
-     * Whether this replica may answer for the group: one that has no vote, or not yet for certain, leaves it to the others, so
-     * that nobody takes a node for repaired that the group does not count on.
+     * Whether this replica may answer for the group: one that has no vote, or not yet for certain, leaves it to the
+     * others, so that nobody takes a node for repaired that the group does not count on.
      */
     boolean answersReads() {
         Membership membership = agreement.membership();
@@ -202,18 +191,15 @@
     }
 
     /** Takes an order, as a leader. */
-    void order(ConfigOrder order, Consumer<Answer> answer) {
-        if (!leads() || orders.size() >= MOST_ORDERS_WAITING || storage.isFull()) {
-            answer.accept(new Answer(Outcome.UNCLEAR, "no leader here that can take it"));
-            return;
-        }
-        if (!isLargeEnough()) {
-            answer.accept(new Answer(Outcome.UNCLEAR, "fewer than " + leastVoters + " replicas so far"));
-            return;
+    void order(ConfigOrder order, Consumer<OrderQueue.Answer> answer) {
+        if (!leads() || orders.isFull() || storage.isFull()) {
+            answer.accept(OrderQueue.Answer.unclear("no leader here that can take it"));
+        } else if (!isLargeEnough()) {
+            answer.accept(OrderQueue.Answer.unclear("fewer than " + leastVoters + " replicas so far"));
+        } else {
+            orders.add(order, answer);
+            settle();
         }
-        orders.add(new PendingOrder(order, answer));
-        nextOrder();
-        settle();
     }
 
     /** Has a majority confirm that this replica still leads. */
@@ -274,63 +260,24 @@
         settle();
     }
 
-    // ---- orders, one at a time
-
-    private void nextOrder() {
-        if (current != null || orders.isEmpty()) {
-            return;
+    /** What waiting orders need of this replica. */
+    private final class Leader implements OrderQueue.Leader {
+        @Override
+        public void confirmLeadership(Runnable confirmed, Runnable lost) {
+            ReplicaGroup.this.confirmLeadership(confirmed, lost);
         }
-        current = orders.poll();
-        PendingOrder pending = current;
-        confirmLeadership(() -> decide(pending), () -> finish(pending, new Answer(Outcome.UNCLEAR, "leadership lost")));
-    }
 
-    private void decide(PendingOrder pending) {
-        if (pending != current) {
-            return;
-        }
-        Either<ConfigFault, Long> examined;
-        try {
-            examined = store.examine(pending.order());
-        } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "an order can't be examined", e);
-            finish(pending, new Answer(Outcome.INVALID, "can't be examined: " + e));
-            return;
-        }
-        if (examined.isLeft() || store.hasTaken(pending.order())) {
-            finish(pending, answer(examined));
-            return;
-        }
-        currentIndex = agreement.propose(scheduler.now(), codec.encode(pending.order()));
-        if (currentIndex == 0) {
-            finish(pending, new Answer(Outcome.UNCLEAR, "can't be proposed now"));
+        @Override
+        public long propose(ConfigOrder order) {
+            long index = agreement.propose(scheduler.now(), codec.encode(order));
+            settle();
+            return index;
         }
-        settle();
-    }
 
-    private static Answer answer(Either<ConfigFault, Long> result) {
-        return result.fold(
-                fault -> new Answer(outcome(fault.kind()), fault.toString()),
-                generation -> new Answer(Outcome.TAKEN, Long.toString(generation)));
-    }
-
-    private static Outcome outcome(ConfigFault.Kind kind) {
-        return switch (kind) {
-            case CONFLICT -> Outcome.CONFLICT;
-            case INVALID -> Outcome.INVALID;
-            case TOO_LARGE -> Outcome.TOO_LARGE;
-        };
-    }
-
-    private void finish(PendingOrder pending, Answer answer) {
-        if (pending != current) {
-            return; // answered when leadership was lost
+        @Override
+        public void defer(Runnable task) {
+            deferred.add(task);
         }
-        current = null;
-        currentIndex = 0;
-        deferred.add(this::nextOrder);
-        pending.answer().accept(answer);
-        settle();
     }
 
     // ---- the agreement's side
@@ -454,10 +401,7 @@
         bytesSinceSnapshot += entry.payload().length;
         long before = store.generation();
         Either<ConfigFault, Long> result = store.apply(order);
-        if (entry.index() == currentIndex && current != null) {
-            PendingOrder pending = current;
-            deferred.add(() -> finish(pending, answer(result)));
-        }
+        orders.decided(entry.index(), result);
         if (store.generation() != before) {
             deferred.add(() -> surroundings.configurationChanged(store.generation(), store.document()));
             deferred.add(() -> agreement.confirm(scheduler.now())); // its round tells the others at once
@@ -485,15 +429,8 @@
     private void leadershipLost() {
         List<RoundWaiter> waiting = new ArrayList<>(rounds);
         rounds.clear();
-        List<PendingOrder> unclear = new ArrayList<>(orders);
-        orders.clear();
-        if (current != null) {
-            unclear.add(0, current);
-            current = null;
-            currentIndex = 0;
-        }
         waiting.forEach(waiter -> waiter.lost().run());
-        unclear.forEach(pending -> pending.answer().accept(new Answer(Outcome.UNCLEAR, "leadership lost")));
+        orders.leadershipLost();
     }
 
     private final class AgreementActions implements Agreement.Actions {
--- a/src/main/java/routerfleet/control/ReplicaPlanner.java
+++ b/src/main/java/routerfleet/control/ReplicaPlanner.java
@@ -19,7 +19,7 @@
  *
  * <p>So the group never has fewer than 2 f + 1 members once it had them, and what is decided is on f + 1 disks at least.
  */
-final class ReplicaPlanner {
+class ReplicaPlanner {
     private static final int LEAST_REPLICAS = 3;
     /** A replica that has been silent for so long gives way to a newcomer. */
     static final long REPLACE_AFTER_MS = 1_500;
--- /dev/null
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -0,0 +1,220 @@
+package routerfleet.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import routerfleet.data.ControlClientNode;
+import routerfleet.settings.Bounds;
+import routerfleet.settings.HostPort;
+import routerfleet.settings.LocalSettings;
+import routerfleet.simulation.SimulatedNetwork;
+import routerfleet.simulation.VirtualProcess;
+import routerfleet.simulation.VirtualWorld;
+import routerfleet.wire.PeerCodec;
+
+/**
+ * A whole control plane in virtual time: real control services on simulated machines, data nodes' view of them, operators,
+ * readers and servers, and faults of all kinds that the operators' pages name. What its clients saw is judged by
+ * {@link HistoryChecker}; in the end all machines are well, and the plane has to serve again.
+ */
+final class ControlPlaneSimulation {
+    static final long FAULTS_FROM_MS = 2_500;
+    private static final long FAULTS_MS = 30_000;
+    /** After all machines are back, until the plane has to serve. */
+    private static final long RECOVERY_MS = 12_000;
+    private static final long CHECK_MS = 100;
+    /** A lost disk is made up for once everything has been well for so long. */
+    private static final long CATCH_UP_MS = 4_000;
+    private static final long DRAIN_MS = 2_000;
+    private static final long CALM_MS = 3_000;
+    private static final int DATA_NODES = 2;
+    private static final int FILLER = 40;
+    private static final int LARGE_FILLER = 60_000;
+
+    private final VirtualWorld world = new VirtualWorld();
+    private final Observations seen = new Observations();
+    private final int tolerated;
+    private final SplittableRandom random;
+    private final SimulatedMachine.Surroundings surroundings;
+    private final SimulatedNetwork network;
+    private final List<SimulatedMachine> machines = new ArrayList<>();
+    private final List<DataNode> dataNodes = new ArrayList<>();
+    private final SimulatedClients clients;
+    private final FaultInjector faults;
+    private final Set<String> reported = new HashSet<>();
+    private int lastMachine;
+    private long wellSinceMs;
+    private long faultsEndMs;
+
+    /** A data node's machine. */
+    private final class DataNode {
+        private final String ip;
+        private VirtualProcess process;
+        private ControlClientNode client;
+        private long startedMs;
+
+        DataNode(String ip) {
+            this.ip = ip;
+        }
+
+        void start() {
+            startedMs = world.nowMs();
+            process = new VirtualProcess(world, random.nextLong() >> 2, () -> { });
+            LocalSettings settings = new LocalSettings("data-" + ip, ip, "a", null, null, null,
+                    SimulatedMachine.INTERNAL_PORT, seeds(), true, null, SimulatedMachine.HEARTBEAT_MS, tolerated,
+                    Bounds.defaults());
+            VirtualProcess life = process;
+            life.execute(() -> client = new ControlClientNode(settings, life, network.of(ip, life), surroundings.codec()));
+        }
+
+        void kill() {
+            process.kill();
+            network.killed(ip, process);
+            client = null;
+        }
+    }
+
+    ControlPlaneSimulation(long seed, int tolerated, FaultPlan plan, PlantedFault fault) {
+        this.tolerated = tolerated;
+        random = new SplittableRandom(seed);
+        PeerCodec codec = CODEC.get();
+        network = new SimulatedNetwork(world, random.nextLong(), codec);
+        surroundings = new SimulatedMachine.Surroundings(world, network, codec, tolerated, fault);
+        SimulatedHttp http = new SimulatedHttp(world, random.nextLong());
+        int filler = random.nextInt(8) == 0 ? LARGE_FILLER : FILLER;
+        clients = new SimulatedClients(world, random.nextLong(), http, this::listed, seen, filler);
+        faults = new FaultInjector(this, world, network, http, clients, new Random(random.nextLong()));
+        faultsEndMs = FAULTS_FROM_MS + FAULTS_MS;
+        for (int i = 0; i < 2 * tolerated + 1 + random.nextInt(2) * random.nextInt(2); i++) {
+            addMachine();
+        }
+        for (int i = 1; i <= DATA_NODES; i++) {
+            dataNodes.add(new DataNode("10.0.9." + i));
+        }
+        plan.faults().forEach(f -> world.afterMs(f.atMs(), () -> faults.strike(f)));
+    }
+
+    /** Codecs cost much to make, and are for one thread. */
+    private static final ThreadLocal<PeerCodec> CODEC = ThreadLocal.withInitial(PeerCodec::new);
+
+    static FaultPlan plan(long seed) {
+        return FaultPlan.draw(seed * 31 + 7, FAULTS_FROM_MS, FAULTS_FROM_MS + FAULTS_MS);
+    }
+
+    /** Plays it. @return what was wrong, in one line; null where nothing was */
+    String play() {
+        List<HostPort> founders = seeds();
+        machines.forEach(m -> world.afterMs(random.nextInt(300), () -> m.start(true, founders)));
+        dataNodes.forEach(n -> world.afterMs(random.nextInt(300), n::start));
+        clients.start(2, 2, 3, faultsEndMs + RECOVERY_MS);
+        world.afterMs(CHECK_MS, this::check);
+        world.runUntilMs(faultsEndMs);
+        faults.endAll();
+        world.runUntilMs(world.nowMs() + RECOVERY_MS);
+        String wrong = HistoryChecker.check(seen);
+        return wrong != null ? wrong : served();
+    }
+
+    Observations seen() {
+        return seen;
+    }
+
+    /** Whether the plane takes orders and every member of its group answers reads, now that all are well. */
+    private String served() {
+        long before = world.nowNanos();
+        long newest = seen.newestAcknowledged();
+        int readsBefore = seen.reads.size();
+        List<HostPort> now = seeds();
+        world.runUntilMs(world.nowMs() + 4_000);
+        Set<String> readers = new HashSet<>();
+        for (Observations.Read read : seen.reads.subList(readsBefore, seen.reads.size())) {
+            readers.add(read.node());
+        }
+        boolean ordered = seen.orders.values().stream().anyMatch(o -> o.acknowledgedNanos() > before - 4_000_000_000L);
+        if (readers.size() < 2 * tolerated + 1) {
+            return "of " + machines.stream().filter(m -> !m.isRemoved()).count() + " only " + readers
+                    + " answer reads after the recovery";
+        }
+        if (!ordered) {
+            return "no order is acknowledged after the recovery; newest " + newest + ", seeds " + now;
+        }
+        return HistoryChecker.check(seen);
+    }
+
+    // ---- machines
+
+    SimulatedMachine addMachine() {
+        SimulatedMachine machine = new SimulatedMachine("10.0.0." + ++lastMachine, surroundings, random.nextLong());
+        machines.add(machine);
+        return machine;
+    }
+
+    /** Machines that are not gone for good. */
+    List<SimulatedMachine> listed() {
+        return machines.stream().filter(m -> !m.isRemoved()).toList();
+    }
+
+    /** The first three machines that are not gone for good. */
+    List<HostPort> seeds() {
+        return listed().stream().limit(3).map(m -> new HostPort(m.ip, SimulatedMachine.INTERNAL_PORT)).toList();
+    }
+
+    /** Whether one more disk may be lost now. */
+    boolean mayLoseADisk() {
+        return machines.stream().filter(SimulatedMachine::diskLossOpen).count() < tolerated;
+    }
+
+    void restartDataNode(int index, boolean starts) {
+        DataNode node = dataNodes.get(index % dataNodes.size());
+        if (node.client != null) {
+            node.kill();
+            if (starts) {
+                world.afterMs(500, node::start);
+            }
+        }
+    }
+
+    void startDataNodes() {
+        dataNodes.stream().filter(n -> n.client == null && !(n.process != null && n.process.isAlive()))
+                .forEach(DataNode::start);
+    }
+
+    List<String> dataNodeAddresses() {
+        return dataNodes.stream().map(n -> n.ip).toList();
+    }
+
+    // ---- regular checks
+
+    private void check() {
+        boolean allWell = listed().stream().allMatch(SimulatedMachine::isWell) && faults.isQuiet();
+        if (!allWell) {
+            wellSinceMs = world.nowMs();
+        } else if (world.nowMs() - wellSinceMs >= CATCH_UP_MS) {
+            machines.forEach(m -> m.diskLossOpen(false));
+        }
+        for (DataNode node : dataNodes) {
+            if (node.client != null) {
+                seen.known.add(new Observations.Known(node.ip, world.nowNanos(), node.client.generation(),
+                        node.client.staleMs()));
+                checkEndings(node);
+            }
+        }
+        world.afterMs(CHECK_MS, this::check);
+    }
+
+    /** What has said that it ends is not used by a data node that is in touch, from a while after it was acknowledged. */
+    private void checkEndings(DataNode node) {
+        long now = world.nowMs();
+        boolean inTouch = now - wellSinceMs >= CALM_MS && now - node.startedMs >= CALM_MS;
+        for (SimulatedClients.Ending ending : clients.endings()) {
+            if (inTouch && now - ending.acknowledgedMs() > DRAIN_MS && node.client.lists(ending.uid())
+                    && reported.add(ending.uid())) {
+                seen.violations.add(node.ip + " still uses " + ending.uid() + ", whose end was acknowledged "
+                        + (now - ending.acknowledgedMs()) + " ms ago");
+            }
+        }
+    }
+}
--- a/src/test/java/routerfleet/control/ReplicaGroupTest.java
+++ b/src/test/java/routerfleet/control/ReplicaGroupTest.java
@@ -42,18 +42,18 @@
         storage.open();
         Saved saved = Saved.nothing(List.of(SELF));
         storage.start(SELF, saved);
-        return loop.submit(() -> new ReplicaGroup(new EventLoopScheduler(loop), new PeerCodec(), SELF, saved, storage, 0,
-                1, surroundings)).get();
+        return loop.submit(() -> new ReplicaGroup(new EventLoopScheduler(loop), new PeerCodec(), SELF, saved, storage,
+                1, surroundings, new ControlParts(0))).get();
     }
 
-    private ReplicaGroup.Outcome order(ReplicaGroup group, long base, String body) throws Exception {
-        ReplicaGroup.Outcome outcome;
+    private OrderQueue.Outcome order(ReplicaGroup group, long base, String body) throws Exception {
+        OrderQueue.Outcome outcome;
         do {
-            CompletableFuture<ReplicaGroup.Outcome> answer = new CompletableFuture<>();
+            CompletableFuture<OrderQueue.Outcome> answer = new CompletableFuture<>();
             ConfigOrder order = new ConfigOrder(ConfigOrder.Kind.REPLACE, base, body.getBytes(StandardCharsets.UTF_8));
             loop.execute(() -> group.order(order, given -> answer.complete(given.outcome())));
             outcome = answer.get(WAIT_S, TimeUnit.SECONDS);
-        } while (outcome == ReplicaGroup.Outcome.UNCLEAR); // no leader yet
+        } while (outcome == OrderQueue.Outcome.UNCLEAR); // no leader yet
         return outcome;
     }
 
@@ -71,8 +71,8 @@
                 throw new IllegalStateException("planted");
             }
         });
-        assertThat(order(group, 0, Configurations.whole(2)), is(ReplicaGroup.Outcome.TAKEN));
-        assertThat(order(group, 2, Configurations.whole(5)), is(ReplicaGroup.Outcome.TAKEN));
-        assertThat(order(group, 2, Configurations.whole(6)), is(ReplicaGroup.Outcome.CONFLICT));
+        assertThat(order(group, 0, Configurations.whole(2)), is(OrderQueue.Outcome.TAKEN));
+        assertThat(order(group, 2, Configurations.whole(5)), is(OrderQueue.Outcome.TAKEN));
+        assertThat(order(group, 2, Configurations.whole(6)), is(OrderQueue.Outcome.CONFLICT));
     }
 }
--- /dev/null
+++ b/src/test/java/routerfleet/control/SimulatedHttp.java
@@ -0,0 +1,155 @@
+package routerfleet.control;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import routerfleet.simulation.VirtualProcess;
+import routerfleet.simulation.VirtualWorld;
+
+/** Calls of operators and servers: a byte pipe to the real HTTP side of a control service, in virtual time. */
+final class SimulatedHttp {
+    private static final long TIMEOUT_MS = 1_000;
+    private static final String HEAD_END = "\r\n\r\n";
+
+    /** An answer; status 0 where none came in time. */
+    record Answer(int status, String body) {
+        static final Answer NONE = new Answer(0, "");
+    }
+
+    private final VirtualWorld world;
+    private final Random random;
+    private double lostAnswers;
+
+    SimulatedHttp(VirtualWorld world, long seed) {
+        this.world = world;
+        random = new Random(seed);
+    }
+
+    /** So large a part of the answers is lost from now on. */
+    void loseAnswers(double part) {
+        lostAnswers = part;
+    }
+
+    static String request(String method, String path, String headers, String body) {
+        return method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "Content-Length: " + body.length() + HEAD_END
+                + body;
+    }
+
+    /** Sends requests in one segment. @param answers given as many answers as requests were sent, in their order */
+    void call(SimulatedMachine machine, List<String> requests, Consumer<List<Answer>> answers) {
+        Call call = new Call(requests.size(), answers);
+        world.afterMs(TIMEOUT_MS, call::finish);
+        world.afterMs(1 + random.nextInt(2), () -> deliver(machine, String.join("", requests), call));
+    }
+
+    /** Sends one request. */
+    void call(SimulatedMachine machine, String request, Consumer<Answer> answer) {
+        call(machine, List.of(request), answers -> answer.accept(answers.get(0)));
+    }
+
+    private void deliver(SimulatedMachine machine, String bytes, Call call) {
+        VirtualProcess process = machine.process();
+        if (machine.handler() == null) {
+            if (machine.isUp()) {
+                call.finish(); // nobody listens yet: refused
+            }
+            return;
+        }
+        ControlHttp.Handler handler = machine.handler();
+        process.execute(() -> {
+            EmbeddedChannel channel = new EmbeddedChannel();
+            channel.pipeline().addLast(new Pipe(call, process));
+            ControlHttp.install(channel.pipeline(), handler);
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+        });
+    }
+
+    private final class Call {
+        private final int expected;
+        private final Consumer<List<Answer>> answers;
+        private final StringBuilder received = new StringBuilder();
+        private boolean over;
+
+        Call(int expected, Consumer<List<Answer>> answers) {
+            this.expected = expected;
+            this.answers = answers;
+        }
+
+        void received(String bytes) {
+            received.append(bytes);
+            if (read().size() == expected) {
+                finish();
+            }
+        }
+
+        private List<Answer> read() {
+            List<Answer> read = new ArrayList<>();
+            String rest = received.toString();
+            int end = rest.indexOf(HEAD_END);
+            while (end >= 0) {
+                int length = length(rest.substring(0, end));
+                if (rest.length() < end + HEAD_END.length() + length) {
+                    break;
+                }
+                int body = end + HEAD_END.length();
+                read.add(new Answer(Integer.parseInt(rest.substring(9, 12)), rest.substring(body, body + length)));
+                rest = rest.substring(body + length);
+                end = rest.indexOf(HEAD_END);
+            }
+            return read;
+        }
+
+        private int length(String head) {
+            String name = "content-length: ";
+            int at = head.indexOf(name) + name.length();
+            int end = head.indexOf("\r\n", at);
+            return Integer.parseInt(end < 0 ? head.substring(at) : head.substring(at, end));
+        }
+
+        void finish() {
+            if (!over) {
+                over = true;
+                List<Answer> all = new ArrayList<>(read());
+                while (all.size() < expected) {
+                    all.add(Answer.NONE);
+                }
+                answers.accept(all);
+            }
+        }
+    }
+
+    /** Takes what the pipeline writes, and lets it reach the client, or be lost. */
+    private final class Pipe extends ChannelOutboundHandlerAdapter {
+        private final Call call;
+        private final VirtualProcess process;
+        private long arrives;
+        private boolean lost;
+
+        Pipe(Call call, VirtualProcess process) {
+            this.call = call;
+            this.process = process;
+        }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            if (message instanceof ByteBuf bytes) {
+                String text = bytes.toString(StandardCharsets.US_ASCII);
+                bytes.release();
+                lost |= random.nextDouble() < lostAnswers;
+                if (process.isAlive() && !lost) {
+                    arrives = Math.max(arrives, world.nowMs() + 1 + random.nextInt(2));
+                    world.afterMs(arrives - world.nowMs(), () -> call.received(text));
+                }
+            }
+            promise.setSuccess();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/control/SimulatedMachine.java
@@ -0,0 +1,202 @@
+package routerfleet.control;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import routerfleet.settings.Bounds;
+import routerfleet.settings.HostPort;
+import routerfleet.settings.LocalSettings;
+import routerfleet.simulation.SimulatedNetwork;
+import routerfleet.simulation.VirtualProcess;
+import routerfleet.simulation.VirtualWorld;
+import routerfleet.wire.PeerCodec;
+
+/** A machine of a simulated core: its disk, its power, and one life of a control service after the other on it. */
+final class SimulatedMachine {
+    static final int INTERNAL_PORT = 9_000;
+    static final int HEARTBEAT_MS = 400;
+    private static final long LOAD_RETRY_MS = 100;
+
+    /** What all machines of a run share. */
+    record Surroundings(VirtualWorld world, SimulatedNetwork network, PeerCodec codec, int toleratedHosts,
+            PlantedFault fault) { }
+
+    final String ip;
+    private final Surroundings surroundings;
+    private final SplittableRandom random;
+    private SimulatedDisk disk;
+    private SimulatedDisk.Writer writer;
+    private VirtualProcess process;
+    private ControlService service;
+    private ControlHttp.Handler handler;
+    private boolean removed;
+    private boolean powered = true;
+    private boolean frozen;
+    private boolean diskHangs;
+    private long diskLatencyMs = 2;
+    /** Its disk was lost, and the group may not have made up for it yet. */
+    private boolean diskLossOpen;
+
+    SimulatedMachine(String ip, Surroundings surroundings, long seed) {
+        this.ip = ip;
+        this.surroundings = surroundings;
+        random = new SplittableRandom(seed);
+        newDisk();
+    }
+
+    private void newDisk() {
+        disk = new SimulatedDisk(new java.util.Random(random.nextLong()),
+                surroundings.fault() == PlantedFault.SYNC_DOES_NOTHING,
+                surroundings.fault() == PlantedFault.FOLDER_IS_NOT_SYNCED);
+    }
+
+    /** Starts a process. @param bootstrap whether the whole system starts for the first time */
+    void start(boolean bootstrap, List<HostPort> seeds) {
+        if (removed || !powered || isUp()) {
+            return;
+        }
+        frozen = false;
+        VirtualProcess life = new VirtualProcess(surroundings.world(), random.nextLong() >> 2, () -> losePower());
+        process = life;
+        writer = new SimulatedDisk.Writer(surroundings.world(), life);
+        writer.latencyMs(diskLatencyMs);
+        writer.hang(diskHangs);
+        ReplicaStorage storage = new ReplicaStorage(disk, life, writer);
+        LocalSettings settings = new LocalSettings("core-" + ip, ip, "a", null, null, null, INTERNAL_PORT, seeds,
+                bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), Bounds.defaults());
+        ControlService started = new ControlService(settings, life, surroundings.network().of(ip, life),
+                surroundings.codec(), storage, random.split(), surroundings.fault().parts(surroundings.toleratedHosts()));
+        load(life, started);
+    }
+
+    private void load(VirtualProcess life, ControlService started) {
+        life.execute(() -> {
+            try {
+                started.load();
+                started.begin();
+                started.listen();
+                service = started;
+                handler = surroundings.fault().handler(started::handle);
+            } catch (IOException e) {
+                life.schedule(() -> load(life, started), LOAD_RETRY_MS, java.util.concurrent.TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    boolean isUp() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it runs and nothing is the matter with it. */
+    boolean isWell() {
+        return isUp() && service != null && !frozen && !diskHangs && diskLatencyMs <= 2;
+    }
+
+    boolean isRemoved() {
+        return removed;
+    }
+
+    boolean isFrozen() {
+        return frozen;
+    }
+
+    VirtualProcess process() {
+        return process;
+    }
+
+    SimulatedDisk disk() {
+        return disk;
+    }
+
+    /** Who answers HTTP requests; null while nobody does. */
+    ControlHttp.Handler handler() {
+        return isUp() ? handler : null;
+    }
+
+    ControlService service() {
+        return service;
+    }
+
+    /** Ends the process: its machine goes on. */
+    void kill() {
+        if (isUp()) {
+            process.kill();
+            surroundings.network().killed(ip, process);
+            ended();
+        }
+    }
+
+    private void ended() {
+        process = null;
+        service = null;
+        handler = null;
+        frozen = false;
+    }
+
+    /** The power fails: what is not synced may be gone. */
+    void losePower() {
+        powered = false;
+        if (process != null) {
+            process.kill();
+        }
+        surroundings.network().darken(ip);
+        ended();
+        disk.losePower();
+    }
+
+    /** Power again; a process starts by itself. */
+    void power() {
+        powered = true;
+        surroundings.network().lighten(ip);
+    }
+
+    /** Loses its power and its disk. */
+    void wipe() {
+        losePower();
+        newDisk();
+        diskLossOpen = true;
+    }
+
+    /** Is gone for good, with its disk. */
+    void remove() {
+        losePower();
+        removed = true;
+    }
+
+    boolean diskLossOpen() {
+        return diskLossOpen;
+    }
+
+    void diskLossOpen(boolean open) {
+        diskLossOpen = open;
+    }
+
+    void freeze() {
+        if (isUp()) {
+            frozen = true;
+            process.freeze();
+        }
+    }
+
+    void thaw() {
+        if (frozen) {
+            frozen = false;
+            process.thaw();
+        }
+    }
+
+    void diskLatencyMs(long latencyMs) {
+        diskLatencyMs = latencyMs;
+        if (isUp()) {
+            writer.latencyMs(latencyMs);
+        }
+    }
+
+    void diskHangs(boolean hangs) {
+        diskHangs = hangs;
+        if (isUp()) {
+            writer.hang(hangs);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/control/SimulationCampaign.java
@@ -0,0 +1,69 @@
+package routerfleet.control;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+
+/**
+ * Many simulated control planes, one after the other on each of so many threads. Arguments: tolerated losses, first seed,
+ * count, threads, and a planted fault where there is to be one. Prints what was found, with the fewest faults that bring it
+ * about.
+ */
+final class SimulationCampaign {
+    private SimulationCampaign() { }
+
+    public static void main(String[] arguments) throws InterruptedException {
+        int tolerated = Integer.parseInt(arguments[0]);
+        long first = Long.parseLong(arguments[1]);
+        int count = Integer.parseInt(arguments[2]);
+        int threads = Integer.parseInt(arguments[3]);
+        PlantedFault fault = arguments.length > 4 ? PlantedFault.valueOf(arguments[4]) : PlantedFault.NONE;
+        AtomicInteger broken = new AtomicInteger();
+        AtomicLong next = new AtomicLong(first);
+        List<Thread> all = IntStream.range(0, threads).mapToObj(i -> new Thread(() -> {
+            for (long seed = next.getAndIncrement(); seed < first + count; seed = next.getAndIncrement()) {
+                play(seed, tolerated, fault, broken);
+            }
+        })).toList();
+        all.forEach(Thread::start);
+        for (Thread thread : all) {
+            thread.join();
+        }
+        System.out.println(count + " runs that tolerate " + tolerated + " losses, from seed " + first + ", fault " + fault
+                + ": " + broken + " broken");
+        System.exit(broken.get() == 0 ? 0 : 1);
+    }
+
+    private static void play(long seed, int tolerated, PlantedFault fault, AtomicInteger broken) {
+        FaultPlan plan = ControlPlaneSimulation.plan(seed);
+        String wrong = wrong(seed, tolerated, plan, fault);
+        if (wrong != null && broken.incrementAndGet() <= 3) {
+            FaultPlan fewest = shrunk(seed, tolerated, plan, fault);
+            System.out.println("seed " + seed + ": " + wrong + "\n  still with: " + wrong(seed, tolerated, fewest, fault)
+                    + "\n  " + fewest.faults());
+        } else if (wrong != null) {
+            System.out.println("seed " + seed + ": " + wrong);
+        }
+    }
+
+    private static String wrong(long seed, int tolerated, FaultPlan plan, PlantedFault fault) {
+        try {
+            return new ControlPlaneSimulation(seed, tolerated, plan, fault).play();
+        } catch (RuntimeException e) {
+            e.printStackTrace(System.out);
+            return "failed: " + e;
+        }
+    }
+
+    private static FaultPlan shrunk(long seed, int tolerated, FaultPlan plan, PlantedFault fault) {
+        FaultPlan fewest = plan;
+        for (FaultPlan.Fault left : plan.faults()) {
+            FaultPlan fewer = fewest.without(left);
+            if (wrong(seed, tolerated, fewer, fault) != null) {
+                fewest = fewer;
+            }
+        }
+        return fewest;
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/data/ControlClientNode.java
@@ -0,0 +1,67 @@
+package routerfleet.data;
+
+import routerfleet.config.FleetConfiguration;
+import routerfleet.settings.LocalSettings;
+import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.PeerNetwork;
+import routerfleet.wire.Scheduler;
+
+/** What a data node knows from the control nodes, without clients and servers: for simulations of the control plane. */
+public final class ControlClientNode {
+    private static final long SECOND_MS = 1_000;
+
+    private final ServerRegistry registry;
+    private final ControlClient client;
+    private long generation;
+
+    /** Begins; to be called on the scheduler's thread. */
+    public ControlClientNode(LocalSettings settings, Scheduler scheduler, PeerNetwork network, PeerCodec codec) {
+        registry = new ServerRegistry(1, scheduler::nanoTime);
+        client = new ControlClient(scheduler, network, settings, registry, codec, new Configurations());
+        client.start();
+        scheduler.every(SECOND_MS, registry::tick);
+    }
+
+    /** The newest configuration's number; 0 for none. */
+    public long generation() {
+        return generation;
+    }
+
+    /** For how long the configuration has not been known to be the newest, in milliseconds. */
+    public long staleMs() {
+        return client.staleMs();
+    }
+
+    /** Whether this node would send requests to a server. */
+    public boolean lists(String uid) {
+        for (Server server : registry.servers()) {
+            if (server.uid().equals(uid)) {
+                return server.listed();
+            }
+        }
+        return false;
+    }
+
+    private final class Configurations implements ControlClient.Listener {
+        @Override
+        public void configuration(FleetConfiguration configuration) {
+            generation = configuration.generation();
+        }
+
+        @Override
+        public void dataNodes(int present, boolean warming) {
+            // of no interest here
+        }
+
+        @Override
+        public void quotaAnswered(PeerMessage.QuotaAnswer answer) {
+            // no limits are asked for
+        }
+
+        @Override
+        public void disconnected(String controlNode) {
+            // no limits are asked for
+        }
+    }
+}
