--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -52,7 +52,7 @@
 
     /** Whether this very order has been taken before. */
     public boolean hasTaken(ConfigOrder order) {
-        return outcomes.containsKey(order.digest());
+        return takenBefore(order.digest()) != null;
     }
 
     /**
@@ -60,7 +60,7 @@
      * before an order is decided and never after.
      */
     public Either<ConfigFault, Long> examine(ConfigOrder order) {
-        Long before = outcomes.get(order.digest());
+        Long before = takenBefore(order.digest());
         if (before != null) {
             return Either.right(before);
         }
@@ -74,7 +74,7 @@
     /** Takes the order, or leaves everything as it is. @return the generation that it made, or why it is not taken */
     public Either<ConfigFault, Long> apply(ConfigOrder order) {
         String digest = order.digest();
-        Long before = outcomes.get(digest);
+        Long before = takenBefore(digest);
         if (before != null) {
             return Either.right(before);
         }
@@ -87,6 +87,16 @@
         });
     }
 
+    /** The generation that an order of this digest has made; null where there was none. */
+    protected Long takenBefore(String digest) {
+        return outcomes.get(digest);
+    }
+
+    /** Whether an order builds on the current configuration. */
+    protected boolean buildsOnCurrent(ConfigOrder order) {
+        return order.base() == generation;
+    }
+
     private void remember(String digest) {
         outcomes.put(digest, generation);
         if (outcomes.size() > MOST_OUTCOMES) {
@@ -95,7 +105,7 @@
     }
 
     private Either<ConfigFault, Accepted> result(ConfigOrder order) {
-        if (order.base() != generation) {
+        if (!buildsOnCurrent(order)) {
             return Either.left(new ConfigFault(ConfigFault.Kind.CONFLICT, "", "version " + generation + " is current"));
         }
         return ConfigJson.tree(order.body())
--- a/src/main/java/routerfleet/control/ControlParts.java
+++ b/src/main/java/routerfleet/control/ControlParts.java
@@ -27,6 +27,10 @@
         return new Freshness(scheduler, group, peers, firstId);
     }
 
+    OrderQueue orders(OrderQueue.Leader leader, ConfigStore store) {
+        return new OrderQueue(leader, store);
+    }
+
     ConfigStore store() {
         return new ConfigStore();
     }
--- a/src/main/java/routerfleet/control/Freshness.java
+++ b/src/main/java/routerfleet/control/Freshness.java
@@ -82,11 +82,17 @@
     void answered(PeerMessage.ReadIndexReply reply) {
         Long since = asked.remove(reply.id());
         if (since != null && reply.index() >= 0) {
-            group.whenApplied(reply.index(), () -> freshSince(since));
+            knownUpTo(reply.index(), since);
         }
     }
 
-    private void freshSince(long nanos) {
+    /** All that was acknowledged at a point of this node's clock stands up to that entry. */
+    void knownUpTo(long index, long sinceNanos) {
+        group.whenApplied(index, () -> freshSince(sinceNanos));
+    }
+
+    /** All that was acknowledged up to a point of this node's clock is applied here. */
+    final void freshSince(long nanos) {
         if (!everFresh || nanos - freshNanos > 0) {
             freshNanos = nanos;
             everFresh = true;
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -88,7 +88,7 @@
         this.scheduler = scheduler;
         leastVoters = parts.leastVoters();
         store = parts.store();
-        orders = new OrderQueue(new Leader(), store);
+        orders = parts.orders(new Leader(), store);
         this.codec = codec;
         this.self = self;
         this.storage = storage;
--- a/src/main/java/routerfleet/control/ReplicaStorage.java
+++ b/src/main/java/routerfleet/control/ReplicaStorage.java
@@ -23,7 +23,7 @@
  *
  * <p>Bound: who finds {@link #isFull} asks for no more writes until it is not.
  */
-final class ReplicaStorage implements Closeable {
+class ReplicaStorage implements Closeable {
     private static final System.Logger LOG = System.getLogger("routerfleet.control.storage");
     private static final int SLOTS = 2;
     private static final long RETRY_MS = 100;
@@ -233,7 +233,7 @@
     }
 
     private void switchSlot(Write.Whole whole) throws IOException {
-        int other = (slot + 1) % SLOTS;
+        int other = nextSlot(slot);
         DiskForm.Written written = DiskForm.anew(Long.toString(slotSequence + 1), replica, whole);
         Disk.DiskFile fresh = disk.open(slotName(other));
         try {
@@ -255,6 +255,11 @@
         chain = written.chain();
     }
 
+    /** The slot that a snapshot goes into. @param inUse the one that holds the newest whole state */
+    int nextSlot(int inUse) {
+        return (inUse + 1) % SLOTS;
+    }
+
     private void syncEntry(int index) throws IOException {
         if (!entered[index]) {
             disk.syncFolder();
--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -254,6 +254,11 @@
         return others;
     }
 
+    /** Who decides now. */
+    protected Membership deciding() {
+        return membership;
+    }
+
     /** How many of so many voters decide. */
     protected int majority(int voters) {
         return voters / 2 + 1;
@@ -283,7 +288,7 @@
     }
 
     private void beat(Instant now) {
-        if (membership.reached(name -> hears(name, now) ? 1 : 0, this::enough) < 1) {
+        if (deciding().reached(name -> hears(name, now) ? 1 : 0, this::enough) < 1) {
             follow(now, term, null);
             return;
         }
@@ -344,7 +349,7 @@
     }
 
     private void countVotes(Instant now) {
-        if (membership.reached(name -> granted.contains(name) ? 1 : 0, this::majority) < 1) {
+        if (deciding().reached(name -> granted.contains(name) ? 1 : 0, this::majority) < 1) {
             return;
         }
         if (role == Role.ASKING) {
@@ -648,9 +653,14 @@
         p.sent(entries.size());
     }
 
+    /** Whether a snapshot that is on its way is sent to its end, though there is a newer one. */
+    protected boolean keepsSnapshotUnderWay() {
+        return true;
+    }
+
     /** A snapshot that is on its way stays the same until it is there, however many newer ones there are meanwhile. */
     private void sendPiece(Instant now, Peer p) {
-        if (p.sending == null) {
+        if (p.sending == null || !keepsSnapshotUnderWay() && p.sending.index() != log.snapshot().index()) {
             p.sending = log.snapshot();
             p.have = 0;
             p.pieceSent = null;
@@ -700,7 +710,7 @@
 
     /** What a majority has on disk is decided. */
     private void count(Instant now) {
-        long decided = membership.reached(this::onDiskOf, this::majority);
+        long decided = deciding().reached(this::onDiskOf, this::majority);
         if (decided > commit && mayCount(decided)) {
             commitTo(decided);
             settle(now);
@@ -844,7 +854,7 @@
     }
 
     private void countRounds() {
-        long by = membership.reached(this::roundOf, this::enough);
+        long by = deciding().reached(this::roundOf, this::enough);
         if (by > confirmedRound) {
             confirmedRound = by;
             actions.confirmed(by);
--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -83,7 +83,7 @@
         PeerCodec codec = CODEC.get();
         network = new SimulatedNetwork(world, random.nextLong(), codec);
         surroundings = new SimulatedMachine.Surroundings(world, network, codec, tolerated, fault);
-        SimulatedHttp http = new SimulatedHttp(world, random.nextLong());
+        SimulatedHttp http = new SimulatedHttp(world, random.nextLong(), fault);
         int filler = random.nextInt(8) == 0 ? LARGE_FILLER : FILLER;
         clients = new SimulatedClients(world, random.nextLong(), http, this::listed, seen, filler);
         faults = new FaultInjector(this, world, network, http, clients, new Random(random.nextLong()));
--- /dev/null
+++ b/src/test/java/routerfleet/control/FaultyParts.java
@@ -0,0 +1,122 @@
+package routerfleet.control;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import rowanplank.agreement.Agreement;
+import rowanplank.agreement.Saved;
+import routerfleet.config.ConfigStore;
+import routerfleet.wire.Scheduler;
+
+/** The parts of a control service, one of them with a planted fault. */
+final class FaultyParts extends ControlParts {
+    private static final int LEAST_REPLICAS = 3;
+    private static final long REMOVED_AFTER_MS = 8_000;
+
+    private final PlantedFault fault;
+
+    FaultyParts(PlantedFault fault, int toleratedHosts) {
+        super(toleratedHosts);
+        this.fault = fault;
+    }
+
+    @Override
+    Agreement agreement(Agreement.Settings settings, Saved saved, Instant now, Agreement.Actions actions) {
+        return fault.agreement(settings, saved, now, actions);
+    }
+
+    @Override
+    ConfigStore store() {
+        return fault.store();
+    }
+
+    @Override
+    int leastVoters() {
+        return fault == PlantedFault.SILENCE_REMOVES || fault == PlantedFault.REMOVED_FIRST ? 1 : super.leastVoters();
+    }
+
+    @Override
+    int copiesElsewhere() {
+        return fault == PlantedFault.END_HELD_BY_ONE ? 0 : super.copiesElsewhere();
+    }
+
+    @Override
+    String freshReplica(String ip, long number) {
+        return fault == PlantedFault.NAME_KEPT ? ReplicaNames.founder(ip) : super.freshReplica(ip, number);
+    }
+
+    @Override
+    OrderQueue orders(OrderQueue.Leader leader, ConfigStore store) {
+        return fault == PlantedFault.REFUSED_UNCONFIRMED ? super.orders(new Unconfirmed(leader), store)
+                : super.orders(leader, store);
+    }
+
+    private record Unconfirmed(OrderQueue.Leader leader) implements OrderQueue.Leader {
+        @Override
+        public void confirmLeadership(Runnable confirmed, Runnable lost) {
+            confirmed.run();
+        }
+
+        @Override
+        public long propose(routerfleet.config.ConfigOrder order) {
+            return leader.propose(order);
+        }
+
+        @Override
+        public void defer(Runnable task) {
+            leader.defer(task);
+        }
+    }
+
+    @Override
+    Freshness freshness(Scheduler scheduler, ReplicaGroup group, ControlPeers peers, long firstId) {
+        return new Freshness(scheduler, group, peers, firstId) {
+            @Override
+            void whenFresh(Runnable fresh, Runnable late) {
+                if (fault == PlantedFault.READS_UNASKED) {
+                    fresh.run();
+                } else {
+                    super.whenFresh(fresh, late);
+                }
+            }
+
+            @Override
+            void knownUpTo(long index, long sinceNanos) {
+                if (fault == PlantedFault.READ_INDEX_UNAPPLIED) {
+                    freshSince(sinceNanos);
+                } else {
+                    super.knownUpTo(index, sinceNanos);
+                }
+            }
+        };
+    }
+
+    @Override
+    ReplicaPlanner planner(String self) {
+        return new ReplicaPlanner(self, toleratedHosts) {
+            @Override
+            List<String> next(List<String> replicas, Presence presence) {
+                return switch (fault) {
+                    case SILENCE_REMOVES -> withoutSilent(replicas, presence, super.next(replicas, presence));
+                    case REMOVED_FIRST -> oneStep(replicas, super.next(replicas, presence));
+                    default -> super.next(replicas, presence);
+                };
+            }
+        };
+    }
+
+    private static List<String> withoutSilent(List<String> replicas, ReplicaPlanner.Presence presence, List<String> next) {
+        if (!next.equals(replicas) || replicas.size() <= LEAST_REPLICAS) {
+            return next;
+        }
+        List<String> left = new ArrayList<>(replicas);
+        left.removeIf(r -> left.size() > LEAST_REPLICAS && presence.absentMs(ReplicaNames.ip(r)) >= REMOVED_AFTER_MS);
+        return left;
+    }
+
+    private static List<String> oneStep(List<String> replicas, List<String> next) {
+        List<String> kept = new ArrayList<>(replicas);
+        kept.retainAll(next);
+        return kept.size() < replicas.size() ? kept : next;
+    }
+}
--- /dev/null
+++ b/src/test/java/routerfleet/control/FaultyStore.java
@@ -0,0 +1,36 @@
+package routerfleet.control;
+
+import io.vavr.control.Either;
+import routerfleet.config.ConfigFault;
+import routerfleet.config.ConfigOrder;
+import routerfleet.config.ConfigStore;
+
+/** A configuration store with a planted fault. */
+final class FaultyStore extends ConfigStore {
+    private static final int SKIPPED = 9;
+
+    private final PlantedFault fault;
+    private int applied;
+
+    FaultyStore(PlantedFault fault) {
+        this.fault = fault;
+    }
+
+    @Override
+    protected Long takenBefore(String digest) {
+        return fault == PlantedFault.ORDERS_FORGOTTEN ? null : super.takenBefore(digest);
+    }
+
+    @Override
+    protected boolean buildsOnCurrent(ConfigOrder order) {
+        return fault == PlantedFault.BASE_NOT_COMPARED || super.buildsOnCurrent(order);
+    }
+
+    @Override
+    public Either<ConfigFault, Long> apply(ConfigOrder order) {
+        if (fault == PlantedFault.ENTRY_SKIPPED && ++applied % SKIPPED == 0) {
+            return Either.right(generation());
+        }
+        return super.apply(order);
+    }
+}
--- a/src/test/java/routerfleet/control/PlantedFault.java
+++ b/src/test/java/routerfleet/control/PlantedFault.java
@@ -1,16 +1,126 @@
 package routerfleet.control;
 
+import io.netty.channel.ChannelPipeline;
+import rowanplank.agreement.Agreement;
+import routerfleet.config.ConfigStore;
+import routerfleet.simulation.VirtualProcess;
+
 /** Faults that are put into a simulated control plane, to see that the simulation finds them. */
 enum PlantedFault {
-    NONE, SYNC_DOES_NOTHING, FOLDER_IS_NOT_SYNCED;
+    NONE,
+
+    /** A leader takes its own word for a majority's. */
+    LEADERSHIP_UNCONFIRMED,
+    /** One less than a majority decides. */
+    HALF_IS_ENOUGH,
+    /** Reads are answered without asking anybody. */
+    READS_UNASKED,
+    /** A follower takes a read index for applied before it is. */
+    READ_INDEX_UNAPPLIED,
+
+    /** An order that was taken is not known again. */
+    ORDERS_FORGOTTEN,
+    /** An order is refused without a majority's word that this leader still leads. */
+    REFUSED_UNCONFIRMED,
+    /** An order is taken whatever it builds on. */
+    BASE_NOT_COMPARED,
+    /** A replica that starts has forgotten whom it voted for. */
+    VOTE_FORGOTTEN,
+    /** What is unclear is told as taken. */
+    UNCLEAR_TOLD_AS_TAKEN,
+    /** What is unclear is told as refused. */
+    UNCLEAR_TOLD_AS_REFUSED,
+
+    /** Who is silent for long is removed, as far as three are left. */
+    SILENCE_REMOVES,
+    /** Newcomers get a vote before they hold anything. */
+    NEWCOMERS_VOTE_EMPTY,
+    /** A member is removed first, and its successor added later. */
+    REMOVED_FIRST,
+    /** A replica whose disk was lost keeps its name, and votes again. */
+    NAME_KEPT,
+    /** In a change of members the new group decides alone. */
+    NEW_GROUP_DECIDES_ALONE,
+
+    /** Any candidate gets a vote, whatever it lacks. */
+    ANY_LOG_WILL_DO,
+    /** Entries of earlier terms are decided by counting. */
+    OLDER_TERMS_COUNT,
+    /** Entries are taken without a look at what stands before them. */
+    NO_LOG_CHECK,
+    /** A snapshot holds the state of the one before. */
+    SNAPSHOT_OF_AN_OLDER_STATE,
+    /** A snapshot that is on its way begins anew with each newer one. */
+    SNAPSHOT_BEGINS_ANEW,
+    /** An entry that can't be read is skipped. */
+    ENTRY_SKIPPED,
+    /** A sync tells that it is done and does nothing. */
+    SYNC_DOES_NOTHING,
+    /** The folder is never synced. */
+    FOLDER_IS_NOT_SYNCED,
+    /** A snapshot is written over the state that is in use. */
+    ONE_SLOT,
+    /** What is to be written is told as stored. */
+    TOLD_BEFORE_SYNCED,
+
+    /** Requests of one connection are handled at once, and answered as they are done. */
+    ANSWERED_AS_DONE,
+    /** That a server ends is acknowledged by one control node alone. */
+    END_HELD_BY_ONE;
 
     /** The parts that a control service with this fault is made of. */
     ControlParts parts(int toleratedHosts) {
-        return new ControlParts(toleratedHosts);
+        return this == NONE ? new ControlParts(toleratedHosts) : new FaultyParts(this, toleratedHosts);
     }
 
-    /** The HTTP side with this fault. */
+    /** The HTTP handler with this fault. */
     ControlHttp.Handler handler(ControlHttp.Handler real) {
-        return real;
+        int told = this == UNCLEAR_TOLD_AS_TAKEN ? 200 : this == UNCLEAR_TOLD_AS_REFUSED ? 412 : 0;
+        if (told == 0) {
+            return real;
+        }
+        return (request, answer) -> real.handle(request, response -> answer.accept(
+                request.method().equals("POST") && request.path().contains("config") && response.status() == 503
+                        ? ControlHttp.Response.error(told, "planted") : response));
+    }
+
+    /** The HTTP side of a connection with this fault. */
+    void install(ChannelPipeline pipeline, ControlHttp.Handler handler) {
+        if (this == ANSWERED_AS_DONE) {
+            DisorderedHttp.install(pipeline, handler);
+        } else {
+            ControlHttp.install(pipeline, handler);
+        }
+    }
+
+    /** A replica's storage with this fault. */
+    ReplicaStorage storage(Disk disk, VirtualProcess life, DiskWriter writer) {
+        return new ReplicaStorage(disk, life, writer) {
+            @Override
+            int nextSlot(int inUse) {
+                return PlantedFault.this == ONE_SLOT ? inUse : super.nextSlot(inUse);
+            }
+
+            @Override
+            void store(rowanplank.agreement.Write write, Runnable stored) {
+                if (PlantedFault.this == TOLD_BEFORE_SYNCED) {
+                    super.store(write, () -> { });
+                    life.execute(stored);
+                } else {
+                    super.store(write, stored);
+                }
+            }
+        };
+    }
+
+    /** Makes the agreement with this fault. */
+    Agreement agreement(Agreement.Settings settings, rowanplank.agreement.Saved saved, java.time.Instant now,
+            Agreement.Actions actions) {
+        return new FaultyAgreement(this, settings, saved, now, actions);
+    }
+
+    /** Makes the store with this fault. */
+    ConfigStore store() {
+        return new FaultyStore(this);
     }
 }
--- a/src/test/java/routerfleet/control/SimulatedHttp.java
+++ b/src/test/java/routerfleet/control/SimulatedHttp.java
@@ -26,9 +26,11 @@
 
     private final VirtualWorld world;
     private final Random random;
+    private final PlantedFault fault;
     private double lostAnswers;
 
-    SimulatedHttp(VirtualWorld world, long seed) {
+    SimulatedHttp(VirtualWorld world, long seed, PlantedFault fault) {
+        this.fault = fault;
         this.world = world;
         random = new Random(seed);
     }
@@ -67,7 +69,7 @@
         process.execute(() -> {
             EmbeddedChannel channel = new EmbeddedChannel();
             channel.pipeline().addLast(new Pipe(call, process));
-            ControlHttp.install(channel.pipeline(), handler);
+            fault.install(channel.pipeline(), handler);
             channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
         });
     }
--- a/src/test/java/routerfleet/control/SimulatedMachine.java
+++ b/src/test/java/routerfleet/control/SimulatedMachine.java
@@ -62,7 +62,7 @@
         writer = new SimulatedDisk.Writer(surroundings.world(), life);
         writer.latencyMs(diskLatencyMs);
         writer.hang(diskHangs);
-        ReplicaStorage storage = new ReplicaStorage(disk, life, writer);
+        ReplicaStorage storage = surroundings.fault().storage(disk, life, writer);
         LocalSettings settings = new LocalSettings("core-" + ip, ip, "a", null, null, null, INTERNAL_PORT, seeds,
                 bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), Bounds.defaults());
         ControlService started = new ControlService(settings, life, surroundings.network().of(ip, life),
--- a/src/test/java/routerfleet/control/SimulationCampaign.java
+++ b/src/test/java/routerfleet/control/SimulationCampaign.java
@@ -14,6 +14,10 @@
     private SimulationCampaign() { }
 
     public static void main(String[] arguments) throws InterruptedException {
+        if (arguments[0].equals("planted")) {
+            findPlanted(Integer.parseInt(arguments[1]), Integer.parseInt(arguments[2]));
+            return;
+        }
         int tolerated = Integer.parseInt(arguments[0]);
         long first = Long.parseLong(arguments[1]);
         int count = Integer.parseInt(arguments[2]);
@@ -35,6 +39,32 @@
         System.exit(broken.get() == 0 ? 0 : 1);
     }
 
+    /** Says of each planted fault in which run it is found first. @param most runs of each; of three replicas, then of five */
+    private static void findPlanted(int most, int threads) throws InterruptedException {
+        AtomicInteger next = new AtomicInteger(1);
+        List<Thread> all = IntStream.range(0, threads).mapToObj(i -> new Thread(() -> {
+            for (int f = next.getAndIncrement(); f < PlantedFault.values().length; f = next.getAndIncrement()) {
+                PlantedFault fault = PlantedFault.values()[f];
+                String found = found(fault, 1, most);
+                System.out.println(fault + " | " + (found != null ? found : found(fault, 2, most)));
+            }
+        })).toList();
+        all.forEach(Thread::start);
+        for (Thread thread : all) {
+            thread.join();
+        }
+    }
+
+    private static String found(PlantedFault fault, int tolerated, int most) {
+        for (int seed = 1; seed <= most; seed++) {
+            String wrong = wrong(seed, tolerated, ControlPlaneSimulation.plan(seed), fault);
+            if (wrong != null) {
+                return (2 * tolerated + 1) + " replicas, run " + seed + ": " + wrong;
+            }
+        }
+        return null;
+    }
+
     private static void play(long seed, int tolerated, PlantedFault fault, AtomicInteger broken) {
         FaultPlan plan = ControlPlaneSimulation.plan(seed);
         String wrong = wrong(seed, tolerated, plan, fault);
@@ -51,7 +81,6 @@
         try {
             return new ControlPlaneSimulation(seed, tolerated, plan, fault).play();
         } catch (RuntimeException e) {
-            e.printStackTrace(System.out);
             return "failed: " + e;
         }
     }
