--- a/src/main/java/routerfleet/control/ControlHttp.java
+++ b/src/main/java/routerfleet/control/ControlHttp.java
@@ -176,10 +176,11 @@
                 return;
             }
             ended = !answered.keepAlive();
-            context.writeAndFlush(message(response, answered.keepAlive()));
-            if (ended) {
-                end(context, answered.ready() != null);
-            }
+            context.writeAndFlush(message(response, answered.keepAlive())).addListener(written -> {
+                if (!answered.keepAlive()) {
+                    end(context, answered.ready() != null); // not sooner: what is not written yet would be lost
+                }
+            });
             handleNext(context);
         }
 
--- a/src/test/java/routerfleet/control/ControlPlaneTest.java
+++ b/src/test/java/routerfleet/control/ControlPlaneTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import routerfleet.config.ConfigOrder;
 import routerfleet.demo.Configurations;
 import routerfleet.demo.LoopbackFleet;
 import routerfleet.demo.LoopbackHttp;
@@ -18,6 +20,7 @@
 /** What was acknowledged outlives crashes, lost disks and replaced nodes, and is answered the same again. */
 class ControlPlaneTest {
     private static final int MOST_WAIT_S = 30;
+    private static final int LARGE_BYTES = 3 << 20;
 
     @TempDir
     private Path folder;
@@ -43,6 +46,31 @@
         return answer.body();
     }
 
+    /** Guards large configurations: an answer that ends its connection is not cut off by that end. */
+    @Test
+    void aLargeConfigurationIsReadBackWhole() throws IOException {
+        String large = Configurations.whole(5).replace("{\"generation\":5,",
+                "{\"generation\":5,\"notes\":\"" + "x".repeat(LARGE_BYTES) + "\",");
+        assertThat(fleet.order("replace", 3, large), is(200));
+        for (int i = 1; i <= 3; i++) {
+            LoopbackHttp.Answer answer = fleet.configuration(i);
+            assertThat(answer.status(), is(200));
+            assertThat(answer.body().length(), is(greaterThan(LARGE_BYTES)));
+        }
+    }
+
+    /** Guards what is acknowledged: what no snapshot could hold is refused at once, with its size. */
+    @Test
+    void whatCanNotBeKeptIsRefusedWithItsSize() throws IOException {
+        String half = "x".repeat(ConfigOrder.MOST_BODY_BYTES * 2 / 3);
+        String first = Configurations.whole(5).replace("{\"generation\":5,",
+                "{\"generation\":5,\"notes\":\"" + half + "\",");
+        assertThat(fleet.order("replace", 3, first), is(200));
+        String second = "{\"generation\":6,\"upsert\":{\"more\":[{\"name\":\"a\",\"text\":\"" + half + "\"}]}}";
+        assertThat(fleet.order("patch", 5, second), is(413));
+        assertThat(fleet.order("patch", 5, patch(7)), is(200));
+    }
+
     private static String patch(long generation) {
         return "{\"generation\":" + generation + ",\"delete\":{\"routes\":[\"drafts\"]}}";
     }
