--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -120,6 +120,24 @@
                 && (!membership.isJoint() || membership.outgoing().contains(self));
     }
 
+    /** Its part in the group, in one line. */
+    String describe() {
+        return (halted ? "halted" : agreement.role()) + " of term " + agreement.term() + ", leader " + leader() + ", voters "
+                + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "") + ", entries "
+                + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", " + storage.waiting()
+                + " writes wait";
+    }
+
+    /** Whether a change of the members is under way. */
+    boolean isChanging() {
+        return agreement.membership().isJoint();
+    }
+
+    /** Whether it was elected, even if it does not know yet what was decided before. */
+    boolean isElected() {
+        return agreement.role() == Agreement.Role.LEADER;
+    }
+
     /** Whether this replica has a vote. */
     boolean isVoter() {
         return agreement.membership().includes(self);
--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -31,6 +31,8 @@
     private static final long DRAIN_MS = 2_000;
     private static final long CALM_MS = 3_000;
     private static final int DATA_NODES = 2;
+    private static final int FINAL_READS = 4;
+    private static final long FINAL_READ_MS = 1_000;
     private static final int FILLER = 40;
     private static final int LARGE_FILLER = 60_000;
 
@@ -85,7 +87,8 @@
         surroundings = new SimulatedMachine.Surroundings(world, network, codec, tolerated, fault);
         SimulatedHttp http = new SimulatedHttp(world, random.nextLong(), fault);
         int filler = random.nextInt(8) == 0 ? LARGE_FILLER : FILLER;
-        clients = new SimulatedClients(world, random.nextLong(), http, this::listed, seen, filler);
+        clients = new SimulatedClients(world, random.nextLong(), http, this::listed, seen, filler,
+                filler == FILLER && random.nextInt(4) == 0);
         faults = new FaultInjector(this, world, network, http, clients, new Random(random.nextLong()));
         faultsEndMs = FAULTS_FROM_MS + FAULTS_MS;
         for (int i = 0; i < 2 * tolerated + 1 + random.nextInt(2) * random.nextInt(2); i++) {
@@ -128,15 +131,18 @@
         long newest = seen.newestAcknowledged();
         int readsBefore = seen.reads.size();
         List<HostPort> now = seeds();
-        world.runUntilMs(world.nowMs() + 4_000);
+        for (int i = 0; i < FINAL_READS; i++) {
+            listed().forEach(machine -> clients.readAt(machine, generation -> { }));
+            world.runUntilMs(world.nowMs() + FINAL_READ_MS);
+        }
         Set<String> readers = new HashSet<>();
         for (Observations.Read read : seen.reads.subList(readsBefore, seen.reads.size())) {
             readers.add(read.node());
         }
         boolean ordered = seen.orders.values().stream().anyMatch(o -> o.acknowledgedNanos() > before - 4_000_000_000L);
         if (readers.size() < 2 * tolerated + 1) {
-            return "of " + machines.stream().filter(m -> !m.isRemoved()).count() + " only " + readers
-                    + " answer reads after the recovery";
+            return "of " + listed().size() + " only " + readers + " answer reads after the recovery; "
+                    + listed().stream().map(SimulatedMachine::describe).toList();
         }
         if (!ordered) {
             return "no order is acknowledged after the recovery; newest " + newest + ", seeds " + now;
--- a/src/test/java/routerfleet/control/FaultInjector.java
+++ b/src/test/java/routerfleet/control/FaultInjector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import routerfleet.simulation.SimulatedNetwork;
 import routerfleet.simulation.VirtualWorld;
 
@@ -15,6 +16,9 @@
     private static final long SLOW_NANOS_A_BYTE = 3_000;
     private static final long SLOW_DISK_MS = 60;
     private static final long LEAVE_MS = 4_800;
+    /** For how long a moment is waited for, and how often is looked. */
+    private static final long WATCH_MS = 10_000;
+    private static final long WATCH_STEP_NANOS = 700_000;
 
     private final ControlPlaneSimulation plane;
     private final VirtualWorld world;
@@ -94,7 +98,10 @@
         }
         plane.seen().faults++;
         List<SimulatedMachine> all = plane.listed();
-        SimulatedMachine machine = all.get(fault.target() % all.size());
+        SimulatedMachine leader = all.stream().filter(m -> m.service() != null && m.service().group().leads()).findFirst()
+                .orElse(null);
+        SimulatedMachine machine = leader != null && fault.variant() % 3 == 0 ? leader
+                : all.get(fault.target() % all.size());
         switch (fault.kind()) {
             case KILL -> kill(machine);
             case POWER -> power(machine, fault.forMs());
@@ -129,10 +136,43 @@
             }
             case STRIKE_AFTER_ACK -> clients.onAcknowledged(() -> strikeAfterAck(fault));
             case WIPE_AND_POWER -> wipeAndPower(fault);
+            case AT_A_CHANGE -> when(fault, world.nowMs() + WATCH_MS, m -> m.service().group().isChanging());
+            case AT_AN_ELECTION -> when(fault, world.nowMs() + WATCH_MS, m -> m.service().group().isElected()
+                    && !m.service().group().leads());
             default -> throw new IllegalStateException("unknown " + fault.kind());
         }
     }
 
+    /** Strikes in the moment in which something holds of a machine, which may last only a few milliseconds. */
+    private void when(FaultPlan.Fault fault, long untilMs, Predicate<SimulatedMachine> holds) {
+        if (over || world.nowMs() > untilMs) {
+            return;
+        }
+        for (SimulatedMachine machine : plane.listed()) {
+            if (machine.service() != null && !machine.isFrozen() && holds.test(machine)) {
+                strikeAt(machine, fault);
+                return;
+            }
+        }
+        world.after(WATCH_STEP_NANOS, () -> when(fault, untilMs, holds));
+    }
+
+    private void strikeAt(SimulatedMachine machine, FaultPlan.Fault fault) {
+        List<SimulatedMachine> others = new ArrayList<>(plane.listed());
+        others.remove(machine);
+        SimulatedMachine other = others.get(fault.target() % others.size());
+        switch (fault.variant() % 8) {
+            case 0 -> kill(machine);
+            case 1 -> power(machine, fault.forMs() / 3);
+            case 2 -> wipe(machine, fault.forMs() / 3);
+            case 3 -> cutOff(machine, fault.as(FaultPlan.Kind.CUT_OFF));
+            case 4 -> split(fault.forMs());
+            case 5 -> wipe(other, fault.forMs() / 3);
+            case 6 -> plane.listed().forEach(this::kill);
+            default -> wipeAndPower(fault);
+        }
+    }
+
     // ---- single machines
 
     private void kill(SimulatedMachine machine) {
--- a/src/test/java/routerfleet/control/FaultPlan.java
+++ b/src/test/java/routerfleet/control/FaultPlan.java
@@ -10,7 +10,8 @@
     enum Kind {
         KILL, POWER, POWER_IN_A_WRITE, FREEZE, CUT_OFF, CUT_OFF_FROM_ALL, CUT_ONE_WAY, SPLIT, RESET, WIPE, KILL_ALL,
         POWER_ALL, POWER_EVERYTHING, BEHIND, REPLACE, REPLACE_PLANNED, STOP, DISK_SLOW, DISK_HANGS, DISK_FULL, ANSWERS_LOST,
-        SLOW_LINK, KILL_DATA_NODE, STRIKE_AFTER_ACK, WIPE_AND_POWER
+        SLOW_LINK, KILL_DATA_NODE, STRIKE_AFTER_ACK, WIPE_AND_POWER, AT_A_CHANGE,
+        AT_AN_ELECTION
     }
 
     /**
@@ -19,7 +20,12 @@
      * @param target which machine, counted over those that are there
      * @param variant chooses among forms of the same
      */
-    record Fault(int number, long atMs, Kind kind, int target, long forMs, int variant) { }
+    record Fault(int number, long atMs, Kind kind, int target, long forMs, int variant) {
+        /** The same as another kind. */
+        Fault as(Kind other) {
+            return new Fault(number, atMs, other, target, forMs, variant);
+        }
+    }
 
     private static final int LONG_MS = 20_000;
 
--- a/src/test/java/routerfleet/control/ReplicaPlannerTest.java
+++ b/src/test/java/routerfleet/control/ReplicaPlannerTest.java
@@ -115,6 +115,13 @@
         assertThat(next(1, THREE, new Nodes(SECOND_WIPED, THIRD)), is(replaced(THREE, SECOND, SECOND_WIPED)));
     }
 
+    /** Guards against a member that counts for ever and is nowhere: an earlier replica of the leader's own node. */
+    @Test
+    void anEarlierReplicaOfTheLeadersNodeGivesWay() {
+        List<String> replicas = List.of(SELF, THIRD, "10.0.0.1/11");
+        assertThat(next(1, replicas, new Nodes(THIRD, FOURTH)), is(List.of(SELF, THIRD, FOURTH)));
+    }
+
     /** Guards against a lost majority: a disk that is lost for certain goes before one that is only silent. */
     @Test
     void aLostDiskIsReplacedBeforeASilentOne() {
--- a/src/test/java/routerfleet/control/SimulatedClients.java
+++ b/src/test/java/routerfleet/control/SimulatedClients.java
@@ -23,6 +23,8 @@
     private final Supplier<List<SimulatedMachine>> machines;
     private final Observations seen;
     private final int filler;
+    /** Operators give one order after the other, without a pause. */
+    private final boolean hurried;
     private long endMs;
     private int lastServer;
     private Runnable onAcknowledged = () -> { };
@@ -31,9 +33,13 @@
     /** A server whose end was acknowledged. */
     record Ending(String uid, long acknowledgedMs) { }
 
-    /** @param filler bytes that each configuration is larger by */
+    /**
+     * @param filler bytes that each configuration is larger by
+     * @param hurried whether hundreds of orders are given
+     */
     SimulatedClients(VirtualWorld world, long seed, SimulatedHttp http, Supplier<List<SimulatedMachine>> machines,
-            Observations seen, int filler) {
+            Observations seen, int filler, boolean hurried) {
+        this.hurried = hurried;
         this.world = world;
         random = new Random(seed);
         this.http = http;
@@ -83,7 +89,11 @@
 
     /** Reads the configuration at any node. @param generation given what was read; negative where nothing was */
     void read(Consumer<Long> generation) {
-        SimulatedMachine machine = any();
+        readAt(any(), generation);
+    }
+
+    /** Reads the configuration at a node. @param generation given what was read; negative where nothing was */
+    void readAt(SimulatedMachine machine, Consumer<Long> generation) {
         long sent = world.nowNanos();
         boolean two = random.nextInt(4) == 0;
         http.call(machine, two ? List.of(GET, NOWHERE) : List.of(GET), answers -> {
@@ -167,7 +177,7 @@
         }
 
         private void pause(Runnable then) {
-            world.afterMs(random.nextInt(4) == 0 ? 1_500 : 20 + random.nextInt(400), then);
+            world.afterMs(hurried ? 5 : random.nextInt(4) == 0 ? 1_500 : 20 + random.nextInt(400), then);
         }
     }
 
--- a/src/test/java/routerfleet/control/SimulatedMachine.java
+++ b/src/test/java/routerfleet/control/SimulatedMachine.java
@@ -93,6 +93,11 @@
         return isUp() && service != null && !frozen && !diskHangs && diskLatencyMs <= 2;
     }
 
+    /** What an operator would look at. */
+    String describe() {
+        return ip + (service == null ? " has no service" : " " + service.replica() + " " + service.group().describe());
+    }
+
     boolean isRemoved() {
         return removed;
     }
