Run nothing that a client had sent ahead once it has left

Read in the code and brought about by a test that fails without the mend: while a request was open, reading stopped at the first byte that came ahead, so that the client's end was not seen; the next request was sent to a server though its client had left. Reading goes on up to 64 KiB.

--- a/src/main/java/routerfleet/data/ClientConnection.java
+++ b/src/main/java/routerfleet/data/ClientConnection.java
@@ -38,9 +38,15 @@
     /** How long after an answer that ends the connection unread bytes may still come before it is closed. */
     private static final long LINGER_MS = 200;
 
+    /** What clients may send before its turn, in bytes. */
+    private static final int MOST_WAITING_BYTES = 64 << 10;
+    /** What a message takes beside its content, about. */
+    private static final int WAITING_OVERHEAD = 512;
+
     private final DataPlane plane;
     private final Set<ClientConnection> all;
     private final Deque<Object> waiting = new ArrayDeque<>();
+    private int waitingBytes;
     private ChannelHandlerContext context;
     private HttpRequest request;
     private ByteArrayOutputStream body;
@@ -82,13 +88,24 @@
         if (closing) {
             ReferenceCountUtil.release(message);
         } else if (exchange != null) {
-            waiting.add(message);
-            context.channel().config().setAutoRead(false);
+            queue(message);
         } else {
             take(message);
         }
     }
 
+    /**
+     * Keeps what has come before its turn. Reading goes on up to a bound, since a connection that is not read does not show
+     * that its client has gone.
+     */
+    private void queue(Object message) {
+        waiting.add(message);
+        waitingBytes += WAITING_OVERHEAD + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
+        if (waitingBytes > MOST_WAITING_BYTES) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
     private void take(Object message) {
         try {
             if (message instanceof HttpRequest head) {
@@ -244,6 +261,9 @@
             }
             take(waiting.poll());
         }
+        if (waiting.isEmpty()) {
+            waitingBytes = 0;
+        }
         if (exchange == null && !closing) {
             context.channel().config().setAutoRead(true);
         }
--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -36,7 +36,9 @@
         /** Ends a stream inside its third event. */
         CUT,
         /** Reads a request and closes the connection. */
-        HANG_UP
+        HANG_UP,
+        /** Reads a request, and answers it whole once it does something else. */
+        HOLD
     }
 
     /** A request as it arrived. */
@@ -86,7 +88,22 @@
 
     /** Changes what it does from now on. */
     public void behave(Behaviour changed) {
-        behaviour = changed;
+        synchronized (arrivals) {
+            behaviour = changed;
+            arrivals.notifyAll();
+        }
+    }
+
+    private void awaitOtherBehaviour() throws IOException {
+        synchronized (arrivals) {
+            try {
+                while (behaviour == Behaviour.HOLD) {
+                    arrivals.wait();
+                }
+            } catch (InterruptedException e) {
+                throw new IOException("interrupted", e);
+            }
+        }
     }
 
     /** Says that it leaves. @return whether a control node has acknowledged that */
@@ -161,6 +178,9 @@
         switch (behaviour) {
             case HANG_UP:
                 return false;
+            case HOLD:
+                awaitOtherBehaviour();
+                return act(out, headers);
             case SHED:
                 write(out, "503 Service Unavailable", "Rowanplank-Not-Executed: 1\r\n", "");
                 return true;
--- a/src/test/java/routerfleet/FleetTest.java
+++ b/src/test/java/routerfleet/FleetTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasKey;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -13,11 +14,13 @@
 import static org.hamcrest.Matchers.nullValue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,6 +35,7 @@
 class FleetTest {
     private static final int EVENTS = 5;
     private static final int MOST_TRIES = 400;
+    private static final int MOST_WAIT_S = 20;
 
     @TempDir
     private Path folder;
@@ -164,6 +168,30 @@
         }
     }
 
+    /** Guards requests that may run once: what a client had sent ahead is not run for it once it has left. */
+    @Test
+    void whatAClientSentAheadIsNotRunOnceItHasLeft() throws IOException {
+        served(0, "/pages/");
+        web.behave(Behaviour.HOLD);
+        int before = web.arrivals().size();
+        try (Socket client = new Socket(fleet.frontend(0).host(), fleet.frontend(0).port())) {
+            String one = "POST /pages/ HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\nContent-Length: 0\r\n"
+                    + "Rowanplank-Attempt-Id: ahead-";
+            client.getOutputStream().write((one + "1\r\n\r\n" + one + "2\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_WAIT_S);
+            while (web.arrivals().size() == before && System.nanoTime() - end < 0) {
+                Thread.onSpinWait();
+            }
+        }
+        served(0, "/nowhere/"); // by then the node has seen that the client has left
+        web.behave(Behaviour.SERVE);
+        served(0, "/pages/");
+        assertThat(web.arrivals().stream().map(a -> a.headers().get("rowanplank-attempt-id")).toList(),
+                hasItem("ahead-1"));
+        assertThat(web.arrivals().stream().map(a -> a.headers().get("rowanplank-attempt-id")).toList(),
+                not(hasItem("ahead-2")));
+    }
+
     @Test
     void aServerThatDrainsGetsNothingMoreOnceThatIsAcknowledged() throws IOException {
         try (EmulatedServer other = new EmulatedServer("web-2", "web", fleet.seeds(), 0)) {
