--- a/src/main/java/rowanplank/agreement/Agreement.java
+++ b/src/main/java/rowanplank/agreement/Agreement.java
@@ -238,12 +238,23 @@
     /** When {@link #onTime} is to be called next; null where nothing is due. */
     public Instant due() {
         if (role != Role.LEADER) {
-            return isVoter() ? electionDue : null;
+            return mayStand() ? electionDue : null;
         }
         Instant gathered = roundBegan.plus(GATHER);
         return roundWanted && gathered.isBefore(heartbeatDue) ? gathered : heartbeatDue;
     }
 
+    /**
+     * Who has a vote stands, and who had one until a change that is not decided yet: it may be the only one that holds the
+     * change, and the others then choose nobody who does not (section 4.2.2 of Ongaro's thesis). Its own vote counts
+     * where it has one.
+     */
+    private boolean mayStand() {
+        long change = log.lastChange();
+        return isVoter() || change > commit && change > log.first() - 1
+                && log.membershipAfter(change - 1).includes(settings.self());
+    }
+
     private boolean isVoter() {
         return membership.includes(settings.self());
     }
@@ -273,7 +284,7 @@
             } else if (roundWanted && !now.isBefore(roundBegan.plus(GATHER))) {
                 beginRound(now);
             }
-        } else if (isVoter() && !now.isBefore(electionDue)) {
+        } else if (mayStand() && !now.isBefore(electionDue)) {
             ask(now);
         }
     }
@@ -637,7 +648,9 @@
     private long appendOwn(Entry entry) {
         write(List.of(entry));
         for (Peer p : peers.values()) {
-            sendTo(roundBegan, p);
+            if (p.sending == null) {
+                sendTo(roundBegan, p);
+            }
         }
         return entry.index();
     }
--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -194,6 +194,15 @@
 
     // ---- regular checks
 
+    /** Prints each node's part in the group from now on, again and again, and each fault: to look into a broken case. */
+    ControlPlaneSimulation traced(long everyMs) {
+        System.out.println(world.nowMs() + " " + machines.stream().filter(m -> !m.isRemoved())
+                .map(SimulatedMachine::describe).toList() + " disks lost "
+                + machines.stream().filter(SimulatedMachine::diskLossOpen).map(m -> m.ip).toList());
+        world.afterMs(everyMs, () -> traced(everyMs));
+        return this;
+    }
+
     private void check() {
         boolean allWell = listed().stream().allMatch(SimulatedMachine::isWell) && faults.isQuiet();
         if (!allWell) {
--- a/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
@@ -1,23 +1,148 @@
 package routerfleet.control;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
-/** The whole control plane in virtual time, through faults of all kinds. */
+/**
+ * The whole control plane in virtual time: what its clients see is one configuration that changes one order at a time, on
+ * the operators' worst days and on days that are drawn. What is planted is found.
+ */
 class ControlPlaneSimulationTest {
-    private static final int SEEDS = 20;
+    private static final int MOST_RUNS = 60;
+    private static final int SCENARIO_SEEDS = 6;
 
+    private static String play(long seed, int tolerated, FaultPlan plan) {
+        ControlPlaneSimulation simulation = new ControlPlaneSimulation(seed, tolerated, plan, PlantedFault.NONE);
+        String wrong = simulation.play();
+        assertThat(simulation.seen().orders.size(), is(greaterThan(10)));
+        assertThat(simulation.seen().newestAcknowledged(), is(greaterThan(0L)));
+        return wrong;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 24", "2, 10", "3, 5"})
+    void drawnDays(int tolerated, int seeds) {
+        for (long seed = 1; seed <= seeds; seed++) {
+            assertThat("seed " + seed, play(seed, tolerated, ControlPlaneSimulation.plan(seed)), is(nullValue()));
+        }
+    }
+
+    /** Found by a campaign: the group held an earlier replica of its leader's own node for ever. */
+    @Test
+    void twoReplicasOfTheLeadersNode() {
+        assertThat(play(3, 2, ControlPlaneSimulation.plan(3)), is(nullValue()));
+    }
+
+    // ---- the operators' five points
+
+    private static void bear(int tolerated, FaultPlan.Fault... faults) {
+        for (long seed = 1; seed <= SCENARIO_SEEDS; seed++) {
+            assertThat("seed " + seed, play(100 + seed, tolerated, new FaultPlan(List.of(faults))), is(nullValue()));
+        }
+    }
+
+    /** @param variant divisible by 3: the leader is struck */
+    private static FaultPlan.Fault fault(int number, long atMs, FaultPlan.Kind kind, int target, long forMs, int variant) {
+        return new FaultPlan.Fault(number, atMs, kind, target, forMs, variant);
+    }
+
+    /** Point 1: a control machine is cut off for twenty seconds, also the leader, also from one side only. */
+    @ParameterizedTest
+    @EnumSource(value = FaultPlan.Kind.class, names = {"CUT_OFF", "CUT_OFF_FROM_ALL", "CUT_ONE_WAY", "SPLIT", "FREEZE"})
+    void oneIsCutOffForTwentySeconds(FaultPlan.Kind kind) {
+        bear(1, fault(0, 4_000, kind, 0, 20_000, 3));
+        bear(2, fault(0, 4_000, kind, 1, 20_000, 6), fault(1, 5_000, kind, 2, 20_000, 1));
+    }
+
+    /** Point 2: two operators on the same version all the time, and most answers are lost while leaders come and go. */
+    @Test
+    void answersAreLostWhileLeadersChange() {
+        List<FaultPlan.Fault> faults = new ArrayList<>(List.of(fault(0, 3_000, FaultPlan.Kind.ANSWERS_LOST, 0, 25_000, 1)));
+        for (int i = 1; i <= 8; i++) {
+            faults.add(fault(i, 3_000 + 3_000L * i, i % 2 == 0 ? FaultPlan.Kind.KILL : FaultPlan.Kind.CUT_OFF, i, 2_000, 3));
+        }
+        bear(1, faults.toArray(FaultPlan.Fault[]::new));
+    }
+
+    /** Point 3: a second disk is lost as soon as the first is made up for, again and again, and others lose power. */
+    @Test
+    void aSecondLossFollowsEachRepair() {
+        List<FaultPlan.Fault> faults = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            FaultPlan.Kind kind = i % 3 == 0 ? FaultPlan.Kind.REPLACE : FaultPlan.Kind.WIPE_AND_POWER;
+            faults.add(fault(i, 4_000 + 450L * i, kind, i, 300, 1 + 2 * i));
+        }
+        bear(1, faults.toArray(FaultPlan.Fault[]::new));
+        bear(2, faults.toArray(FaultPlan.Fault[]::new));
+    }
+
+    /** Point 3: a member that leaves is gone, its successor holds all, and at once another disk is lost. */
+    @Test
+    void plannedReplacementsOneAfterAnother() {
+        List<FaultPlan.Fault> faults = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            faults.add(fault(i, 3_000 + 1_400L * i, i % 4 == 3 ? FaultPlan.Kind.WIPE : FaultPlan.Kind.REPLACE_PLANNED, i,
+                    600, 1));
+        }
+        bear(1, faults.toArray(FaultPlan.Fault[]::new));
+    }
+
+    /** Found from outside: two of five stand still for 14 s, and then two of the other three lose their disks. */
+    @Test
+    void twoStandStillAndTwoOthersLoseTheirDisks() {
+        for (int first = 0; first < 5; first++) {
+            bear(2, fault(0, 3_000, FaultPlan.Kind.FREEZE, first, 14_000, 1),
+                    fault(1, 3_000, FaultPlan.Kind.FREEZE, first + 1, 14_000, 1),
+                    fault(2, 16_000, FaultPlan.Kind.WIPE, first + 2, 1_000, 1),
+                    fault(3, 16_000, FaultPlan.Kind.WIPE, first + 3, 1_000, 1));
+        }
+    }
+
+    /** Point 4: members miss hundreds of changes, restart in the midst of writes, and must neither lead nor read old. */
+    @Test
+    void membersThatMissedHundredsOfChanges() {
+        List<FaultPlan.Fault> faults = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            faults.add(fault(2 * i, 3_000 + 4_500L * i, FaultPlan.Kind.BEHIND, i, 3_500, i));
+            faults.add(fault(2 * i + 1, 3_200 + 4_500L * i, FaultPlan.Kind.POWER_IN_A_WRITE, i, 900, i));
+        }
+        for (long seed = 1; seed <= 3 * SCENARIO_SEEDS; seed++) {
+            assertThat("seed " + seed, play(200 + seed, 1, new FaultPlan(faults)), is(nullValue()));
+        }
+    }
+
+    /** Disks that hang, are slow and full: the leader's own, too. */
+    @Test
+    void disksInTrouble() {
+        bear(1, fault(0, 3_000, FaultPlan.Kind.DISK_HANGS, 0, 6_000, 3),
+                fault(1, 11_000, FaultPlan.Kind.DISK_FULL, 0, 6_000, 3),
+                fault(2, 19_000, FaultPlan.Kind.DISK_SLOW, 0, 6_000, 3),
+                fault(3, 21_000, FaultPlan.Kind.KILL, 0, 500, 3));
+    }
+
+    // ---- what is planted is found
+
+    /** Those that a run of three replicas shows early; all of them stand in docs/control-state.md. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 2, 3})
-    void whatClientsSeeIsOneConfigurationThatChangesInOrder(int tolerated) {
-        for (long seed = 1; seed <= SEEDS / tolerated; seed++) {
-            ControlPlaneSimulation simulation = new ControlPlaneSimulation(seed, tolerated,
-                    ControlPlaneSimulation.plan(seed), PlantedFault.NONE);
-            assertThat("seed " + seed, simulation.play(), is(nullValue()));
+    @EnumSource(value = PlantedFault.class, names = {"LEADERSHIP_UNCONFIRMED", "HALF_IS_ENOUGH", "READS_UNASKED",
+        "READ_INDEX_UNAPPLIED", "ORDERS_FORGOTTEN", "REFUSED_UNCONFIRMED", "BASE_NOT_COMPARED", "UNCLEAR_TOLD_AS_TAKEN",
+        "UNCLEAR_TOLD_AS_REFUSED", "NAME_KEPT", "ANY_LOG_WILL_DO", "ENTRY_SKIPPED", "SYNC_DOES_NOTHING",
+        "FOLDER_IS_NOT_SYNCED", "TOLD_BEFORE_SYNCED", "ANSWERED_AS_DONE"})
+    void aPlantedFaultIsFound(PlantedFault fault) {
+        String found = null;
+        for (long seed = 1; seed <= MOST_RUNS && found == null; seed++) {
+            found = new ControlPlaneSimulation(seed, 1, ControlPlaneSimulation.plan(seed), fault).play();
         }
+        assertThat(found, is(notNullValue()));
     }
 }
--- a/src/test/java/routerfleet/control/FaultInjector.java
+++ b/src/test/java/routerfleet/control/FaultInjector.java
@@ -240,7 +240,12 @@
         machine.diskLossOpen(true);
         restartAfter(successor, 0);
         later(1_500 + fault.forMs() / 3, () -> {
-            Runnable remove = () -> world.after(0, machine::remove);
+            Runnable remove = () -> world.after(0, () -> {
+                if (!machine.isRemoved() && !over) {
+                    machine.remove();
+                    successor.diskLossOpen(true); // it may have been killed, and so not have left in order
+                }
+            });
             if (machine.isUp() && machine.service() != null && !over) {
                 machine.process().execute(() -> machine.service().leave(remove, LEAVE_MS));
                 world.afterMs(LEAVE_MS + 1_000, remove);
--- a/src/test/java/routerfleet/control/ReplicaGroupTest.java
+++ b/src/test/java/routerfleet/control/ReplicaGroupTest.java
@@ -13,8 +13,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import rowanplank.agreement.Entry;
 import rowanplank.agreement.Message;
 import rowanplank.agreement.Saved;
+import rowanplank.agreement.Snapshot;
 import routerfleet.config.ConfigOrder;
 import routerfleet.demo.Configurations;
 import routerfleet.wire.EventLoopScheduler;
@@ -38,9 +40,12 @@
     }
 
     private ReplicaGroup group(ReplicaGroup.Surroundings surroundings) throws Exception {
+        return group(Saved.nothing(List.of(SELF)), surroundings);
+    }
+
+    private ReplicaGroup group(Saved saved, ReplicaGroup.Surroundings surroundings) throws Exception {
         storage = new ReplicaStorage(folder, loop);
         storage.open();
-        Saved saved = Saved.nothing(List.of(SELF));
         storage.start(SELF, saved);
         return loop.submit(() -> new ReplicaGroup(new EventLoopScheduler(loop), new PeerCodec(), SELF, saved, storage,
                 1, surroundings, new ControlParts(0))).get();
@@ -57,6 +62,46 @@
         return outcome;
     }
 
+    /** Guards the state: what was decided and can't be read is never skipped; the replica has nothing to say any more. */
+    @Test
+    void aReplicaThatCanNotReadWhatWasDecidedTakesNoPart() throws Exception {
+        byte[] ofALaterBuild = {(byte) 0x90, 1, 2, 3};
+        Saved saved = new Saved(1, SELF, Snapshot.beginning(List.of(SELF)),
+                List.of(Entry.command(1, 1, ofALaterBuild), Entry.opening(2, 1)));
+        CompletableFuture<Void> halted = new CompletableFuture<>();
+        ReplicaGroup group = group(saved, new Quiet());
+        Runnable[] watch = new Runnable[1];
+        watch[0] = () -> {
+            if (group.isHalted()) {
+                halted.complete(null);
+            } else {
+                loop.schedule(watch[0], 5, TimeUnit.MILLISECONDS);
+            }
+        };
+        loop.execute(watch[0]);
+        halted.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(loop.submit(group::leads).get(), is(false));
+        assertThat(loop.submit(group::answersReads).get(), is(false));
+        assertThat(loop.submit(group::generation).get(), is(0L));
+        CompletableFuture<OrderQueue.Outcome> answer = new CompletableFuture<>();
+        loop.execute(() -> group.order(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0,
+                Configurations.whole(2).getBytes(StandardCharsets.UTF_8)), given -> answer.complete(given.outcome())));
+        assertThat(answer.get(WAIT_S, TimeUnit.SECONDS), is(OrderQueue.Outcome.UNCLEAR));
+    }
+
+    /** Surroundings that hear nothing. */
+    private static final class Quiet implements ReplicaGroup.Surroundings {
+        @Override
+        public void send(String to, Message message) {
+            // nobody is there
+        }
+
+        @Override
+        public void configurationChanged(long generation, byte[] document) {
+            // nobody is to be told
+        }
+    }
+
     /** Guards the replica: a failure in what an order brings about must not leave all later orders without an answer. */
     @Test
     void ordersGoOnAfterATaskHasFailed() throws Exception {
--- a/src/test/java/routerfleet/control/ReplicaStorageTest.java
+++ b/src/test/java/routerfleet/control/ReplicaStorageTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -145,6 +146,45 @@
         }
     }
 
+    /** Guards memory: a disk that hangs is seen, and what waits for it is bounded by who asks. */
+    @Test
+    void aDiskThatHangsIsSeenAndFull() throws Exception {
+        CompletableFuture<Void> hanging = new CompletableFuture<>();
+        CompletableFuture<Void> goesOn = new CompletableFuture<>();
+        FolderDisk.FolderSync hangs = synced -> {
+            hanging.complete(null);
+            goesOn.join();
+        };
+        try (ReplicaStorage storage = new ReplicaStorage(new FolderDisk(folder, hangs), Runnable::run,
+                new DiskWriter.Thread())) {
+            storage.open();
+            storage.start("a/0", Saved.nothing(VOTERS));
+            hanging.get(20, TimeUnit.SECONDS);
+            CompletableFuture<Void> last = new CompletableFuture<>();
+            int writes = 0;
+            while (!storage.isFull() && writes < 10_000) {
+                storage.store(new Write.Vote(++writes, null), () -> last.complete(null));
+            }
+            assertThat(storage.isFull(), is(true));
+            assertThat(storage.waiting(), is(writes));
+            assertThat(last.isDone(), is(false));
+            assertThat(storage.stalledMs(), is(greaterThanOrEqualTo(0L)));
+            goesOn.complete(null);
+            last.get(20, TimeUnit.SECONDS);
+            assertThat(storage.isFull(), is(false));
+        }
+    }
+
+    /** Guards founders: killed once it has begun, one comes back as the same replica. */
+    @Test
+    void aFoundersFirstStateIsOnDiskBeforeItBegins() throws IOException {
+        try (ReplicaStorage storage = new ReplicaStorage(folder, Runnable::run)) {
+            storage.open();
+            storage.found("a/0", Saved.nothing(VOTERS));
+            assertThat(open().replica(), is("a/0"));
+        }
+    }
+
     @Test
     void aSlotOfTheProcessBeforeIsSyncedWithTheFirstWrite() throws IOException {
         fill(2);
--- a/src/test/java/routerfleet/control/SimulationCampaign.java
+++ b/src/test/java/routerfleet/control/SimulationCampaign.java
@@ -14,6 +14,10 @@
     private SimulationCampaign() { }
 
     public static void main(String[] arguments) throws InterruptedException {
+        if (arguments[0].equals("trace")) {
+            trace(Integer.parseInt(arguments[1]), Long.parseLong(arguments[2]), Long.parseLong(arguments[3]));
+            return;
+        }
         if (arguments[0].equals("planted")) {
             findPlanted(Integer.parseInt(arguments[1]), Integer.parseInt(arguments[2]));
             return;
@@ -39,6 +43,13 @@
         System.exit(broken.get() == 0 ? 0 : 1);
     }
 
+    /** Shows one run with the fewest faults that break it. */
+    private static void trace(int tolerated, long seed, long everyMs) {
+        FaultPlan fewest = shrunk(seed, tolerated, ControlPlaneSimulation.plan(seed), PlantedFault.NONE);
+        fewest.faults().forEach(System.out::println);
+        System.out.println(new ControlPlaneSimulation(seed, tolerated, fewest, PlantedFault.NONE).traced(everyMs).play());
+    }
+
     /** Says of each planted fault in which run it is found first. @param most runs of each; of three replicas, then of five */
     private static void findPlanted(int most, int threads) throws InterruptedException {
         AtomicInteger next = new AtomicInteger(1);
