--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -168,6 +168,11 @@
         return listed().stream().limit(3).map(m -> new HostPort(m.ip, SimulatedMachine.INTERNAL_PORT)).toList();
     }
 
+    /** Something has happened that the group has to make up for, though all that are left are well. */
+    void notWell() {
+        wellSinceMs = world.nowMs();
+    }
+
     /** Whether one more disk may be lost now. */
     boolean mayLoseADisk() {
         return machines.stream().filter(SimulatedMachine::diskLossOpen).count() < tolerated;
--- a/src/test/java/routerfleet/control/FaultInjector.java
+++ b/src/test/java/routerfleet/control/FaultInjector.java
@@ -243,6 +243,7 @@
             Runnable remove = () -> world.after(0, () -> {
                 if (!machine.isRemoved() && !over) {
                     machine.remove();
+                    plane.notWell();
                     successor.diskLossOpen(true); // it may have been killed, and so not have left in order
                 }
             });
