--- a/src/test/java/routerfleet/control/FaultInjector.java
+++ b/src/test/java/routerfleet/control/FaultInjector.java
@@ -196,6 +196,7 @@
                 if (machine.isUp()) {
                     machine.losePower();
                 }
+                machine.disk().failPowerAfter(-1); // killed meanwhile: it is not to fail in a later life
                 restartAfter(machine, over ? 0 : fault.forMs() / 3);
             });
         }
