--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -6,7 +6,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -122,8 +121,8 @@
 
     /** Its part in the group, in one line. */
     String describe() {
-        return (halted ? "halted" : agreement.role()) + " of term " + agreement.term() + ", leader " + leader() + ", voters "
-                + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "") + ", entries "
+        return (halted ? "halted" : agreement.role()) + " of term " + agreement.term() + ", leader " + leader()
+                + ", voters " + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "") + ", entries "
                 + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", " + storage.waiting()
                 + " writes wait";
     }
@@ -433,14 +432,8 @@
     }
 
     private void confirmedUpTo(long round) {
-        List<RoundWaiter> ready = new ArrayList<>();
-        for (Iterator<RoundWaiter> i = rounds.iterator(); i.hasNext();) {
-            RoundWaiter waiter = i.next();
-            if (waiter.round() <= round) {
-                i.remove();
-                ready.add(waiter);
-            }
-        }
+        List<RoundWaiter> ready = rounds.stream().filter(waiter -> waiter.round() <= round).toList();
+        rounds.removeAll(ready);
         ready.forEach(waiter -> waiter.confirmed().run());
     }
 
--- a/src/main/java/routerfleet/control/ReplicaPlanner.java
+++ b/src/main/java/routerfleet/control/ReplicaPlanner.java
@@ -108,6 +108,7 @@
     /** Whether its node, which may be this one, has come back as another replica, with an empty disk. */
     private boolean hasLostItsDisk(String replica, Presence presence) {
         String ip = ReplicaNames.ip(replica);
-        return ReplicaNames.ip(self).equals(ip) || presence.replicas().stream().anyMatch(r -> !r.equals(replica) && ReplicaNames.ip(r).equals(ip));
+        return ReplicaNames.ip(self).equals(ip)
+                || presence.replicas().stream().anyMatch(r -> !r.equals(replica) && ReplicaNames.ip(r).equals(ip));
     }
 }
--- a/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
@@ -69,7 +69,8 @@
     void answersAreLostWhileLeadersChange() {
         List<FaultPlan.Fault> faults = new ArrayList<>(List.of(fault(0, 3_000, FaultPlan.Kind.ANSWERS_LOST, 0, 25_000, 1)));
         for (int i = 1; i <= 8; i++) {
-            faults.add(fault(i, 3_000 + 3_000L * i, i % 2 == 0 ? FaultPlan.Kind.KILL : FaultPlan.Kind.CUT_OFF, i, 2_000, 3));
+            FaultPlan.Kind kind = i % 2 == 0 ? FaultPlan.Kind.KILL : FaultPlan.Kind.CUT_OFF;
+            faults.add(fault(i, 3_000 + 3_000L * i, kind, i, 2_000, 3));
         }
         bear(1, faults.toArray(FaultPlan.Fault[]::new));
     }
--- a/src/test/java/routerfleet/control/SimulationCampaign.java
+++ b/src/test/java/routerfleet/control/SimulationCampaign.java
@@ -50,7 +50,7 @@
         System.out.println(new ControlPlaneSimulation(seed, tolerated, fewest, PlantedFault.NONE).traced(everyMs).play());
     }
 
-    /** Says of each planted fault in which run it is found first. @param most runs of each; of three replicas, then of five */
+    /** Says of each planted fault in which run it is found first. @param most runs of three replicas, then of five */
     private static void findPlanted(int most, int threads) throws InterruptedException {
         AtomicInteger next = new AtomicInteger(1);
         List<Thread> all = IntStream.range(0, threads).mapToObj(i -> new Thread(() -> {
