--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -122,8 +122,8 @@
     /** Its part in the group, in one line. */
     String describe() {
         return (halted ? "halted" : agreement.role()) + " of term " + agreement.term() + ", leader " + leader()
-                + ", voters " + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "") + ", entries "
-                + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", " + storage.waiting()
+                + ", voters " + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "")
+                + ", entries " + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", " + storage.waiting()
                 + " writes wait";
     }
 
