--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -123,8 +123,8 @@
     String describe() {
         return (halted ? "halted" : agreement.role()) + " of term " + agreement.term() + ", leader " + leader()
                 + ", voters " + voters() + (isChanging() ? " in place of " + agreement.membership().outgoing() : "")
-                + ", entries " + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", " + storage.waiting()
-                + " writes wait";
+                + ", entries " + applied + "/" + agreement.commitIndex() + "/" + agreement.lastIndex() + ", "
+                + storage.waiting() + " writes wait";
     }
 
     /** Whether a change of the members is under way. */
