Keep long and short prompts apart, and prefer servers in the node's own zone

No thin node can see what others have an engine read.

The part of short requests that goes there follows the node's own misses in either group. Of two servers drawn one is near, and may look 1.5 times worse. The ring has a class of its own.

--- a/src/main/java/routerfleet/data/AdmittedRequest.java
+++ b/src/main/java/routerfleet/data/AdmittedRequest.java
@@ -68,6 +68,11 @@
         return route.targetLatencyMs() > 0 ? route.targetLatencyMs() : DEFAULT_AIM_MS;
     }
 
+    /** What the choice of a server is made by. */
+    PromptProfile profile() {
+        return new PromptProfile(route.name(), prefix, aimMs());
+    }
+
     /** Whether the key still holds: the process may have stood still since it was checked. */
     boolean keyHolds(DataPlane plane) {
         return tenant == null || plane.keysAreFresh() && plane.table().tenant(key) != null;
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -103,7 +103,7 @@
         ServerPool pool = pool();
         int capacity = pool.size() == 0 ? 0 : pool.servers().get(0).capacity();
         int limit = plane.inFlightLimit(admitted.backend(), capacity);
-        Server server = pool.choose(admitted.route().name(), admitted.prefix(), limit, tried, now);
+        Server server = pool.choose(admitted.profile(), limit, tried, now);
         if (server == null) {
             giveUp();
             return;
@@ -347,7 +347,7 @@
     }
 
     private void learn(Attempt of, double latencyMs, boolean success) {
-        pool().learn(admitted.route().name(), of.server, latencyMs, success);
+        pool().learn(admitted.profile(), of.server, latencyMs, success);
     }
 
     // ---- ends
--- a/src/main/java/routerfleet/data/PromptPrefix.java
+++ b/src/main/java/routerfleet/data/PromptPrefix.java
@@ -7,9 +7,10 @@
  *
  * @param key the same for requests that share the part; 0 where nothing worth finding again is shared
  * @param tokens length of what is shared
+ * @param promptTokens length of the whole prompt, as far as it is told
  */
-record PromptPrefix(long key, long tokens) {
-    static final PromptPrefix NONE = new PromptPrefix(0, 0);
+record PromptPrefix(long key, long tokens, long promptTokens) {
+    static final PromptPrefix NONE = new PromptPrefix(0, 0, 0);
 
     /** Shorter parts are read anew faster than a server is chosen for them. */
     private static final long LEAST_TOKENS = 512;
@@ -26,21 +27,28 @@
         long chain = 0;
         long tokens = 0;
         long longest = 0;
-        PromptPrefix found = NONE;
-        for (int i = 0; i < parts.length - 1; i++) {
+        long key = 0;
+        long shared = 0;
+        for (int i = 0; i < parts.length; i++) {
             int colon = parts[i].indexOf(':');
             if (colon < 0) {
                 return NONE;
             }
             long length = number(parts[i].substring(colon + 1));
-            chain = HashMix.mix(chain * 31 + parts[i].substring(0, colon).strip().hashCode());
             tokens += length;
-            if (length >= longest) {
+            chain = HashMix.mix(chain * 31 + parts[i].substring(0, colon).strip().hashCode());
+            if (i < parts.length - 1 && length >= longest) {
                 longest = length;
-                found = new PromptPrefix(chain | 1, tokens);
+                key = chain | 1;
+                shared = tokens;
             }
         }
-        return found.tokens >= LEAST_TOKENS ? found : NONE;
+        return shared >= LEAST_TOKENS ? new PromptPrefix(key, shared, tokens) : new PromptPrefix(0, 0, tokens);
+    }
+
+    /** Whether it shares a part that is worth finding again. */
+    boolean isShared() {
+        return key != 0;
     }
 
     private static long number(String text) {
--- a/src/main/java/routerfleet/data/Server.java
+++ b/src/main/java/routerfleet/data/Server.java
@@ -20,9 +20,11 @@
     private final String uid;
     private final String backend;
     private final HostPort address;
+    private final String zone;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private int capacity;
     private boolean listed;
+    private boolean keptForShort;
     private int connections;
     private int inFlight;
     private long pauseMs = FIRST_PAUSE_MS;
@@ -38,6 +40,7 @@
         backend = session.backend();
         address = HostPort.parse(session.address());
         capacity = session.capacity();
+        zone = session.zone();
     }
 
     String uid() {
@@ -52,6 +55,11 @@
         return address;
     }
 
+    /** Where it runs; empty where it does not say. */
+    String zone() {
+        return zone;
+    }
+
     int capacity() {
         return capacity;
     }
@@ -69,6 +77,15 @@
         listed = isListed;
     }
 
+    /** Whether it is kept for short prompts, where nodes keep them apart. */
+    boolean isKeptForShort() {
+        return keptForShort;
+    }
+
+    void keptForShort(boolean isKept) {
+        keptForShort = isKept;
+    }
+
     int inFlight() {
         return inFlight;
     }
--- a/src/main/java/routerfleet/data/ServerPool.java
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -1,7 +1,6 @@
 package routerfleet.data;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,14 +8,14 @@
 import java.util.SplittableRandom;
 import rowanplank.neural.Neuron;
 import rowanplank.neural.RandomNeuralNetwork;
-import routerfleet.wire.HashMix;
 
 /**
  * The listed servers of one service, and the choice among them.
  *
  * <p>The design: a random neural network for each class of request with a neuron for each listed server; two servers are
  * drawn, and the one with the lower (own requests in flight + 1) / q gets the request. Where a long part of the prompt is
- * shared, the two are drawn from a hash ring: the servers where that part has been read before.
+ * shared, the two are drawn from a hash ring: the servers where that part has been read before. Long and short prompts are
+ * kept apart where there are both ({@link ServerGroups}, {@link PromptSeparation}).
  *
  * <p>Cost of a choice: two draws, or a binary search on the ring. Bound: {@value #MOST_CLASSES} networks; further
  * classes share the last one.
@@ -25,10 +24,11 @@
     private static final int MOST_CLASSES = 32;
     /** The network of classes beyond that. */
     private static final String SHARED = "";
-    private static final int POINTS = 48;
     private static final int DRAWS = 6;
     /** How much worse the home of a shared part may look than the other server drawn: reading it anew costs more. */
     private static final double WARM = 0.3;
+    /** How much worse a server in the node's own zone may look than one elsewhere: bytes between zones are paid for. */
+    private static final double NEAR = 1.5;
     /** Requests that both count for beside those in flight, so that a few of them do not send a part elsewhere. */
     private static final double WARM_DEPTH = 4;
 
@@ -38,19 +38,20 @@
         private final Map<Server, Neuron> neurons = new HashMap<>();
     }
 
-    /** A server's place on the hash ring. */
-    private record Point(long at, Server server) { }
-
     private final SplittableRandom random;
     private final RestLimit restLimit = new RestLimit();
     private final List<Server> servers = new ArrayList<>();
     private final Map<String, ClassNetwork> classes = new HashMap<>();
-    private long[] ringPoints = {};
-    private Server[] ringServers = {};
+    private final PromptSeparation separation = new PromptSeparation();
+    private final String zone;
+    private ServerGroups groups;
     private boolean changed;
 
-    ServerPool(long seed) {
+    /** @param zone the node's own */
+    ServerPool(long seed, String zone) {
         random = new SplittableRandom(seed);
+        this.zone = zone;
+        groups = new ServerGroups(servers, zone);
     }
 
     /** For how long connections to its servers may rest. */
@@ -86,7 +87,7 @@
         if (changed) {
             changed = false;
             classes.values().forEach(network -> network.network.settle());
-            buildRing();
+            groups = new ServerGroups(servers, zone);
         }
     }
 
@@ -95,18 +96,6 @@
         classes.keySet().removeIf(name -> !name.equals(SHARED) && !names.contains(name));
     }
 
-    private void buildRing() {
-        List<Point> points = new ArrayList<>();
-        for (Server server : servers) {
-            for (int i = 0; i < POINTS; i++) {
-                points.add(new Point(HashMix.mix(server.uid().hashCode() * 1_000_003L + i), server));
-            }
-        }
-        points.sort((a, b) -> Long.compare(a.at(), b.at()));
-        ringPoints = points.stream().mapToLong(Point::at).toArray();
-        ringServers = points.stream().map(Point::server).toArray(Server[]::new);
-    }
-
     private ClassNetwork network(String requestClass) {
         ClassNetwork found = classes.get(requestClass);
         if (found != null) {
@@ -126,8 +115,11 @@
     }
 
     /** One answer of a server, or how long a failure counts as, in milliseconds. */
-    void learn(String requestClass, Server server, double latencyMs, boolean ok) {
-        ClassNetwork network = network(requestClass);
+    void learn(PromptProfile profile, Server server, double latencyMs, boolean ok) {
+        if (!profile.isLong() && groups.canSeparate()) {
+            separation.answered(server.isKeptForShort(), latencyMs, profile.aimMs());
+        }
+        ClassNetwork network = network(profile.requestClass());
         Neuron neuron = network.neurons.get(server);
         if (neuron != null) {
             network.network.learn(neuron, latencyMs, ok);
@@ -141,28 +133,47 @@
      * @param tried servers that this request has been sent to
      * @return null where none may take it
      */
-    Server choose(String requestClass, PromptPrefix prefix, int limit, List<Server> tried, long nowMs) {
+    Server choose(PromptProfile profile, int limit, List<Server> tried, long nowMs) {
         if (servers.isEmpty()) {
             return null;
         }
-        ClassNetwork network = network(requestClass);
-        Server chosen = prefix.key() != 0 ? fromRing(network, prefix, limit, tried, nowMs)
-                : ofTwo(network, limit, tried, nowMs);
+        separation.came(profile.isLong());
+        ClassNetwork network = network(profile.requestClass());
+        Server chosen = profile.prefix().isShared() ? fromRing(network, profile.prefix(), limit, tried, nowMs)
+                : ofTwo(network, candidates(profile), limit, tried, nowMs);
         return chosen != null ? chosen : any(network, limit, tried);
     }
 
-    private Server ofTwo(ClassNetwork network, int limit, List<Server> tried, long nowMs) {
-        Server first = draw(null, limit, tried, nowMs);
-        Server second = first == null ? null : draw(first, limit, tried, nowMs);
-        return better(network, first, second);
+    private boolean separates() {
+        return groups.canSeparate() && separation.isWanted();
+    }
+
+    private ServerGroups.Candidates candidates(PromptProfile profile) {
+        if (!separates()) {
+            return groups.all();
+        }
+        boolean toShortGroup = !profile.isLong() && random.nextDouble() < separation.toShortGroup();
+        return toShortGroup ? groups.forShort() : groups.forLong();
+    }
+
+    /** Draws one server near and one anywhere; the near one may look a little worse, as it saves a crossing of zones. */
+    private Server ofTwo(ClassNetwork network, ServerGroups.Candidates candidates, int limit, List<Server> tried,
+            long nowMs) {
+        Server near = draw(candidates.near(), null, limit, tried, nowMs);
+        Server other = draw(candidates.all(), near, limit, tried, nowMs);
+        if (near == null || other == null) {
+            return near == null ? other : near;
+        }
+        boolean saves = near.zone().equals(zone) && !other.zone().equals(zone);
+        return score(network, near) <= score(network, other) * (saves ? NEAR : 1) ? near : other;
     }
 
     private Server fromRing(ClassNetwork network, PromptPrefix prefix, int limit, List<Server> tried, long nowMs) {
-        int at = Arrays.binarySearch(ringPoints, HashMix.mix(prefix.key()));
-        int start = at < 0 ? -at - 1 : at;
+        PrefixRing ring = groups.ring(separates());
+        int start = ring.start(prefix.key());
         Server home = null;
-        for (int i = 0; i < ringServers.length; i++) {
-            Server next = ringServers[(start + i) % ringServers.length];
+        for (int i = 0; i < ring.length(); i++) {
+            Server next = ring.at(start + i);
             if (next == home || !mayTake(next, limit, tried, nowMs)) {
                 continue;
             }
@@ -175,9 +186,9 @@
         return home;
     }
 
-    private Server draw(Server other, int limit, List<Server> tried, long nowMs) {
+    private Server draw(List<Server> from, Server other, int limit, List<Server> tried, long nowMs) {
         for (int i = 0; i < DRAWS; i++) {
-            Server drawn = servers.get(random.nextInt(servers.size()));
+            Server drawn = from.get(random.nextInt(from.size()));
             if (drawn != other && mayTake(drawn, limit, tried, nowMs)) {
                 return drawn;
             }
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -42,16 +42,21 @@
     private final Set<String> ended = new HashSet<>();
     private final long seed;
     private final LongSupplier nanoTime;
+    private final String zone;
 
-    /** @param nanoTime the steady clock in nanoseconds */
-    ServerRegistry(long seed, LongSupplier nanoTime) {
+    /**
+     * @param nanoTime the steady clock in nanoseconds
+     * @param zone the node's own
+     */
+    ServerRegistry(long seed, LongSupplier nanoTime, String zone) {
         this.nanoTime = nanoTime;
+        this.zone = zone;
         this.seed = seed;
     }
 
     /** The listed servers of a service; empty where there are none. */
     ServerPool pool(String backend) {
-        return pools.computeIfAbsent(backend, b -> new ServerPool(seed ^ b.hashCode()));
+        return pools.computeIfAbsent(backend, b -> new ServerPool(seed ^ b.hashCode(), zone));
     }
 
     /** Takes the classes of requests of a new configuration. */
