Take one request's silence for the reading of a long prompt

Cause: a server that owed answers and had been silent for 900 ms was taken for dead.

Change: 900 ms count where two requests wait for the server; for a single one it is a third of the route's timeout.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -25,8 +25,14 @@
     private static final long LEAST_LEFT_MS = 12;
     /** A failure counts as an answer after so many objectives. */
     private static final double FAILURE_AIMS = 3;
-    /** A server that is silent for so long while it owes answers is taken for dead, where the request may run again. */
+    /**
+     * A server that is silent for so long while it owes answers to two requests is taken for dead, where the request may
+     * run again. Silence to a single request is most often the reading of a long prompt: to send it on would only have
+     * another server read it as well.
+     */
     private static final long SILENT_MS = 900;
+    /** What a single request waits in silence: a part of the route's timeout that leaves time for another server. */
+    private static final double SILENT_PART = 1.0 / 3;
 
     private final DataPlane plane;
     private final ClientReply reply;
@@ -378,7 +384,7 @@
         }
         if (attempt != null && attempt.connection != null) {
             mayHaveRun = true;
-            if (attempt.head == null && attempt.server.silentMs(SteadyClock.millis()) > SILENT_MS) {
+            if (attempt.head == null && isSilent(attempt.server, SteadyClock.millis())) {
                 attempt.server.failed(SteadyClock.millis());
             }
             learn(attempt, penaltyMs(), false);
@@ -392,12 +398,17 @@
         }
     }
 
+    private boolean isSilent(Server server, long nowMs) {
+        return server.silentToTwoMs(nowMs) > SILENT_MS
+                || server.silentMs(nowMs) > Math.max(SILENT_MS, SILENT_PART * admitted.route().timeoutMs());
+    }
+
     /** Looks whether the server has fallen silent. */
     void review(long nowMs) {
         if (done || attempt == null || attempt.connection == null || !admitted.route().idempotent()) {
             return;
         }
-        if (nowMs - attempt.sentMs > SILENT_MS && attempt.server.silentMs(nowMs) > SILENT_MS
+        if (nowMs - attempt.sentMs > SILENT_MS && isSilent(attempt.server, nowMs)
                 && sends < admitted.route().attempts()) {
             Attempt silent = attempt;
             silent.server.failed(nowMs);
--- a/src/main/java/routerfleet/data/Server.java
+++ b/src/main/java/routerfleet/data/Server.java
@@ -34,6 +34,8 @@
     private long lastHeardMs;
     /** When the oldest request that has had no sign of the server since was sent; 0 for none. */
     private long silentSinceMs;
+    /** The same of the second oldest. */
+    private long secondSilentSinceMs;
 
     Server(SessionRecord session) {
         uid = session.uid();
@@ -107,6 +109,8 @@
         inFlight++;
         if (silentSinceMs == 0) {
             silentSinceMs = nowMs;
+        } else if (secondSilentSinceMs == 0) {
+            secondSilentSinceMs = nowMs;
         }
         if (isAvoided(nowMs) || avoidUntilMs != 0) {
             trialOut = true;
@@ -119,12 +123,16 @@
         if (inFlight == 0) {
             silentSinceMs = 0;
         }
+        if (inFlight < 2) {
+            secondSilentSinceMs = 0;
+        }
     }
 
     /** Bytes have come from it. */
     void heard(long nowMs) {
         lastHeardMs = nowMs;
         silentSinceMs = inFlight > 0 ? nowMs : 0;
+        secondSilentSinceMs = inFlight > 1 ? nowMs : 0;
     }
 
     /** For how long it has been silent while it owed something, in milliseconds. */
@@ -132,6 +140,11 @@
         return silentSinceMs == 0 ? 0 : nowMs - silentSinceMs;
     }
 
+    /** For how long it has been silent while it owed something to two requests or more, in milliseconds. */
+    long silentToTwoMs(long nowMs) {
+        return secondSilentSinceMs == 0 ? 0 : nowMs - secondSilentSinceMs;
+    }
+
     long lastHeardMs() {
         return lastHeardMs;
     }
