Send data nodes what has changed in place of whole configurations

Change: a data node that has the generation before gets the difference (CommittedDelta), routes are written field by field, and a routing table takes unchanged routes over from the one before.

--- a/src/main/java/routerfleet/config/ConfigExaminer.java
+++ b/src/main/java/routerfleet/config/ConfigExaminer.java
@@ -46,7 +46,7 @@
     private ConfigChange accepted(ConfigOrder order, Current current, ObjectNode tree, FleetConfiguration configuration) {
         lastTree = tree;
         lastDigest = order.digest();
-        return ConfigChange.between(current.configuration(), configuration, order, lastDigest);
+        return new ConfigChange(order, lastDigest, ConfigDelta.between(current.configuration(), configuration));
     }
 
     private Either<ConfigFault, ObjectNode> tree(ConfigOrder order, Current current) {
--- a/src/main/java/routerfleet/config/ConfigRules.java
+++ b/src/main/java/routerfleet/config/ConfigRules.java
@@ -29,9 +29,9 @@
 
     private static FleetConfiguration unknown(FleetConfiguration configuration, FleetConfiguration known) {
         return new FleetConfiguration(configuration.generation(),
-                ConfigChange.changed(known.routes(), configuration.routes()),
-                ConfigChange.changed(known.backends(), configuration.backends()), configuration.limits(),
-                ConfigChange.changed(known.tenants(), configuration.tenants()));
+                ConfigDelta.changed(known.routes(), configuration.routes()),
+                ConfigDelta.changed(known.backends(), configuration.backends()), configuration.limits(),
+                ConfigDelta.changed(known.tenants(), configuration.tenants()));
     }
 
     private static ConfigFault betweenItems(FleetConfiguration configuration) {
--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -21,6 +21,7 @@
     private ConfigDocument document = ConfigDocument.EMPTY;
     private FleetConfiguration configuration = new FleetConfiguration(0, null, null, null, null);
     private String lastDigest = "";
+    private ConfigDelta lastDelta;
     private final Map<String, Long> outcomes = new LinkedHashMap<>();
     /** For orders that come unexamined; made at the first of them. */
     private ConfigExaminer examiner;
@@ -47,6 +48,11 @@
         return configuration;
     }
 
+    /** What led from the generation before to the current one; null where that is not known. */
+    public ConfigDelta lastDelta() {
+        return lastDelta;
+    }
+
     /** The current configuration's number; 0 before the first. */
     public long generation() {
         return configuration.generation();
@@ -106,7 +112,8 @@
         if (conflict != null) {
             return Either.left(conflict);
         }
-        configuration = change.applyTo(configuration);
+        configuration = change.delta().applyTo(configuration);
+        lastDelta = change.delta();
         document = document.with(change.order());
         lastDigest = change.digest();
         remember(change.digest());
@@ -142,6 +149,7 @@
         document = state.document();
         configuration = state.configuration() != null ? state.configuration() : read(document.bytes());
         lastDigest = state.lastDigest();
+        lastDelta = null;
         restoreOutcomes(state.digests(), state.generations());
     }
 
@@ -150,6 +158,7 @@
         document = new ConfigDocument(state.document(), List.of());
         configuration = read(state.document());
         lastDigest = "";
+        lastDelta = null;
         restoreOutcomes(state.digests(), state.generations());
     }
 
--- a/src/main/java/routerfleet/control/DataNodeService.java
+++ b/src/main/java/routerfleet/control/DataNodeService.java
@@ -81,6 +81,12 @@
         nodes.sessions().forEach(this::flush);
     }
 
+    /** The newest configuration: what has changed, for one that has the generation before. */
+    private PeerMessage committedFor(DataNodes.Session session) {
+        PeerMessage.CommittedDelta delta = group.committedDelta();
+        return delta != null && delta.base() == session.sentGeneration ? delta : group.committed();
+    }
+
     private void flush(DataNodes.Session session) {
         if (session.sentRevision < table.revision()) {
             List<SessionView> changes = table.changesAfter(session.sentRevision);
@@ -88,8 +94,8 @@
             session.link.send(new PeerMessage.SessionChanges(epoch, table.revision(), false, changes));
         }
         if (session.polled && session.sentGeneration < group.generation()) {
+            session.link.send(session.primary ? committedFor(session) : new PeerMessage.ConfigNotice(group.generation()));
             session.sentGeneration = group.generation();
-            session.link.send(session.primary ? group.committed() : new PeerMessage.ConfigNotice(group.generation()));
         }
     }
 }
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -19,6 +19,7 @@
 import rowanplank.agreement.Snapshot;
 import rowanplank.agreement.Write;
 import routerfleet.config.ConfigChange;
+import routerfleet.config.ConfigDelta;
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
@@ -69,6 +70,7 @@
     private final ConfigStore store;
     private final Agreement agreement;
     private PeerMessage.CommittedConfig committed;
+    private PeerMessage.CommittedDelta committedDelta;
     /** What the agreement has asked for within a call, carried out once the call has returned. */
     private final Deque<Runnable> deferred = new ArrayDeque<>();
     private final OrderQueue orders;
@@ -191,6 +193,18 @@
         return committed;
     }
 
+    /** What leads to the newest committed configuration, encoded once; null where only the whole is known. */
+    PeerMessage.CommittedDelta committedDelta() {
+        ConfigDelta last = store.lastDelta();
+        if (last == null || last.whole() || last.generation() != store.generation()) {
+            return null;
+        }
+        if (committedDelta == null || committedDelta.generation() != last.generation()) {
+            committedDelta = new PeerMessage.CommittedDelta(last.base(), last.generation(), codec.encode(last));
+        }
+        return committedDelta;
+    }
+
     // ---- events
 
     void received(String from, Message message) {
--- a/src/main/java/routerfleet/data/ControlClient.java
+++ b/src/main/java/routerfleet/data/ControlClient.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import routerfleet.config.ConfigDelta;
 import routerfleet.config.FleetConfiguration;
 import routerfleet.settings.HostPort;
 import routerfleet.settings.LocalSettings;
@@ -103,7 +104,9 @@
     private List<String> replicas = List.of();
     private Link primary;
     private long lastPoll;
+    private FleetConfiguration configuration = new FleetConfiguration(0, null, null, null, null);
     private long generation;
+    private final long startedNanos;
     private long freshNanos;
     private boolean everFresh;
     private FreshPoint waitingForGeneration;
@@ -112,6 +115,7 @@
     ControlClient(Scheduler scheduler, PeerNetwork network, LocalSettings settings, ServerRegistry registry,
             PeerCodec codec, Listener listener) {
         this.scheduler = scheduler;
+        startedNanos = scheduler.nanoTime();
         this.codec = codec;
         this.settings = settings;
         this.registry = registry;
@@ -138,11 +142,12 @@
     }
 
     /**
-     * Whether the configuration here has been known to be the newest at some point of this process's life. Before that it
-     * may be any earlier one: a replica that has just started tells what it held when it stopped.
+     * Whether the configuration here holds all that was acknowledged before this process began. Before that is known it may
+     * be any earlier one: a replica that has just started tells what it held when it stopped, one that is cut off what it
+     * held then.
      */
     boolean hasBeenFresh() {
-        return everFresh;
+        return everFresh && freshNanos - startedNanos >= 0;
     }
 
     /** Control nodes that hold replicas of the configuration shard; empty before one has been heard. */
@@ -218,6 +223,8 @@
             fetchIfMissing(link, notice.generation());
         } else if (message instanceof PeerMessage.CommittedConfig committed) {
             take(committed);
+        } else if (message instanceof PeerMessage.CommittedDelta delta) {
+            take(link, delta);
         } else if (message instanceof PeerMessage.QuotaAnswer answer) {
             listener.quotaAnswered(answer);
         }
@@ -266,12 +273,32 @@
             return;
         }
         try {
-            listener.configuration(codec.decode(committed.configuration(), FleetConfiguration.class));
+            taken(codec.decode(committed.configuration(), FleetConfiguration.class));
         } catch (PeerCodec.MalformedMessageException e) {
             LOG.log(System.Logger.Level.ERROR, "a committed configuration can't be read: " + e.getMessage());
+        }
+    }
+
+    /** A change of another generation than the one here is of no use: the whole is asked for. */
+    private void take(Link link, PeerMessage.CommittedDelta committed) {
+        if (committed.generation() <= generation) {
+            return;
+        }
+        if (committed.base() != generation) {
+            link.link.send(new PeerMessage.ConfigRequest(generation));
             return;
         }
-        generation = committed.generation();
+        try {
+            taken(codec.decode(committed.delta(), ConfigDelta.class).applyTo(configuration));
+        } catch (PeerCodec.MalformedMessageException e) {
+            LOG.log(System.Logger.Level.ERROR, "a change of the configuration can't be read: " + e.getMessage());
+        }
+    }
+
+    private void taken(FleetConfiguration newer) {
+        configuration = newer;
+        generation = newer.generation();
+        listener.configuration(newer);
         if (waitingForGeneration != null && waitingForGeneration.generation() <= generation) {
             FreshPoint point = waitingForGeneration;
             waitingForGeneration = null;
--- a/src/main/java/routerfleet/data/DataNode.java
+++ b/src/main/java/routerfleet/data/DataNode.java
@@ -217,7 +217,7 @@
     private final class ControlListener implements ControlClient.Listener {
         @Override
         public void configuration(FleetConfiguration configuration) {
-            plane.table(new RoutingTable(configuration));
+            plane.table(new RoutingTable(configuration, plane.table()));
         }
 
         @Override
--- a/src/main/java/routerfleet/data/RoutingTable.java
+++ b/src/main/java/routerfleet/data/RoutingTable.java
@@ -19,7 +19,7 @@
  */
 final class RoutingTable {
     /** What a node has before it has heard of any configuration. */
-    static final RoutingTable EMPTY = new RoutingTable(new FleetConfiguration(0, null, null, null, null));
+    static final RoutingTable EMPTY = new RoutingTable(new FleetConfiguration(0, null, null, null, null), null);
 
     private static final int MOST_SEGMENTS = 32;
 
@@ -71,14 +71,17 @@
     private final List<TenantConfig> tenants;
     private final ClientLimits limits;
 
-    RoutingTable(FleetConfiguration configuration) {
+    /** @param before the table that this one takes the place of, whose unchanged routes are used again; null for none */
+    RoutingTable(FleetConfiguration configuration, RoutingTable before) {
         generation = configuration.generation();
         limits = configuration.limits();
         tenants = configuration.tenants();
         for (RouteConfig route : configuration.routes()) {
             routeNames.add(route.name());
-            hosts.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new HashMap<>())
-                    .put(route.pathPrefix(), new Route(route));
+            String host = route.host().toLowerCase(Locale.ROOT);
+            Route known = before == null ? null : before.at(host, route.pathPrefix());
+            hosts.computeIfAbsent(host, h -> new HashMap<>())
+                    .put(route.pathPrefix(), known != null && known.config == route ? known : new Route(route));
         }
         for (BackendConfig backend : configuration.backends()) {
             backends.put(backend.name(), backend);
@@ -90,6 +93,11 @@
         }
     }
 
+    private Route at(String host, String pathPrefix) {
+        Map<String, Route> routes = hosts.get(host);
+        return routes == null ? null : routes.get(pathPrefix);
+    }
+
     long generation() {
         return generation;
     }
--- a/src/main/java/routerfleet/wire/PeerCodec.java
+++ b/src/main/java/routerfleet/wire/PeerCodec.java
@@ -15,6 +15,7 @@
 import routerfleet.config.BackendConfig;
 import routerfleet.config.ClientLimits;
 import routerfleet.config.ConfigChange;
+import routerfleet.config.ConfigDelta;
 import routerfleet.config.ConfigDocument;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
@@ -46,6 +47,7 @@
                 ClientLimits.class, TenantConfig.class}) {
             kryo.register(type);
         }
+        kryo.register(RouteConfig.class, new RouteSerializer()); // in its place above
         for (Class<?> type : PeerMessage.class.getPermittedSubclasses()) {
             kryo.register(type);
         }
@@ -53,6 +55,7 @@
         kryo.register(ConfigChange.class);
         kryo.register(ConfigDocument.class);
         kryo.register(ConfigStore.State.class);
+        kryo.register(ConfigDelta.class);
     }
 
     /** The bytes of a value of a registered type. */
--- a/src/main/java/routerfleet/wire/PeerMessage.java
+++ b/src/main/java/routerfleet/wire/PeerMessage.java
@@ -132,6 +132,15 @@
      */
     record CommittedConfig(long generation, byte[] configuration) implements PeerMessage { }
 
+    /**
+     * What leads from one committed configuration to the next; of use to a node that has the one before.
+     *
+     * @param base the generation that is changed
+     * @param generation the one that it leads to
+     * @param delta a {@link routerfleet.config.ConfigDelta} as {@link PeerCodec} writes it: encoded once for all data nodes
+     */
+    record CommittedDelta(long base, long generation, byte[] delta) implements PeerMessage { }
+
     /**
      * The control node that has opened this connection is about to stop: whoever waits for a place in the replica group is
      * to have its replica's.
--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -39,6 +39,7 @@
     private final VirtualWorld world = new VirtualWorld();
     private final Observations seen = new Observations();
     private final int tolerated;
+    private final boolean firstConfigurationUnconfirmed;
     private final SplittableRandom random;
     private final SimulatedMachine.Surroundings surroundings;
     private final SimulatedNetwork network;
@@ -57,6 +58,7 @@
         private VirtualProcess process;
         private ControlClientNode client;
         private long startedMs;
+        private long newestAtStart;
 
         DataNode(String ip) {
             this.ip = ip;
@@ -64,6 +66,7 @@
 
         void start() {
             startedMs = world.nowMs();
+            newestAtStart = seen.newestAcknowledged();
             process = new VirtualProcess(world, random.nextLong() >> 2, () -> { });
             LocalSettings settings = new LocalSettings("data-" + ip, ip, "a", null, null, null,
                     SimulatedMachine.INTERNAL_PORT, seeds(), true, null, SimulatedMachine.HEARTBEAT_MS, tolerated,
@@ -81,6 +84,7 @@
 
     ControlPlaneSimulation(long seed, int tolerated, FaultPlan plan, PlantedFault fault) {
         this.tolerated = tolerated;
+        firstConfigurationUnconfirmed = fault == PlantedFault.FIRST_CONFIGURATION_UNCONFIRMED;
         random = new SplittableRandom(seed);
         PeerCodec codec = CODEC.get();
         network = new SimulatedNetwork(world, random.nextLong(), codec);
@@ -220,11 +224,22 @@
                 seen.known.add(new Observations.Known(node.ip, world.nowNanos(), node.client.generation(),
                         node.client.staleMs()));
                 checkEndings(node);
+                checkServes(node);
             }
         }
         world.afterMs(CHECK_MS, this::check);
     }
 
+    /** A data node that serves knows at least what was acknowledged before it started. */
+    private void checkServes(DataNode node) {
+        long generation = node.client.generation();
+        boolean serves = generation > 0 && (firstConfigurationUnconfirmed || node.client.mayServe());
+        if (serves && generation < node.newestAtStart && reported.add(node.ip + node.startedMs)) {
+            seen.violations.add(node.ip + " serves by version " + generation + ", and " + node.newestAtStart
+                    + " was acknowledged before it started");
+        }
+    }
+
     /** What has said that it ends is not used by a data node that is in touch, from a while after it was acknowledged. */
     private void checkEndings(DataNode node) {
         long now = world.nowMs();
--- a/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulationTest.java
@@ -138,7 +138,7 @@
     @EnumSource(value = PlantedFault.class, names = {"LEADERSHIP_UNCONFIRMED", "HALF_IS_ENOUGH", "READS_UNASKED",
         "READ_INDEX_UNAPPLIED", "ORDERS_FORGOTTEN", "REFUSED_UNCONFIRMED", "BASE_NOT_COMPARED", "UNCLEAR_TOLD_AS_TAKEN",
         "UNCLEAR_TOLD_AS_REFUSED", "NAME_KEPT", "ANY_LOG_WILL_DO", "ENTRY_SKIPPED", "SYNC_DOES_NOTHING",
-        "FOLDER_IS_NOT_SYNCED", "TOLD_BEFORE_SYNCED", "ANSWERED_AS_DONE"})
+        "FOLDER_IS_NOT_SYNCED", "TOLD_BEFORE_SYNCED", "ANSWERED_AS_DONE", "FIRST_CONFIGURATION_UNCONFIRMED"})
     void aPlantedFaultIsFound(PlantedFault fault) {
         String found = null;
         for (long seed = 1; seed <= MOST_RUNS && found == null; seed++) {
--- a/src/test/java/routerfleet/control/PlantedFault.java
+++ b/src/test/java/routerfleet/control/PlantedFault.java
@@ -63,6 +63,8 @@
     /** What is to be written is told as stored. */
     TOLD_BEFORE_SYNCED,
 
+    /** A data node serves by the first configuration that any control node tells it. */
+    FIRST_CONFIGURATION_UNCONFIRMED,
     /** Requests of one connection are handled at once, and answered as they are done. */
     ANSWERED_AS_DONE,
     /** That a server ends is acknowledged by one control node alone. */
--- /dev/null
+++ b/src/test/java/routerfleet/data/ChooserSimulation.java
@@ -0,0 +1,210 @@
+package routerfleet.data;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import routerfleet.wire.SessionRecord;
+
+/**
+ * Many nodes, each with the real choice and its own outcomes only, before emulated engines in virtual time. Short prompts
+ * come all the time, long ones with shared parts where asked for.
+ */
+final class ChooserSimulation {
+    static final long AIM_SHORT_MS = 400;
+    static final long AIM_LONG_MS = 800;
+    private static final int FAILURE_AIMS = 3;
+    private static final double SHORT_TOKENS = 383;
+    private static final int SHORT_OUT = 45;
+    private static final double SHARED_TOKENS = 13_300;
+    private static final double OWN_TOKENS = 3_720;
+    private static final int LONG_OUT = 120;
+    private static final double SPREAD = 1;
+    private static final double MOST_TIMES = 8;
+
+    /** @param shortsPerS, longsPerS requests a second over all nodes; @param parts how many shared parts there are */
+    record Deployment(int nodes, int engines, int zones, double shortsPerS, double longsPerS, int parts) { }
+
+    private record Event(double atMs, long number, Runnable task) { }
+
+    /** A node, and the servers as it knows them. */
+    final class Node {
+        final ServerPool pool;
+        final Map<Server, EmulatedEngine> engineOf = new HashMap<>();
+        final Map<EmulatedEngine, Server> serverOf = new HashMap<>();
+        /** Answers and failures that this node has had, of all servers. */
+        int outcomes;
+
+        Node(String zone) {
+            pool = new ServerPool(random.nextLong(), zone);
+        }
+    }
+
+    private final Deployment deployment;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
+            ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.number(), b.number()));
+    private long lastEvent;
+    private double nowMs;
+    final List<EmulatedEngine> engines = new ArrayList<>();
+    final List<Node> nodes = new ArrayList<>();
+    private int lastServer;
+    private int shorts;
+    private int shortsInAim;
+    private int longs;
+    private int longsInAim;
+
+    ChooserSimulation(Deployment deployment, long seed) {
+        this.deployment = deployment;
+        random = new SplittableRandom(seed);
+        for (int i = 0; i < deployment.nodes(); i++) {
+            nodes.add(new Node(zone(i)));
+        }
+        for (int i = 0; i < deployment.engines(); i++) {
+            addEngine();
+        }
+        arrivals(deployment.shortsPerS(), this::shortRequest);
+        arrivals(deployment.longsPerS(), this::longRequest);
+    }
+
+    private String zone(int number) {
+        return "z" + number % deployment.zones();
+    }
+
+    EmulatedEngine addEngine() {
+        int number = lastServer++;
+        EmulatedEngine engine = new EmulatedEngine(number % deployment.zones(), EmulatedEngine.Capability.SMALL_BATCH,
+                this::after);
+        engines.add(engine);
+        for (Node node : nodes) {
+            Server server = new Server(new SessionRecord("s" + number, "llm", "127.0.0.1:" + (1_000 + number),
+                    zone(number), EmulatedEngine.Capability.SMALL_BATCH.slots(), SessionRecord.Phase.READY, 1, 0));
+            server.listed(true);
+            node.engineOf.put(server, engine);
+            node.serverOf.put(engine, server);
+            node.pool.add(server);
+            node.pool.settle();
+        }
+        return engine;
+    }
+
+    void after(double ms, Runnable task) {
+        events.add(new Event(nowMs + ms, lastEvent++, task));
+    }
+
+    void runUntil(double ms) {
+        while (!events.isEmpty() && events.peek().atMs() <= ms) {
+            Event next = events.poll();
+            nowMs = next.atMs();
+            next.task().run();
+        }
+        nowMs = ms;
+    }
+
+    /** Forgets what has been counted so far. */
+    void countAnew() {
+        shorts = 0;
+        shortsInAim = 0;
+        longs = 0;
+        longsInAim = 0;
+    }
+
+    /** The part of short requests that had their first event within the objective. */
+    double shortsInAim() {
+        return (double) shortsInAim / Math.max(1, shorts);
+    }
+
+    double longsInAim() {
+        return (double) longsInAim / Math.max(1, longs);
+    }
+
+    private void arrivals(double perS, Runnable request) {
+        if (perS > 0) {
+            after(-Math.log(1 - random.nextDouble()) * 1_000 / perS, () -> {
+                request.run();
+                arrivals(perS, request);
+            });
+        }
+    }
+
+    private double spread(double mean) {
+        double gauss = Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+        return Math.min(MOST_TIMES * mean, mean * Math.exp(SPREAD * gauss - SPREAD * SPREAD / 2));
+    }
+
+    private void shortRequest() {
+        send(new PromptProfile("short", new PromptPrefix(0, 0, (long) SHORT_TOKENS), AIM_SHORT_MS), 0, 0,
+                spread(SHORT_TOKENS), (int) Math.ceil(spread(SHORT_OUT)));
+    }
+
+    private void longRequest() {
+        long part = 1 + random.nextInt(deployment.parts());
+        double shared = SHARED_TOKENS * (0.5 + (part % 11) / 10.0);
+        send(new PromptProfile("long", new PromptPrefix(part, (long) shared, (long) (shared + OWN_TOKENS)), AIM_LONG_MS),
+                part, shared, spread(OWN_TOKENS), (int) Math.ceil(spread(LONG_OUT)));
+    }
+
+    private void send(PromptProfile profile, long part, double shared, double own, int tokensOut) {
+        Node node = nodes.get(random.nextInt(nodes.size()));
+        int room = Math.max(4, (int) Math.ceil(2.0 * EmulatedEngine.Capability.SMALL_BATCH.slots() / nodes.size()));
+        Server server = node.pool.choose(profile, room, List.of(), (long) nowMs);
+        if (server == null) {
+            count(profile, false);
+            return;
+        }
+        server.sent((long) nowMs);
+        node.engineOf.get(server).take(new EmulatedEngine.Job(part, shared, own, tokensOut,
+                new Outcome(node, server, profile, nowMs)));
+    }
+
+    private void count(PromptProfile profile, boolean inAim) {
+        if (profile.isLong()) {
+            longs++;
+            longsInAim += inAim ? 1 : 0;
+        } else {
+            shorts++;
+            shortsInAim += inAim ? 1 : 0;
+        }
+    }
+
+    /** What a node learns of one request. */
+    private final class Outcome implements EmulatedEngine.Receiver {
+        private final Node node;
+        private final Server server;
+        private final PromptProfile profile;
+        private final double sentMs;
+        private double firstMs;
+
+        Outcome(Node node, Server server, PromptProfile profile, double sentMs) {
+            this.node = node;
+            this.server = server;
+            this.profile = profile;
+            this.sentMs = sentMs;
+        }
+
+        @Override
+        public void firstEvent() {
+            firstMs = Math.max(1, nowMs - sentMs);
+        }
+
+        @Override
+        public void finished() {
+            server.ended();
+            server.succeeded();
+            node.outcomes++;
+            node.pool.learn(profile, server, firstMs, true);
+            count(profile, firstMs <= profile.aimMs());
+        }
+
+        @Override
+        public void failed() {
+            server.ended();
+            server.erred((long) nowMs);
+            node.outcomes++;
+            node.pool.learn(profile, server, FAILURE_AIMS * profile.aimMs(), false);
+            count(profile, false);
+        }
+    }
+}
--- a/src/test/java/routerfleet/data/ControlClientNode.java
+++ b/src/test/java/routerfleet/data/ControlClientNode.java
@@ -28,6 +28,11 @@
         return generation;
     }
 
+    /** Whether a data node would serve by its configuration, as far as that depends on control nodes. */
+    public boolean mayServe() {
+        return generation > 0 && client.hasBeenFresh();
+    }
+
     /** For how long the configuration has not been known to be the newest, in milliseconds. */
     public long staleMs() {
         return client.staleMs();
--- a/src/test/java/routerfleet/data/RoutingTableTest.java
+++ b/src/test/java/routerfleet/data/RoutingTableTest.java
@@ -18,7 +18,7 @@
     }
 
     private static RoutingTable table(RouteConfig... routes) {
-        return new RoutingTable(new FleetConfiguration(1, List.of(routes), null, null, null));
+        return new RoutingTable(new FleetConfiguration(1, List.of(routes), null, null, null), null);
     }
 
     @Test
