--- a/src/main/java/routerfleet/data/Server.java
+++ b/src/main/java/routerfleet/data/Server.java
@@ -31,7 +31,6 @@
     private long avoidUntilMs;
     private boolean trialOut;
     private double failureRate;
-    private long lastHeardMs;
     /** When the oldest request that has had no sign of the server since was sent; 0 for none. */
     private long silentSinceMs;
     /** The same of the second oldest. */
@@ -130,7 +129,6 @@
 
     /** Bytes have come from it. */
     void heard(long nowMs) {
-        lastHeardMs = nowMs;
         silentSinceMs = inFlight > 0 ? nowMs : 0;
         secondSilentSinceMs = inFlight > 1 ? nowMs : 0;
     }
@@ -145,10 +143,6 @@
         return secondSilentSinceMs == 0 ? 0 : nowMs - secondSilentSinceMs;
     }
 
-    long lastHeardMs() {
-        return lastHeardMs;
-    }
-
     /** It answered as it should. */
     void succeeded() {
         failureRate -= FAILURE_GAIN * failureRate;
--- a/src/test/java/routerfleet/config/ConfigStoreTest.java
+++ b/src/test/java/routerfleet/config/ConfigStoreTest.java
@@ -3,9 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import routerfleet.demo.Configurations;
 
@@ -49,6 +51,31 @@
         assertThat(ConfigStore.check(Configurations.whole(2).getBytes(StandardCharsets.UTF_8)), nullValue());
     }
 
+    /** A snapshot of a build before typed changes is read, and what follows it is taken. */
+    @Test
+    void anEarlierBuildsSnapshotGoesOn() {
+        store.restore(new ConfigStore.EarlierState(Configurations.whole(2).getBytes(StandardCharsets.UTF_8), 2,
+                List.of("digest"), List.of(2L)));
+        assertThat(store.generation(), is(2L));
+        assertThat(store.configuration().routes().size(), is(3));
+        assertThat(faultOf(ConfigOrder.Kind.PATCH, 2, "{\"generation\":3,\"delete\":{\"routes\":[\"pages\"]}}"), is("taken"));
+        assertThat(store.configuration().routes().size(), is(2));
+        assertThat(ConfigJson.read(store.document()).get(), is(store.configuration()));
+    }
+
+    /** Many patches are merged into the document now and then, and read back whole at any time. */
+    @Test
+    void patchesAreMergedIntoTheDocument() {
+        store.apply(order(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(1)));
+        for (int i = 1; i <= ConfigDocument.MOST_LATER + 20; i++) {
+            assertThat(faultOf(ConfigOrder.Kind.PATCH, i, "{\"generation\":" + (i + 1) + ",\"upsert\":{\"backends\":"
+                    + "[{\"name\":\"b" + i + "\",\"own\":" + i + "}]}}"), is("taken"));
+            assertThat(store.state().document().later().size(), is(lessThanOrEqualTo(ConfigDocument.MOST_LATER)));
+        }
+        assertThat(ConfigJson.read(store.document()).get(), is(store.configuration()));
+        assertThat(new String(store.document(), StandardCharsets.UTF_8), containsString("\"own\":7"));
+    }
+
     @Test
     void patchesThatNameNothingUsefulChangeNothing() {
         store.apply(order(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(2)));
--- /dev/null
+++ b/src/test/java/routerfleet/data/ServerTest.java
@@ -0,0 +1,31 @@
+package routerfleet.data;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import routerfleet.wire.SessionRecord;
+
+/** What a node keeps of one server. */
+class ServerTest {
+    private final Server server = new Server(new SessionRecord("s", "llm", "127.0.0.1:1000", "a", 16,
+            SessionRecord.Phase.READY, 1, 0));
+
+    /** Guards long prompts: one request that waits for its first event is no sign that the server is dead. */
+    @Test
+    void silenceToTwoCountsFromTheSecondRequest() {
+        server.sent(1_000);
+        assertThat(server.silentMs(2_500), is(1_500L));
+        assertThat(server.silentToTwoMs(2_500), is(0L));
+        server.sent(2_500);
+        assertThat(server.silentToTwoMs(3_000), is(500L));
+        server.heard(3_100);
+        assertThat(server.silentMs(3_200), is(100L));
+        assertThat(server.silentToTwoMs(3_200), is(100L));
+        server.ended();
+        assertThat(server.silentToTwoMs(3_500), is(0L));
+        assertThat(server.silentMs(3_500), is(400L));
+        server.ended();
+        assertThat(server.silentMs(3_500), is(0L));
+    }
+}
