Make differences of whole configurations, and let late grants admit who still waits

Change: the order of items does not count in a difference; a grant that comes late admits the request that still waits; only voters prepare for orders, 8 s after their start, off a recovery.

--- a/src/main/java/routerfleet/config/ConfigDelta.java
+++ b/src/main/java/routerfleet/config/ConfigDelta.java
@@ -22,7 +22,10 @@
 public record ConfigDelta(long base, boolean whole, FleetConfiguration items, List<String> removedRoutes,
         List<String> removedBackends, List<String> removedTenants) {
 
-    /** What leads from one configuration to another: the difference where that says all, else the whole. */
+    /**
+     * What leads from one configuration to another: the difference where that says all, else the whole. The order of items
+     * does not count, since each stands for itself.
+     */
     static ConfigDelta between(FleetConfiguration before, FleetConfiguration after) {
         FleetConfiguration changed = new FleetConfiguration(after.generation(),
                 changed(before.routes(), after.routes()), changed(before.backends(), after.backends()), after.limits(),
@@ -31,10 +34,21 @@
                 removed(before.routes(), after.routes(), RouteConfig::name),
                 removed(before.backends(), after.backends(), BackendConfig::name),
                 removed(before.tenants(), after.tenants(), TenantConfig::name));
-        return difference.applyTo(before).equals(after) ? difference
+        return sameItems(difference.applyTo(before), after) ? difference
                 : new ConfigDelta(before.generation(), true, after, List.of(), List.of(), List.of());
     }
 
+    /** Whether two configurations say the same, in whatever order. */
+    static boolean sameItems(FleetConfiguration one, FleetConfiguration other) {
+        return one.generation() == other.generation() && one.limits().equals(other.limits())
+                && sameItems(one.routes(), other.routes()) && sameItems(one.backends(), other.backends())
+                && sameItems(one.tenants(), other.tenants());
+    }
+
+    private static <T> boolean sameItems(List<T> one, List<T> other) {
+        return one.size() == other.size() && new HashSet<>(one).equals(new HashSet<>(other));
+    }
+
     /** The generation that it leads to. */
     public long generation() {
         return items.generation();
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -35,7 +35,7 @@
     private static final long RECONCILE_MS = 250;
     private static final long LEAVE_CHECK_MS = 50;
     /** What only orders need is loaded once the node's start, and a recovery beside it, are over. */
-    private static final long WARM_UP_AFTER_MS = 5_000;
+    private static final long WARM_UP_AFTER_MS = 8_000;
     private static final double WARM_BEATS = 2.5;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -118,7 +118,14 @@
         scheduler.every(FRESHNESS_MS, freshness::tick);
         scheduler.every(RECONCILE_MS, this::reconcile);
         scheduler.every(SECOND_MS, sessions::tick);
-        scheduler.schedule(replicas::warmUp, WARM_UP_AFTER_MS, TimeUnit.MILLISECONDS);
+        scheduler.schedule(this::warmUp, WARM_UP_AFTER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Who may come to lead is to answer its first order as fast as later ones. */
+    private void warmUp() {
+        if (replicas.isVoter()) {
+            replicas.warmUp();
+        }
     }
 
     /** Takes connections of other nodes. @throws IOException if the address is taken */
--- a/src/main/java/routerfleet/data/QuotaClient.java
+++ b/src/main/java/routerfleet/data/QuotaClient.java
@@ -100,6 +100,7 @@
         private double fairLevel;
         private boolean gathering;
         private double gathered;
+        private boolean decided;
 
         Question(TenantConfig tenant, Account account, double amount, Applicant applicant) {
             this.tenant = tenant;
@@ -111,6 +112,9 @@
         }
 
         void askNext() {
+            if (decided) {
+                return;
+            }
             while (!left.isEmpty()) {
                 Part part = left.poll();
                 long id = ++lastId;
@@ -127,10 +131,19 @@
             return new PeerMessage.QuotaAsk(id, tenant.name(), part.amount(), gathering);
         }
 
+        /** Whether a grant that comes late may still be of use here: it was asked for the whole of the request. */
+        boolean waits(Part part) {
+            return !decided && !gathering && part.amount() >= amount - ROUNDING;
+        }
+
         void granted(Part part) {
+            if (decided) {
+                keep(account, part.amount()); // one that had been passed over was faster
+                return;
+            }
             gathered += part.amount();
             if (gathered >= amount - ROUNDING) {
-                if (!applicant.decided(Admission.ADMITTED)) {
+                if (!decide(Admission.ADMITTED)) {
                     keep(account, gathered);
                 }
             } else {
@@ -138,7 +151,15 @@
             }
         }
 
+        private boolean decide(Admission admission) {
+            decided = true;
+            return applicant.decided(admission);
+        }
+
         void denied(Part part, PeerMessage.QuotaAnswer answer) {
+            if (decided) {
+                return;
+            }
             leastWaitMs = Math.min(leastWaitMs, answer.waitMs());
             if (gathering) {
                 left.clear(); // others were faster
@@ -158,7 +179,7 @@
 
         private void exhausted() {
             if (leastWaitMs == Long.MAX_VALUE) {
-                applicant.decided(takeReserve() ? Admission.ADMITTED : Admission.UNKNOWN);
+                decide(takeReserve() ? Admission.ADMITTED : Admission.UNKNOWN);
             } else if (!gathering && heldTogether() >= needed()) {
                 gather();
             } else {
@@ -198,7 +219,7 @@
             account.deniedAmount = heldTogether() < fairLevel ? 0 : amount;
             account.deniedWaitMs = waitMs;
             account.deniedUntilMs = transport.nowMs() + Math.min(DENIED_MS, waitMs);
-            applicant.decided(new Admission(Outcome.DENIED, waitMs));
+            decide(new Admission(Outcome.DENIED, waitMs));
         }
     }
 
@@ -293,10 +314,7 @@
         boolean granted = answer.verdict() == PeerMessage.QuotaVerdict.GRANTED;
         OpenAsk ask = open.remove(answer.id());
         if (ask == null) {
-            OpenAsk passedOver = late.remove(answer.id());
-            if (passedOver != null && granted) {
-                keep(passedOver.question().account, passedOver.part().amount());
-            }
+            answeredLate(late.remove(answer.id()), granted);
             return;
         }
         suspectUntilMs.remove(ask.part().controlNode());
@@ -309,6 +327,21 @@
         }
     }
 
+    /** A control node that had been passed over answers: a grant is for the request that waits, else for the next one. */
+    private void answeredLate(OpenAsk ask, boolean granted) {
+        if (ask != null) {
+            suspectUntilMs.remove(ask.part().controlNode());
+        }
+        if (ask == null || !granted) {
+            return;
+        }
+        if (ask.question().waits(ask.part())) {
+            ask.question().granted(ask.part());
+        } else {
+            keep(ask.question().account, ask.part().amount());
+        }
+    }
+
     private void unanswered(long id) {
         OpenAsk ask = open.remove(id);
         if (ask != null) {
--- a/src/test/java/routerfleet/config/ConfigStoreTest.java
+++ b/src/test/java/routerfleet/config/ConfigStoreTest.java
@@ -63,6 +63,22 @@
         assertThat(ConfigJson.read(store.document()).get(), is(store.configuration()));
     }
 
+    /** Guards data nodes: a whole configuration that changes one route, in whatever order, is a small change for them. */
+    @Test
+    void aWholeConfigurationIsADifferenceAsWell() {
+        store.apply(order(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(1)));
+        String last = "{\"name\":\"llm\",\"health_check\":\"/healthz\",\"max_connections\":90}";
+        String reordered = Configurations.whole(2).replace("\"backends\":[", "\"backends\":[" + last + ",")
+                .replaceFirst("(?s)(" + java.util.regex.Pattern.quote(last) + ",.*?),\\s*"
+                        + java.util.regex.Pattern.quote(last), "$1").replace("\"timeout_ms\":4000,\n \"target_latency_ms\":400,"
+                        + "\"priority\":1", "\"timeout_ms\":3000,\n \"target_latency_ms\":400,\"priority\":1");
+        assertThat(faultOf(ConfigOrder.Kind.REPLACE, 1, reordered), is("taken"));
+        assertThat(store.lastDelta().whole(), is(false));
+        assertThat(store.lastDelta().items().routes().size(), is(1));
+        assertThat(store.lastDelta().items().backends().size(), is(0));
+        assertThat(ConfigJson.read(store.document()).get().backends().get(0).name(), is("llm"));
+    }
+
     /** Many patches are merged into the document now and then, and read back whole at any time. */
     @Test
     void patchesAreMergedIntoTheDocument() {
--- a/src/test/java/routerfleet/data/QuotaClientTest.java
+++ b/src/test/java/routerfleet/data/QuotaClientTest.java
@@ -214,6 +214,24 @@
         assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
     }
 
+    /** Guards requests while control nodes are slow: the answer of one that was passed over counts as soon as it comes. */
+    @Test
+    void aLateGrantAdmitsTheRequestThatStillWaits() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(1), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 100, admission -> outcomes.add(admission.outcome()));
+        transport.scheduled.get(0).run();
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(0).id()));
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(1).id()));
+        assertThat("once", outcomes.size(), is(1));
+        client.admit(QuotaSimulation.TENANT, 100, admission -> outcomes.add(admission.outcome()));
+        assertThat("the second grant is kept for the next one", transport.sent.size(), is(2));
+        assertThat(outcomes.size(), is(2));
+    }
+
     /** Guards the reserves together: a node that does not know how many share them has none. */
     @Test
     void thereIsNoReserveBeforeTheFleetsSizeIsKnown() {
