--- a/src/main/java/routerfleet/config/ConfigDocument.java
+++ b/src/main/java/routerfleet/config/ConfigDocument.java
@@ -41,13 +41,18 @@
         return base.length + laterBytes();
     }
 
+    /** Whether {@link #base} is all of it. */
+    public boolean isMerged() {
+        return later.isEmpty();
+    }
+
     /** The same configuration without separate changes. */
     ConfigDocument merged() {
         return later.isEmpty() ? this : new ConfigDocument(ConfigJson.bytes(tree()), List.of());
     }
 
     /** The whole configuration as JSON; not to be changed. */
-    byte[] bytes() {
+    public byte[] bytes() {
         return later.isEmpty() ? base : ConfigJson.bytes(tree());
     }
 
--- a/src/main/java/routerfleet/config/ConfigExaminer.java
+++ b/src/main/java/routerfleet/config/ConfigExaminer.java
@@ -12,6 +12,8 @@
 public final class ConfigExaminer {
     /** Below this the whole document surely stays within what can be kept, however its numbers are written. */
     private static final int SURELY_SMALL_BYTES = ConfigOrder.MOST_BODY_BYTES / 4;
+    /** The tree of a larger document takes too much of a control node's memory to be kept between orders. */
+    private static final int MOST_KEPT_BYTES = 1 << 20;
     private static final byte[] SAMPLE = """
             {"generation":1,"routes":[{"name":"r","host":"h","path_prefix":"/p/","type":"safe","timeout_ms":1,
             "traffic_split":[{"backend":"b","weight":1}]}],"backends":[{"name":"b","runtime":{"capacity":1}}],
@@ -44,7 +46,8 @@
     }
 
     private ConfigChange accepted(ConfigOrder order, Current current, ObjectNode tree, FleetConfiguration configuration) {
-        lastTree = tree;
+        boolean isSmall = current.document().heldBytes() + order.body().length <= MOST_KEPT_BYTES;
+        lastTree = isSmall ? tree : null;
         lastDigest = order.digest();
         return new ConfigChange(order, lastDigest, ConfigDelta.between(current.configuration(), configuration));
     }
@@ -56,11 +59,8 @@
     }
 
     private ObjectNode currentTree(Current current) {
-        if (lastTree == null || lastDigest.isEmpty() || !lastDigest.equals(current.lastDigest())) {
-            lastTree = current.document().tree();
-            lastDigest = current.lastDigest();
-        }
-        return lastTree;
+        boolean isLast = lastTree != null && !lastDigest.isEmpty() && lastDigest.equals(current.lastDigest());
+        return isLast ? lastTree : current.document().tree();
     }
 
     private Either<ConfigFault, FleetConfiguration> typed(ConfigOrder order, Current current, ObjectNode tree) {
--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -43,6 +43,13 @@
         return document.base();
     }
 
+    /** A document of this store was merged elsewhere: kept, if it is still the current one. */
+    public void merged(ConfigDocument of, byte[] bytes) {
+        if (document == of) {
+            document = new ConfigDocument(bytes, List.of());
+        }
+    }
+
     /** The current configuration as typed values. */
     public FleetConfiguration configuration() {
         return configuration;
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -221,7 +221,7 @@
     void handle(ControlHttp.Request request, Consumer<ControlHttp.Response> answer) {
         String path = request.path();
         if (request.method().equals("GET") && path.equals(CONFIG + "get")) {
-            freshness.whenFresh(() -> answer.accept(readBack()),
+            freshness.whenFresh(() -> readBack(answer),
                     () -> answer.accept(ControlHttp.Response.error(UNAVAILABLE, "no majority of replicas answers")));
         } else if (request.method().equals("POST") && path.equals(CONFIG + "replace")) {
             orders.take(ConfigOrder.Kind.REPLACE, request, answer);
@@ -234,9 +234,12 @@
         }
     }
 
-    private ControlHttp.Response readBack() {
-        return replicas.answersReads() ? new ControlHttp.Response(OK, replicas.document())
-                : ControlHttp.Response.error(UNAVAILABLE, "no member of the replica group");
+    private void readBack(Consumer<ControlHttp.Response> answer) {
+        if (replicas.answersReads()) {
+            replicas.document(document -> answer.accept(new ControlHttp.Response(OK, document)));
+        } else {
+            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "no member of the replica group"));
+        }
     }
 
     private void instance(String[] parts, ControlHttp.Request request, Consumer<ControlHttp.Response> answer) {
--- a/src/main/java/routerfleet/control/OrderExaminer.java
+++ b/src/main/java/routerfleet/control/OrderExaminer.java
@@ -5,13 +5,14 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import routerfleet.config.ConfigChange;
+import routerfleet.config.ConfigDocument;
 import routerfleet.config.ConfigExaminer;
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 
 /**
- * Examines orders beside the event loop: the first one of a process takes seconds on a small machine, and a leader that
- * sends no heartbeats meanwhile would be replaced.
+ * Examines orders, and merges documents, beside the event loop: the first JSON of a process takes seconds on a small
+ * machine, and a leader that sends no heartbeats meanwhile would be replaced.
  */
 final class OrderExaminer {
     private static final System.Logger LOG = System.getLogger("routerfleet.control.replica");
@@ -34,6 +35,18 @@
         run(examiner::warmUp);
     }
 
+    /** The whole of a document as JSON. @param merged told, at once or later, on the loop */
+    void merge(ConfigDocument document, Consumer<byte[]> merged) {
+        if (document.isMerged()) {
+            merged.accept(document.base());
+            return;
+        }
+        run(() -> {
+            byte[] bytes = document.bytes();
+            loop.execute(() -> merged.accept(bytes));
+        });
+    }
+
     /** @param result told on the loop */
     void examine(ConfigOrder order, ConfigExaminer.Current current, Consumer<Either<ConfigFault, ConfigChange>> result) {
         run(() -> {
--- a/src/main/java/routerfleet/control/OrderQueue.java
+++ b/src/main/java/routerfleet/control/OrderQueue.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import routerfleet.config.ConfigChange;
+import routerfleet.config.ConfigDocument;
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
@@ -65,6 +66,15 @@
         examiner.warmUp();
     }
 
+    /** The whole of the current configuration as JSON. @param document told at once or later */
+    void document(Consumer<byte[]> document) {
+        ConfigDocument current = store.current().document();
+        examiner.merge(current, bytes -> {
+            store.merged(current, bytes);
+            document.accept(bytes);
+        });
+    }
+
     boolean isFull() {
         return waiting.size() >= MOST_WAITING;
     }
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -181,8 +181,9 @@
         return store.generation();
     }
 
-    byte[] document() {
-        return store.document();
+    /** The current configuration as JSON. @param document told at once or later, as it stands at this call */
+    void document(Consumer<byte[]> document) {
+        orders.document(document);
     }
 
     /** The newest configuration that is known to be committed, encoded once for all data nodes. */
--- a/src/main/java/routerfleet/data/ServerPool.java
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -187,7 +187,7 @@
     }
 
     private Server draw(List<Server> from, Server other, int limit, List<Server> tried, long nowMs) {
-        for (int i = 0; i < DRAWS; i++) {
+        for (int i = 0; i < DRAWS && !from.isEmpty(); i++) {
             Server drawn = from.get(random.nextInt(from.size()));
             if (drawn != other && mayTake(drawn, limit, tried, nowMs)) {
                 return drawn;
--- a/src/test/java/routerfleet/config/ConfigStoreTest.java
+++ b/src/test/java/routerfleet/config/ConfigStoreTest.java
@@ -88,6 +88,12 @@
                     + "[{\"name\":\"b" + i + "\",\"own\":" + i + "}]}}"), is("taken"));
             assertThat(store.state().document().later().size(), is(lessThanOrEqualTo(ConfigDocument.MOST_LATER)));
         }
+        ConfigDocument unmerged = store.current().document();
+        assertThat(unmerged.isMerged(), is(false));
+        store.merged(ConfigDocument.EMPTY, ConfigDocument.EMPTY.bytes());
+        assertThat("of another document", store.current().document(), is(unmerged));
+        store.merged(unmerged, unmerged.bytes());
+        assertThat(store.current().document().isMerged(), is(true));
         assertThat(ConfigJson.read(store.document()).get(), is(store.configuration()));
         assertThat(new String(store.document(), StandardCharsets.UTF_8), containsString("\"own\":7"));
     }
