--- a/src/main/java/routerfleet/cli/FleetCommands.java
+++ b/src/main/java/routerfleet/cli/FleetCommands.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import routerfleet.demo.Rehearsal;
@@ -34,9 +35,10 @@
     private static final class ControlPlaneCommand extends Common { }
 
     @Parameters(commandDescription = "check FILE: whether a settings file can be used; "
-            + "rehearse: a small fleet on loopback; config: the configuration of a running fleet")
+            + "rehearse: a small fleet on loopback; config: the configuration of a running fleet; "
+            + "account FILE: where a day played on the operators' bench lost worth")
     private static final class SystemCommand extends Common {
-        @Parameter(description = "check FILE | rehearse | config " + ConfigCommands.USAGE)
+        @Parameter(description = "check FILE | rehearse | account FILE | config " + ConfigCommands.USAGE)
         private List<String> words = new ArrayList<>();
 
         @Parameter(names = "--at", description = "Addresses of control nodes, for config")
@@ -95,7 +97,7 @@
     private static int system(SystemCommand command) {
         try {
             return systemCommand(command);
-        } catch (SettingsException | ConfigCommands.UnusableException e) {
+        } catch (SettingsException | ConfigCommands.UnusableException | DayAccount.UnusableReportException e) {
             return fail(USAGE, e.getMessage());
         } catch (Exception e) {
             return fail(FAILED, String.valueOf(e.getMessage()));
@@ -112,8 +114,12 @@
             System.out.println(Rehearsal.run() + " requests served");
             return DONE;
         }
+        if (words.size() == 2 && words.get(0).equals("account")) {
+            System.out.print(DayAccount.of(Path.of(words.get(1))));
+            return DONE;
+        }
         if (words.size() != 2 || !words.get(0).equals("check")) {
-            return fail(USAGE, "usage: rowanplank system check FILE | rehearse | config ...");
+            return fail(USAGE, "usage: rowanplank system check FILE | rehearse | account FILE | config ...");
         }
         LocalSettings.load(words.get(1));
         System.out.println(words.get(1) + " can be used");
