--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -151,6 +151,20 @@
                 new ArrayList<>(outcomes.values()));
     }
 
+    /** Puts a snapshot's state, of this build or an earlier one, in place of the current one. */
+    public void restoreDecoded(Object state) {
+        if (state instanceof EarlierState earlier) {
+            restore(earlier);
+        } else {
+            restore((State) state);
+        }
+    }
+
+    /** Takes an entry of the log: a change that a leader has examined, or an order as it was sent. */
+    public Either<ConfigFault, Long> applyDecoded(Object entry) {
+        return entry instanceof ConfigChange change ? apply(change) : apply((ConfigOrder) entry);
+    }
+
     /** Puts a snapshot's state in place of the current one. */
     public void restore(State state) {
         document = state.document();
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -124,7 +124,7 @@
     /** Who may come to lead is to answer its first order as fast as later ones. */
     private void warmUp() {
         if (replicas.isVoter()) {
-            replicas.warmUp();
+            replicas.orders().warmUp();
         }
     }
 
@@ -236,7 +236,7 @@
 
     private void readBack(Consumer<ControlHttp.Response> answer) {
         if (replicas.answersReads()) {
-            replicas.document(document -> answer.accept(new ControlHttp.Response(OK, document)));
+            replicas.orders().document(document -> answer.accept(new ControlHttp.Response(OK, document)));
         } else {
             answer.accept(ControlHttp.Response.error(UNAVAILABLE, "no member of the replica group"));
         }
--- a/src/main/java/routerfleet/control/DataNodeService.java
+++ b/src/main/java/routerfleet/control/DataNodeService.java
@@ -64,7 +64,7 @@
 
     void configuration(PeerLink link, long knownGeneration) {
         if (group.generation() > knownGeneration) {
-            link.send(group.committed());
+            link.send(group.committed().whole());
         }
     }
 
@@ -83,8 +83,8 @@
 
     /** The newest configuration: what has changed, for one that has the generation before. */
     private PeerMessage committedFor(DataNodes.Session session) {
-        PeerMessage.CommittedDelta delta = group.committedDelta();
-        return delta != null && delta.base() == session.sentGeneration ? delta : group.committed();
+        PeerMessage.CommittedDelta delta = group.committed().delta();
+        return delta != null && delta.base() == session.sentGeneration ? delta : group.committed().whole();
     }
 
     private void flush(DataNodes.Session session) {
--- a/src/main/java/routerfleet/control/OrderQueue.java
+++ b/src/main/java/routerfleet/control/OrderQueue.java
@@ -66,7 +66,7 @@
         examiner.warmUp();
     }
 
-    /** The whole of the current configuration as JSON. @param document told at once or later */
+    /** The whole of the current configuration as JSON. @param document told at once or later, as it stands at this call */
     void document(Consumer<byte[]> document) {
         ConfigDocument current = store.current().document();
         examiner.merge(current, bytes -> {
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -19,13 +19,11 @@
 import rowanplank.agreement.Snapshot;
 import rowanplank.agreement.Write;
 import routerfleet.config.ConfigChange;
-import routerfleet.config.ConfigDelta;
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
 import routerfleet.config.TenantConfig;
 import routerfleet.wire.PeerCodec;
-import routerfleet.wire.PeerMessage;
 import routerfleet.wire.Scheduler;
 
 /**
@@ -69,8 +67,7 @@
     private final Surroundings surroundings;
     private final ConfigStore store;
     private final Agreement agreement;
-    private PeerMessage.CommittedConfig committed;
-    private PeerMessage.CommittedDelta committedDelta;
+    private final CommittedMessages committed;
     /** What the agreement has asked for within a call, carried out once the call has returned. */
     private final Deque<Runnable> deferred = new ArrayDeque<>();
     private final OrderQueue orders;
@@ -94,6 +91,7 @@
         store = parts.store();
         orders = parts.orders(new Leader(), store, scheduler);
         this.codec = codec;
+        committed = new CommittedMessages(codec, store);
         this.self = self;
         this.storage = storage;
         this.surroundings = surroundings;
@@ -181,31 +179,11 @@
         return store.generation();
     }
 
-    /** The current configuration as JSON. @param document told at once or later, as it stands at this call */
-    void document(Consumer<byte[]> document) {
-        orders.document(document);
-    }
-
-    /** The newest configuration that is known to be committed, encoded once for all data nodes. */
-    PeerMessage.CommittedConfig committed() {
-        if (committed == null || committed.generation() != store.generation()) {
-            committed = new PeerMessage.CommittedConfig(store.generation(), codec.encode(store.configuration()));
-        }
+    /** The newest configuration that is known to be committed, for data nodes. */
+    CommittedMessages committed() {
         return committed;
     }
 
-    /** What leads to the newest committed configuration, encoded once; null where only the whole is known. */
-    PeerMessage.CommittedDelta committedDelta() {
-        ConfigDelta last = store.lastDelta();
-        if (last == null || last.whole() || last.generation() != store.generation()) {
-            return null;
-        }
-        if (committedDelta == null || committedDelta.generation() != last.generation()) {
-            committedDelta = new PeerMessage.CommittedDelta(last.base(), last.generation(), codec.encode(last));
-        }
-        return committedDelta;
-    }
-
     // ---- events
 
     void received(String from, Message message) {
@@ -225,9 +203,9 @@
         settle();
     }
 
-    /** Prepares to examine orders, beside the replica's thread. */
-    void warmUp() {
-        orders.warmUp();
+    /** The orders that wait here. */
+    OrderQueue orders() {
+        return orders;
     }
 
     /** Takes an order, as a leader. */
@@ -397,12 +375,7 @@
             return;
         }
         try {
-            Object state = codec.decodeStored(snapshot.data(), Object.class);
-            if (state instanceof ConfigStore.EarlierState earlier) {
-                store.restore(earlier);
-            } else {
-                store.restore((ConfigStore.State) state);
-            }
+            store.restoreDecoded(codec.decodeStored(snapshot.data(), Object.class));
         } catch (PeerCodec.MalformedMessageException | RuntimeException e) {
             halt("the snapshot at entry " + snapshot.index(), e);
         }
@@ -447,8 +420,7 @@
     private void applyOrder(Entry entry, Object order) {
         bytesSinceSnapshot += entry.payload().length;
         long before = store.generation();
-        Either<ConfigFault, Long> result = order instanceof ConfigChange change ? store.apply(change)
-                : store.apply((ConfigOrder) order);
+        Either<ConfigFault, Long> result = store.applyDecoded(order);
         orders.decided(entry.index(), result);
         if (store.generation() != before) {
             deferred.add(() -> surroundings.configurationChanged(store.generation()));
--- a/src/test/java/routerfleet/config/ConfigStoreTest.java
+++ b/src/test/java/routerfleet/config/ConfigStoreTest.java
@@ -58,7 +58,8 @@
                 List.of("digest"), List.of(2L)));
         assertThat(store.generation(), is(2L));
         assertThat(store.configuration().routes().size(), is(3));
-        assertThat(faultOf(ConfigOrder.Kind.PATCH, 2, "{\"generation\":3,\"delete\":{\"routes\":[\"pages\"]}}"), is("taken"));
+        String deletion = "{\"generation\":3,\"delete\":{\"routes\":[\"pages\"]}}";
+        assertThat(faultOf(ConfigOrder.Kind.PATCH, 2, deletion), is("taken"));
         assertThat(store.configuration().routes().size(), is(2));
         assertThat(ConfigJson.read(store.document()).get(), is(store.configuration()));
     }
@@ -68,10 +69,9 @@
     void aWholeConfigurationIsADifferenceAsWell() {
         store.apply(order(ConfigOrder.Kind.REPLACE, 0, Configurations.whole(1)));
         String last = "{\"name\":\"llm\",\"health_check\":\"/healthz\",\"max_connections\":90}";
-        String reordered = Configurations.whole(2).replace("\"backends\":[", "\"backends\":[" + last + ",")
-                .replaceFirst("(?s)(" + java.util.regex.Pattern.quote(last) + ",.*?),\\s*"
-                        + java.util.regex.Pattern.quote(last), "$1").replace("\"timeout_ms\":4000,\n \"target_latency_ms\":400,"
-                        + "\"priority\":1", "\"timeout_ms\":3000,\n \"target_latency_ms\":400,\"priority\":1");
+        String web = "{\"name\":\"web\",\"health_check\":\"/healthz\",\"max_connections\":90}";
+        String reordered = Configurations.whole(2).replace(last, "@").replace(web, last).replace("@", web)
+                .replaceFirst("\"timeout_ms\":4000", "\"timeout_ms\":3000");
         assertThat(faultOf(ConfigOrder.Kind.REPLACE, 1, reordered), is("taken"));
         assertThat(store.lastDelta().whole(), is(false));
         assertThat(store.lastDelta().items().routes().size(), is(1));
--- a/src/test/java/routerfleet/control/HeartbeatJsonTest.java
+++ b/src/test/java/routerfleet/control/HeartbeatJsonTest.java
@@ -19,8 +19,9 @@
 
     @Test
     void whatIsKnownIsReadAndTheRestPassedOver() {
-        SessionRecord read = read("{\"backend\":\"llm\",\"models\":[{\"name\":\"m\",\"loras\":[]}],\"address\":\"10.0.0.1:80\","
-                + "\"zone\":\"a\",\"generation\":\"v1\",\"capacity\":32,\"phase\":\"draining\",\"warmup_left_ms\":1.5,"
+        SessionRecord read = read("{\"backend\":\"llm\",\"models\":[{\"name\":\"m\",\"loras\":[]}],"
+                + "\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"generation\":\"v1\","
+                + "\"capacity\":32,\"phase\":\"draining\",\"warmup_left_ms\":1.5,"
                 + "\"sequence\":4,\"more\":{\"sequence\":9}}").get();
         assertThat(read, is(new SessionRecord("i-1", "llm", "10.0.0.1:80", "a", 32, SessionRecord.Phase.DRAINING, 4, 1)));
     }
--- a/src/test/java/routerfleet/data/ServerPoolTest.java
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -67,7 +67,8 @@
         pool.settle();
         int same = 0;
         for (int part = 0; part < 200; part++) {
-            same += homes.get(part) == pool.choose(profile("c", new PromptPrefix(part + 1, 9_000, 9_000)), ROOM, List.of(), 1) ? 1 : 0;
+            same += homes.get(part) == pool.choose(profile("c", new PromptPrefix(part + 1, 9_000, 9_000)),
+                    ROOM, List.of(), 1) ? 1 : 0;
         }
         assertThat(same, is(greaterThan(140)));
     }
@@ -129,11 +130,13 @@
         servers.get(0).listed(false);
         pool.remove(servers.get(0));
         for (int part = 1; part < 100; part++) {
-            assertThat(pool.choose(profile("c", new PromptPrefix(part, 9_000, 9_000)), ROOM, List.of(), 1), not(servers.get(0)));
+            assertThat(pool.choose(profile("c", new PromptPrefix(part, 9_000, 9_000)),
+                    ROOM, List.of(), 1), not(servers.get(0)));
         }
         pool.settle();
         for (int part = 1; part < 100; part++) {
-            assertThat(pool.choose(profile("c", new PromptPrefix(part, 9_000, 9_000)), ROOM, List.of(), 1), not(servers.get(0)));
+            assertThat(pool.choose(profile("c", new PromptPrefix(part, 9_000, 9_000)),
+                    ROOM, List.of(), 1), not(servers.get(0)));
         }
     }
 
