Read the settings that deployments over several zones bring

Need: the operators' settings for apart deployments name zones, how many of them may be lost, and four new bounds (warm-up, evacuation, merge). Cause: the keys were ignored. Ruled out: a second settings class for zones, since every part that needs them has LocalSettings already.

--- a/src/main/java/routerfleet/settings/Bounds.java
+++ b/src/main/java/routerfleet/settings/Bounds.java
@@ -6,6 +6,10 @@
  *
  * @param revokeMs after the acknowledgement of a removed key, the time until no request with it may run
  * @param quotaOvershoot part of a tenant's limit that may be exceeded in a window
+ * @param warmupOvershoot the factor by which a cold server's rate may be exceeded in a second
+ * @param warmupSlack requests in a second beyond that
+ * @param evacuationMs after the acknowledgement of an evacuation, the time until its zone's servers get nothing more
+ * @param mergeMs after a partition has healed, the time until every control node counts every acknowledged add
  */
 public record Bounds(
         Long connectedMs,
@@ -22,7 +26,11 @@
         Double retrySlack,
         Double quotaWindowS,
         Double quotaOvershoot,
-        Double quotaSlack) {
+        Double quotaSlack,
+        Double warmupOvershoot,
+        Double warmupSlack,
+        Long evacuationMs,
+        Long mergeMs) {
     public Bounds {
         connectedMs = orElse(connectedMs, 3_000L);
         ackMs = orElse(ackMs, 4_000L);
@@ -39,6 +47,10 @@
         quotaWindowS = orElse(quotaWindowS, 8.0);
         quotaOvershoot = orElse(quotaOvershoot, 0.0);
         quotaSlack = orElse(quotaSlack, 0.0);
+        warmupOvershoot = orElse(warmupOvershoot, 1.0);
+        warmupSlack = orElse(warmupSlack, 0.0);
+        evacuationMs = orElse(evacuationMs, 5_000L);
+        mergeMs = orElse(mergeMs, 3_000L);
     }
 
     /** The figures of a settings file. @throws SettingsException if one of them is malformed */
@@ -58,12 +70,17 @@
                 fields.fraction("bounds.retry_slack"),
                 fields.fraction("bounds.quota_window_s"),
                 fields.fraction("bounds.quota_overshoot"),
-                fields.fraction("bounds.quota_slack"));
+                fields.fraction("bounds.quota_slack"),
+                fields.fraction("bounds.warmup_overshoot"),
+                fields.fraction("bounds.warmup_slack"),
+                fields.number("bounds.evacuation_ms"),
+                fields.number("bounds.merge_ms"));
     }
 
     /** Every figure at its default. */
     public static Bounds defaults() {
-        return new Bounds(null, null, null, null, null, null, null, null, null, null, null, null, null, null, null);
+        return new Bounds(null, null, null, null, null, null, null, null, null, null, null, null, null, null, null, null,
+                null, null, null);
     }
 
     private static <T> T orElse(T value, T fallback) {
--- a/src/main/java/routerfleet/settings/LocalSettings.java
+++ b/src/main/java/routerfleet/settings/LocalSettings.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A process's settings file: lines of {@code a.b=value}. Fields that are not known are ignored.
@@ -14,14 +15,29 @@
  * @param dataPath the folder on the machine's disk; null where it has none
  * @param heartbeatMs how often a model server sends its heartbeat
  * @param toleratedHosts how many counted machines may be lost at once
+ * @param toleratedZones how many zones may be lost at once, in place of the machines
+ * @param zones all zones of the deployment; empty where the file names none
  */
 public record LocalSettings(String nodeName, String ip, String zone, HostPort frontend, HostPort readiness,
         HostPort controlPlane, int dataPort, List<HostPort> seeds, boolean bootstrap, Path dataPath,
-        long heartbeatMs, int toleratedHosts, Bounds bounds) {
+        long heartbeatMs, int toleratedHosts, int toleratedZones, Set<String> zones, Bounds bounds) {
     /** The environment variable that names the file. */
     public static final String VARIABLE = "ROWANPLANK_BOOT";
 
     private static final long DEFAULT_HEARTBEAT_MS = 1_000;
+    private static final String ZONES = "zones.";
+
+    public LocalSettings {
+        zones = Set.copyOf(zones);
+    }
+
+    /** Settings of a deployment of one zone. */
+    public LocalSettings(String nodeName, String ip, String zone, HostPort frontend, HostPort readiness,
+            HostPort controlPlane, int dataPort, List<HostPort> seeds, boolean bootstrap, Path dataPath,
+            long heartbeatMs, int toleratedHosts, Bounds bounds) {
+        this(nodeName, ip, zone, frontend, readiness, controlPlane, dataPort, seeds, bootstrap, dataPath, heartbeatMs,
+                toleratedHosts, 0, Set.of(zone), bounds);
+    }
 
     /** Where control nodes take connections of each other: the port behind it. */
     public int peerPort() {
@@ -65,6 +81,8 @@
                 dataPath == null ? null : Path.of(dataPath),
                 orElse(fields.number("heartbeat_ms"), DEFAULT_HEARTBEAT_MS),
                 orElse(fields.number("fault_tolerance.hosts_lost"), 0L).intValue(),
+                orElse(fields.number("fault_tolerance.zones"), 0L).intValue(),
+                fields.namesUnder(ZONES),
                 Bounds.read(fields));
     }
 
--- a/src/main/java/routerfleet/settings/SettingsFile.java
+++ b/src/main/java/routerfleet/settings/SettingsFile.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.StringReader;
 import java.util.Properties;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The fields of a settings file by their keys, each read as what it is to be. A field without a value counts as absent.
@@ -64,6 +66,14 @@
         return number;
     }
 
+    /** What follows the prefix in the keys that begin with it. */
+    Set<String> namesUnder(String prefix) {
+        return fields.stringPropertyNames().stream()
+                .filter(key -> key.startsWith(prefix))
+                .map(key -> key.substring(prefix.length()))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** True or false; null where the field is absent. */
     Boolean flag(String key) throws SettingsException {
         String value = text(key);
--- a/src/test/java/routerfleet/control/QuotaGrantorTest.java
+++ b/src/test/java/routerfleet/control/QuotaGrantorTest.java
@@ -13,7 +13,7 @@
 /** One control node's parts of tenants' limits. */
 class QuotaGrantorTest {
     private static final Bounds BOUNDS = new Bounds(null, null, null, null, null, null, null, null, null, null, null, null,
-            8.0, 0.0, 0.0);
+            8.0, 0.0, 0.0, null, null, null, null);
     private static final TenantConfig TENANT = tenant(900);
     private static final List<String> THREE = List.of("a", "b", "c");
 
--- a/src/test/java/routerfleet/control/ReplacementSimulation.java
+++ b/src/test/java/routerfleet/control/ReplacementSimulation.java
@@ -27,7 +27,7 @@
 
     private static final double RATE = 10_000;
     private static final Bounds BOUNDS = new Bounds(null, null, null, null, null, null, null, null, null, null, null, null,
-            8.0, 0.1, 4_000.0);
+            8.0, 0.1, 4_000.0, null, null, null, null);
     private static final long WINDOW_MS = 8_000;
     private static final TenantConfig TENANT = new TenantConfig("one", List.of("k"), 0, "token_count", 100, RATE, RATE);
     private static final long STEP_MS = 20;
--- a/src/test/java/routerfleet/data/QuotaSimulation.java
+++ b/src/test/java/routerfleet/data/QuotaSimulation.java
@@ -18,7 +18,7 @@
     /** Limit a second, with slack and sizes of requests in the proportions of a small tenant of a large deployment. */
     static final double RATE = 10_000;
     static final Bounds BOUNDS = new Bounds(null, null, null, null, null, null, null, null, null, null, null, null, 8.0,
-            0.1, 40_000.0);
+            0.1, 40_000.0, null, null, null, null);
     static final TenantConfig TENANT = new TenantConfig("one", List.of("k"), 0, "token_count", 100, RATE, RATE);
     private static final long WINDOW_MS = 8_000;
 
