Make settings of a process by one constructor

Need: the style check failed on a second constructor of LocalSettings with 13 parameters, which had come with the zones. Cause: only record headers are exempt. Change: simulations and the demo say how many zones they tolerate. Ruled out: a suppression.

--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -11,6 +11,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -101,8 +102,8 @@
     /** Starts a control node. @param bootstrap whether the whole system starts for the first time */
     public void startControl(int number, boolean bootstrap) throws IOException {
         LocalSettings settings = new LocalSettings("control-" + number, controlIp(number), "a", null, null,
-                controlAddress(number), internalPort, seeds, bootstrap, disk(number), HEARTBEAT_MS, toleratedLosses,
-                Bounds.defaults());
+                controlAddress(number), internalPort, seeds, bootstrap, disk(number), HEARTBEAT_MS, toleratedLosses, 0,
+                Set.of(), Bounds.defaults());
         ControlNode node = new ControlNode(settings);
         node.start();
         controlNodes.put(number, node);
@@ -127,8 +128,8 @@
         String ip = nextDataIp();
         HostPort frontend = new HostPort(ip, freePorts(1));
         LocalSettings settings = new LocalSettings(nextDataName(), ip, "a", frontend,
-                new HostPort(ip, freePorts(1)), null, internalPort, seeds, true, null, HEARTBEAT_MS, toleratedLosses,
-                Bounds.defaults());
+                new HostPort(ip, freePorts(1)), null, internalPort, seeds, true, null, HEARTBEAT_MS, toleratedLosses, 0,
+                Set.of(), Bounds.defaults());
         DataNode node = new DataNode(settings);
         node.start();
         return added(node, frontend, waitUntilReady);
--- a/src/main/java/routerfleet/settings/LocalSettings.java
+++ b/src/main/java/routerfleet/settings/LocalSettings.java
@@ -31,14 +31,6 @@
         zones = Set.copyOf(zones);
     }
 
-    /** Settings of a deployment of one zone. */
-    public LocalSettings(String nodeName, String ip, String zone, HostPort frontend, HostPort readiness,
-            HostPort controlPlane, int dataPort, List<HostPort> seeds, boolean bootstrap, Path dataPath,
-            long heartbeatMs, int toleratedHosts, Bounds bounds) {
-        this(nodeName, ip, zone, frontend, readiness, controlPlane, dataPort, seeds, bootstrap, dataPath, heartbeatMs,
-                toleratedHosts, 0, Set.of(zone), bounds);
-    }
-
     /** Where control nodes take connections of each other: the port behind it. */
     public int peerPort() {
         return dataPort + 1;
--- a/src/test/java/routerfleet/control/ControlPlaneSimulation.java
+++ b/src/test/java/routerfleet/control/ControlPlaneSimulation.java
@@ -69,8 +69,8 @@
             newestAtStart = seen.newestAcknowledged();
             process = new VirtualProcess(world, random.nextLong() >> 2, () -> { });
             LocalSettings settings = new LocalSettings("data-" + ip, ip, "a", null, null, null,
-                    SimulatedMachine.INTERNAL_PORT, seeds(), true, null, SimulatedMachine.HEARTBEAT_MS, tolerated,
-                    Bounds.defaults());
+                    SimulatedMachine.INTERNAL_PORT, seeds(), true, null, SimulatedMachine.HEARTBEAT_MS, tolerated, 0,
+                    Set.of(), Bounds.defaults());
             VirtualProcess life = process;
             life.execute(() -> client = new ControlClientNode(settings, life, network.of(ip, life), surroundings.codec()));
         }
--- a/src/test/java/routerfleet/control/PowerReturnTest.java
+++ b/src/test/java/routerfleet/control/PowerReturnTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import routerfleet.demo.Configurations;
@@ -79,7 +80,7 @@
             VirtualProcess process = new VirtualProcess(world, random.nextLong() >> 2, () -> { });
             LocalSettings settings = new LocalSettings("data-" + ip, ip, "a", null, null, null,
                     SimulatedMachine.INTERNAL_PORT, seeds(), true, null, SimulatedMachine.HEARTBEAT_MS,
-                    CONTROL_NODES / 2, Bounds.defaults());
+                    CONTROL_NODES / 2, 0, Set.of(), Bounds.defaults());
             processes.add(process);
             process.execute(() -> nodes.add(new ControlClientNode(settings, process, network.of(ip, process), codec)));
         }
--- a/src/test/java/routerfleet/control/SimulatedMachine.java
+++ b/src/test/java/routerfleet/control/SimulatedMachine.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import routerfleet.settings.Bounds;
@@ -66,7 +67,8 @@
         writer.hang(diskHangs);
         ReplicaStorage storage = surroundings.fault().storage(disk, life, writer);
         LocalSettings settings = new LocalSettings("core-" + ip, ip, "a", null, null, null, INTERNAL_PORT, seeds,
-                bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), Bounds.defaults());
+                bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), 0, Set.of(),
+                Bounds.defaults());
         RandomGenerator draws = random.split();
         ControlService started = new ControlService(settings, life, surroundings.network().of(ip, life),
                 surroundings.codec(), storage, draws, surroundings.fault().parts(surroundings.toleratedHosts()));
