Take operators' evacuations of zones, and send nothing into an evacuated zone

An order is an entry of the configuration shard's log: zone, start or stop, and the revision of the evacuations that it builds on. The state machine takes it only on that revision, so one that was held up can't undo a later one. Unknown zone 404, a body 400, no clear answer 503 with Retry-After. Generation and document of the configuration stay as they are.

Data nodes get both with each answer to a poll and at once on a change, take higher revisions only, and are ready only when they know what was in force as they started. Servers of an evacuated zone are not listed; those that are live are kept with what is known of their health. A send looks once more whether its server is still listed, and else chooses another.

--- a/src/main/java/routerfleet/config/ConfigStore.java
+++ b/src/main/java/routerfleet/config/ConfigStore.java
@@ -8,8 +8,8 @@
 
 /**
  * The configuration shard's state machine: the current configuration, and the digests of the orders that made it, so that
- * an order sent again gets its first answer. Deterministic; the same entries give the same state at every replica. A
- * change that a leader has examined is applied as typed values, without JSON.
+ * an order sent again gets its first answer; and beside it the evacuated zones. Deterministic; the same entries give the
+ * same state at every replica. A change that a leader has examined is applied as typed values, without JSON.
  *
  * <p>Bound: the last {@value #MOST_OUTCOMES} orders are remembered. An older one sent again is refused as a conflict.
  */
@@ -22,6 +22,7 @@
     private FleetConfiguration configuration = new FleetConfiguration(0, null, null, null, null);
     private String lastDigest = "";
     private ConfigDelta lastDelta;
+    private Evacuations evacuations = Evacuations.NONE;
     private final Map<String, Long> outcomes = new LinkedHashMap<>();
     /** For orders that come unexamined; made at the first of them. */
     private ConfigExaminer examiner;
@@ -144,7 +145,26 @@
         }
     }
 
-    /** The state for a snapshot. */
+    /** The evacuated zones. */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
+    /** Takes an order, or leaves everything as it is where it builds on another state. @return whether it was taken */
+    public boolean apply(EvacuationOrder order) {
+        if (!evacuations.takes(order)) {
+            return false;
+        }
+        evacuations = evacuations.after(order);
+        return true;
+    }
+
+    /** The whole state for a snapshot: without any evacuation so far, as builds before them write it. */
+    public Object snapshot() {
+        return evacuations.revision() == 0 ? state() : new ShardState(state(), evacuations);
+    }
+
+    /** The configuration's part of the state. */
     public State state() {
         boolean typed = document.heldBytes() <= MOST_TYPED_BYTES;
         return new State(document, typed ? configuration : null, lastDigest, new ArrayList<>(outcomes.keySet()),
@@ -153,10 +173,11 @@
 
     /** Puts a snapshot's state, of this build or an earlier one, in place of the current one. */
     public void restoreDecoded(Object state) {
+        evacuations = state instanceof ShardState shard ? shard.evacuations() : Evacuations.NONE;
         if (state instanceof EarlierState earlier) {
             restore(earlier);
         } else {
-            restore((State) state);
+            restore(state instanceof ShardState shard ? shard.configuration() : (State) state);
         }
     }
 
@@ -165,7 +186,7 @@
         return entry instanceof ConfigChange change ? apply(change) : apply((ConfigOrder) entry);
     }
 
-    /** Puts a snapshot's state in place of the current one. */
+    /** Puts a snapshot's configuration in place of the current one. */
     public void restore(State state) {
         document = state.document();
         configuration = state.configuration() != null ? state.configuration() : read(document.bytes());
--- a/src/main/java/routerfleet/control/ControlHttp.java
+++ b/src/main/java/routerfleet/control/ControlHttp.java
@@ -22,6 +22,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import routerfleet.config.ConfigOrder;
 import routerfleet.settings.HostPort;
@@ -38,8 +39,21 @@
     /** For how long the rest of a body is read that was answered before it was there. */
     private static final long LINGER_MS = 2_000;
 
-    /** @param baseVersion the header that an order names its base in; null where there is none */
-    record Request(String method, String path, String baseVersion, byte[] body) { }
+    /**
+     * A request.
+     *
+     * @param baseVersion the header that an order names its base in; null where there is none
+     * @param callerWaits whether the caller has not given up, as far as the connection tells
+     */
+    record Request(String method, String path, String baseVersion, byte[] body, BooleanSupplier callerWaits) {
+        /** A request whose caller waits however long it takes. */
+        Request(String method, String path, String baseVersion, byte[] body) {
+            this(method, path, baseVersion, body, () -> true);
+        }
+    }
+
+    /** When who is answered 503 may ask again, in seconds: a new leader is elected in about so long. */
+    private static final String RETRY_AFTER_S = "0.4";
 
     /** A status and a JSON body. */
     record Response(int status, byte[] body) {
@@ -98,6 +112,9 @@
                 HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
         message.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+        if (response.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+            message.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_S);
+        }
         HttpUtil.setKeepAlive(message, keepAlive);
         return message;
     }
@@ -128,12 +145,12 @@
                 context.close();
                 return;
             }
-            waiting.add(read(message));
+            waiting.add(read(context, message));
             context.channel().config().setAutoRead(false);
             handleNext(context);
         }
 
-        private static Waiting read(Object message) {
+        private Waiting read(ChannelHandlerContext context, Object message) {
             if (message instanceof TooLarge large) {
                 return new Waiting(null, Response.error(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(),
                         large.size() + " in a body, and at most " + ConfigOrder.MOST_BODY_BYTES + " are taken"), false);
@@ -145,7 +162,14 @@
             byte[] body = new byte[request.content().readableBytes()];
             request.content().readBytes(body);
             return new Waiting(new Request(request.method().name(), request.uri(),
-                    request.headers().get("Rowanplank-Base-Version"), body), null, HttpUtil.isKeepAlive(request));
+                    request.headers().get("Rowanplank-Base-Version"), body, () -> isOpen(context)), null,
+                    HttpUtil.isKeepAlive(request));
+        }
+
+        /** Nothing is read by itself while a request is handled, not even the connection's end: it is looked for here. */
+        private boolean isOpen(ChannelHandlerContext context) {
+            context.read();
+            return !ended && context.channel().isActive();
         }
 
         private void handleNext(ChannelHandlerContext context) {
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -12,6 +12,7 @@
 import rowanplank.agreement.Message;
 import rowanplank.agreement.Saved;
 import routerfleet.config.ConfigOrder;
+import routerfleet.config.Evacuations;
 import routerfleet.log.Loggers;
 import routerfleet.settings.HostPort;
 import routerfleet.settings.LocalSettings;
@@ -46,6 +47,7 @@
     private static final int UNAVAILABLE = 503;
     private static final String CONFIG = "/rowanplank/config/";
     private static final String INSTANCES = "/rowanplank/instances/";
+    private static final String EVACUATIONS = "/rowanplank/evacuations/";
 
     private final LocalSettings settings;
     private final Scheduler scheduler;
@@ -66,6 +68,7 @@
     private SessionService sessions;
     private DataNodeService dataPlane;
     private OrderRouter orders;
+    private EvacuationService evacuations;
     private SessionHints hints;
     private List<SessionRecord> earlierSessions = List.of();
     private long warmUntilNanos;
@@ -124,6 +127,8 @@
         planner = parts.planner(replica);
         freshness = parts.freshness(scheduler, replicas, peers, random.nextLong() >>> 2);
         orders = new OrderRouter(scheduler, replica, replicas, peers, random.nextLong() >>> 2);
+        evacuations = new EvacuationService(scheduler, settings.zones(), replicas, freshness, peers,
+                random.nextLong() >>> 2);
         divideQuotas();
         warmUntilNanos = scheduler.nanoTime()
                 + TimeUnit.MILLISECONDS.toNanos((long) (settings.heartbeatMs() * WARM_BEATS));
@@ -302,6 +307,8 @@
             orders.take(ConfigOrder.Kind.REPLACE, request, answer);
         } else if (request.method().equals("POST") && path.equals(CONFIG + "patch")) {
             orders.take(ConfigOrder.Kind.PATCH, request, answer);
+        } else if (path.startsWith(EVACUATIONS)) {
+            evacuations.handle(path.substring(EVACUATIONS.length()), request, answer);
         } else if (request.method().equals("POST") && path.startsWith(INSTANCES)) {
             instance(path.substring(INSTANCES.length()).split("/"), request, answer);
         } else {
@@ -353,6 +360,10 @@
             orders.forwarded(link, request);
         } else if (message instanceof PeerMessage.OrderReply reply) {
             orders.answered(reply);
+        } else if (message instanceof PeerMessage.EvacuationRequest request) {
+            evacuations.forwarded(link, request);
+        } else if (message instanceof PeerMessage.EvacuationReply reply) {
+            evacuations.answered(reply);
         } else if (message instanceof PeerMessage.ConfigRequest request) {
             dataPlane.configuration(link, request.knownGeneration());
         } else if (message instanceof PeerMessage.DataHello hello) {
@@ -385,6 +396,12 @@
             dataPlane.changed();
         }
 
+        @Override
+        public void evacuationsChanged(Evacuations changed) {
+            evacuations.changed(changed);
+            dataPlane.changed();
+        }
+
         @Override
         public void leaderKnown() {
             scheduler.execute(() -> {
--- a/src/main/java/routerfleet/control/DataNodeService.java
+++ b/src/main/java/routerfleet/control/DataNodeService.java
@@ -7,7 +7,7 @@
 import routerfleet.wire.Scheduler;
 import routerfleet.wire.SessionView;
 
-/** Tells data nodes of sessions and configurations, as they change and when asked. */
+/** Tells data nodes of sessions, configurations and evacuations, as they change and when asked. */
 final class DataNodeService {
     /** Changes within this time go out together. */
     private static final long GATHER_MS = 4;
@@ -82,7 +82,8 @@
     private void answer(DataNodes.Session session, PeerMessage.Poll poll, long arrivedNanos) {
         long now = scheduler.nanoTime();
         session.link.send(new PeerMessage.PollReply(poll.id(), group.generation(), freshness.ageMicros(arrivedNanos),
-                isWarming(), nodes.present(now), peers.connected(), group.replicaAddresses()));
+                isWarming(), nodes.present(now), peers.connected(), group.replicaAddresses(), group.evacuations()));
+        session.sentEvacuations = group.evacuations().revision();
         flush(session);
     }
 
@@ -117,6 +118,10 @@
             session.sentRevision = table.revision();
             session.link.send(new PeerMessage.SessionChanges(epoch, table.revision(), false, changes));
         }
+        if (session.sentEvacuations < group.evacuations().revision()) {
+            session.sentEvacuations = group.evacuations().revision();
+            session.link.send(new PeerMessage.EvacuationNotice(group.evacuations()));
+        }
         boolean known = freshness.ageMicros(scheduler.nanoTime()) >= 0; // before, it may be any earlier configuration
         if (known && session.polled && session.sentGeneration < group.generation()) {
             session.link.send(session.primary ? committedFor(session) : new PeerMessage.ConfigNotice(group.generation()));
--- a/src/main/java/routerfleet/control/DataNodes.java
+++ b/src/main/java/routerfleet/control/DataNodes.java
@@ -20,6 +20,8 @@
         boolean primary;
         long sentRevision;
         long sentGeneration;
+        /** The revision of the evacuations that it was told of. */
+        long sentEvacuations;
 
         Session(PeerLink link, String ip) {
             this.link = link;
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -2,12 +2,8 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import rowanplank.agreement.Agreement;
@@ -21,16 +17,18 @@
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.EvacuationOrder;
+import routerfleet.config.Evacuations;
 import routerfleet.config.TenantConfig;
 import routerfleet.log.Loggers;
 import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerMessage.EvacuationOutcome;
 import routerfleet.wire.Scheduler;
 
 /**
  * This node's replica of the configuration shard: drives {@link Agreement}, applies what is committed to the
- * {@link ConfigStore}, takes orders while it leads, and knows up to when everything acknowledged is known here.
- *
- * <p>For one thread, the scheduler's.
+ * {@link ConfigStore}, takes orders while it leads, and knows up to when everything acknowledged is known here. For one
+ * thread, the scheduler's.
  */
 final class ReplicaGroup {
     /** What it needs of the node around it. */
@@ -41,6 +39,9 @@
         /** The configuration has changed. */
         void configurationChanged(long generation);
 
+        /** Other zones are evacuated. */
+        void evacuationsChanged(Evacuations evacuations);
+
         /** There is a leader from now on that can answer for the group: this replica or another one. */
         void leaderKnown();
     }
@@ -69,16 +70,15 @@
     private final ConfigStore store;
     private final Agreement agreement;
     private final CommittedMessages committed;
-    /** What the agreement has asked for within a call, carried out once the call has returned. */
-    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private final DeferredTasks deferred = new DeferredTasks();
     private final OrderQueue orders;
+    private final EvacuationQueue evacuationOrders = new EvacuationQueue();
     private final LeaderQuestions questions = new LeaderQuestions();
     private final AppliedEntries applied = new AppliedEntries();
+    private final AgreementTimer timer;
     /** The leader that {@link Surroundings#leaderKnown} was last told of; null while there is none. */
     private String knownLeader;
     private long bytesSinceSnapshot;
-    private boolean settling;
-    private Instant timerAt;
     /** It can't read what was decided, and takes no part any more: going on without would be another state. */
     private boolean halted;
 
@@ -89,6 +89,7 @@
     ReplicaGroup(Scheduler scheduler, PeerCodec codec, String self, Saved saved, ReplicaStorage storage, long seed,
             Surroundings surroundings, ControlParts parts) {
         this.scheduler = scheduler;
+        timer = new AgreementTimer(scheduler, this::onTime);
         leastVoters = parts.leastVoters();
         store = parts.store();
         orders = parts.orders(new Leader(), store, scheduler);
@@ -100,7 +101,7 @@
         restore(saved.snapshot());
         agreement = parts.agreement(new Agreement.Settings(self, ELECTION, FIRST_ELECTION, HEARTBEAT, MOST_MESSAGE_BYTES,
                 MOST_UNDECIDED, Agreement.Transport.CONNECTIONS, seed), saved, scheduler.now(), new AgreementActions());
-        schedule();
+        timer.set(agreement.due());
     }
 
     // ---- asked
@@ -181,6 +182,11 @@
         return store.generation();
     }
 
+    /** The evacuated zones, by what is known to be committed. */
+    Evacuations evacuations() {
+        return store.evacuations();
+    }
+
     /** The newest configuration that is known to be committed, for data nodes. */
     CommittedMessages committed() {
         return committed;
@@ -228,6 +234,13 @@
         }
     }
 
+    /** Proposes an order about an evacuation, as a leader. */
+    void evacuate(EvacuationOrder order, Consumer<EvacuationOutcome> answer) {
+        boolean may = leads() && isLargeEnough() && !evacuationOrders.isFull() && !storage.isFull();
+        evacuationOrders.await(may ? agreement.propose(scheduler.now(), codec.encode(order)) : 0, answer);
+        settle();
+    }
+
     /** Has a majority confirm that this replica still leads. */
     void confirmLeadership(Runnable confirmed, Runnable lost) {
         if (!leads()) {
@@ -310,16 +323,11 @@
 
     /** Carries out what was asked for, and sets the timer. */
     private void settle() {
-        if (settling) {
+        if (!deferred.runAll()) {
             return;
         }
-        settling = true;
-        for (Runnable task = deferred.poll(); task != null; task = deferred.poll()) {
-            run(task);
-        }
-        settling = false;
         compact();
-        schedule();
+        timer.set(agreement.due());
         tellLeader();
     }
 
@@ -331,15 +339,6 @@
         }
     }
 
-    /** Guards the replica: what fails in one task must not keep it from all that follows. */
-    private static void run(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "a task of the replica failed", e);
-        }
-    }
-
     /** The agreement takes a step. One that fails has found what must not be, and it must not go on from there. */
     private void step(String what, Runnable step) {
         try {
@@ -355,7 +354,7 @@
         if (!due || halted || storage.isFull()) {
             return;
         }
-        byte[] state = codec.encode(store.state());
+        byte[] state = codec.encode(store.snapshot());
         if (state.length > Agreement.MOST_SNAPSHOT_BYTES) {
             LOG.log(System.Logger.Level.ERROR, "a state of " + state.length + " bytes is larger than a snapshot may be");
             bytesSinceSnapshot = 0;
@@ -365,21 +364,7 @@
         agreement.compact(state);
     }
 
-    private void schedule() {
-        Instant due = agreement.due();
-        if (due == null || timerAt != null && !timerAt.isAfter(due)) {
-            return;
-        }
-        timerAt = due;
-        long delay = Math.max(0, Duration.between(scheduler.now(), due).toNanos());
-        scheduler.schedule(() -> timer(due), delay, TimeUnit.NANOSECONDS);
-    }
-
-    private void timer(Instant at) {
-        if (!at.equals(timerAt)) {
-            return;
-        }
-        timerAt = null;
+    private void onTime() {
         if (!halted) {
             step("time", () -> agreement.onTime(scheduler.now()));
         }
@@ -435,6 +420,10 @@
     /** @param order examined by a leader, or as it was sent */
     private void applyOrder(Entry entry, Object order) {
         bytesSinceSnapshot += entry.payload().length;
+        if (order instanceof EvacuationOrder evacuation) {
+            applyEvacuation(entry, evacuation);
+            return;
+        }
         long before = store.generation();
         Either<ConfigFault, Long> result = store.applyDecoded(order);
         orders.decided(entry.index(), result);
@@ -444,8 +433,18 @@
         }
     }
 
+    private void applyEvacuation(Entry entry, EvacuationOrder order) {
+        boolean taken = store.apply(order);
+        deferred.add(() -> evacuationOrders.decided(entry.index(), taken));
+        if (taken) {
+            deferred.add(() -> surroundings.evacuationsChanged(store.evacuations()));
+            deferred.add(() -> agreement.confirm(scheduler.now()));
+        }
+    }
+
     private void leadershipLost() {
         questions.leadershipLost();
+        evacuationOrders.leadershipLost();
         orders.leadershipLost();
     }
 
@@ -477,6 +476,7 @@
         public void restore(Snapshot snapshot) {
             ReplicaGroup.this.restore(snapshot);
             deferred.add(() -> surroundings.configurationChanged(store.generation()));
+            deferred.add(() -> surroundings.evacuationsChanged(store.evacuations()));
             deferred.add(applied::wake);
         }
 
--- a/src/main/java/routerfleet/data/ControlClient.java
+++ b/src/main/java/routerfleet/data/ControlClient.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import routerfleet.config.ConfigDelta;
+import routerfleet.config.Evacuations;
 import routerfleet.config.FleetConfiguration;
 import routerfleet.log.Loggers;
 import routerfleet.settings.HostPort;
@@ -116,6 +117,7 @@
     private long lastPoll;
     private FleetConfiguration configuration = new FleetConfiguration(0, null, null, null, null);
     private long generation;
+    private Evacuations evacuations = Evacuations.NONE;
     private final long startedNanos;
     private long freshNanos;
     private boolean everFresh;
@@ -161,9 +163,9 @@
     }
 
     /**
-     * Whether the configuration here holds all that was acknowledged before this process began. Before that is known it may
-     * be any earlier one: a replica that has just started tells what it held when it stopped, one that is cut off what it
-     * held then.
+     * Whether configuration and evacuations here hold all that was acknowledged before this process began. Before that is
+     * known they may be any earlier ones: a replica that has just started tells what it held when it stopped, one that is
+     * cut off what it held then.
      */
     boolean hasBeenFresh() {
         return everFresh && freshNanos - startedNanos >= 0;
@@ -247,6 +249,8 @@
             registry.told(link.ip, changes);
         } else if (message instanceof PeerMessage.EarlierSessions earlier) {
             takeEarlier(earlier);
+        } else if (message instanceof PeerMessage.EvacuationNotice notice) {
+            take(notice.evacuations());
         } else if (message instanceof PeerMessage.ConfigNotice notice) {
             fetchIfMissing(link, notice.generation());
         } else if (message instanceof PeerMessage.CommittedConfig committed) {
@@ -272,6 +276,7 @@
         fetchIfMissing(link, reply.generation());
         replicas = reply.replicas();
         listener.dataNodes(reply.dataNodes(), reply.warming());
+        take(reply.evacuations()); // before the point in time up to which all is known here
         Long askedNanos = link.polls.remove(reply.id());
         if (askedNanos == null) {
             return;
@@ -304,6 +309,14 @@
         }
     }
 
+    /** What was in force before, as a control node that lags behind tells it, is passed over. */
+    private void take(Evacuations told) {
+        if (told.revision() > evacuations.revision()) {
+            evacuations = told;
+            registry.evacuated(told.zones());
+        }
+    }
+
     private void take(PeerMessage.CommittedConfig committed) {
         if (committed.generation() <= generation) {
             return;
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -180,6 +180,12 @@
                 giveUp();
                 return;
             }
+            if (!server.listed()) {
+                on.channel().close(); // drained or evacuated while the connection came up
+                end();
+                Exchange.this.send();
+                return;
+            }
             connection = on;
             sends++;
             sentMs = SteadyClock.millis();
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -1,5 +1,6 @@
 package routerfleet.data;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -8,13 +9,15 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import routerfleet.log.Loggers;
 import routerfleet.wire.PeerMessage;
 import routerfleet.wire.SessionRecord;
 import routerfleet.wire.SessionView;
 
 /**
  * The servers that this node may use, put together from what each control node says. A server is listed while at least
- * one control node has it live and none has told that it drains or is gone. What a control node said stays while it
+ * one control node has it live, none has told that it drains or is gone, and its zone is not evacuated. One that is live in
+ * an evacuated zone is kept, with what is known of its health. What a control node said stays while it
  * cannot be reached, and while its table fills after a start, if there is no other that says more. A node that has just
  * started may be told what control nodes knew before their own start: that counts until a table has filled, and at the most
  * until this node counts as being in touch with the core, from when on drained servers get nothing more.
@@ -22,6 +25,7 @@
  * <p>Bound: {@value #MOST_SERVERS} servers; the ends of {@value #MOST_ENDED} are remembered.
  */
 final class ServerRegistry {
+    private static final System.Logger LOG = Loggers.get("routerfleet.data");
     private static final int MOST_SERVERS = 20_000;
     private static final int MOST_ENDED = 20_000;
     private static final long ABSENT_VIEW_MS = 3_000;
@@ -45,6 +49,7 @@
     /** What control nodes knew before they started. */
     private final Map<String, SessionView> earlier = new HashMap<>();
     private boolean takesEarlier = true;
+    private Set<String> evacuated = Set.of();
     private final long seed;
     private final LongSupplier nanoTime;
     private final String zone;
@@ -131,6 +136,21 @@
         reviewAll(touched);
     }
 
+    /** Takes the zones that are evacuated from now on, in place of those before. */
+    void evacuated(Collection<String> zones) {
+        Set<String> before = evacuated;
+        evacuated = Set.copyOf(zones);
+        evacuated.stream().filter(z -> !before.contains(z)).forEach(z -> LOG.log(System.Logger.Level.INFO,
+                "zone " + z + " is evacuated: " + count(z) + " servers there get nothing more"));
+        before.stream().filter(z -> !evacuated.contains(z)).forEach(z -> LOG.log(System.Logger.Level.INFO,
+                "the evacuation of zone " + z + " ends: " + count(z) + " servers there may be used"));
+        reviewAll(servers.keySet());
+    }
+
+    private long count(String ofZone) {
+        return servers.values().stream().filter(server -> server.zone().equals(ofZone)).count();
+    }
+
     /** From now on only what control nodes know since their start counts. */
     void dropEarlier() {
         takesEarlier = false;
@@ -174,7 +194,7 @@
             }
         }
         reviewAll(servers.keySet());
-        servers.values().removeIf(s -> !s.listed() && s.inFlight() == 0 && s.connections() == 0);
+        servers.values().removeIf(s -> !s.listed() && s.inFlight() == 0 && s.connections() == 0 && !isUsable(s.uid()));
         pools.values().removeIf(pool -> pool.size() == 0);
     }
 
@@ -206,7 +226,7 @@
         if (server == null) {
             return;
         }
-        boolean wanted = !ended.contains(uid) && isLive(uid);
+        boolean wanted = isUsable(uid) && !evacuated.contains(server.zone());
         if (wanted && !server.listed()) {
             server.listed(true);
             pool(server.backend()).add(server);
@@ -217,6 +237,11 @@
         }
     }
 
+    /** Whether it may be used unless its zone is evacuated. */
+    private boolean isUsable(String uid) {
+        return !ended.contains(uid) && isLive(uid);
+    }
+
     private boolean isLive(String uid) {
         if (earlier.containsKey(uid)) {
             return true;
--- a/src/main/java/routerfleet/wire/MessageForm.java
+++ b/src/main/java/routerfleet/wire/MessageForm.java
@@ -29,6 +29,10 @@
     private static final int COMMITTED_DELTA = 21;
     private static final int LEAVING = 22;
     private static final int EARLIER_SESSIONS = 23;
+    private static final int EVACUATION_NOTICE = 30;
+    private static final int EVACUATION_REQUEST = 31;
+    private static final int EVACUATION_REPLY = 32;
+    private static final PeerMessage.EvacuationOutcome[] OUTCOMES = PeerMessage.EvacuationOutcome.values();
     private static final PeerMessage.QuotaVerdict[] VERDICTS = PeerMessage.QuotaVerdict.values();
 
     private MessageForm() { }
@@ -36,7 +40,8 @@
     /** Writes a message; the most frequent kinds are looked for first. */
     static void write(Output out, PeerMessage message) {
         boolean written = writeQuota(out, message) || writePoll(out, message) || writeReplication(out, message)
-                || writeSession(out, message) || writeConfiguration(out, message) || writeLink(out, message);
+                || writeSession(out, message) || writeConfiguration(out, message) || writeEvacuation(out, message)
+                || writeLink(out, message);
         if (!written) {
             throw new IllegalArgumentException("no form for " + message.getClass());
         }
@@ -73,6 +78,7 @@
             out.writeVarInt(reply.dataNodes(), true);
             Fields.writeStrings(out, reply.controlNodes());
             Fields.writeStrings(out, reply.replicas());
+            EvacuationForm.write(out, reply.evacuations());
         } else {
             return false;
         }
@@ -145,6 +151,22 @@
         return true;
     }
 
+    private static boolean writeEvacuation(Output out, PeerMessage message) {
+        if (message instanceof PeerMessage.EvacuationNotice notice) {
+            out.writeByte(EVACUATION_NOTICE);
+            EvacuationForm.write(out, notice.evacuations());
+        } else if (message instanceof PeerMessage.EvacuationRequest request) {
+            begin(out, EVACUATION_REQUEST, request.id());
+            EvacuationForm.write(out, request.order());
+        } else if (message instanceof PeerMessage.EvacuationReply reply) {
+            begin(out, EVACUATION_REPLY, reply.id());
+            out.writeByte(reply.outcome().ordinal());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private static boolean writeLink(Output out, PeerMessage message) {
         if (message instanceof PeerMessage.Ping ping) {
             begin(out, PING, ping.id());
@@ -195,6 +217,10 @@
             case SESSIONS -> new PeerMessage.Sessions(in.readVarLong(false), SessionForm.readRecords(in));
             case SESSIONS_ACK -> new PeerMessage.SessionsAck(in.readVarLong(false));
             case SESSIONS_DIGEST -> new PeerMessage.SessionsDigest(in.readLong());
+            case EVACUATION_REQUEST -> new PeerMessage.EvacuationRequest(in.readVarLong(false),
+                    EvacuationForm.readOrder(in));
+            case EVACUATION_REPLY -> new PeerMessage.EvacuationReply(in.readVarLong(false),
+                    Fields.readChoice(in, OUTCOMES));
             default -> readOfDataNodes(kind, in);
         };
     }
@@ -207,7 +233,7 @@
             case POLL -> new PeerMessage.Poll(in.readVarLong(false), in.readVarLong(false), in.readBoolean());
             case POLL_REPLY -> new PeerMessage.PollReply(in.readVarLong(false), in.readVarLong(false),
                     in.readVarLong(false), in.readBoolean(), in.readVarInt(true), Fields.readStrings(in),
-                    Fields.readStrings(in));
+                    Fields.readStrings(in), EvacuationForm.readEvacuations(in));
             case QUOTA_ASK -> new PeerMessage.QuotaAsk(in.readVarLong(false), in.readString(), in.readDouble(),
                     in.readBoolean());
             case QUOTA_ANSWER -> new PeerMessage.QuotaAnswer(in.readVarLong(false), Fields.readChoice(in, VERDICTS),
@@ -220,6 +246,7 @@
             case COMMITTED_CONFIG -> new PeerMessage.CommittedConfig(in.readVarLong(false), Fields.readBytes(in));
             case COMMITTED_DELTA -> new PeerMessage.CommittedDelta(in.readVarLong(false), in.readVarLong(false),
                     Fields.readBytes(in));
+            case EVACUATION_NOTICE -> new PeerMessage.EvacuationNotice(EvacuationForm.readEvacuations(in));
             case LEAVING -> new PeerMessage.Leaving(in.readString());
             default -> throw new KryoException("no message of kind " + kind);
         };
--- a/src/main/java/routerfleet/wire/PeerCodec.java
+++ b/src/main/java/routerfleet/wire/PeerCodec.java
@@ -7,7 +7,10 @@
 import routerfleet.config.ConfigDelta;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.EvacuationOrder;
+import routerfleet.config.Evacuations;
 import routerfleet.config.FleetConfiguration;
+import routerfleet.config.ShardState;
 
 /**
  * Turns messages and stored records into bytes and back, with Kryo's streams. Each type is written field by field: to have
@@ -26,6 +29,8 @@
     private static final int ORDER = 4;
     private static final int CHANGE = 5;
     private static final int STATE = 6;
+    private static final int EVACUATION_ORDER = 10;
+    private static final int SHARD_STATE = 11;
     /** Made where something of an earlier format has to be read. */
     private EarlierRecords earlier;
 
@@ -51,6 +56,13 @@
         } else if (value instanceof ConfigStore.State state) {
             out.writeByte(STATE);
             ConfigForm.write(out, state);
+        } else if (value instanceof EvacuationOrder order) {
+            out.writeByte(EVACUATION_ORDER);
+            EvacuationForm.write(out, order);
+        } else if (value instanceof ShardState state) {
+            out.writeByte(SHARD_STATE);
+            EvacuationForm.write(out, state.evacuations());
+            ConfigForm.write(out, state.configuration());
         } else {
             throw new IllegalArgumentException("no form for " + value.getClass());
         }
@@ -90,6 +102,8 @@
             case ORDER -> ConfigForm.readOrder(in);
             case CHANGE -> ConfigForm.readChange(in);
             case STATE -> ConfigForm.readState(in);
+            case EVACUATION_ORDER -> EvacuationForm.readOrder(in);
+            case SHARD_STATE -> readShardState(in);
             default -> throw new KryoException("no value of kind " + kind);
         };
         if (in.position() != in.limit()) {
@@ -98,6 +112,11 @@
         return value;
     }
 
+    private static ShardState readShardState(Input in) {
+        Evacuations evacuations = EvacuationForm.readEvacuations(in);
+        return new ShardState(ConfigForm.readState(in), evacuations);
+    }
+
     private interface Reading {
         Object read();
     }
--- a/src/main/java/routerfleet/wire/PeerMessage.java
+++ b/src/main/java/routerfleet/wire/PeerMessage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import rowanplank.agreement.Message;
 import routerfleet.config.ConfigOrder;
+import routerfleet.config.EvacuationOrder;
+import routerfleet.config.Evacuations;
 import routerfleet.config.FleetConfiguration;
 
 /** What processes of the fleet say to each other, over connections that keep the order of messages. */
@@ -69,9 +71,29 @@
      * @param warming whether the session table is still filling after a start
      * @param dataNodes how many data nodes are there
      * @param replicas addresses of the control nodes among which the tenants' limits are divided
+     * @param evacuations the newest that are known to be decided
      */
     record PollReply(long id, long generation, long freshAgeMicros, boolean warming, int dataNodes,
-            List<String> controlNodes, List<String> replicas) implements PeerMessage { }
+            List<String> controlNodes, List<String> replicas, Evacuations evacuations) implements PeerMessage { }
+
+    /** Tells a data node of evacuations that were decided. */
+    record EvacuationNotice(Evacuations evacuations) implements PeerMessage { }
+
+    /** Forwards an order about an evacuation to the leader. */
+    record EvacuationRequest(long id, EvacuationOrder order) implements PeerMessage { }
+
+    /** What a leader makes of an {@link EvacuationRequest}. */
+    enum EvacuationOutcome {
+        /** It is decided, and on the disks of a majority. */
+        TAKEN,
+        /** It builds on another state than the current one, and has changed nothing. */
+        CONFLICT,
+        /** It may be decided, now or later, unless another one is before it. */
+        UNCLEAR
+    }
+
+    /** The leader's answer to an {@link EvacuationRequest}. */
+    record EvacuationReply(long id, EvacuationOutcome outcome) implements PeerMessage { }
 
     /**
      * Asks for a request's part of its tenant's limit.
--- a/src/test/java/routerfleet/FleetTest.java
+++ b/src/test/java/routerfleet/FleetTest.java
@@ -211,6 +211,34 @@
         }
     }
 
+    private void evacuation(int controlNode, String path) throws IOException {
+        LoopbackHttp.Answer answer = LoopbackHttp.call(fleet.controlAddress(controlNode), "POST",
+                "/rowanplank/evacuations/" + path, Map.of(), new byte[0]);
+        assertThat(answer.body(), answer.status(), is(200));
+    }
+
+    /** Guards EVAC: at no data node, not even one that starts afterwards, is anything sent into an evacuated zone. */
+    @Test
+    void anEvacuatedZoneGetsNothingMoreUntilItsEvacuationEnds() throws IOException {
+        served(0, "/pages/");
+        evacuation(2, "a/start");
+        LoopbackHttp.Answer refused = get(0, "/pages/", "k1");
+        for (int i = 0; refused.status() == 200 && i < MOST_TRIES; i++) {
+            refused = get(0, "/pages/", "k1");
+        }
+        assertThat(refused.status(), is(503));
+        assertThat(refused.header("Retry-After"), is(notNullValue()));
+        int later = fleet.startData(true);
+        int arrived = web.arrivals().size();
+        for (int i = 0; i < MOST_TRIES; i++) {
+            assertThat(get(i % 2 == 0 ? 0 : later, "/pages/", "k1").status(), is(503));
+        }
+        assertThat(web.arrivals().size(), is(arrived));
+        evacuation(3, "a/stop");
+        assertThat(served(0, "/pages/").status(), is(200));
+        assertThat(served(later, "/pages/").status(), is(200));
+    }
+
     @Test
     void malformedRequestsAreAnsweredWithTheirFault() throws IOException {
         assertThat(LoopbackHttp.call(fleet.frontend(0), "POST", "/pages/", Map.of("Host", "fleet.example"),
--- a/src/test/java/routerfleet/control/ControlHttpTest.java
+++ b/src/test/java/routerfleet/control/ControlHttpTest.java
@@ -67,6 +67,15 @@
         assertThat(held.get(1).request().path(), is("/two"));
     }
 
+    /** Guards against orders that were held up: a caller that has gone no longer waits, though its request is in hand. */
+    @Test
+    void aCallerThatHasGoneDoesNotWait() {
+        receive(get("/one"));
+        assertThat(held.get(0).request().callerWaits().getAsBoolean(), is(true));
+        channel.close();
+        assertThat(held.get(0).request().callerWaits().getAsBoolean(), is(false));
+    }
+
     @Test
     void anAnswerGivenTwiceIsSentOnce() {
         receive(get("/one") + get("/two"));
--- a/src/test/java/routerfleet/control/ReplicaGroupTest.java
+++ b/src/test/java/routerfleet/control/ReplicaGroupTest.java
@@ -18,6 +18,7 @@
 import rowanplank.agreement.Saved;
 import rowanplank.agreement.Snapshot;
 import routerfleet.config.ConfigOrder;
+import routerfleet.config.Evacuations;
 import routerfleet.demo.Configurations;
 import routerfleet.wire.EventLoopScheduler;
 import routerfleet.wire.PeerCodec;
@@ -101,6 +102,11 @@
             // nobody is to be told
         }
 
+        @Override
+        public void evacuationsChanged(Evacuations evacuations) {
+            // nobody is to be told
+        }
+
         @Override
         public void leaderKnown() {
             // nobody waits for one
@@ -121,6 +127,11 @@
                 throw new IllegalStateException("planted");
             }
 
+            @Override
+            public void evacuationsChanged(Evacuations evacuations) {
+                throw new IllegalStateException("planted");
+            }
+
             @Override
             public void leaderKnown() {
                 // nobody waits for one
--- a/src/test/java/routerfleet/data/ServerRegistryTest.java
+++ b/src/test/java/routerfleet/data/ServerRegistryTest.java
@@ -71,4 +71,35 @@
         registry.dropEarlier();
         assertThat(registry.pool("llm").size(), is(0));
     }
+
+    private boolean isUsed(String uid) {
+        return registry.pool("llm").servers().stream().anyMatch(server -> server.uid().equals(uid));
+    }
+
+    /** Guards EVAC: whatever brings a server of an evacuated zone up again, it is not used before the evacuation ends. */
+    @Test
+    void serversOfAnEvacuatedZoneAreNotUsedUntilItEnds() {
+        told(1, "s1", "llm", SessionRecord.Phase.READY);
+        registry.evacuated(List.of("a"));
+        assertThat(isUsed("s1"), is(false));
+        told(2, "s2", "llm", SessionRecord.Phase.READY);
+        registry.toldEarlier(List.of(earlier("s3", SessionRecord.Phase.READY)));
+        registry.tick();
+        assertThat("heard anew, or of earlier", registry.pool("llm").size(), is(0));
+        registry.evacuated(List.of());
+        assertThat(isUsed("s1") && isUsed("s2"), is(true));
+    }
+
+    /** Guards what is known of a server's health: an evacuation must not make it forgotten, and an end still counts. */
+    @Test
+    void aServerStaysTheSameOverAnEvacuationUnlessItEnds() {
+        told(1, "s1", "llm", SessionRecord.Phase.READY);
+        told(2, "s2", "llm", SessionRecord.Phase.READY);
+        Server before = registry.pool("llm").servers().get(0);
+        registry.evacuated(List.of("a"));
+        told(3, "s2", "llm", SessionRecord.Phase.GONE);
+        registry.tick();
+        registry.evacuated(List.of("b"));
+        assertThat(registry.pool("llm").servers(), is(List.of(before)));
+    }
 }
--- a/src/test/java/routerfleet/wire/PeerCodecTest.java
+++ b/src/test/java/routerfleet/wire/PeerCodecTest.java
@@ -19,6 +19,9 @@
 import routerfleet.config.ConfigJson;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.EvacuationOrder;
+import routerfleet.config.Evacuations;
+import routerfleet.config.ShardState;
 import routerfleet.config.FleetConfiguration;
 import routerfleet.demo.Configurations;
 import rowanplank.agreement.Entry;
@@ -48,7 +51,11 @@
             new PeerMessage.Sessions(3, List.of(SERVER)), new PeerMessage.SessionsAck(3),
             new PeerMessage.SessionsDigest(Long.MIN_VALUE), new PeerMessage.DataHello("edge-1", "10.0.1.1", "", -5, 77),
             new PeerMessage.Poll(4, 6, true),
-            new PeerMessage.PollReply(4, 6, -1, false, 75, List.of(), List.of("10.0.0.1")),
+            new PeerMessage.PollReply(4, 6, -1, false, 75, List.of(), List.of("10.0.0.1"),
+                    new Evacuations(Long.MAX_VALUE, List.of("a", "b"))),
+            new PeerMessage.EvacuationNotice(Evacuations.NONE),
+            new PeerMessage.EvacuationRequest(-3, new EvacuationOrder(4, "a", true)),
+            new PeerMessage.EvacuationReply(-3, PeerMessage.EvacuationOutcome.UNCLEAR),
             new PeerMessage.QuotaAsk(8, "one", 17_020.5, true),
             new PeerMessage.QuotaAnswer(8, PeerMessage.QuotaVerdict.NOT_HERE, 1_000, 0.25, 1e9),
             new PeerMessage.SessionChanges(-9, 4, true,
@@ -139,6 +146,10 @@
         ConfigChange change = new ConfigChange(ORDER, ORDER.digest(), store.lastDelta());
         assertThat(text(codec.decodeStored(codec.encode(change), ConfigChange.class)), is(text(change)));
         assertThat(text(codec.decodeStored(codec.encode(ORDER), ConfigOrder.class)), is(text(ORDER)));
+        EvacuationOrder evacuation = new EvacuationOrder(4, "a", true);
+        assertThat(codec.decodeStored(codec.encode(evacuation), EvacuationOrder.class), is(evacuation));
+        ShardState shard = new ShardState(state, new Evacuations(5, List.of("a")));
+        assertThat(text(codec.decodeStored(codec.encode(shard), ShardState.class)), is(text(shard)));
         assertThat(codec.decode(codec.encode(store.lastDelta()), ConfigDelta.class), is(store.lastDelta()));
     }
 
@@ -182,6 +193,7 @@
         SplittableRandom random = new SplittableRandom(5);
         List<byte[]> good = MESSAGES.stream().map(codec::encode).collect(Collectors.toList());
         good.add(codec.encode(patched().state()));
+        good.add(codec.encode(new ShardState(patched().state(), new Evacuations(5, List.of("a", "b")))));
         int refused = 0;
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = good.get(random.nextInt(good.size())).clone();
