Take heartbeats of ready servers on each side of a partition

Callers saw: in a zone that is cut off, every heartbeat is answered 503 "too few control nodes are connected", though its data nodes and servers reach each other; servers go round all control nodes, a second of silence each, and come late to the side that could use them. Cause: SessionService asked for enough connected control nodes before any heartbeat. Only that a server drains or is gone is a promise that has to outlive losses; that one is ready rests on nothing. Now a ready server's heartbeat is taken wherever data nodes ask, or enough control nodes are connected. What can't be promised is still merged here, so data nodes of this side stop using a server that drains, and still answered 503. A control node that reaches nobody sends servers on, as before. Evidence: on the earlier code heartbeatsOfReadyServersAreTakenWhereTooFewControlNodesAreConnected got 503 and aControlNodeThatReachesNobodySendsServersOn found no record.

--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -135,8 +135,8 @@
         dataPlane = new DataNodeService(scheduler, random.nextLong() | 1, table, dataNodes, peers, replicas, freshness,
                 warmUntilNanos);
         takeEarlierSessions();
-        sessions = new SessionService(scheduler, table, peers, parts.copiesElsewhere(), dataPlane::changed,
-                hints::keep);
+        sessions = new SessionService(scheduler, table, peers, parts.copiesElsewhere(),
+                () -> dataNodes.present(scheduler.nanoTime()) > 0, dataPlane::changed, hints::keep);
         peers.start(new PeerDialer(scheduler, network, LinkTiming.CONTROL,
                 address -> new OutgoingListener(address.host())));
         learnSeeds();
--- a/src/main/java/routerfleet/control/SessionService.java
+++ b/src/main/java/routerfleet/control/SessionService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import routerfleet.wire.PeerLink;
 import routerfleet.wire.PeerMessage;
@@ -14,7 +15,8 @@
 /**
  * Takes heartbeats of model servers and replicates them to the other control nodes. That a server drains or is gone is
  * acknowledged only once so many control nodes hold it on disk that the loss of the tolerated number leaves one that does.
- * Tables are reconciled by digests.
+ * That it is ready is no promise, and is taken on each side of a partition, by nodes that can tell anyone of it. Tables are
+ * reconciled by digests.
  */
 final class SessionService {
     private static final long ACK_TIMEOUT_MS = 850;
@@ -37,6 +39,7 @@
     private final SessionTable table;
     private final ControlPeers peers;
     private final int copiesElsewhere;
+    private final BooleanSupplier dataNodesPresent;
     private final Runnable changed;
     private final Consumer<Runnable> disk;
     private final Map<Long, Pending> pending = new HashMap<>();
@@ -44,16 +47,18 @@
 
     /**
      * @param copiesElsewhere how many other control nodes have to hold a promise
+     * @param dataNodesPresent whether data nodes ask this node
      * @param changed run when data nodes have to hear of something
      * @param disk keeps the table on disk, and runs what it is given once it is there
      */
-    SessionService(Scheduler scheduler, SessionTable table, ControlPeers peers, int copiesElsewhere, Runnable changed,
-            Consumer<Runnable> disk) {
+    SessionService(Scheduler scheduler, SessionTable table, ControlPeers peers, int copiesElsewhere,
+            BooleanSupplier dataNodesPresent, Runnable changed, Consumer<Runnable> disk) {
         this.disk = disk;
         this.scheduler = scheduler;
         this.table = table;
         this.peers = peers;
         this.copiesElsewhere = copiesElsewhere;
+        this.dataNodesPresent = dataNodesPresent;
         this.changed = changed;
     }
 
@@ -77,22 +82,20 @@
     }
 
     private void take(SessionRecord session, Consumer<ControlHttp.Response> answer) {
-        if (peers.outgoingCount() < copiesElsewhere) {
-            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too few control nodes are connected"));
-            return;
-        }
         merge(session);
         SessionRecord merged = table.find(session.uid());
+        boolean connected = peers.outgoingCount() >= copiesElsewhere;
         if (merged == null) {
             answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too many sessions"));
-            return;
-        }
-        if (merged.phase() == SessionRecord.Phase.READY) {
+        } else if (merged.phase() == SessionRecord.Phase.READY) {
             peers.sendToAll(new PeerMessage.Sessions(0, List.of(merged)));
-            answer.accept(ControlHttp.Response.ok());
-            return;
+            answer.accept(connected || dataNodesPresent.getAsBoolean() ? ControlHttp.Response.ok()
+                    : ControlHttp.Response.error(UNAVAILABLE, "neither control nodes nor data nodes are connected"));
+        } else if (connected) {
+            replicate(merged, answer);
+        } else {
+            answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too few control nodes are connected"));
         }
-        replicate(merged, answer);
     }
 
     private void replicate(SessionRecord session, Consumer<ControlHttp.Response> answer) {
--- a/src/test/java/routerfleet/control/SessionServiceTest.java
+++ b/src/test/java/routerfleet/control/SessionServiceTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -23,8 +25,9 @@
     private final VirtualProcess process = new VirtualProcess(new VirtualWorld(), 0, () -> { });
     private final SessionTable table = new SessionTable(1_000);
     private final Deque<Runnable> disk = new ArrayDeque<>();
+    private boolean dataNodesAreThere = true;
     private final SessionService service = new SessionService(process, table, new ControlPeers("10.0.0.1", 7_001), 1,
-            () -> { }, disk::add);
+            () -> dataNodesAreThere, () -> { }, disk::add);
     private final List<PeerMessage> sent = new ArrayList<>();
     private final PeerLink link = new PeerLink(codec, process, LinkTiming.CONTROL, new Unheard(), new Wire());
 
@@ -99,4 +102,35 @@
         disk.poll().run();
         assertThat(sent, contains(new PeerMessage.SessionsAck(8)));
     }
+
+    private int heartbeat(String uid, String phase) {
+        String body = "{\"backend\":\"llm\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\",\"generation\":\"v1\",\"capacity\":12,"
+                + "\"phase\":\"" + phase + "\",\"warmup_left_ms\":0,\"sequence\":10}";
+        List<Integer> statuses = new ArrayList<>();
+        service.heartbeat(uid, body.getBytes(StandardCharsets.UTF_8), response -> statuses.add(response.status()));
+        return statuses.isEmpty() ? 0 : statuses.get(0);
+    }
+
+    /** Guards the servers of a side that is cut off: data nodes there would lose them all. */
+    @Test
+    void heartbeatsOfReadyServersAreTakenWhereTooFewControlNodesAreConnected() {
+        assertThat(heartbeat("a", "ready"), is(200));
+        assertThat(table.find("a").phase(), is(SessionRecord.Phase.READY));
+    }
+
+    /** Guards DRAIN: what one side alone knows of an end is no promise. */
+    @Test
+    void noEndIsAcknowledgedWhereTooFewControlNodesAreConnected() {
+        heartbeat("a", "ready");
+        assertThat(heartbeat("a", "draining"), is(503));
+        assertThat(heartbeat("a", "ready"), is(503));
+    }
+
+    /** Guards servers against staying with a control node that can tell nobody of them. */
+    @Test
+    void aControlNodeThatReachesNobodySendsServersOn() {
+        dataNodesAreThere = false;
+        assertThat(heartbeat("a", "ready"), is(503));
+        assertThat(table.find("a").phase(), is(SessionRecord.Phase.READY));
+    }
 }
