Keep tallies at every control node: journals that are exchanged and folded

The interface was missing.

Each control node keeps, for each origin (node and life of its disk), the numbered adds that it has, on its own disk. An add is synced here first, then sent to all others, and acknowledged once hosts_lost + 1 disks in fault_tolerance.zones + 1 zones hold it; a node that has had too few others connected for 2 s takes itself for cut off and acknowledges on what it still reaches. Nodes tell each other vectors of what they hold, when a connection opens and where these differ, and send what is lacking in pieces of 512, of whatever origin. The fold counts a uid once: smallest amount, then smallest origin, the same at every node.

A call is answered 503 only where nothing was done, else 504 after 900 ms. ControlHello tells the node's zone.

Folding into a base is in the library (300 drawn runs in JournalTest), and not yet used by a node.

--- a/src/main/java/routerfleet/control/ControlHttp.java
+++ b/src/main/java/routerfleet/control/ControlHttp.java
@@ -57,6 +57,11 @@
 
     /** A status and a JSON body. */
     record Response(int status, byte[] body) {
+        /** A refusal with the promise that nothing was done. */
+        static Response refusal(String problem) {
+            return error(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), problem);
+        }
+
         static Response ok() {
             return new Response(HttpResponseStatus.OK.code(), "{}".getBytes(StandardCharsets.UTF_8));
         }
--- a/src/main/java/routerfleet/control/ControlPeers.java
+++ b/src/main/java/routerfleet/control/ControlPeers.java
@@ -25,7 +25,7 @@
     private static final long FORGET_MS = 60_000;
 
     /** What is known of a control node that has introduced itself. */
-    record Peer(String ip, String replica, boolean leaving) { }
+    record Peer(String ip, String zone, String replica, boolean leaving) { }
 
     private final String selfIp;
     private final int port;
@@ -33,6 +33,7 @@
     private final Map<PeerLink, Peer> incoming = new LinkedHashMap<>();
     private final Map<String, Long> lastHeardNanos = new TreeMap<>();
     private final Set<String> known = new TreeSet<>();
+    private final Map<String, String> zones = new TreeMap<>();
     private PeerDialer dialer;
 
     ControlPeers(String selfIp, int port) {
@@ -61,6 +62,7 @@
             if (old && !kept.contains(ip) && !outgoing.containsKey(ip)) {
                 known.remove(ip);
                 lastHeardNanos.remove(ip);
+                zones.remove(ip);
                 dialer.forget(new HostPort(ip, port));
             }
         }
@@ -72,6 +74,11 @@
         return all;
     }
 
+    /** The zone of another control node, as it has last told; null for one that was not heard of. */
+    String zone(String ip) {
+        return zones.get(ip);
+    }
+
     /** Addresses of the control nodes that are connected, this one included. */
     List<String> connected() {
         List<String> all = new ArrayList<>(outgoing.keySet());
@@ -89,8 +96,11 @@
 
     void introduced(PeerLink link, PeerMessage.ControlHello hello, long nowNanos) {
         forgetEarlierLives(hello);
-        incoming.put(link, new Peer(hello.ip(), hello.replica(), false));
+        incoming.put(link, new Peer(hello.ip(), hello.zone(), hello.replica(), false));
         learn(hello.ip(), nowNanos);
+        if (known.contains(hello.ip())) {
+            zones.put(hello.ip(), hello.zone());
+        }
         hello.controlNodes().forEach(ip -> learn(ip, nowNanos));
         dialer.callNow(new HostPort(hello.ip(), port));
     }
@@ -115,7 +125,7 @@
 
     /** A node has said that it is about to stop; so until its connection ends, which is before it comes back. */
     void leaving(PeerLink link) {
-        incoming.computeIfPresent(link, (l, peer) -> new Peer(peer.ip(), peer.replica(), true));
+        incoming.computeIfPresent(link, (l, peer) -> new Peer(peer.ip(), peer.zone(), peer.replica(), true));
     }
 
     void incomingClosed(PeerLink link, long nowNanos) {
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -48,6 +48,7 @@
     private static final String CONFIG = "/rowanplank/config/";
     private static final String INSTANCES = "/rowanplank/instances/";
     private static final String EVACUATIONS = "/rowanplank/evacuations/";
+    private static final String TALLIES = "/rowanplank/tallies/";
 
     private final LocalSettings settings;
     private final Scheduler scheduler;
@@ -60,6 +61,7 @@
     private final DataNodes dataNodes = new DataNodes();
     private final QuotaGrantor quotas;
     private final SessionTable table;
+    private final TallyService tallies;
     private Saved saved;
     private String replica;
     private ReplicaGroup replicas;
@@ -89,6 +91,7 @@
         peers = new ControlPeers(settings.ip(), settings.peerPort());
         quotas = new QuotaGrantor(settings.ip(), settings.bounds());
         table = new SessionTable(settings.heartbeatMs());
+        tallies = new TallyService(settings, scheduler, peers, storage.tallies());
     }
 
     /**
@@ -100,6 +103,11 @@
     void load(LongSupplier numbers) throws IOException {
         hints = storage.sessionHints(codec);
         earlierSessions = hints.read();
+        loadReplica(numbers);
+        tallies.load(ReplicaNames.number(replica));
+    }
+
+    private void loadReplica(LongSupplier numbers) throws IOException {
         ReplicaStorage.Opened opened = storage.open();
         if (opened != null) {
             replica = opened.replica();
@@ -139,6 +147,7 @@
                 () -> dataNodes.present(scheduler.nanoTime()) > 0, dataPlane::changed, hints::keep);
         peers.start(new PeerDialer(scheduler, network, LinkTiming.CONTROL,
                 address -> new OutgoingListener(address.host())));
+        tallies.begin();
         learnSeeds();
         scheduler.every(FRESHNESS_MS, freshness::tick);
         scheduler.every(RECONCILE_MS, this::reconcile);
@@ -311,6 +320,8 @@
             evacuations.handle(path.substring(EVACUATIONS.length()), request, answer);
         } else if (request.method().equals("POST") && path.startsWith(INSTANCES)) {
             instance(path.substring(INSTANCES.length()).split("/"), request, answer);
+        } else if (path.startsWith(TALLIES)) {
+            tallies.handle(path.substring(TALLIES.length()).split("/"), request, answer);
         } else {
             answer.accept(ControlHttp.Response.error(404, "no such resource: " + path));
         }
@@ -374,6 +385,21 @@
             link.timing(LinkTiming.CONTROL);
             peers.introduced(link, hello, scheduler.nanoTime());
             replicas.reachable(peers.reached());
+            tallies.reachChanged();
+        } else {
+            receivedOfTallies(link, message);
+        }
+    }
+
+    private void receivedOfTallies(PeerLink link, PeerMessage message) {
+        if (message instanceof PeerMessage.TallyVector vector) {
+            tallies.received(link, vector);
+        } else if (message instanceof PeerMessage.TallyEntries entries) {
+            tallies.received(link, entries);
+        } else if (message instanceof PeerMessage.TallyHeld held) {
+            tallies.received(held);
+        } else if (message instanceof PeerMessage.TallyBases bases) {
+            tallies.received(link, bases);
         }
     }
 
@@ -421,11 +447,13 @@
 
         @Override
         public void opened(PeerLink link) {
-            link.send(new PeerMessage.ControlHello(settings.nodeName(), settings.ip(), replica, peers.known()));
+            link.send(new PeerMessage.ControlHello(settings.nodeName(), settings.ip(), settings.zone(), replica,
+                    peers.known()));
             peers.outgoingOpened(ip, link);
             link.send(new PeerMessage.Sessions(0, table.records()));
             replicas.reconnected(ip);
             replicas.reachable(peers.reached());
+            tallies.opened(link);
         }
 
         @Override
@@ -436,6 +464,7 @@
         @Override
         public void closed(PeerLink link) {
             peers.outgoingClosed(ip, link);
+            tallies.reachChanged();
         }
     }
 
@@ -454,6 +483,7 @@
         @Override
         public void closed(PeerLink link) {
             peers.incomingClosed(link, scheduler.nanoTime());
+            tallies.reachChanged();
             dataNodes.close(link);
         }
     }
--- a/src/main/java/routerfleet/control/ReplicaNames.java
+++ b/src/main/java/routerfleet/control/ReplicaNames.java
@@ -7,6 +7,7 @@
 final class ReplicaNames {
     private static final char SEPARATOR = '/';
     private static final String FOUNDER = "0";
+    private static final int HEXADECIMAL = 16;
 
     private ReplicaNames() { }
 
@@ -20,6 +21,11 @@
         return ip + SEPARATOR + Long.toHexString(number | 1L << 62);
     }
 
+    /** The number of a replica: it names one life of its node's disk. */
+    static long number(String replica) {
+        return Long.parseUnsignedLong(replica.substring(replica.indexOf(SEPARATOR) + 1), HEXADECIMAL);
+    }
+
     /** The address of a replica's node. */
     static String ip(String replica) {
         return replica.substring(0, replica.indexOf(SEPARATOR));
--- a/src/main/java/routerfleet/control/ReplicaStorage.java
+++ b/src/main/java/routerfleet/control/ReplicaStorage.java
@@ -101,6 +101,11 @@
         return new SessionHints(disk, writer, loop, codec);
     }
 
+    /** The journal of tallies, on the same disk and written by the same thread. */
+    TallyStorage tallies() {
+        return new TallyStorage(disk, writer, loop);
+    }
+
     /** Begins to write. @param name the replica's; @param initial written first where the disk was empty, else null */
     void start(String name, Saved initial) {
         replica = name;
--- /dev/null
+++ b/src/main/java/routerfleet/control/TallyJson.java
@@ -0,0 +1,70 @@
+package routerfleet.control;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.vavr.control.Either;
+import java.io.IOException;
+
+/** An add to a tally as it is sent: {@code uid} names it, {@code owner} is the amount. Read token by token. */
+final class TallyJson {
+    static final int MOST_UID_LENGTH = 128;
+    /** An amount up to which the total of a tally can't overflow before 2^23 adds. */
+    static final long MOST_AMOUNT = 1L << 40;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** What an add says. */
+    record Add(String uid, long amount) { }
+
+    private String uid;
+    private Long amount;
+
+    private TallyJson() { }
+
+    /** @return the add, or in one line what is wrong with it */
+    static Either<String, Add> read(byte[] body) {
+        TallyJson told = new TallyJson();
+        try (JsonParser parser = JSON.createParser(body)) {
+            told.readObject(parser);
+        } catch (IOException e) {
+            return Either.left("add can't be read: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+        }
+        return told.checked();
+    }
+
+    private void readObject(JsonParser parser) throws IOException {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            throw new IOException("is no JSON object");
+        }
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            JsonToken value = parser.nextToken();
+            if (name.equals("uid")) {
+                if (value != JsonToken.VALUE_STRING) {
+                    throw new IOException("uid is no string");
+                }
+                uid = parser.getText();
+            } else if (name.equals("owner")) {
+                if (value != JsonToken.VALUE_NUMBER_INT) {
+                    throw new IOException("owner is no whole number");
+                }
+                amount = parser.getLongValue();
+            } else {
+                parser.skipChildren();
+            }
+        }
+        if (parser.currentToken() != JsonToken.END_OBJECT || parser.nextToken() != null) {
+            throw new IOException("the object does not end where the body does");
+        }
+    }
+
+    private Either<String, Add> checked() {
+        if (uid == null || uid.isEmpty() || uid.length() > MOST_UID_LENGTH) {
+            return Either.left("uid is to have 1 to " + MOST_UID_LENGTH + " characters");
+        }
+        if (amount == null || amount < 0 || amount > MOST_AMOUNT) {
+            return Either.left("owner is to be a whole number from 0 to " + MOST_AMOUNT);
+        }
+        return Either.right(new Add(uid, amount));
+    }
+}
--- /dev/null
+++ b/src/main/java/routerfleet/control/TallyService.java
@@ -0,0 +1,239 @@
+package routerfleet.control;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import routerfleet.journal.Journal;
+import routerfleet.journal.JournalEntry;
+import routerfleet.journal.JournalVector;
+import routerfleet.journal.Origin;
+import routerfleet.settings.LocalSettings;
+import routerfleet.wire.JournalForm;
+import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerLink;
+import routerfleet.wire.PeerMessage;
+import routerfleet.wire.Scheduler;
+
+/**
+ * Tallies: counters that every control node adds to and reads, whichever others it reaches. Each node keeps a journal of
+ * the adds that it has taken, sends new entries to all others, and exchanges by vectors what a connection that was lost
+ * has kept from them; entries of third nodes are passed on too. An add is acknowledged once its entry is on enough disks
+ * ({@link TallyReach}). Design and argument: docs/tallies.md. For the node's thread but for {@link #load}.
+ */
+final class TallyService {
+    private static final long TICK_MS = 250;
+    private static final int MOST_NAME_LENGTH = 128;
+    private static final int MOST_TALLIES = 4_096;
+    private static final int MOST_PIECE = 512;
+    /** A node without a disk's content that reaches no other for so long tells what it has. */
+    private static final long ALONE_MS = 2_000;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int UNPROCESSABLE = 422;
+
+    private final String ip;
+    private final Scheduler scheduler;
+    private final ControlPeers peers;
+    private final TallyStorage storage;
+    private final Journal journal = new Journal();
+    private final TallyCopies copies = new TallyCopies();
+    private final TallyReach reach;
+    private Origin self;
+    private TallyCommits commits;
+    private TallyAdds adds;
+    /** Whether the disk held a journal, or another node has since given what it holds. */
+    private boolean filled;
+    private boolean ready;
+    private boolean evenTick;
+    /** How far the journal went at the last tick: what a node lacks of that is not just on its way. */
+    private JournalVector settled = JournalVector.EMPTY;
+    private final TreeMap<String, JournalVector> told = new TreeMap<>();
+
+    TallyService(LocalSettings settings, Scheduler scheduler, ControlPeers peers, TallyStorage storage) {
+        this.ip = settings.ip();
+        this.scheduler = scheduler;
+        this.peers = peers;
+        this.storage = storage;
+        reach = new TallyReach(settings.toleratedHosts() + 1, settings.toleratedZones() + 1, settings.ip(),
+                settings.zone(), peers);
+    }
+
+    /**
+     * Reads the disk.
+     *
+     * @param life names an empty disk's life
+     * @throws IOException if it can't be read
+     */
+    void load(long life) throws IOException {
+        TallyStorage.Opened opened = storage.open();
+        if (opened == null) {
+            self = new Origin(ip, life);
+            return;
+        }
+        try {
+            JournalForm.Stored stored = JournalForm.readStoredState(opened.snapshot());
+            self = stored.self();
+            journal.merge(stored.states());
+            for (byte[] record : opened.records()) {
+                JournalForm.readStoredEntries(record).forEach(journal::append);
+            }
+        } catch (PeerCodec.MalformedMessageException e) {
+            throw new IOException("the journal of tallies can't be read: " + e.getMessage(), e);
+        }
+        filled = true;
+    }
+
+    /** Begins, with what was loaded. */
+    void begin() {
+        reach.begin(scheduler.nanoTime());
+        commits = new TallyCommits(scheduler, storage, journal, self,
+                entries -> peers.sendToAll(new PeerMessage.TallyEntries(entries, false, false)));
+        adds = new TallyAdds(scheduler, commits,
+                entry -> reach.suffices(copies.holding(entry.origin(), entry.number())));
+        commits.begin(() -> {
+            ready = true;
+            peers.sendToAll(ask());
+        });
+        scheduler.every(TICK_MS, this::tick);
+    }
+
+    private PeerMessage ask() {
+        return new PeerMessage.TallyVector(self, journal.vector(), true);
+    }
+
+    // ---- the HTTP interface
+
+    /** Answers a request for {@code NAME/patch} or {@code NAME/get}. */
+    void handle(String[] parts, ControlHttp.Request request, Consumer<ControlHttp.Response> answer) {
+        boolean adds = parts.length == 2 && parts[1].equals("patch") && request.method().equals("POST");
+        boolean reads = parts.length == 2 && parts[1].equals("get") && request.method().equals("GET");
+        if (!adds && !reads) {
+            answer.accept(ControlHttp.Response.error(NOT_FOUND, "no such resource: " + request.path()));
+        } else if (parts[0].isEmpty() || parts[0].length() > MOST_NAME_LENGTH) {
+            answer.accept(ControlHttp.Response.error(BAD_REQUEST,
+                    "the name of a tally is to have 1 to " + MOST_NAME_LENGTH + " characters"));
+        } else if (adds) {
+            add(parts[0], request.body(), answer);
+        } else {
+            read(parts[0], answer);
+        }
+    }
+
+    private void read(String tally, Consumer<ControlHttp.Response> answer) {
+        if (!filled && !reach.isAloneFor(ALONE_MS, scheduler.nanoTime())) {
+            answer.accept(ControlHttp.Response.refusal("an empty disk: no other control node has told its tallies yet"));
+            return;
+        }
+        byte[] body = ("{\"total\":" + journal.total(tally) + "}").getBytes(StandardCharsets.US_ASCII);
+        answer.accept(new ControlHttp.Response(OK, body));
+    }
+
+    private void add(String tally, byte[] body, Consumer<ControlHttp.Response> answer) {
+        Either<String, TallyJson.Add> told = TallyJson.read(body);
+        if (told.isLeft()) {
+            answer.accept(ControlHttp.Response.error(BAD_REQUEST, told.getLeft()));
+            return;
+        }
+        String uid = told.get().uid();
+        JournalEntry held = journal.find(tally, uid);
+        if (adds.waits(tally, uid)) {
+            adds.join(tally, uid, answer);
+        } else if (adds.isFull()) {
+            answer.accept(ControlHttp.Response.refusal("too many adds wait"));
+        } else if (held != null) {
+            adds.repeat(held, answer);
+        } else if (!journal.knows(tally) && journal.tallies() >= MOST_TALLIES) {
+            answer.accept(ControlHttp.Response.error(UNPROCESSABLE, "there are " + MOST_TALLIES + " tallies already"));
+        } else if (!ready || commits.isStalled()) {
+            answer.accept(ControlHttp.Response.refusal("the disk takes no adds now"));
+        } else if (!reach.canAcknowledge()) {
+            answer.accept(ControlHttp.Response.refusal("too few control nodes are connected"));
+        } else {
+            adds.add(tally, told.get(), answer);
+        }
+    }
+
+    // ---- other control nodes
+
+    /** A connection that this node opened is up, and introduced. */
+    void opened(PeerLink link) {
+        if (ready) {
+            link.send(ask());
+        }
+        reachChanged();
+    }
+
+    /** Which nodes are connected may have changed. */
+    void reachChanged() {
+        reach.update(scheduler.nanoTime());
+        adds.check();
+    }
+
+    /** Another node tells what it holds: it gets what it lacks. */
+    void received(PeerLink link, PeerMessage.TallyVector vector) {
+        copies.learn(vector.holder(), vector.held());
+        adds.check();
+        if (!ready) {
+            return;
+        }
+        if (journal.needsBases(vector.held())) {
+            link.send(new PeerMessage.TallyBases(journal.bases()));
+            return;
+        }
+        JournalVector given = vector.asks() ? journal.vector() : settled;
+        List<JournalEntry> lacking = journal.behind(vector.held(), given, self, MOST_PIECE);
+        if (!lacking.isEmpty() || vector.asks()) {
+            link.send(new PeerMessage.TallyEntries(lacking, lacking.size() >= MOST_PIECE, vector.asks()));
+        }
+    }
+
+    /** Another node's entries; it is told once they are on disk here. */
+    void received(PeerLink link, PeerMessage.TallyEntries told) {
+        commits.merge(told.entries(), () -> {
+            Set<Origin> origins = new TreeSet<>();
+            told.entries().forEach(entry -> origins.add(entry.origin()));
+            origins.forEach(origin -> link.send(new PeerMessage.TallyHeld(self, origin, journal.last(origin))));
+            if (told.more()) {
+                link.send(ask());
+            } else if (told.answers()) {
+                filled = true;
+            }
+        });
+    }
+
+    /** Another node has entries on its disk. */
+    void received(PeerMessage.TallyHeld held) {
+        copies.learn(held.holder(), held.origin(), held.upTo());
+        adds.check();
+    }
+
+    /** Another node's bases, where this node lacks what was folded into them. */
+    void received(PeerLink link, PeerMessage.TallyBases told) {
+        commits.mergeBases(told.bases(), () -> link.send(ask()));
+    }
+
+    private void tick() {
+        reachChanged();
+        evenTick = !evenTick;
+        if (!ready || !evenTick) {
+            return;
+        }
+        JournalVector now = journal.vector();
+        Set<String> known = new TreeSet<>(peers.known());
+        copies.keep(known);
+        told.keySet().retainAll(known);
+        for (String peer : known) {
+            boolean differs = !now.equals(copies.of(peer)) || !now.equals(told.get(peer));
+            if (differs && peers.send(peer, new PeerMessage.TallyVector(self, now, false))) {
+                told.put(peer, now);
+            }
+        }
+        settled = now;
+    }
+}
--- a/src/main/java/routerfleet/wire/MessageForm.java
+++ b/src/main/java/routerfleet/wire/MessageForm.java
@@ -33,6 +33,10 @@
     private static final int EVACUATION_REQUEST = 31;
     private static final int EVACUATION_REPLY = 32;
     private static final PeerMessage.EvacuationOutcome[] OUTCOMES = PeerMessage.EvacuationOutcome.values();
+    private static final int TALLY_VECTOR = 24;
+    private static final int TALLY_ENTRIES = 25;
+    private static final int TALLY_HELD = 26;
+    private static final int TALLY_BASES = 27;
     private static final PeerMessage.QuotaVerdict[] VERDICTS = PeerMessage.QuotaVerdict.values();
 
     private MessageForm() { }
@@ -40,8 +44,8 @@
     /** Writes a message; the most frequent kinds are looked for first. */
     static void write(Output out, PeerMessage message) {
         boolean written = writeQuota(out, message) || writePoll(out, message) || writeReplication(out, message)
-                || writeSession(out, message) || writeConfiguration(out, message) || writeEvacuation(out, message)
-                || writeLink(out, message);
+                || writeSession(out, message) || writeTally(out, message) || writeConfiguration(out, message)
+                || writeEvacuation(out, message) || writeLink(out, message);
         if (!written) {
             throw new IllegalArgumentException("no form for " + message.getClass());
         }
@@ -167,6 +171,31 @@
         return true;
     }
 
+    private static boolean writeTally(Output out, PeerMessage message) {
+        if (message instanceof PeerMessage.TallyEntries tally) {
+            out.writeByte(TALLY_ENTRIES);
+            JournalForm.writeEntries(out, tally.entries());
+            out.writeBoolean(tally.more());
+            out.writeBoolean(tally.answers());
+        } else if (message instanceof PeerMessage.TallyHeld held) {
+            out.writeByte(TALLY_HELD);
+            JournalForm.write(out, held.holder());
+            JournalForm.write(out, held.origin());
+            out.writeVarLong(held.upTo(), true);
+        } else if (message instanceof PeerMessage.TallyVector vector) {
+            out.writeByte(TALLY_VECTOR);
+            JournalForm.write(out, vector.holder());
+            JournalForm.write(out, vector.held());
+            out.writeBoolean(vector.asks());
+        } else if (message instanceof PeerMessage.TallyBases bases) {
+            out.writeByte(TALLY_BASES);
+            JournalForm.writeStates(out, bases.bases());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private static boolean writeLink(Output out, PeerMessage message) {
         if (message instanceof PeerMessage.Ping ping) {
             begin(out, PING, ping.id());
@@ -176,6 +205,7 @@
             out.writeByte(CONTROL_HELLO);
             out.writeString(hello.nodeName());
             out.writeString(hello.ip());
+            out.writeString(hello.zone());
             out.writeString(hello.replica());
             Fields.writeStrings(out, hello.controlNodes());
         } else if (message instanceof PeerMessage.DataHello hello) {
@@ -207,7 +237,7 @@
             case PING -> new PeerMessage.Ping(in.readVarLong(false));
             case PONG -> new PeerMessage.Pong(in.readVarLong(false));
             case CONTROL_HELLO -> new PeerMessage.ControlHello(in.readString(), in.readString(), in.readString(),
-                    Fields.readStrings(in));
+                    in.readString(), Fields.readStrings(in));
             case REPLICATION -> new PeerMessage.Replication(in.readString(), in.readString(),
                     ReplicationForm.readMessage(in));
             case ORDER_REQUEST -> new PeerMessage.OrderRequest(in.readVarLong(false), ConfigForm.readOrder(in));
@@ -221,6 +251,13 @@
                     EvacuationForm.readOrder(in));
             case EVACUATION_REPLY -> new PeerMessage.EvacuationReply(in.readVarLong(false),
                     Fields.readChoice(in, OUTCOMES));
+            case TALLY_VECTOR -> new PeerMessage.TallyVector(JournalForm.readOrigin(in), JournalForm.readVector(in),
+                    in.readBoolean());
+            case TALLY_ENTRIES -> new PeerMessage.TallyEntries(JournalForm.readEntries(in), in.readBoolean(),
+                    in.readBoolean());
+            case TALLY_HELD -> new PeerMessage.TallyHeld(JournalForm.readOrigin(in), JournalForm.readOrigin(in),
+                    in.readVarLong(true));
+            case TALLY_BASES -> new PeerMessage.TallyBases(JournalForm.readStates(in));
             default -> readOfDataNodes(kind, in);
         };
     }
--- a/src/main/java/routerfleet/wire/PeerCodec.java
+++ b/src/main/java/routerfleet/wire/PeerCodec.java
@@ -21,8 +21,10 @@
  */
 public final class PeerCodec {
     private static final int FIRST_BUFFER = 512;
-    /** First byte of all that is encoded; negative, as no value's bytes began before formats were numbered. */
-    private static final byte FORMAT = (byte) 0x82;
+    /** First byte of what is stored; negative, as no value's bytes began before formats were numbered. */
+    private static final byte STORED_FORMAT = (byte) 0x82;
+    /** First byte of messages; nodes of two formats do not talk. */
+    private static final byte MESSAGE_FORMAT = (byte) 0x83;
     private static final int MESSAGE = 1;
     private static final int CONFIGURATION = 2;
     private static final int DELTA = 3;
@@ -37,7 +39,7 @@
     /** The bytes of a value of one of the types above. */
     public byte[] encode(Object value) {
         Output out = new Output(FIRST_BUFFER, -1);
-        out.writeByte(FORMAT);
+        out.writeByte(value instanceof PeerMessage ? MESSAGE_FORMAT : STORED_FORMAT);
         if (value instanceof PeerMessage message) {
             out.writeByte(MESSAGE);
             MessageForm.write(out, message);
@@ -71,13 +73,22 @@
 
     /** Reads a message. @throws MalformedMessageException if the bytes are no value of that type, or of another format */
     public <T> T decode(byte[] bytes, Class<T> type) throws MalformedMessageException {
-        if (bytes.length == 0 || bytes[0] != FORMAT) {
+        if (bytes.length == 0 || !reads(bytes[0], type)) {
             throw new MalformedMessageException("of format " + (bytes.length == 0 ? "none" : bytes[0] & 0xff)
-                    + ", and this build reads " + (FORMAT & 0xff), null);
+                    + ", and this build reads " + (formatOf(type) & 0xff), null);
         }
         return guarded(type, () -> read(new Input(bytes, 1, bytes.length - 1)));
     }
 
+    /** A message of the stored format is read only as the type that was stored, never from a connection. */
+    private static boolean reads(byte format, Class<?> type) {
+        return format == formatOf(type) || format == STORED_FORMAT && type != PeerMessage.class;
+    }
+
+    private static byte formatOf(Class<?> type) {
+        return PeerMessage.class.isAssignableFrom(type) ? MESSAGE_FORMAT : STORED_FORMAT;
+    }
+
     /**
      * Reads what was stored, maybe by an earlier build.
      *
--- a/src/main/java/routerfleet/wire/PeerMessage.java
+++ b/src/main/java/routerfleet/wire/PeerMessage.java
@@ -6,6 +6,10 @@
 import routerfleet.config.EvacuationOrder;
 import routerfleet.config.Evacuations;
 import routerfleet.config.FleetConfiguration;
+import routerfleet.journal.JournalEntry;
+import routerfleet.journal.JournalVector;
+import routerfleet.journal.Origin;
+import routerfleet.journal.OriginState;
 
 /** What processes of the fleet say to each other, over connections that keep the order of messages. */
 public sealed interface PeerMessage {
@@ -18,10 +22,12 @@
     /**
      * First message of a control node on a connection that it has opened.
      *
+     * @param zone where its machine stands; empty where that is not known
      * @param replica its name in the replica group
      * @param controlNodes addresses of the control nodes that it knows of
      */
-    record ControlHello(String nodeName, String ip, String replica, List<String> controlNodes) implements PeerMessage { }
+    record ControlHello(String nodeName, String ip, String zone, String replica, List<String> controlNodes)
+            implements PeerMessage { }
 
     /** A message of the replica group, for the replica of that name only. */
     record Replication(String from, String to, Message message) implements PeerMessage { }
@@ -176,4 +182,26 @@
      * to have its replica's.
      */
     record Leaving(String replica) implements PeerMessage { }
+
+    /**
+     * How far the sender's journal of tallies goes on its disk.
+     *
+     * @param holder the origin that is the sender's disk
+     * @param asks whether all that it lacks is to be sent now, and an answer even where that is nothing
+     */
+    record TallyVector(Origin holder, JournalVector held, boolean asks) implements PeerMessage { }
+
+    /**
+     * Entries of a journal of tallies, answered by {@link TallyHeld} once they are on disk.
+     *
+     * @param more whether the sender has more that the receiver lacks, for which it is to ask
+     * @param answers whether it answers a {@link TallyVector}
+     */
+    record TallyEntries(List<JournalEntry> entries, boolean more, boolean answers) implements PeerMessage { }
+
+    /** The sender has all entries of an origin up to a number on its disk. */
+    record TallyHeld(Origin holder, Origin origin, long upTo) implements PeerMessage { }
+
+    /** The bases of the sender's journal, for a receiver that lacks what was folded into them. */
+    record TallyBases(List<OriginState> bases) implements PeerMessage { }
 }
--- a/src/test/java/routerfleet/FleetArchitectureTest.java
+++ b/src/test/java/routerfleet/FleetArchitectureTest.java
@@ -20,6 +20,7 @@
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("routerfleet..")
                 .layer("settings").definedBy("routerfleet.settings..")
                 .layer("config").definedBy("routerfleet.config..")
+                .layer("journal").definedBy("routerfleet.journal..")
                 .layer("wire").definedBy("routerfleet.wire..")
                 .layer("control").definedBy("routerfleet.control..")
                 .layer("data").definedBy("routerfleet.data..")
@@ -33,6 +34,8 @@
                 .whereLayer("process").mayOnlyBeAccessedByLayers("demo", "cli")
                 .whereLayer("control").mayOnlyBeAccessedByLayers("process", "demo")
                 .whereLayer("data").mayOnlyBeAccessedByLayers("process", "demo")
+                .whereLayer("journal").mayNotAccessAnyLayer()
+                .whereLayer("journal").mayOnlyBeAccessedByLayers("wire", "control")
                 .whereLayer("wire").mayOnlyBeAccessedByLayers("control", "data")
                 .check(PROGRAM);
     }
--- a/src/test/java/routerfleet/control/SessionServiceTest.java
+++ b/src/test/java/routerfleet/control/SessionServiceTest.java
@@ -104,8 +104,8 @@
     }
 
     private int heartbeat(String uid, String phase) {
-        String body = "{\"backend\":\"llm\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\",\"generation\":\"v1\",\"capacity\":12,"
-                + "\"phase\":\"" + phase + "\",\"warmup_left_ms\":0,\"sequence\":10}";
+        String body = "{\"backend\":\"llm\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\",\"generation\":\"v1\","
+                + "\"capacity\":12,\"phase\":\"" + phase + "\",\"warmup_left_ms\":0,\"sequence\":10}";
         List<Integer> statuses = new ArrayList<>();
         service.heartbeat(uid, body.getBytes(StandardCharsets.UTF_8), response -> statuses.add(response.status()));
         return statuses.isEmpty() ? 0 : statuses.get(0);
--- a/src/test/java/routerfleet/wire/PeerCodecTest.java
+++ b/src/test/java/routerfleet/wire/PeerCodecTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import routerfleet.config.ConfigChange;
@@ -24,6 +25,10 @@
 import routerfleet.config.ShardState;
 import routerfleet.config.FleetConfiguration;
 import routerfleet.demo.Configurations;
+import routerfleet.journal.JournalEntry;
+import routerfleet.journal.JournalVector;
+import routerfleet.journal.Origin;
+import routerfleet.journal.OriginState;
 import rowanplank.agreement.Entry;
 import rowanplank.agreement.Membership;
 import rowanplank.agreement.Message;
@@ -35,10 +40,12 @@
     private static final SessionRecord SERVER = new SessionRecord("i-1", "llm", "10.0.0.1:80", "a", 12,
             SessionRecord.Phase.DRAINING, 9, 1_500);
 
+    private static final Origin DISK = new Origin("10.0.0.1", -7);
+
     /** At least one message of each kind, with values at their ends. */
     private static final List<PeerMessage> MESSAGES = List.of(
             new PeerMessage.Ping(-1), new PeerMessage.Pong(Long.MAX_VALUE),
-            new PeerMessage.ControlHello("core-1", "10.0.0.1", "10.0.0.1/7", List.of("10.0.0.1", "10.0.0.2")),
+            new PeerMessage.ControlHello("core-1", "10.0.0.1", "hall", "10.0.0.1/7", List.of("10.0.0.1", "10.0.0.2")),
             replication(new Message.VoteAsk(7, true, false, 4, 3)), replication(new Message.VoteReply(7, false, true)),
             replication(new Message.Append(7, 4, 3, 2, 99, List.of(Entry.opening(5, 7),
                     Entry.changing(6, 7, new Membership(List.of("a", "b"), List.of("c"))),
@@ -63,7 +70,12 @@
             new PeerMessage.EarlierSessions(new byte[] {5, 6}),
             new PeerMessage.ConfigNotice(6), new PeerMessage.ConfigRequest(0),
             new PeerMessage.CommittedConfig(6, new byte[] {9}), new PeerMessage.CommittedDelta(5, 6, new byte[0]),
-            new PeerMessage.Leaving("10.0.0.1/7"));
+            new PeerMessage.Leaving("10.0.0.1/7"),
+            new PeerMessage.TallyVector(DISK, new JournalVector(new TreeMap<>(Map.of(DISK, 1L << 40))), true),
+            new PeerMessage.TallyEntries(List.of(new JournalEntry(DISK, 1, "t", "u", 0),
+                    new JournalEntry(DISK, 2, "t", "v", 1L << 40)), false, true),
+            new PeerMessage.TallyHeld(DISK, new Origin("10.0.0.2", 0), 7),
+            new PeerMessage.TallyBases(List.of(new OriginState(DISK, 5, Map.of("t", 9L), List.of(6L, 8L), List.of()))));
 
     private final PeerCodec codec = new PeerCodec();
 
