Judge tallies by what callers saw: TWICE, STALE, LOST and unserved calls

The checker knows sends, answers, reads, kills, cuts and lost disks only. Amounts that are different powers of two tell which adds a total holds, so that an add that is missing is seen behind one that counts twice.

--- /dev/null
+++ b/src/test/java/routerfleet/control/TallyHistory.java
@@ -0,0 +1,79 @@
+package routerfleet.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What callers of tallies and a fault injector did and saw: the material of {@link TallyHistoryChecker}. Times are in
+ * nanoseconds of one clock; a span that hasn't ended lasts until {@link #OPEN}.
+ */
+final class TallyHistory {
+    static final long OPEN = Long.MAX_VALUE;
+
+    /**
+     * One try of a call.
+     *
+     * @param caller where the caller stands
+     * @param life which life of the machine's process the call was sent to
+     * @param status 0 where no answer came in time
+     */
+    record Try(String caller, String machine, int life, long sentNanos, long answeredNanos, int status) {
+        boolean isAcknowledged() {
+            return status == 200;
+        }
+
+        /** Whether the answer promises that nothing was done. */
+        boolean isRefused() {
+            return status == 503 || status == 429;
+        }
+    }
+
+    /** An add, with all tries of the same uid and amount. */
+    static final class Add {
+        final String tally;
+        final String uid;
+        final long amount;
+        final List<Try> tries = new ArrayList<>();
+
+        Add(String tally, String uid, long amount) {
+            this.tally = tally;
+            this.uid = uid;
+            this.amount = amount;
+        }
+
+        /** Whether it can have been counted in an answer that was seen at a moment. */
+        boolean couldCountBy(long nanos) {
+            return tries.stream().anyMatch(t -> t.sentNanos() < nanos && !t.isRefused());
+        }
+
+        @Override
+        public String toString() {
+            return "add " + uid + " of " + amount;
+        }
+    }
+
+    /** A read of a tally; the total counts only where the status is 200. */
+    record Read(String tally, Try call, long total) { }
+
+    /** Trouble of any kind. @param isCut whether it only keeps machines from each other */
+    record Disruption(String what, boolean isCut, long fromNanos, long untilNanos) { }
+
+    /** A connection that carries nothing in one or both ways; between two machines, or a caller and a machine. */
+    record Cut(String one, String other, long fromNanos, long untilNanos) {
+        boolean touches(String name) {
+            return one.equals(name) || other.equals(name);
+        }
+    }
+
+    /** The loss of a machine's disk. */
+    record DiskLoss(String machine, long atNanos) { }
+
+    final List<Add> adds = new ArrayList<>();
+    final List<Read> reads = new ArrayList<>();
+    /** Reads after which nothing more happens. */
+    final List<Read> finalReads = new ArrayList<>();
+    final List<Disruption> disruptions = new ArrayList<>();
+    final List<Cut> cuts = new ArrayList<>();
+    final List<Cut> callerCuts = new ArrayList<>();
+    final List<DiskLoss> diskLosses = new ArrayList<>();
+}
--- /dev/null
+++ b/src/test/java/routerfleet/control/TallyHistoryCheckerTest.java
@@ -0,0 +1,307 @@
+package routerfleet.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.util.List;
+import org.hamcrest.Matcher;
+import org.junit.jupiter.api.Test;
+import routerfleet.control.TallyHistory.Add;
+import routerfleet.control.TallyHistory.Try;
+
+/** Histories written by hand: each rule of tallies, broken and kept. Times are in milliseconds. */
+class TallyHistoryCheckerTest {
+    private static final long MERGE_MS = 3_000;
+    private static final long SETTLED_MS = 6_000;
+    private static final long NANOS = 1_000_000;
+
+    private final TallyHistory history = new TallyHistory();
+
+    TallyHistoryCheckerTest() {
+        trouble(0, 0); // the start of all machines
+    }
+
+    private static Try call(String machine, int life, long sentMs, int status) {
+        return new Try("zone-" + machine, machine, life, sentMs * NANOS, (sentMs + 5) * NANOS, status);
+    }
+
+    private Add add(String uid, long amount, Try... tries) {
+        Add add = new Add("t", uid, amount);
+        add.tries.addAll(List.of(tries));
+        history.adds.add(add);
+        return add;
+    }
+
+    private static TallyHistory.Read read(String machine, int life, long sentMs, long total) {
+        return new TallyHistory.Read("t", call(machine, life, sentMs, 200), total);
+    }
+
+    private void reads(String machine, int life, long sentMs, long total) {
+        history.reads.add(read(machine, life, sentMs, total));
+    }
+
+    private void readsInTheEnd(String machine, long total) {
+        history.finalReads.add(read(machine, 9, 90_000, total));
+    }
+
+    private void trouble(long fromMs, long untilMs) {
+        history.disruptions.add(new TallyHistory.Disruption("kill", false, fromMs * NANOS, untilMs * NANOS));
+    }
+
+    private void cut(String one, String other, long fromMs, long untilMs) {
+        history.cuts.add(new TallyHistory.Cut(one, other, fromMs * NANOS, untilMs * NANOS));
+        history.disruptions.add(new TallyHistory.Disruption("cut", true, fromMs * NANOS, untilMs * NANOS));
+    }
+
+    private void losesItsDisk(String machine, long atMs) {
+        history.diskLosses.add(new TallyHistory.DiskLoss(machine, atMs * NANOS));
+        trouble(atMs, atMs + 500);
+    }
+
+    private void verdict(Matcher<? super String> matcher) {
+        assertThat(TallyHistoryChecker.check(history, MERGE_MS, SETTLED_MS), matcher);
+    }
+
+    private static Matcher<String> breaks(String rule) {
+        return startsWith(rule + ":");
+    }
+
+    // ---- TWICE
+
+    @Test
+    void aUidThatCountsOnceOnBothSides() {
+        add("u", 3, call("a", 1, 1_000, 200), call("b", 1, 1_010, 200));
+        add("v", 3, call("a", 1, 1_020, 0));
+        reads("a", 1, 2_000, 3);
+        reads("b", 1, 2_000, 6);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aTotalAboveAllThatCanHaveCounted() {
+        add("u", 3, call("a", 1, 1_000, 200), call("b", 1, 1_010, 200));
+        reads("a", 1, 2_000, 6);
+        verdict(breaks("TWICE"));
+    }
+
+    @Test
+    void aUidTwiceHiddenBehindAnAddThatIsMissing() {
+        add("u", 2, call("a", 1, 1_000, 200));
+        add("v", 4, call("b", 1, 1_000, 0));
+        add("w", 8, call("b", 1, 1_000, 503));
+        reads("a", 1, 2_000, 8);
+        verdict(breaks("TWICE"));
+    }
+
+    @Test
+    void anAddThatWasNotYetSent() {
+        add("u", 3, call("a", 1, 2_500, 200));
+        reads("a", 1, 2_000, 3);
+        verdict(breaks("TWICE"));
+    }
+
+    @Test
+    void anAddThatWasRefusedAndCounted() {
+        add("u", 3, call("a", 1, 1_000, 503), call("b", 1, 1_100, 429));
+        reads("a", 1, 2_000, 3);
+        verdict(breaks("TWICE"));
+    }
+
+    @Test
+    void anAddThatWasRefusedOnceAndUnclearOnce() {
+        add("u", 3, call("a", 1, 1_000, 503), call("b", 1, 1_100, 504));
+        reads("a", 1, 2_000, 3);
+        reads("b", 1, 2_000, 0);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aUidWithTwoAmountsCountsAsEitherOfThem() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        add("u", 5, call("b", 1, 1_000, 200));
+        reads("a", 1, 2_000, 3);
+        reads("b", 1, 2_000, 5);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aUidWithTwoAmountsCountsAsBoth() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        add("u", 5, call("b", 1, 1_000, 200));
+        reads("a", 1, 2_000, 8);
+        verdict(breaks("TWICE"));
+    }
+
+    @Test
+    void aUidCountsAsAnAmountThatWasRefused() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        add("u", 5, call("b", 1, 1_000, 503));
+        reads("a", 1, 2_000, 5);
+        verdict(breaks("TWICE"));
+    }
+
+    // ---- STALE
+
+    @Test
+    void aMachineLacksItsOwnAcknowledgement() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        trouble(1_500, 1_900);
+        reads("a", 1, 2_000, 0);
+        verdict(breaks("STALE"));
+    }
+
+    @Test
+    void aMachineLacksWhatItAcknowledgedInAnEarlierLifeJustAfterTrouble() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        trouble(1_500, 1_900);
+        reads("a", 2, 2_000, 0);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aReadThatWasSentBeforeTheAcknowledgementCame() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        reads("a", 1, 1_004, 0);
+        verdict(nullValue());
+    }
+
+    @Test
+    void anotherMachineLacksAnAddAfterMergeMs() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        trouble(1_500, 1_900);
+        reads("b", 1, 4_899, 0);
+        verdict(nullValue());
+        reads("b", 1, 4_901, 0);
+        verdict(breaks("STALE"));
+    }
+
+    @Test
+    void anotherMachineLacksAnAddThatIsYoungerThanMergeMs() {
+        add("u", 3, call("a", 1, 10_000, 200));
+        reads("b", 1, 13_004, 0);
+        verdict(nullValue());
+        reads("b", 1, 13_006, 0);
+        verdict(breaks("STALE"));
+    }
+
+    @Test
+    void eachAddIsMissedByItself() {
+        add("u", 1, call("a", 1, 1_000, 200));
+        add("v", 4, call("b", 1, 1_000, 0));
+        reads("a", 1, 2_000, 4);
+        verdict(breaks("STALE"));
+    }
+
+    // ---- LOST
+
+    @Test
+    void anAddIsGoneInTheEnd() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        trouble(89_000, 89_500);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void anAddThatIsThereInTheEnd() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        add("v", 4, call("a", 1, 1_100, 504));
+        trouble(89_000, 89_500);
+        readsInTheEnd("b", 3);
+        readsInTheEnd("a", 7);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aTallyThatCannotBeReadInTheEnd() {
+        history.finalReads.add(new TallyHistory.Read("t", call("a", 1, 90_000, 503), 0));
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void acknowledgedWhileCutOffByAMachineThatThenLosesItsDisk() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        losesItsDisk("a", 22_900);
+        readsInTheEnd("b", 0);
+        verdict(nullValue());
+    }
+
+    @Test
+    void acknowledgedWhileCutOffByAMachineThatLosesItsDiskMergeMsAfterTheHealing() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        losesItsDisk("a", 23_100);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void acknowledgedWhileCutOffAndAnotherMachineLosesItsDisk() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        losesItsDisk("b", 5_000);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void acknowledgedWhileOthersAreCutOff() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("b", "c", 500, 20_000);
+        losesItsDisk("a", 5_000);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void acknowledgedBeforeTheCut() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 1_100, 20_000);
+        losesItsDisk("a", 5_000);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
+    @Test
+    void acknowledgedOnBothSidesAndOneLosesItsDisk() {
+        add("u", 3, call("a", 1, 1_000, 200), call("b", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        losesItsDisk("a", 5_000);
+        readsInTheEnd("c", 0);
+        verdict(breaks("LOST"));
+    }
+
+    // ---- what calls are owed
+
+    @Test
+    void aCallFailsInALongCut() {
+        add("u", 3, call("a", 1, 6_400, 503));
+        cut("a", "b", 500, 20_000);
+        verdict(nullValue());
+        add("v", 3, call("a", 1, 6_600, 503));
+        verdict(breaks("UNSERVED"));
+    }
+
+    @Test
+    void aCallAcrossACutFails() {
+        add("u", 3, call("a", 1, 9_000, 0));
+        cut("a", "b", 500, 20_000);
+        history.callerCuts.add(new TallyHistory.Cut("zone-a", "a", 500 * NANOS, 20_000 * NANOS));
+        verdict(nullValue());
+    }
+
+    @Test
+    void aCallFailsInOtherTrouble() {
+        add("u", 3, call("a", 1, 9_000, 503));
+        trouble(500, 20_000);
+        verdict(nullValue());
+    }
+
+    @Test
+    void aReadFailsInCalmTimes() {
+        history.reads.add(new TallyHistory.Read("t", call("a", 1, 9_000, 503), 0));
+        verdict(breaks("UNSERVED"));
+    }
+}
