Play tallies over zones in virtual time: long cuts, losses while apart, repeated uids

Callers stand in zones and call the nearest control node first; whole zones are cut off, cut in halves, one way or from one another, and lose power and disks meanwhile, as many as are to be borne. ControlPlaneSimulation's draws are as before.

--- a/src/test/java/routerfleet/control/SimulatedHttp.java
+++ b/src/test/java/routerfleet/control/SimulatedHttp.java
@@ -18,6 +18,13 @@
 final class SimulatedHttp {
     private static final long TIMEOUT_MS = 1_000;
     private static final String HEAD_END = "\r\n\r\n";
+    /** A segment that a cut has swallowed may come through again up to so much later. */
+    private static final int MOST_RETRANSMISSION_MS = 8_000;
+
+    /** Whether something gets from one place to another: callers' places and machines' addresses. */
+    interface Ways {
+        boolean passes(String from, String to);
+    }
 
     /** An answer; status 0 where none came in time. */
     record Answer(int status, String body) {
@@ -27,9 +34,15 @@
     private final VirtualWorld world;
     private final Random random;
     private final PlantedFault fault;
+    private final Ways ways;
     private double lostAnswers;
 
     SimulatedHttp(VirtualWorld world, long seed, PlantedFault fault) {
+        this(world, seed, fault, (from, to) -> true);
+    }
+
+    SimulatedHttp(VirtualWorld world, long seed, PlantedFault fault, Ways ways) {
+        this.ways = ways;
         this.fault = fault;
         this.world = world;
         random = new Random(seed);
@@ -52,6 +65,26 @@
         world.afterMs(1 + random.nextInt(2), () -> deliver(machine, String.join("", requests), call));
     }
 
+    /** Sends one request from a place; what a cut swallows on its way may come through later. */
+    void callFrom(String place, SimulatedMachine machine, String request, Consumer<Answer> answer) {
+        Call call = new Call(1, answers -> answer.accept(answers.get(0)));
+        call.place = place;
+        world.afterMs(TIMEOUT_MS, call::finish);
+        world.afterMs(1 + random.nextInt(2), () -> deliverFrom(place, machine, request, call));
+    }
+
+    private void deliverFrom(String place, SimulatedMachine machine, String request, Call call) {
+        if (ways.passes(place, machine.ip)) {
+            deliver(machine, request, call);
+        } else if (random.nextInt(3) == 0) {
+            world.afterMs(1 + random.nextInt(MOST_RETRANSMISSION_MS), () -> {
+                if (ways.passes(place, machine.ip)) {
+                    deliver(machine, request, call);
+                }
+            });
+        }
+    }
+
     /** Sends one request. */
     void call(SimulatedMachine machine, String request, Consumer<Answer> answer) {
         call(machine, List.of(request), answers -> answer.accept(answers.get(0)));
@@ -68,7 +101,7 @@
         ControlHttp.Handler handler = machine.handler();
         process.execute(() -> {
             EmbeddedChannel channel = new EmbeddedChannel();
-            channel.pipeline().addLast(new Pipe(call, process));
+            channel.pipeline().addLast(new Pipe(call, process, machine.ip));
             fault.install(channel.pipeline(), handler);
             channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
         });
@@ -78,6 +111,7 @@
         private final int expected;
         private final Consumer<List<Answer>> answers;
         private final StringBuilder received = new StringBuilder();
+        private String place = "";
         private boolean over;
 
         Call(int expected, Consumer<List<Answer>> answers) {
@@ -132,12 +166,14 @@
     private final class Pipe extends ChannelOutboundHandlerAdapter {
         private final Call call;
         private final VirtualProcess process;
+        private final String ip;
         private long arrives;
         private boolean lost;
 
-        Pipe(Call call, VirtualProcess process) {
+        Pipe(Call call, VirtualProcess process, String ip) {
             this.call = call;
             this.process = process;
+            this.ip = ip;
         }
 
         @Override
@@ -145,7 +181,7 @@
             if (message instanceof ByteBuf bytes) {
                 String text = bytes.toString(StandardCharsets.US_ASCII);
                 bytes.release();
-                lost |= random.nextDouble() < lostAnswers;
+                lost |= random.nextDouble() < lostAnswers || !ways.passes(ip, call.place);
                 if (process.isAlive() && !lost) {
                     arrives = Math.max(arrives, world.nowMs() + 1 + random.nextInt(2));
                     world.afterMs(arrives - world.nowMs(), () -> call.received(text));
--- a/src/test/java/routerfleet/control/SimulatedMachine.java
+++ b/src/test/java/routerfleet/control/SimulatedMachine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import routerfleet.settings.Bounds;
 import routerfleet.settings.HostPort;
@@ -25,7 +26,13 @@
     record Surroundings(VirtualWorld world, SimulatedNetwork network, PeerCodec codec, int toleratedHosts,
             PlantedFault fault) { }
 
+    /** Where a machine stands. @param toleratedZones how many zones may be lost at once */
+    record Place(String zone, int toleratedZones, Set<String> zones) {
+        static final Place ONLY = new Place("a", 0, Set.of("a"));
+    }
+
     final String ip;
+    private final Place place;
     private final Surroundings surroundings;
     private final SplittableRandom random;
     private SimulatedDisk disk;
@@ -40,9 +47,16 @@
     private long diskLatencyMs = 2;
     /** Its disk was lost, and the group may not have made up for it yet. */
     private boolean diskLossOpen;
+    private int lives;
+    private UnaryOperator<ControlHttp.Handler> intercepting = UnaryOperator.identity();
 
     SimulatedMachine(String ip, Surroundings surroundings, long seed) {
+        this(ip, Place.ONLY, surroundings, seed);
+    }
+
+    SimulatedMachine(String ip, Place place, Surroundings surroundings, long seed) {
         this.ip = ip;
+        this.place = place;
         this.surroundings = surroundings;
         random = new SplittableRandom(seed);
         newDisk();
@@ -60,15 +74,16 @@
             return;
         }
         frozen = false;
+        lives++;
         VirtualProcess life = new VirtualProcess(surroundings.world(), random.nextLong() >> 2, () -> losePower());
         process = life;
         writer = new SimulatedDisk.Writer(surroundings.world(), life);
         writer.latencyMs(diskLatencyMs);
         writer.hang(diskHangs);
         ReplicaStorage storage = surroundings.fault().storage(disk, life, writer);
-        LocalSettings settings = new LocalSettings("core-" + ip, ip, "a", null, null, null, INTERNAL_PORT, seeds,
-                bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), 0, Set.of(),
-                Bounds.defaults());
+        LocalSettings settings = new LocalSettings("core-" + ip, ip, place.zone(), null, null, null, INTERNAL_PORT,
+                seeds, bootstrap, Path.of("/"), HEARTBEAT_MS, surroundings.toleratedHosts(), place.toleratedZones(),
+                place.zones(), Bounds.defaults());
         RandomGenerator draws = random.split();
         ControlService started = new ControlService(settings, life, surroundings.network().of(ip, life),
                 surroundings.codec(), storage, draws, surroundings.fault().parts(surroundings.toleratedHosts()));
@@ -85,7 +100,7 @@
                 service = started;
                 started.whenSettled(() -> {
                     dataNodes.accept();
-                    handler = surroundings.fault().handler(started::handle);
+                    handler = intercepting.apply(surroundings.fault().handler(started::handle));
                 });
             } catch (IOException e) {
                 life.schedule(() -> load(life, started, draws), LOAD_RETRY_MS, java.util.concurrent.TimeUnit.MILLISECONDS);
@@ -132,6 +147,20 @@
         return service;
     }
 
+    String zone() {
+        return place.zone();
+    }
+
+    /** How many processes have been started here. */
+    int lives() {
+        return lives;
+    }
+
+    /** Lets something else answer requests from the next start on, or look at them. */
+    void intercept(UnaryOperator<ControlHttp.Handler> interceptor) {
+        intercepting = interceptor;
+    }
+
     /** Ends the process: its machine goes on. */
     void kill() {
         if (isUp()) {
--- /dev/null
+++ b/src/test/java/routerfleet/control/TallySimulation.java
@@ -0,0 +1,130 @@
+package routerfleet.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import routerfleet.settings.HostPort;
+import routerfleet.simulation.SimulatedNetwork;
+import routerfleet.simulation.VirtualWorld;
+import routerfleet.wire.PeerCodec;
+
+/**
+ * A core over several zones in virtual time, applications in each zone that keep tallies, and long cuts, losses of
+ * disks and power, and other trouble: real control services, known by their HTTP interface only. What was seen is judged
+ * by {@link TallyHistoryChecker}. At last all is well, at times after a final fault, and every tally is read everywhere.
+ */
+final class TallySimulation {
+    static final long MERGE_MS = 3_000;
+    /** In a cut that lasts, until each machine serves alone what it can't share: after a start, and after silence. */
+    static final long SETTLED_MS = 8_000;
+    private static final long FAULTS_FROM_MS = 3_000;
+    private static final long FAULTS_MS = 40_000;
+    private static final long RECOVERY_MS = 12_000;
+    private static final long CALM_MS = 4_000;
+    private static final long CHECK_MS = 100;
+    private static final long LAST_READS_MS = 2_000;
+
+    private final VirtualWorld world = new VirtualWorld();
+    private final TallyHistory history = new TallyHistory();
+    private final int tolerated;
+    private final SplittableRandom random;
+    private final List<SimulatedMachine> machines = new ArrayList<>();
+    private final List<String> zones;
+    private final TallyClients clients;
+    private final TallyFaults faults;
+    private final boolean endsWithAFault;
+    private long wellSinceMs;
+
+    private static final ThreadLocal<PeerCodec> CODEC = ThreadLocal.withInitial(PeerCodec::new);
+
+    TallySimulation(long seed, int tolerated, TallyFaultPlan plan, PlantedFault fault) {
+        this(seed, tolerated, plan, fault, machine -> UnaryOperator.identity());
+    }
+
+    /** @param interceptors what stands between callers and each machine's control service */
+    TallySimulation(long seed, int tolerated, TallyFaultPlan plan, PlantedFault fault,
+            Function<SimulatedMachine, UnaryOperator<ControlHttp.Handler>> interceptors) {
+        this.tolerated = tolerated;
+        random = new SplittableRandom(seed);
+        SimulatedNetwork network = new SimulatedNetwork(world, random.nextLong(), CODEC.get());
+        SimulatedMachine.Surroundings surroundings =
+                new SimulatedMachine.Surroundings(world, network, CODEC.get(), tolerated, fault);
+        // the ways are those of the faults, which need the clients
+        TallyFaults[] ways = new TallyFaults[1];
+        SimulatedHttp http = new SimulatedHttp(world, random.nextLong(), fault, (from, to) -> ways[0].passes(from, to));
+        clients = new TallyClients(world, random.nextLong(), http, this::machines, history);
+        faults = new TallyFaults(this, world, network, http, clients, history, new Random(random.nextLong()));
+        ways[0] = faults;
+        zones = drawZones();
+        for (int i = 0; i < 2 * tolerated + 1; i++) {
+            SimulatedMachine.Place place =
+                    new SimulatedMachine.Place(zones.get(i % zones.size()), 1, Set.copyOf(zones));
+            SimulatedMachine machine =
+                    new SimulatedMachine("10.0.0." + (i + 1), place, surroundings, random.nextLong());
+            machine.intercept(interceptors.apply(machine));
+            machines.add(machine);
+        }
+        endsWithAFault = random.nextBoolean();
+        plan.faults().forEach(f -> world.afterMs(f.atMs(), () -> faults.strike(f)));
+    }
+
+    private List<String> drawZones() {
+        int count = tolerated == 1 ? 3 : 3 + random.nextInt(2);
+        return List.of("a", "b", "c", "d").subList(0, count);
+    }
+
+    static TallyFaultPlan plan(long seed) {
+        return TallyFaultPlan.draw(seed * 37 + 11, FAULTS_FROM_MS, FAULTS_FROM_MS + FAULTS_MS);
+    }
+
+    /** Plays it. @return what was wrong, in one line that begins with a rule; null where nothing was */
+    String play() {
+        history.disruptions.add(new TallyHistory.Disruption("start", false, 0, 0));
+        machines.forEach(m -> m.start(true, seeds()));
+        clients.start(zones, 2, FAULTS_FROM_MS + FAULTS_MS + RECOVERY_MS);
+        world.afterMs(CHECK_MS, this::check);
+        world.runUntilMs(FAULTS_FROM_MS + FAULTS_MS);
+        faults.endAll();
+        world.runUntilMs(world.nowMs() + RECOVERY_MS);
+        if (endsWithAFault) {
+            faults.strikeInTheEnd();
+            world.runUntilMs(world.nowMs() + RECOVERY_MS);
+        }
+        clients.readAllInTheEnd();
+        world.runUntilMs(world.nowMs() + LAST_READS_MS);
+        return TallyHistoryChecker.check(history, MERGE_MS, SETTLED_MS);
+    }
+
+    TallyHistory history() {
+        return history;
+    }
+
+    List<SimulatedMachine> machines() {
+        return machines;
+    }
+
+    List<String> zones() {
+        return zones;
+    }
+
+    int tolerated() {
+        return tolerated;
+    }
+
+    List<HostPort> seeds() {
+        return machines.stream().limit(3).map(m -> new HostPort(m.ip, SimulatedMachine.INTERNAL_PORT)).toList();
+    }
+
+    private void check() {
+        if (!faults.isQuiet() || !machines.stream().allMatch(SimulatedMachine::isWell)) {
+            wellSinceMs = world.nowMs();
+        } else if (world.nowMs() - wellSinceMs >= CALM_MS) {
+            faults.madeUpFor();
+        }
+        world.afterMs(CHECK_MS, this::check);
+    }
+}
