Give operators commands for evacuations, and say what the log tells of them

`rowanplank system evacuation start|stop ZONE` and `list`, with --at as for the configuration; list reads GET /rowanplank/evacuations/get, a path of our own. Status 2 for an unknown zone or a command line that can't be used, 1 where no control node has a clear answer.

The fleet on loopback names its zone again: since it came to name none, control nodes answered 404 to every evacuation, and EvacuationTest and FleetTest failed.

Tests: EvacuationCommandsTest, EvacuationTest.

--- a/src/main/java/routerfleet/cli/ConfigClient.java
+++ b/src/main/java/routerfleet/cli/ConfigClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.net.URLEncoder;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -11,8 +12,9 @@
 import routerfleet.settings.HostPort;
 
 /**
- * Asks control nodes for the configuration and gives them orders, as the operator does: one after the other, until one has
- * a clear answer. The same order may be given again: the fleet knows it by its content.
+ * Asks control nodes for the configuration and the evacuations and gives them orders, as the operator does: one after the
+ * other, until one has a clear answer. The same order may be given again: the fleet knows it by its content, or by what is
+ * already so.
  */
 final class ConfigClient {
     private static final int ROUNDS = 5;
@@ -35,7 +37,7 @@
 
     /** Reads the newest configuration. @throws IOException if no control node has a clear answer */
     Answer get() throws IOException, InterruptedException {
-        return ask("get", HttpRequest.newBuilder().GET());
+        return ask("config/get", HttpRequest.newBuilder().GET());
     }
 
     /**
@@ -46,10 +48,26 @@
      * @throws IOException if no control node has a clear answer: the order may still be taken
      */
     Answer order(String kind, long base, byte[] body) throws IOException, InterruptedException {
-        return ask(kind, HttpRequest.newBuilder().header("Rowanplank-Base-Version", Long.toString(base))
+        return ask("config/" + kind, HttpRequest.newBuilder().header("Rowanplank-Base-Version", Long.toString(base))
                 .header("Content-Type", "application/json").POST(HttpRequest.BodyPublishers.ofByteArray(body)));
     }
 
+    /** Reads which zones are evacuated. @throws IOException if no control node has a clear answer */
+    Answer evacuations() throws IOException, InterruptedException {
+        return ask("evacuations/get", HttpRequest.newBuilder().GET());
+    }
+
+    /**
+     * Evacuates a zone or ends that.
+     *
+     * @param verb {@code start} or {@code stop}
+     * @throws IOException if no control node has a clear answer: the order may still be taken
+     */
+    Answer evacuate(String verb, String zone) throws IOException, InterruptedException {
+        String name = URLEncoder.encode(zone, StandardCharsets.UTF_8);
+        return ask("evacuations/" + name + "/" + verb, HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.noBody()));
+    }
+
     private Answer ask(String what, HttpRequest.Builder request) throws IOException, InterruptedException {
         String problem = "";
         for (int round = 0; round < ROUNDS; round++) {
@@ -59,7 +77,7 @@
             for (HostPort node : controlNodes) {
                 try {
                     HttpResponse<String> response = client.send(request.timeout(ANSWER_TIMEOUT)
-                            .uri(URI.create("http://" + node + "/rowanplank/config/" + what)).build(),
+                            .uri(URI.create("http://" + node + "/rowanplank/" + what)).build(),
                             HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
                     if (response.statusCode() != UNCLEAR) {
                         return new Answer(response.statusCode(), response.body());
--- a/src/main/java/routerfleet/cli/ConfigCommands.java
+++ b/src/main/java/routerfleet/cli/ConfigCommands.java
@@ -96,7 +96,8 @@
         }
     }
 
-    private static List<HostPort> addresses(List<String> at) throws UnusableException {
+    /** Reads {@code --at}. */
+    static List<HostPort> addresses(List<String> at) throws UnusableException {
         List<HostPort> addresses = new ArrayList<>();
         for (String address : at) {
             try {
--- a/src/main/java/routerfleet/cli/FleetCommands.java
+++ b/src/main/java/routerfleet/cli/FleetCommands.java
@@ -36,12 +36,14 @@
 
     @Parameters(commandDescription = "check FILE: whether a settings file can be used; "
             + "rehearse: a small fleet on loopback; config: the configuration of a running fleet; "
+            + "evacuation: the zones to which a running fleet sends nothing; "
             + "account FILE: where a day played on the operators' bench lost worth")
     private static final class SystemCommand extends Common {
-        @Parameter(description = "check FILE | rehearse | account FILE | config " + ConfigCommands.USAGE)
+        @Parameter(description = "check FILE | rehearse | account FILE | config " + ConfigCommands.USAGE + " | evacuation "
+                + EvacuationCommands.USAGE)
         private List<String> words = new ArrayList<>();
 
-        @Parameter(names = "--at", description = "Addresses of control nodes, for config")
+        @Parameter(names = "--at", description = "Addresses of control nodes, for config and evacuation")
         private List<String> at = new ArrayList<>();
 
         @Parameter(names = "--base", description = "Version that an order builds on, for config; else the current one")
@@ -110,6 +112,10 @@
             System.out.println(ConfigCommands.run(words.subList(1, words.size()), command.at, command.base));
             return DONE;
         }
+        if (!words.isEmpty() && words.get(0).equals("evacuation")) {
+            System.out.println(EvacuationCommands.run(words.subList(1, words.size()), command.at));
+            return DONE;
+        }
         if (words.equals(List.of("rehearse"))) {
             System.out.println(Rehearsal.run() + " requests served");
             return DONE;
@@ -119,7 +125,8 @@
             return DONE;
         }
         if (words.size() != 2 || !words.get(0).equals("check")) {
-            return fail(USAGE, "usage: rowanplank system check FILE | rehearse | account FILE | config ...");
+            return fail(USAGE,
+                    "usage: rowanplank system check FILE | rehearse | account FILE | config ... | evacuation ...");
         }
         LocalSettings.load(words.get(1));
         System.out.println(words.get(1) + " can be used");
--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -35,6 +35,7 @@
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 18_000;
     private static final int HEARTBEAT_MS = 200;
+    private static final String ZONE = "a";
 
     private final Path folder;
     private final int internalPort;
@@ -101,9 +102,9 @@
 
     /** Starts a control node. @param bootstrap whether the whole system starts for the first time */
     public void startControl(int number, boolean bootstrap) throws IOException {
-        LocalSettings settings = new LocalSettings("control-" + number, controlIp(number), "a", null, null,
+        LocalSettings settings = new LocalSettings("control-" + number, controlIp(number), ZONE, null, null,
                 controlAddress(number), internalPort, seeds, bootstrap, disk(number), HEARTBEAT_MS, toleratedLosses, 0,
-                Set.of(), Bounds.defaults());
+                Set.of(ZONE), Bounds.defaults());
         ControlNode node = new ControlNode(settings);
         node.start();
         controlNodes.put(number, node);
@@ -127,9 +128,9 @@
     public int startData(boolean waitUntilReady) throws IOException {
         String ip = nextDataIp();
         HostPort frontend = new HostPort(ip, freePorts(1));
-        LocalSettings settings = new LocalSettings(nextDataName(), ip, "a", frontend,
+        LocalSettings settings = new LocalSettings(nextDataName(), ip, ZONE, frontend,
                 new HostPort(ip, freePorts(1)), null, internalPort, seeds, true, null, HEARTBEAT_MS, toleratedLosses, 0,
-                Set.of(), Bounds.defaults());
+                Set.of(ZONE), Bounds.defaults());
         DataNode node = new DataNode(settings);
         node.start();
         return added(node, frontend, waitUntilReady);
