Fold what all control nodes hold of tallies, and bound what a node remembers

Beyond 49,152 entries a node folds the oldest ones that all known members hold, and only while it holds all that they have told, so that no uid is folded of which another entry may still come. Where that can't be, adds are refused with 503 beyond 98,304 entries (nothing was done), others' entries are not taken beyond 163,840. A uid that was folded is not known any more. An add whose uid comes from another node while it waits for the disk makes no second entry.

--- a/src/main/java/routerfleet/control/ControlParts.java
+++ b/src/main/java/routerfleet/control/ControlParts.java
@@ -54,6 +54,11 @@
         return toleratedHosts;
     }
 
+    /** How much is remembered of tallies. */
+    TallyBounds tallyBounds() {
+        return TallyBounds.DEFAULT;
+    }
+
     /** The name of the replica on a disk that comes to be empty later. */
     String freshReplica(String ip, long number) {
         return ReplicaNames.fresh(ip, number);
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -91,7 +91,7 @@
         peers = new ControlPeers(settings.ip(), settings.peerPort());
         quotas = new QuotaGrantor(settings.ip(), settings.bounds());
         table = new SessionTable(settings.heartbeatMs());
-        tallies = new TallyService(settings, scheduler, peers, storage.tallies());
+        tallies = new TallyService(settings, scheduler, peers, storage.tallies(), parts.tallyBounds());
     }
 
     /**
--- /dev/null
+++ b/src/main/java/routerfleet/control/TallyBounds.java
@@ -0,0 +1,15 @@
+package routerfleet.control;
+
+/**
+ * How much a node remembers of tallies.
+ *
+ * @param remembered entries, with their uids, beyond which the oldest are folded into the base once all nodes hold them
+ * @param addable entries beyond which no adds are taken: nodes that can't be reached keep them from being folded
+ * @param mergeable entries beyond which none of other nodes are taken
+ * @param tallies names of tallies beyond which no new one is taken from a caller
+ * @param origins lives of disks beyond which none is added
+ */
+record TallyBounds(int remembered, int addable, int mergeable, int tallies, int origins) {
+    /** An entry takes about 200 bytes of memory and 60 on disk: at most some 32 MB and 10 MB. */
+    static final TallyBounds DEFAULT = new TallyBounds(49_152, 98_304, 163_840, 4_096, 1_024);
+}
--- a/src/main/java/routerfleet/control/TallyCommits.java
+++ b/src/main/java/routerfleet/control/TallyCommits.java
@@ -40,6 +40,7 @@
     private final Scheduler scheduler;
     private final TallyStorage storage;
     private final Journal journal;
+    private final TallyBounds bounds;
     private final Origin self;
     private final Consumer<List<JournalEntry>> ownStored;
     private Deque<Add> adds = new ArrayDeque<>();
@@ -53,8 +54,9 @@
     private long snapshotBytes;
 
     /** @param ownStored told this node's new entries once they are in the journal */
-    TallyCommits(Scheduler scheduler, TallyStorage storage, Journal journal, Origin self,
+    TallyCommits(Scheduler scheduler, TallyStorage storage, Journal journal, TallyBounds bounds, Origin self,
             Consumer<List<JournalEntry>> ownStored) {
+        this.bounds = bounds;
         this.scheduler = scheduler;
         this.storage = storage;
         this.journal = journal;
@@ -90,7 +92,8 @@
 
     /** Takes entries of other nodes. @param stored run once they are in the journal; not where they can't be taken now */
     void merge(List<JournalEntry> entries, Runnable stored) {
-        if (foreignEntries + entries.size() <= MOST_ENTRIES) {
+        boolean fits = journal.size() + foreignEntries + entries.size() <= bounds.mergeable();
+        if (foreignEntries + entries.size() <= MOST_ENTRIES && fits) {
             foreign.add(new Foreign(entries, stored));
             foreignEntries += entries.size();
             next();
@@ -163,9 +166,8 @@
     }
 
     private void writeWaiting() {
-        List<Add> own = List.copyOf(adds);
+        List<Add> own = unknown();
         List<Foreign> others = List.copyOf(foreign);
-        adds = new ArrayDeque<>();
         foreign = new ArrayDeque<>();
         foreignEntries = 0;
         own.forEach(add -> add.begun().run());
@@ -189,6 +191,23 @@
         });
     }
 
+    /** The adds that wait, but for those whose uid has come from another node meanwhile: these are held already. */
+    private List<Add> unknown() {
+        Deque<Add> waiting = adds;
+        adds = new ArrayDeque<>();
+        List<Add> own = new ArrayList<>();
+        for (Add add : waiting) {
+            JournalEntry held = journal.find(add.tally(), add.uid());
+            if (held == null) {
+                own.add(add);
+            } else {
+                add.begun().run();
+                add.stored().accept(held);
+            }
+        }
+        return own;
+    }
+
     private void taken(List<Add> own, List<JournalEntry> ownEntries, List<Foreign> others) {
         for (int i = 0; i < own.size(); i++) {
             own.get(i).stored().accept(ownEntries.get(i));
@@ -215,7 +234,8 @@
         for (Foreign other : others) {
             for (JournalEntry entry : other.entries()) {
                 long before = last.computeIfAbsent(entry.origin(), journal::last);
-                if (entry.number() == before + 1 && !entry.origin().equals(self)) {
+                boolean fits = before > 0 || journal.origins() < bounds.origins();
+                if (entry.number() == before + 1 && fits && !entry.origin().equals(self)) {
                     taken.add(entry);
                     last.put(entry.origin(), entry.number());
                 }
--- a/src/main/java/routerfleet/control/TallyCopies.java
+++ b/src/main/java/routerfleet/control/TallyCopies.java
@@ -10,13 +10,19 @@
 
 /** What other control nodes have told to hold of the journal on their disks. */
 final class TallyCopies {
-    private record Holder(Origin disk, SortedMap<Origin, Long> upTo) { }
+    /**
+     * What is known of one node.
+     *
+     * @param whole the last vector that it told, all at one moment
+     * @param upTo the same, and what it told since
+     */
+    private record Holder(Origin disk, JournalVector whole, SortedMap<Origin, Long> upTo) { }
 
     private final Map<String, Holder> holders = new TreeMap<>();
 
     /** A node tells all that its disk holds. */
     void learn(Origin holder, JournalVector held) {
-        holders.put(holder.node(), new Holder(holder, new TreeMap<>(held.upTo())));
+        holders.put(holder.node(), new Holder(holder, held, new TreeMap<>(held.upTo())));
     }
 
     /** A node tells that its disk holds more of an origin; what an earlier disk of it tells late is passed over. */
@@ -38,6 +44,25 @@
         return known == null ? JournalVector.EMPTY : new JournalVector(known.upTo());
     }
 
+    /**
+     * Up to where all nodes hold all entries.
+     *
+     * @param nodes the others
+     * @param own what this node holds
+     * @return nothing where a node has not told, or holds more than this one: not all that it had taken is known here
+     */
+    JournalVector heldByAll(Set<String> nodes, JournalVector own) {
+        SortedMap<Origin, Long> least = new TreeMap<>(own.upTo());
+        for (String node : nodes) {
+            Holder known = holders.get(node);
+            if (known == null || !own.covers(known.whole())) {
+                return JournalVector.EMPTY;
+            }
+            least.replaceAll((origin, number) -> Math.min(number, known.whole().of(origin)));
+        }
+        return new JournalVector(least);
+    }
+
     /** Which other nodes hold an entry. */
     Set<String> holding(Origin origin, long number) {
         Set<String> all = new TreeSet<>();
--- a/src/main/java/routerfleet/control/TallyService.java
+++ b/src/main/java/routerfleet/control/TallyService.java
@@ -28,7 +28,6 @@
 final class TallyService {
     private static final long TICK_MS = 250;
     private static final int MOST_NAME_LENGTH = 128;
-    private static final int MOST_TALLIES = 4_096;
     private static final int MOST_PIECE = 512;
     /** A node without a disk's content that reaches no other for so long tells what it has. */
     private static final long ALONE_MS = 2_000;
@@ -41,6 +40,7 @@
     private final Scheduler scheduler;
     private final ControlPeers peers;
     private final TallyStorage storage;
+    private final TallyBounds bounds;
     private final Journal journal = new Journal();
     private final TallyCopies copies = new TallyCopies();
     private final TallyReach reach;
@@ -55,7 +55,9 @@
     private JournalVector settled = JournalVector.EMPTY;
     private final TreeMap<String, JournalVector> told = new TreeMap<>();
 
-    TallyService(LocalSettings settings, Scheduler scheduler, ControlPeers peers, TallyStorage storage) {
+    TallyService(LocalSettings settings, Scheduler scheduler, ControlPeers peers, TallyStorage storage,
+            TallyBounds bounds) {
+        this.bounds = bounds;
         this.ip = settings.ip();
         this.scheduler = scheduler;
         this.peers = peers;
@@ -92,7 +94,7 @@
     /** Begins, with what was loaded. */
     void begin() {
         reach.begin(scheduler.nanoTime());
-        commits = new TallyCommits(scheduler, storage, journal, self,
+        commits = new TallyCommits(scheduler, storage, journal, bounds, self,
                 entries -> peers.sendToAll(new PeerMessage.TallyEntries(entries, false, false)));
         adds = new TallyAdds(scheduler, commits,
                 entry -> reach.suffices(copies.holding(entry.origin(), entry.number())));
@@ -148,8 +150,10 @@
             answer.accept(ControlHttp.Response.refusal("too many adds wait"));
         } else if (held != null) {
             adds.repeat(held, answer);
-        } else if (!journal.knows(tally) && journal.tallies() >= MOST_TALLIES) {
-            answer.accept(ControlHttp.Response.error(UNPROCESSABLE, "there are " + MOST_TALLIES + " tallies already"));
+        } else if (!journal.knows(tally) && journal.tallies() >= bounds.tallies()) {
+            answer.accept(ControlHttp.Response.error(UNPROCESSABLE, "there are " + bounds.tallies() + " tallies already"));
+        } else if (journal.size() >= bounds.addable() || journal.last(self) == 0 && journal.origins() >= bounds.origins()) {
+            answer.accept(ControlHttp.Response.refusal("too many adds are not known to all control nodes yet"));
         } else if (!ready || commits.isStalled()) {
             answer.accept(ControlHttp.Response.refusal("the disk takes no adds now"));
         } else if (!reach.canAcknowledge()) {
@@ -235,5 +239,14 @@
             }
         }
         settled = now;
+        foldOldest(known, now);
+    }
+
+    /** What all hold is folded, so that the journal keeps a bounded number of entries. */
+    private void foldOldest(Set<String> known, JournalVector now) {
+        if (journal.size() > bounds.remembered()) {
+            known.remove(ip);
+            journal.fold(copies.heldByAll(known, now), bounds.remembered());
+        }
     }
 }
--- a/src/main/java/routerfleet/control/TallyStorage.java
+++ b/src/main/java/routerfleet/control/TallyStorage.java
@@ -151,11 +151,6 @@
         return length;
     }
 
-    /** Whether the last write was refused. */
-    boolean refuses() {
-        return warned;
-    }
-
     /** Adds a record. @param ended told on the loop whether it is stored, or else refused */
     void append(byte[] record, Consumer<Boolean> ended) {
         run(() -> {
