Let the reserve stand in for a holder of a limit that is out of reach, and don't wait for it

Cause: where one holder answered with a denial, the node's own reserve was not used, though the parts of the others were out of reach; and each request waited 50 ms for each silent holder, however long it had been silent. Now the reserve decides wherever a holder gives no answer and the others' parts don't suffice. A holder that has answered nothing for 600 ms is asked once in 400 ms, and left out by other requests. Ruled out: more than the limit in a window. Evidence: on the earlier code theReserveDecidesWhereAHolderIsOutOfReachAndTheOthersDeny got DENIED, and holdersThatStaySilentAreNotWaitedForByEachRequest was still waiting.

--- a/src/main/java/routerfleet/data/QuotaClient.java
+++ b/src/main/java/routerfleet/data/QuotaClient.java
@@ -15,7 +15,8 @@
 /**
  * Asks the control nodes whether a request is within its tenant's limit. Each limit is divided among a few control nodes
  * ({@link QuotaDivision}); they are asked one after another until one of them grants, and for what each of them holds
- * where only all together hold enough. Where none of them answers, the node's own reserve decides.
+ * where only all together hold enough. Where the parts of those that answer do not suffice and one of them gives no answer,
+ * the node's own reserve decides.
  *
  * <p>Bound: {@value #MOST_OPEN} open questions; one account a configured tenant. A request costs at most
  * twice {@link QuotaDivision#HOLDERS} questions. For one event loop.
@@ -26,6 +27,8 @@
     private static final int MOST_OPEN = 4_096;
     /** For how long a control node that did not answer is asked last. */
     private static final long SUSPECT_MS = 400;
+    /** One that has answered nothing for longer is asked only once in each {@value #SUSPECT_MS} ms. */
+    private static final long SILENT_MS = 600;
     /** What a late answer granted may be used by another request for so long. */
     private static final long SPARE_MS = 500;
     /** After a denial, requests that would be denied as well get no question for so long at most. */
@@ -82,6 +85,9 @@
     /** What a control node is asked for. */
     private record Part(String controlNode, double amount) { }
 
+    /** A control node that left a question without an answer, the first at one time, and until when it is asked last. */
+    private record Silence(long sinceMs, long suspectUntilMs) { }
+
     /** A part that has been asked for. */
     private record OpenAsk(Question question, Part part) { }
 
@@ -99,6 +105,8 @@
         private long leastWaitMs = Long.MAX_VALUE;
         private double fairLevel;
         private boolean gathering;
+        /** Whether a holder gave no answer: what it holds is out of reach. */
+        private boolean partMissing;
         private double gathered;
         private boolean decided;
 
@@ -109,6 +117,7 @@
             this.applicant = applicant;
             List<String> holders = QuotaDivision.holders(tenant.name(), transport.controlNodes());
             order(holders, account.turn++).forEach(holder -> left.add(new Part(holder, amount)));
+            partMissing = left.size() < holders.size();
         }
 
         void askNext() {
@@ -123,10 +132,17 @@
                     transport.schedule(() -> unanswered(id), ANSWER_MS);
                     return;
                 }
+                partMissing = true;
             }
             exhausted();
         }
 
+        /** The holder asked last gives no answer, or none that counts. */
+        void passOver() {
+            partMissing = true;
+            askNext();
+        }
+
         private PeerMessage.QuotaAsk ask(long id, Part part) {
             return new PeerMessage.QuotaAsk(id, tenant.name(), part.amount(), gathering);
         }
@@ -178,12 +194,17 @@
         }
 
         private void exhausted() {
-            if (leastWaitMs == Long.MAX_VALUE) {
-                decide(takeReserve() ? Admission.ADMITTED : Admission.UNKNOWN);
-            } else if (!gathering && heldTogether() >= needed()) {
+            boolean denied = leastWaitMs < Long.MAX_VALUE;
+            if (denied && !gathering && heldTogether() >= needed()) {
                 gather();
-            } else {
+            } else if ((partMissing || !denied) && takeReserve()) {
+                if (!decide(Admission.ADMITTED)) {
+                    keep(account, amount);
+                }
+            } else if (denied) {
                 deny();
+            } else {
+                decide(Admission.UNKNOWN);
             }
         }
 
@@ -237,7 +258,7 @@
             return size() > MOST_OPEN;
         }
     };
-    private final Map<String, Long> suspectUntilMs = new HashMap<>();
+    private final Map<String, Silence> silences = new HashMap<>();
     private long lastId;
 
     /** @param fleetSize how many data nodes share the reserves */
@@ -295,15 +316,19 @@
         }
     }
 
-    /** Control nodes that answer come first, each in its turn. */
+    /** Control nodes that answer come first, each in its turn; those that have been silent for long are left out. */
     private List<String> order(List<String> holders, int turn) {
         long nowMs = transport.nowMs();
         List<String> ordered = new ArrayList<>(holders.size());
         List<String> suspects = new ArrayList<>(0);
         for (int i = 0; i < holders.size(); i++) {
             String holder = holders.get(Math.floorMod(turn + i, holders.size()));
-            boolean suspect = suspectUntilMs.getOrDefault(holder, nowMs) - nowMs > 0;
-            (suspect ? suspects : ordered).add(holder);
+            Silence silence = silences.get(holder);
+            if (silence == null || silence.suspectUntilMs() <= nowMs) {
+                ordered.add(holder);
+            } else if (nowMs - silence.sinceMs() < SILENT_MS) {
+                suspects.add(holder);
+            }
         }
         ordered.addAll(suspects);
         return ordered;
@@ -317,20 +342,20 @@
             answeredLate(late.remove(answer.id()), granted);
             return;
         }
-        suspectUntilMs.remove(ask.part().controlNode());
+        silences.remove(ask.part().controlNode());
         if (granted) {
             ask.question().granted(ask.part());
         } else if (answer.verdict() == PeerMessage.QuotaVerdict.DENIED) {
             ask.question().denied(ask.part(), answer);
         } else {
-            ask.question().askNext();
+            ask.question().passOver();
         }
     }
 
     /** A control node that had been passed over answers: a grant is for the request that waits, else for the next one. */
     private void answeredLate(OpenAsk ask, boolean granted) {
         if (ask != null) {
-            suspectUntilMs.remove(ask.part().controlNode());
+            silences.remove(ask.part().controlNode());
         }
         if (ask == null || !granted) {
             return;
@@ -346,13 +371,19 @@
         OpenAsk ask = open.remove(id);
         if (ask != null) {
             if (transport.controlNodes().contains(ask.part().controlNode())) {
-                suspectUntilMs.put(ask.part().controlNode(), transport.nowMs() + SUSPECT_MS);
+                silent(ask.part().controlNode());
             }
             late.put(id, ask);
-            ask.question().askNext();
+            ask.question().passOver();
         }
     }
 
+    private void silent(String controlNode) {
+        long nowMs = transport.nowMs();
+        Silence before = silences.get(controlNode);
+        silences.put(controlNode, new Silence(before == null ? nowMs : before.sinceMs(), nowMs + SUSPECT_MS));
+    }
+
     private void keep(Account account, double amount) {
         long nowMs = transport.nowMs();
         account.spare = (nowMs < account.spareUntilMs ? account.spare : 0) + amount;
@@ -361,10 +392,10 @@
 
     /** A control node cannot be reached any more: what it was asked goes to the next one. */
     void disconnected(String controlNode) {
-        suspectUntilMs.remove(controlNode);
+        silences.remove(controlNode);
         List<Long> lost = open.entrySet().stream()
                 .filter(entry -> controlNode.equals(entry.getValue().part().controlNode()))
                 .map(Map.Entry::getKey).toList();
-        lost.forEach(id -> open.remove(id).question().askNext());
+        lost.forEach(id -> open.remove(id).question().passOver());
     }
 }
--- a/src/test/java/routerfleet/data/QuotaClientTest.java
+++ b/src/test/java/routerfleet/data/QuotaClientTest.java
@@ -14,6 +14,7 @@
 import routerfleet.config.TenantConfig;
 import routerfleet.data.QuotaSimulation.Fault;
 import routerfleet.wire.PeerMessage;
+import routerfleet.wire.QuotaDivision;
 
 /** Tenants' limits over all nodes, with the control nodes' real grantors in virtual time. */
 class QuotaClientTest {
@@ -260,4 +261,47 @@
             assertThat(absurd, QuotaClient.cost(tenant, absurd), is(70.0));
         }
     }
+
+    /** Guards tenants on both sides of a partition: the reserve stands in for parts that are out of reach. */
+    @Test
+    void theReserveDecidesWhereAHolderIsOutOfReachAndTheOthersDeny() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(6), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        client.admit(QuotaSimulation.TENANT, 100, admission -> outcomes.add(admission.outcome()));
+        transport.scheduled.get(0).run();
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(1).id(), 700, 0, FAIR));
+        assertThat(outcomes, is(List.of(QuotaClient.Outcome.ADMITTED)));
+        double reserve = QuotaDivision.reserve(QuotaSimulation.TENANT, QuotaSimulation.BOUNDS, 6);
+        client.admit(QuotaSimulation.TENANT, reserve, admission -> outcomes.add(admission.outcome()));
+        client.answered(PeerMessage.QuotaAnswer.denied(transport.sent.get(2).id(), 700, 0, FAIR));
+        transport.scheduled.get(3).run();
+        assertThat("no more than the reserve", outcomes,
+                is(List.of(QuotaClient.Outcome.ADMITTED, QuotaClient.Outcome.DENIED)));
+    }
+
+    /** Guards requests on a side that is cut off against the time that silent holders would take of each. */
+    @Test
+    void holdersThatStaySilentAreNotWaitedForByEachRequest() {
+        HeldTransport transport = new HeldTransport();
+        QuotaClient client = new QuotaClient(QuotaSimulation.BOUNDS, QuotaSimulation.fleetOf(6), transport);
+        client.configure(List.of(QuotaSimulation.TENANT));
+        List<QuotaClient.Outcome> outcomes = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            client.admit(QuotaSimulation.TENANT, 10, admission -> outcomes.add(admission.outcome()));
+            transport.scheduled.get(2 * i).run();
+            transport.scheduled.get(2 * i + 1).run();
+            transport.nowMs += 700;
+        }
+        transport.nowMs -= 400;
+        client.admit(QuotaSimulation.TENANT, 10, admission -> outcomes.add(admission.outcome()));
+        assertThat("decided at once", outcomes.size(), is(3));
+        assertThat(transport.sent.size(), is(4));
+        transport.nowMs += 400;
+        client.admit(QuotaSimulation.TENANT, 10, admission -> outcomes.add(admission.outcome()));
+        assertThat("asked again after a while", transport.sent.size(), is(5));
+        client.answered(PeerMessage.QuotaAnswer.granted(transport.sent.get(4).id()));
+        assertThat(outcomes.size(), is(4));
+    }
 }
