Leave a zone alone whose servers answer no connects, and find it out sooner

Cause: that a server can't be reached was learnt for each server alone, a connect timeout of 500 ms each, and again after each pause. A partition takes all servers of a zone at once. Now two connects in a zone that time out, with no server of it heard since they began, have the zone left alone; one request in 500 ms tries it, on a new connection. A connect is given 250 ms, so that another server can answer within the objective. Ruled out: single servers that are dark have the zone left alone; any byte from another one there keeps it in. Evidence: aZoneWhoseServersDoNotAnswerConnectsIsLeftAloneAsAWhole fails with Server.isAvoided as it was before.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,7 +21,7 @@
  */
 final class Exchange {
     private static final int MOST_BODY_BYTES = 16 << 20;
-    private static final int MOST_CONNECT_FAILURES = 3;
+    private static final int MOST_CONNECT_FAILURES = 4;
     /** A request with less time left is not sent any more. */
     private static final long LEAST_LEFT_MS = 12;
     /** A failure counts as an answer after so many objectives. */
@@ -127,9 +128,15 @@
     }
 
     private void connect(Attempt connecting) {
+        long sinceMs = SteadyClock.millis();
         ChannelFuture future = UpstreamConnection.open(plane.loop(), connecting.server);
         Channel channel = future.channel();
         future.addListener(connected -> {
+            if (connected.isSuccess()) {
+                connecting.server.connected(SteadyClock.millis());
+            } else if (connected.cause() instanceof ConnectTimeoutException) {
+                connecting.server.connectTimedOut(sinceMs, SteadyClock.millis());
+            }
             if (connecting != attempt || done) {
                 channel.close();
             } else if (connected.isSuccess()) {
--- a/src/main/java/routerfleet/data/Server.java
+++ b/src/main/java/routerfleet/data/Server.java
@@ -21,6 +21,7 @@
     private final String backend;
     private final HostPort address;
     private final String zone;
+    private final ZoneReach zoneReach;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private int capacity;
     private boolean listed;
@@ -37,6 +38,12 @@
     private long secondSilentSinceMs;
 
     Server(SessionRecord session) {
+        this(session, new ZoneReach());
+    }
+
+    /** @param zoneReach shared by the servers of its zone */
+    Server(SessionRecord session, ZoneReach zoneReach) {
+        this.zoneReach = zoneReach;
         uid = session.uid();
         backend = session.backend();
         address = HostPort.parse(session.address());
@@ -106,6 +113,7 @@
 
     void sent(long nowMs) {
         inFlight++;
+        zoneReach.sent(nowMs);
         if (silentSinceMs == 0) {
             silentSinceMs = nowMs;
         } else if (secondSilentSinceMs == 0) {
@@ -127,8 +135,19 @@
         }
     }
 
+    /** It has taken a connection. */
+    void connected(long nowMs) {
+        zoneReach.reached(nowMs);
+    }
+
+    /** It has not answered a connect. @param sinceMs when that began, on the steady clock */
+    void connectTimedOut(long sinceMs, long nowMs) {
+        zoneReach.timedOut(sinceMs, nowMs);
+    }
+
     /** Bytes have come from it. */
     void heard(long nowMs) {
+        zoneReach.reached(nowMs);
         silentSinceMs = inFlight > 0 ? nowMs : 0;
         secondSilentSinceMs = inFlight > 1 ? nowMs : 0;
     }
@@ -168,7 +187,7 @@
 
     /** Whether it is left alone now; after the pause, one request at a time tries it. */
     boolean isAvoided(long nowMs) {
-        return nowMs < avoidUntilMs || avoidUntilMs != 0 && trialOut;
+        return nowMs < avoidUntilMs || avoidUntilMs != 0 && trialOut || zoneReach.isAvoided(nowMs);
     }
 
     /**
@@ -177,6 +196,9 @@
      * @param longestRestMs for how long it may have rested
      */
     Idle takeIdle(long nowMs, long longestRestMs) {
+        if (zoneReach.isLost()) {
+            closeIdle();
+        }
         for (Idle found = idle.pollLast(); found != null; found = idle.pollLast()) {
             Channel channel = found.connection().channel();
             boolean rested = nowMs - found.sinceMs() > longestRestMs;
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -22,12 +22,13 @@
  * started may be told what control nodes knew before their own start: that counts until a table has filled, and at the most
  * until this node counts as being in touch with the core, from when on drained servers get nothing more.
  *
- * <p>Bound: {@value #MOST_SERVERS} servers; the ends of {@value #MOST_ENDED} are remembered.
+ * <p>Bound: {@value #MOST_SERVERS} servers in {@value #MOST_ZONES} zones; the ends of {@value #MOST_ENDED} are remembered.
  */
 final class ServerRegistry {
     private static final System.Logger LOG = Loggers.get("routerfleet.data");
     private static final int MOST_SERVERS = 20_000;
     private static final int MOST_ENDED = 20_000;
+    private static final int MOST_ZONES = 256;
     private static final long ABSENT_VIEW_MS = 3_000;
 
     /** What one control node says. */
@@ -45,6 +46,7 @@
     private final Map<String, View> views = new HashMap<>();
     private final Map<String, Server> servers = new HashMap<>();
     private final Map<String, ServerPool> pools = new HashMap<>();
+    private final Map<String, ZoneReach> zones = new HashMap<>();
     private final Set<String> ended = new HashSet<>();
     /** What control nodes knew before they started. */
     private final Map<String, SessionView> earlier = new HashMap<>();
@@ -203,10 +205,15 @@
         if (known != null) {
             known.capacity(session.capacity());
         } else if (!ended.contains(session.uid()) && servers.size() < MOST_SERVERS) {
-            servers.put(session.uid(), new Server(session));
+            servers.put(session.uid(), new Server(session, reach(session.zone())));
         }
     }
 
+    private ZoneReach reach(String ofZone) {
+        return zones.size() < MOST_ZONES ? zones.computeIfAbsent(ofZone, z -> new ZoneReach())
+                : zones.getOrDefault(ofZone, new ZoneReach());
+    }
+
     /** A server answered under another name, or has said that it ends: it gets nothing more. */
     void end(String uid) {
         if (ended.size() >= MOST_ENDED) {
--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -25,7 +25,8 @@
  * that belongs to another request is passed over; bytes that no request waits for end the connection.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
-    private static final int CONNECT_TIMEOUT_MS = 500;
+    /** A part of the usual objectives, so that another server can still answer within them. */
+    private static final int CONNECT_TIMEOUT_MS = 250;
     private static final int MOST_LINE_BYTES = 8 << 10;
     private static final int MOST_HEADER_BYTES = 32 << 10;
     private static final int MOST_CHUNK_BYTES = 32 << 10;
