Send to a cold server no more than it bears, from all data nodes together

Callers saw: FAILBACK. Cause: control nodes kept warmup_left_ms of heartbeats and no data node acted on it; a server that turned cold again was not told at all, and warmup_per_s of the configuration was passed over. A server that is listed anew looks idle to all nodes at one time. A permission has to be of the slice in which the request is sent.

--- a/src/main/java/routerfleet/config/BackendConfig.java
+++ b/src/main/java/routerfleet/config/BackendConfig.java
@@ -9,13 +9,17 @@
  * A service.
  *
  * @param maxConnections how many connections each of its servers takes from all callers together; 0 for no limit
+ * @param warmupS for how long a server is cold after a start during traffic, in seconds
+ * @param warmupPerS how many requests a second a cold server bears; 0 where no bound is told
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record BackendConfig(
         @NotBlank String name,
         @JsonProperty("health_check") String healthCheck,
         @JsonProperty("max_connections") @PositiveOrZero int maxConnections,
-        @JsonProperty("runtime") Engine runtime) {
+        @JsonProperty("runtime") Engine runtime,
+        @JsonProperty("warmup_s") @PositiveOrZero double warmupS,
+        @JsonProperty("warmup_per_s") @PositiveOrZero double warmupPerS) {
     /**
      * What is told of a language model's engine.
      *
--- a/src/main/java/routerfleet/control/SessionTable.java
+++ b/src/main/java/routerfleet/control/SessionTable.java
@@ -21,12 +21,17 @@
     static final int MOST_SESSIONS = 20_000;
     private static final double SILENT_BEATS = 3.2;
     private static final long KEEP_S = 45;
+    /** Heartbeats that take more or less time on their way do not tell of another warm-up. */
+    private static final long WARMUP_JITTER_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long WARMER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private static final class Entry {
         private SessionRecord session;
         private long heardAtNanos;
         private boolean live = true;
         private long revision;
+        /** Until when data nodes were told that it is cold. */
+        private long toldColdUntilNanos;
 
         Entry(SessionRecord session) {
             this.session = session;
@@ -62,6 +67,7 @@
             }
             entry = new Entry(told);
             entry.heardAtNanos = nowNanos;
+            entry.toldColdUntilNanos = coldUntilNanos(told, nowNanos);
             sessions.put(told.uid(), entry);
             changed(told.uid(), entry);
             return true;
@@ -69,18 +75,32 @@
         SessionRecord before = entry.session;
         boolean newer = told.sequence() > before.sequence();
         entry.session = newer ? told.notBefore(before.phase()) : before.notBefore(told.phase());
-        boolean revived = newer && !entry.live;
+        boolean heard = newer && (!entry.live || warmupDiffers(entry, coldUntilNanos(told, nowNanos), nowNanos));
         if (newer) {
             entry.heardAtNanos = nowNanos;
             entry.live = true;
         }
-        if (!revived && !entry.session.differsFrom(before)) {
+        if (!heard && !entry.session.differsFrom(before)) {
             return false;
         }
+        if (newer) {
+            entry.toldColdUntilNanos = coldUntilNanos(told, nowNanos);
+        }
         changed(told.uid(), entry);
         return true;
     }
 
+    private static long coldUntilNanos(SessionRecord told, long nowNanos) {
+        return nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, told.warmupLeftMs()));
+    }
+
+    /** Whether it is cold for longer than data nodes were told, or warm much sooner. */
+    private static boolean warmupDiffers(Entry entry, long coldUntilNanos, long nowNanos) {
+        boolean cold = coldUntilNanos - nowNanos > 0;
+        boolean colder = cold && coldUntilNanos - entry.toldColdUntilNanos > WARMUP_JITTER_NANOS;
+        return colder || entry.toldColdUntilNanos - coldUntilNanos > WARMER_NANOS;
+    }
+
     /** Finds sessions that have fallen silent, and forgets old ones. @return whether data nodes have to hear of it */
     boolean expire(long nowNanos) {
         long before = revision;
--- a/src/main/java/routerfleet/data/DataPlane.java
+++ b/src/main/java/routerfleet/data/DataPlane.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import routerfleet.config.BackendConfig;
 import routerfleet.settings.Bounds;
 
 /** What all requests of a node share. For one event loop. */
@@ -24,6 +25,8 @@
     private final FleetSize fleetSize;
     private final SplittableRandom random;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
+    /** How fast all nodes together may send to a cold server of a service that tells a bound, in requests a second. */
+    private final Map<String, Double> coldRates = new HashMap<>();
     private final Set<Exchange> open = new LinkedHashSet<>();
     private RoutingTable table = RoutingTable.EMPTY;
     private ControlClient control;
@@ -64,6 +67,13 @@
         quotas.configure(newer.tenants());
         budgets.keySet().removeIf(backend -> newer.backend(backend) == null);
         registry.retainClasses(newer.routeNames());
+        coldRates.clear();
+        for (BackendConfig backend : newer.backends()) {
+            if (backend.warmupPerS() > 0) {
+                double most = backend.warmupPerS() * bounds.warmupOvershoot() + bounds.warmupSlack();
+                coldRates.put(backend.name(), WarmupRate.of(most));
+            }
+        }
     }
 
     FleetSize fleetSize() {
@@ -78,6 +88,12 @@
         return budgets.computeIfAbsent(backend, b -> new RetryBudget(bounds));
     }
 
+    /** The chance of a permission for a cold server of that service in one slice of time ({@link ColdAdmission}). */
+    double coldChance(String backend) {
+        Double rate = coldRates.get(backend);
+        return rate == null ? ColdAdmission.NO_BOUND : WarmupRate.chance(rate, fleetSize.divisor());
+    }
+
     /** Whether keys may be trusted: no configuration that took one away can be in force without being known here. */
     boolean keysAreFresh() {
         return !bounds.revocation() || control.staleMs() < bounds.revokeMs() - REVOKE_MARGIN_MS;
@@ -108,7 +124,7 @@
     /** How many requests this node may have in flight at one server. */
     int inFlightLimit(String backend, int capacity) {
         int nodes = fleetSize.latest();
-        routerfleet.config.BackendConfig config = table.backend(backend);
+        BackendConfig config = table.backend(backend);
         int connections = config == null || config.maxConnections() == 0 ? Integer.MAX_VALUE : config.maxConnections();
         int part = Math.max(LEAST_IN_FLIGHT, (int) Math.ceil(SHARE_FACTOR * capacity / nodes));
         return Math.max(1, Math.min(part, (int) (CONNECTIONS_PART * connections / nodes)));
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -110,13 +110,14 @@
         ServerPool pool = pool();
         int capacity = pool.size() == 0 ? 0 : pool.servers().get(0).capacity();
         int limit = plane.inFlightLimit(admitted.backend(), capacity);
+        pool.coldAdmission().chance(plane.coldChance(admitted.backend()));
         Server server = pool.choose(admitted.profile(), limit, tried, now);
         if (server == null) {
             giveUp();
             return;
         }
         tried.add(server);
-        attempt = new Attempt(server);
+        attempt = new Attempt(server, pool.coldAdmission().claim(server, now));
         server.sent(now);
         Server.Idle idle = server.takeIdle(now, pool.restLimit().longestRestMs(now));
         if (idle != null) {
@@ -164,6 +165,8 @@
     /** One send of the request to a server, and what comes of it. */
     private final class Attempt implements UpstreamConnection.Receiver {
         private final Server server;
+        /** The permission that it took where its server was cold. */
+        private final long claimed;
         private UpstreamConnection connection;
         /** For how long its connection had rested; 0 where it is new. */
         private long restedMs;
@@ -176,8 +179,9 @@
         private double firstMs;
         private boolean ended;
 
-        Attempt(Server server) {
+        Attempt(Server server, long claimed) {
             this.server = server;
+            this.claimed = claimed;
         }
 
         void sendOn(UpstreamConnection on) {
@@ -193,9 +197,15 @@
                 Exchange.this.send();
                 return;
             }
+            sentMs = SteadyClock.millis();
+            if (!pool().coldAdmission().holds(server, claimed, sentMs)) {
+                on.rest(sentMs);
+                end();
+                Exchange.this.send();
+                return;
+            }
             connection = on;
             sends++;
-            sentMs = SteadyClock.millis();
             on.send(OutgoingRequest.build(request, body, admitted, server, relay.lastEventId(), leftMs()), admitted.id(),
                     this);
         }
@@ -225,6 +235,10 @@
         @Override
         public void head(HttpResponse response) {
             head = response;
+            String warmup = response.headers().get(HopHeaders.WARMUP);
+            if (warmup != null) {
+                server.warmth().answered(HopHeaders.milliseconds(warmup), SteadyClock.millis());
+            }
             notExecuted = response.headers().contains(HopHeaders.NOT_EXECUTED) || response.status().code() == 421;
             boolean success = response.status().code() / 100 == 2;
             if (success && !response.headers().contains(HopHeaders.SIGNATURE)) {
--- a/src/main/java/routerfleet/data/HopHeaders.java
+++ b/src/main/java/routerfleet/data/HopHeaders.java
@@ -19,6 +19,7 @@
     static final AsciiString TOKEN_USAGE = AsciiString.cached("Rowanplank-Token-Usage");
     static final AsciiString PROMPT_PREFIX = AsciiString.cached("Rowanplank-Prompt-Prefix");
     static final AsciiString LAST_EVENT_ID = AsciiString.cached("Last-Event-Id");
+    static final AsciiString WARMUP = AsciiString.cached("Rowanplank-Warmup-Ms");
     static final AsciiString PRIORITY = AsciiString.cached("Priority");
 
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
@@ -28,6 +29,15 @@
 
     private HopHeaders() { }
 
+    /** The whole milliseconds of a header; 0 where it holds no number. */
+    static long milliseconds(String value) {
+        try {
+            return (long) Double.parseDouble(value.strip());
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /** Headers without any checks: what is put in has been checked as it was read. */
     static HttpHeaders fresh() {
         return DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
--- a/src/main/java/routerfleet/data/RoutingTable.java
+++ b/src/main/java/routerfleet/data/RoutingTable.java
@@ -119,6 +119,11 @@
         return backends.get(name);
     }
 
+    /** All services. */
+    Iterable<BackendConfig> backends() {
+        return backends.values();
+    }
+
     /** The tenant that holds a key; null where none does. */
     TenantConfig tenant(String key) {
         return keys.get(key);
--- a/src/main/java/routerfleet/data/Server.java
+++ b/src/main/java/routerfleet/data/Server.java
@@ -23,6 +23,8 @@
     private final String zone;
     private final ZoneReach zoneReach;
     private final Deque<Idle> idle = new ArrayDeque<>();
+    private final Warmth warmth = new Warmth();
+    private final ColdAdmission.Permission permission = new ColdAdmission.Permission();
     private int capacity;
     private boolean listed;
     private boolean keptForShort;
@@ -68,6 +70,16 @@
         return zone;
     }
 
+    /** Until when it counts as cold. */
+    Warmth warmth() {
+        return warmth;
+    }
+
+    /** This node's permission for it while it is cold. */
+    ColdAdmission.Permission permission() {
+        return permission;
+    }
+
     int capacity() {
         return capacity;
     }
--- a/src/main/java/routerfleet/data/ServerPool.java
+++ b/src/main/java/routerfleet/data/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import rowanplank.neural.Neuron;
 import rowanplank.neural.RandomNeuralNetwork;
+import routerfleet.wire.HashMix;
 
 /**
  * The listed servers of one service, and the choice among them.
@@ -17,6 +18,8 @@
  * shared, the two are drawn from a hash ring: the servers where that part has been read before. Long and short prompts are
  * kept apart where there are both ({@link ServerGroups}, {@link PromptSeparation}).
  *
+ * <p>Cold servers take part only where the node has a permission for them now ({@link ColdAdmission}).
+ *
  * <p>Cost of a choice: two draws, or a binary search on the ring. Bound: {@value #MOST_CLASSES} networks; further
  * classes share the last one.
  */
@@ -29,6 +32,8 @@
     private static final double WARM = 0.3;
     /** How much worse a server in the node's own zone may look than one elsewhere: bytes between zones are paid for. */
     private static final double NEAR = 1.5;
+    /** How much worse a cold server may look that the node has a permission for: a warm one can be had at any time. */
+    private static final double COLD = 1.5;
     /** Requests that both count for beside those in flight, so that a few of them do not send a part elsewhere. */
     private static final double WARM_DEPTH = 4;
 
@@ -40,6 +45,7 @@
 
     private final SplittableRandom random;
     private final RestLimit restLimit = new RestLimit();
+    private final ColdAdmission coldAdmission;
     private final List<Server> servers = new ArrayList<>();
     private final Map<String, ClassNetwork> classes = new HashMap<>();
     private final PromptSeparation separation = new PromptSeparation();
@@ -50,6 +56,7 @@
     /** @param zone the node's own */
     ServerPool(long seed, String zone) {
         random = new SplittableRandom(seed);
+        coldAdmission = new ColdAdmission(HashMix.mix(seed));
         this.zone = zone;
         groups = new ServerGroups(servers, zone);
     }
@@ -59,6 +66,11 @@
         return restLimit;
     }
 
+    /** Which requests may go to its cold servers. */
+    ColdAdmission coldAdmission() {
+        return coldAdmission;
+    }
+
     int size() {
         return servers.size();
     }
@@ -140,8 +152,8 @@
         separation.came(profile.isLong());
         ClassNetwork network = network(profile.requestClass());
         Server chosen = profile.prefix().isShared() ? fromRing(network, profile.prefix(), limit, tried, nowMs)
-                : ofTwo(network, candidates(profile), limit, tried, nowMs);
-        return chosen != null ? chosen : any(network, limit, tried);
+                : orCold(network, ofTwo(network, candidates(profile), limit, tried, nowMs), limit, tried, nowMs);
+        return chosen != null ? chosen : any(network, limit, tried, nowMs);
     }
 
     private boolean separates() {
@@ -168,6 +180,17 @@
         return score(network, near) <= score(network, other) * (saves ? NEAR : 1) ? near : other;
     }
 
+    /** A permission for a cold server lasts one slice, and draws among all would seldom find it: it is looked for. */
+    private Server orCold(ClassNetwork network, Server warm, int limit, List<Server> tried, long nowMs) {
+        for (Server cold : coldAdmission.open(servers, nowMs)) {
+            boolean may = mayTake(cold, limit, tried, nowMs);
+            if (may && (warm == null || score(network, cold) <= score(network, warm) * COLD)) {
+                return cold;
+            }
+        }
+        return warm;
+    }
+
     private Server fromRing(ClassNetwork network, PromptPrefix prefix, int limit, List<Server> tried, long nowMs) {
         PrefixRing ring = groups.ring(separates());
         int start = ring.start(prefix.key());
@@ -196,15 +219,16 @@
         return null;
     }
 
-    private static boolean mayTake(Server server, int limit, List<Server> tried, long nowMs) {
-        return server.listed() && server.inFlight() < limit && !server.isAvoided(nowMs) && !tried.contains(server);
+    private boolean mayTake(Server server, int limit, List<Server> tried, long nowMs) {
+        return server.listed() && server.inFlight() < limit && !server.isAvoided(nowMs) && !tried.contains(server)
+                && coldAdmission.permits(server, nowMs);
     }
 
     /** Where all draws failed: whichever has room, one that is left alone only if there is no other. */
-    private Server any(ClassNetwork network, int limit, List<Server> tried) {
+    private Server any(ClassNetwork network, int limit, List<Server> tried, long nowMs) {
         Server best = null;
         for (Server server : servers) {
-            if (server.inFlight() < limit && !tried.contains(server)) {
+            if (server.inFlight() < limit && !tried.contains(server) && coldAdmission.permits(server, nowMs)) {
                 best = better(network, server, best);
             }
         }
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -201,11 +201,19 @@
     }
 
     private void enter(SessionRecord session) {
-        Server known = servers.get(session.uid());
-        if (known != null) {
-            known.capacity(session.capacity());
+        Server server = servers.get(session.uid());
+        if (server != null) {
+            server.capacity(session.capacity());
         } else if (!ended.contains(session.uid()) && servers.size() < MOST_SERVERS) {
-            servers.put(session.uid(), new Server(session, reach(session.zone())));
+            server = new Server(session, reach(session.zone()));
+            servers.put(session.uid(), server);
+        }
+        if (server != null) {
+            long nowMs = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong());
+            if (server.warmth().told(session.sequence(), session.warmupLeftMs(), nowMs)) {
+                LOG.log(System.Logger.Level.DEBUG, "server " + session.uid() + " of " + session.backend() + " is cold for "
+                        + session.warmupLeftMs() + " ms");
+            }
         }
     }
 
--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -190,15 +190,23 @@
         }
         Receiver done = receiver;
         receiver = null;
-        if (reusable && server.listed()) {
-            long now = SteadyClock.millis();
-            server.putIdle(this, now, now + usableIdleMs);
+        if (reusable) {
+            rest(SteadyClock.millis());
         } else {
             channel.close();
         }
         done.complete();
     }
 
+    /** No request needs it now: it waits for the next one. */
+    void rest(long nowMs) {
+        if (server.listed()) {
+            server.putIdle(this, nowMs, nowMs + usableIdleMs);
+        } else {
+            channel.close();
+        }
+    }
+
     private void fail(String why) {
         Receiver waiting = receiver;
         receiver = null;
--- a/src/main/java/routerfleet/wire/ConfigForm.java
+++ b/src/main/java/routerfleet/wire/ConfigForm.java
@@ -20,6 +20,8 @@
     private static final int IS_PUBLIC = 1;
     private static final int SESSION_AFFINITY = 2;
     private static final int STREAM_RESUME = 4;
+    private static final int HAS_ENGINE = 1;
+    private static final int HAS_WARMUP = 2;
     private static final ConfigOrder.Kind[] KINDS = ConfigOrder.Kind.values();
 
     private ConfigForm() { }
@@ -121,17 +123,23 @@
         return split;
     }
 
+    /** A byte that tells which parts follow; builds without warm-up wrote 1 or 0 there, which reads the same. */
     private static void writeBackend(Output out, BackendConfig backend) {
         out.writeString(backend.name());
         out.writeString(backend.healthCheck());
         out.writeVarInt(backend.maxConnections(), true);
         BackendConfig.Engine engine = backend.runtime();
-        out.writeBoolean(engine != null);
+        boolean warms = backend.warmupS() != 0 || backend.warmupPerS() != 0;
+        out.writeByte((engine != null ? HAS_ENGINE : 0) | (warms ? HAS_WARMUP : 0));
         if (engine != null) {
             out.writeVarInt(engine.capacity(), true);
             out.writeVarLong(engine.kvCapacity(), true);
             out.writeVarInt(engine.stride(), false);
         }
+        if (warms) {
+            out.writeDouble(backend.warmupS());
+            out.writeDouble(backend.warmupPerS());
+        }
     }
 
     private static BackendConfig readBackend(Input in) {
@@ -139,10 +147,14 @@
         String healthCheck = in.readString();
         int maxConnections = in.readVarInt(true);
         BackendConfig.Engine engine = null;
-        if (in.readBoolean()) {
+        int flags = in.readByte();
+        if ((flags & HAS_ENGINE) != 0) {
             engine = new BackendConfig.Engine(in.readVarInt(true), in.readVarLong(true), in.readVarInt(false));
         }
-        return new BackendConfig(name, healthCheck, maxConnections, engine);
+        boolean warms = (flags & HAS_WARMUP) != 0;
+        double warmupS = warms ? in.readDouble() : 0;
+        double warmupPerS = warms ? in.readDouble() : 0;
+        return new BackendConfig(name, healthCheck, maxConnections, engine, warmupS, warmupPerS);
     }
 
     private static void writeLimits(Output out, ClientLimits limits) {
--- a/src/main/java/routerfleet/wire/EarlierRecords.java
+++ b/src/main/java/routerfleet/wire/EarlierRecords.java
@@ -5,6 +5,7 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import com.esotericsoftware.kryo.serializers.ImmutableCollectionsSerializers;
+import com.esotericsoftware.kryo.serializers.RecordSerializer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -48,6 +49,7 @@
             kryo.register(type);
         }
         kryo.register(RouteConfig.class, new Routes()); // in its place above
+        kryo.register(BackendConfig.class, new Backends());
         int next = kryo.getNextRegistrationId() + MESSAGE_KINDS;
         for (Class<?> type : new Class<?>[] {Membership.class, ConfigChange.class, ConfigDocument.class,
                 ConfigStore.State.class, ConfigDelta.class}) {
@@ -81,4 +83,28 @@
             return ConfigForm.readRoute(in);
         }
     }
+
+    /** A service as it stood there, without its warm-up. */
+    private record EarlierBackend(String name, String healthCheck, int maxConnections, BackendConfig.Engine runtime) { }
+
+    /** Services, which have grown since. */
+    private static final class Backends extends Serializer<BackendConfig> {
+        private final RecordSerializer<EarlierBackend> earlier = new RecordSerializer<>(EarlierBackend.class);
+
+        Backends() {
+            super(false, true);
+        }
+
+        @Override
+        public void write(Kryo writer, Output out, BackendConfig backend) {
+            earlier.write(writer, out, new EarlierBackend(backend.name(), backend.healthCheck(),
+                    backend.maxConnections(), backend.runtime()));
+        }
+
+        @Override
+        public BackendConfig read(Kryo reader, Input in, Class<? extends BackendConfig> type) {
+            EarlierBackend read = earlier.read(reader, in, EarlierBackend.class);
+            return new BackendConfig(read.name(), read.healthCheck(), read.maxConnections(), read.runtime(), 0, 0);
+        }
+    }
 }
--- a/src/test/java/routerfleet/control/SessionTableTest.java
+++ b/src/test/java/routerfleet/control/SessionTableTest.java
@@ -75,4 +75,24 @@
         table.merge(record("t", Phase.DRAINING, 2), 0);
         assertThat(table.changesAfter(told), hasSize(1));
     }
+
+    private static SessionRecord warming(long sequence, long leftMs) {
+        return new SessionRecord("s", "llm", "127.0.0.1:80", "a", 8, Phase.READY, sequence, leftMs);
+    }
+
+    /** Guards FAILBACK: data nodes hear at once of a server that turns cold, and once only of one warm-up. */
+    @Test
+    void aServerThatTurnsColdIsToldAtOnce() {
+        SessionTable table = new SessionTable(1_000);
+        table.merge(warming(1, 3_000), 0);
+        assertThat("as it was told", table.merge(warming(2, 2_000), BEAT_NANOS), is(false));
+        assertThat("on its way for longer", table.merge(warming(3, 990), 2 * BEAT_NANOS + BEAT_NANOS / 20), is(false));
+        assertThat("warm", table.merge(warming(4, 0), 4 * BEAT_NANOS), is(false));
+        long told = table.revision();
+        assertThat("cold again", table.merge(warming(5, 3_000), 5 * BEAT_NANOS), is(true));
+        assertThat(table.changesAfter(told).get(0).session().warmupLeftMs(), is(3_000L));
+        assertThat("colder", table.merge(warming(6, 2_500), 6 * BEAT_NANOS), is(true));
+        assertThat("an earlier heartbeat", table.merge(warming(4, 9_000), 6 * BEAT_NANOS), is(false));
+        assertThat("warm much sooner", table.merge(warming(7, 0), 7 * BEAT_NANOS), is(true));
+    }
 }
--- a/src/test/java/routerfleet/data/ServerPoolTest.java
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import routerfleet.wire.SessionRecord;
 
@@ -166,4 +168,59 @@
         }
         assertThat(chosen.getOrDefault(servers.get(0), 0), is(greaterThan(chosen.getOrDefault(servers.get(1), 0))));
     }
+
+    /** Guards FAILBACK: a server that comes back cold looks idle to all nodes at one time, on every path of the choice. */
+    @Test
+    void nodesTogetherDoNotFloodAColdServer() {
+        int nodes = 84;
+        int mostASecond = 38;
+        double chance = WarmupRate.chance(WarmupRate.of(mostASecond), nodes);
+        List<ServerPool> pools = new ArrayList<>();
+        List<List<Server>> known = new ArrayList<>();
+        for (int node = 0; node < nodes; node++) {
+            ServerPool pool = new ServerPool(node, "a");
+            pool.coldAdmission().chance(chance);
+            known.add(fill(pool, 40));
+            known.get(node).get(0).warmth().told(2, 10_000, 0);
+            pools.add(pool);
+        }
+        SplittableRandom random = new SplittableRandom(3);
+        List<Long> arrivals = new ArrayList<>();
+        for (int i = 0; i < 8_000; i++) {
+            long now = i;
+            int node = random.nextInt(nodes);
+            boolean longOne = random.nextInt(6) == 0;
+            PromptPrefix prefix = longOne ? new PromptPrefix(random.nextInt(200) + 1, 9_000, 9_000) : PromptPrefix.NONE;
+            List<Server> tried = random.nextInt(10) == 0 ? known.get(node).subList(1, 38) : List.of();
+            Server server = pools.get(node).choose(profile("c", prefix), ROOM, tried, now);
+            if (server != null) {
+                pools.get(node).coldAdmission().claim(server, now);
+            }
+            if (server == known.get(node).get(0)) {
+                arrivals.add(now);
+            }
+        }
+        for (long from : arrivals) {
+            long inSecond = arrivals.stream().filter(at -> at >= from && at < from + 1_000).count();
+            assertThat(inSecond, is(lessThanOrEqualTo((long) mostASecond)));
+        }
+        assertThat("it gets what it may, half of the rate or more", arrivals.size(), is(greaterThan(8 * 6)));
+    }
+
+    /** Guards the refusal at once: where all are cold, only permissions are used. */
+    @Test
+    void whereAllServersAreColdOnlyPermissionsAreUsed() {
+        ServerPool pool = new ServerPool(1, "a");
+        fill(pool, 3).forEach(server -> server.warmth().told(2, 10_000, 0));
+        pool.coldAdmission().chance(0);
+        assertThat(pool.choose(profile("c", PromptPrefix.NONE), ROOM, List.of(), 10), is(nullValue()));
+        assertThat(pool.choose(profile("c", new PromptPrefix(7, 9_000, 9_000)), ROOM, List.of(), 10), is(nullValue()));
+        pool.coldAdmission().chance(1);
+        for (int i = 0; i < 3; i++) {
+            Server server = pool.choose(profile("c", PromptPrefix.NONE), ROOM, List.of(), 110);
+            assertThat(server, is(not(nullValue())));
+            pool.coldAdmission().claim(server, 110);
+        }
+        assertThat("each once", pool.choose(profile("c", PromptPrefix.NONE), ROOM, List.of(), 110), is(nullValue()));
+    }
 }
--- a/src/test/java/routerfleet/data/ServerRegistryTest.java
+++ b/src/test/java/routerfleet/data/ServerRegistryTest.java
@@ -102,4 +102,23 @@
         registry.evacuated(List.of("b"));
         assertThat(registry.pool("llm").servers(), is(List.of(before)));
     }
+
+    /** Guards FAILBACK: a server is known to be cold from the moment it is listed, and again when it turns cold. */
+    @Test
+    void aServerIsListedAsColdAsItSays() {
+        for (long sequence : new long[] {1, 2}) {
+            SessionRecord session = new SessionRecord("s1", "llm", "127.0.0.1:1000", "a", 16, SessionRecord.Phase.READY,
+                    2 * sequence, 60_000);
+            registry.told("10.0.0.1", new PeerMessage.SessionChanges(1, sequence, false,
+                    List.of(new SessionView(session, true))));
+            long nowMs = System.nanoTime() / 1_000_000;
+            assertThat(registry.pool("llm").servers().get(0).warmth().isCold(nowMs), is(true));
+            told(1, "s1", "llm", SessionRecord.Phase.READY);
+            assertThat("an earlier one", registry.pool("llm").servers().get(0).warmth().isCold(nowMs), is(true));
+            registry.told("10.0.0.1", new PeerMessage.SessionChanges(1, 1, false, List.of(new SessionView(
+                    new SessionRecord("s1", "llm", "127.0.0.1:1000", "a", 16, SessionRecord.Phase.READY,
+                            2 * sequence + 1, 0), true))));
+            assertThat("warm", registry.pool("llm").servers().get(0).warmth().isCold(nowMs), is(false));
+        }
+    }
 }
--- a/src/test/java/routerfleet/wire/PeerCodecTest.java
+++ b/src/test/java/routerfleet/wire/PeerCodecTest.java
@@ -129,7 +129,8 @@
         String split = Configurations.whole(3).replace("\"backend\":\"web\"",
                 "\"traffic_split\":[{\"backend\":\"web\",\"weight\":1.5}]");
         String bare = "{\"generation\":9,\"routes\":[{\"name\":\"r\"}],\"backends\":[{\"name\":\"b\",\"runtime\":"
-                + "{\"capacity\":3,\"kv_capacity\":70000000000,\"stride\":-1}}],\"tenants\":[{\"name\":\"t\"}]}";
+                + "{\"capacity\":3,\"kv_capacity\":70000000000,\"stride\":-1}},{\"name\":\"c\",\"warmup_s\":3.0,"
+                + "\"warmup_per_s\":22.5}],\"tenants\":[{\"name\":\"t\"}]}";
         for (String document : new String[] {"{\"generation\":1}", Configurations.whole(2), split, bare}) {
             FleetConfiguration read = ConfigJson.read(document.getBytes(StandardCharsets.UTF_8)).get();
             byte[] bytes = codec.encode(new PeerMessage.CommittedConfig(read.generation(), codec.encode(read)));
