Count servers as cold at the end of their zone's evacuation

Cause: servers may turn cold shortly before an evacuation is withdrawn, and their heartbeats come up to a second later. Now they count as cold until a heartbeat that is told later says otherwise, or 3.5 heartbeats, after which a server that could not say so is not live any more. Ruled out: to ask each server, which is a probe of each node to each of them. Evidence: ServerRegistryTest.serversOfAZoneThatWasEvacuatedCountAsColdUntilTheySayMore, red without the call.

--- a/src/main/java/routerfleet/data/DataNode.java
+++ b/src/main/java/routerfleet/data/DataNode.java
@@ -77,7 +77,8 @@
         this.settings = settings;
         // Choices need no secrecy, and a secure source costs each start some 10 ms; the name keeps nodes apart.
         random = new SplittableRandom(HashMix.of(settings.nodeName()) ^ System.nanoTime());
-        registry = new ServerRegistry(random.nextLong(), System::nanoTime, settings.zone());
+        registry = new ServerRegistry(random.nextLong(), System::nanoTime, settings.zone(),
+                settings.heartbeatMs());
         quotas = new QuotaClient(settings.bounds(), fleetSize, new QuotaTransport());
         plane = new DataPlane(loop, settings.bounds(), registry, quotas, fleetSize, random.nextLong());
         PeerCodec codec = new PeerCodec();
--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -30,6 +30,9 @@
     private static final int MOST_ENDED = 20_000;
     private static final int MOST_ZONES = 256;
     private static final long ABSENT_VIEW_MS = 3_000;
+    private static final long DEFAULT_HEARTBEAT_MS = 1_000;
+    /** A server that has said nothing for so many heartbeats is not live any more; one that has turned cold has said so. */
+    private static final double DOUBT_BEATS = 3.5;
 
     /** What one control node says. */
     private static final class View {
@@ -55,12 +58,23 @@
     private final long seed;
     private final LongSupplier nanoTime;
     private final String zone;
+    private final long doubtMs;
 
     /**
      * @param nanoTime the steady clock in nanoseconds
      * @param zone the node's own
      */
     ServerRegistry(long seed, LongSupplier nanoTime, String zone) {
+        this(seed, nanoTime, zone, DEFAULT_HEARTBEAT_MS);
+    }
+
+    /**
+     * @param nanoTime the steady clock in nanoseconds
+     * @param zone the node's own
+     * @param heartbeatMs how often a server sends its heartbeat
+     */
+    ServerRegistry(long seed, LongSupplier nanoTime, String zone, long heartbeatMs) {
+        doubtMs = (long) (heartbeatMs * DOUBT_BEATS);
         this.nanoTime = nanoTime;
         this.zone = zone;
         this.seed = seed;
@@ -146,9 +160,19 @@
                 "zone " + z + " is evacuated: " + count(z) + " servers there get nothing more"));
         before.stream().filter(z -> !evacuated.contains(z)).forEach(z -> LOG.log(System.Logger.Level.INFO,
                 "the evacuation of zone " + z + " ends: " + count(z) + " servers there may be used"));
+        long nowMs = nowMs();
+        for (Server server : servers.values()) {
+            if (before.contains(server.zone()) && !evacuated.contains(server.zone())) {
+                server.warmth().doubt(doubtMs, nowMs);
+            }
+        }
         reviewAll(servers.keySet());
     }
 
+    private long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong());
+    }
+
     private long count(String ofZone) {
         return servers.values().stream().filter(server -> server.zone().equals(ofZone)).count();
     }
@@ -209,8 +233,7 @@
             servers.put(session.uid(), server);
         }
         if (server != null) {
-            long nowMs = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong());
-            if (server.warmth().told(session.sequence(), session.warmupLeftMs(), nowMs)) {
+            if (server.warmth().told(session.sequence(), session.warmupLeftMs(), nowMs())) {
                 LOG.log(System.Logger.Level.DEBUG, "server " + session.uid() + " of " + session.backend() + " is cold for "
                         + session.warmupLeftMs() + " ms");
             }
--- a/src/test/java/routerfleet/data/ServerRegistryTest.java
+++ b/src/test/java/routerfleet/data/ServerRegistryTest.java
@@ -121,4 +121,20 @@
             assertThat("warm", registry.pool("llm").servers().get(0).warmth().isCold(nowMs), is(false));
         }
     }
+
+    /** Guards FAILBACK: servers may have turned cold shortly before the end of an evacuation, and their heartbeats lag. */
+    @Test
+    void serversOfAZoneThatWasEvacuatedCountAsColdUntilTheySayMore() {
+        told(1, "s1", "llm", SessionRecord.Phase.READY);
+        Server server = registry.pool("llm").servers().get(0);
+        registry.evacuated(List.of("a"));
+        registry.evacuated(List.of());
+        long nowMs = System.nanoTime() / 1_000_000;
+        assertThat(server.warmth().isCold(nowMs), is(true));
+        assertThat(server.warmth().isCold(nowMs + 3_300), is(true));
+        assertThat(server.warmth().isCold(nowMs + 3_600), is(false));
+        registry.evacuated(List.of("b"));
+        registry.evacuated(List.of());
+        assertThat("another zone", server.warmth().isCold(nowMs + 3_600), is(false));
+    }
 }
