Hold a server's end in more zones than may be lost

Callers would see: a server that was acknowledged as draining or gone gets requests again after its zone's machines are lost. Cause: copies of such a promise were counted by machines only. Where a zone has as many control nodes as copies are made, all of them may stand in that zone, though fault_tolerance says that it may be lost. Now a promise stands once enough control nodes hold it in one zone more than may be lost, as far as the known ones stand in so many (the rule that tallies had; ControlPeers.span is now the one place for it). Each node counts once. Evidence: with copies counted as before, anEndIsAcknowledgedOnlyOnceItIsHeldInMoreZonesThanMayBeLost got 200 from one zone.

--- a/src/main/java/routerfleet/control/ControlPeers.java
+++ b/src/main/java/routerfleet/control/ControlPeers.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -68,6 +69,11 @@
         }
     }
 
+    /** This node's own address. */
+    String selfIp() {
+        return selfIp;
+    }
+
     List<String> known() {
         List<String> all = new ArrayList<>(known);
         all.add(selfIp);
@@ -79,6 +85,22 @@
         return zones.get(ip);
     }
 
+    /**
+     * Whether control nodes stand in so many zones, as far as those that are known do.
+     *
+     * @param holders addresses, of which this node's may be one
+     * @param selfZone this node's own zone
+     */
+    boolean span(Set<String> holders, String selfZone, int zonesWanted) {
+        Set<String> all = new TreeSet<>(zones.values());
+        all.add(selfZone);
+        Set<String> held = new TreeSet<>();
+        holders.stream().map(ip -> ip.equals(selfIp) ? selfZone : zones.get(ip)).filter(Objects::nonNull)
+                .forEach(held::add);
+        int unknown = zones.keySet().containsAll(known) ? 0 : 1;
+        return held.size() >= Math.min(zonesWanted, all.size() + unknown);
+    }
+
     /** Addresses of the control nodes that are connected, this one included. */
     List<String> connected() {
         List<String> all = new ArrayList<>(outgoing.keySet());
@@ -194,7 +216,4 @@
         return incoming.values().stream().anyMatch(peer -> !replicas.contains(peer.replica()));
     }
 
-    int outgoingCount() {
-        return outgoing.size();
-    }
 }
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -143,7 +143,7 @@
         dataPlane = new DataNodeService(scheduler, random.nextLong() | 1, table, dataNodes, peers, replicas, freshness,
                 warmUntilNanos);
         takeEarlierSessions();
-        sessions = new SessionService(scheduler, table, peers, parts.copiesElsewhere(),
+        sessions = new SessionService(scheduler, table, peers, this::promiseIsHeld,
                 () -> dataNodes.present(scheduler.nanoTime()) > 0, dataPlane::changed, hints::keep);
         peers.start(new PeerDialer(scheduler, network, LinkTiming.CONTROL,
                 address -> new OutgoingListener(address.host())));
@@ -163,6 +163,11 @@
         }
     }
 
+    private boolean promiseIsHeld(Set<String> holders) {
+        return holders.size() > parts.copiesElsewhere()
+                && peers.span(holders, settings.zone(), settings.toleratedZones() + 1);
+    }
+
     private void keepSessions() {
         if (scheduler.nanoTime() - warmUntilNanos >= 0) {
             earlierSessions = List.of();
@@ -359,8 +364,6 @@
             link.send(grant(ask));
         } else if (message instanceof PeerMessage.Sessions told) {
             sessions.received(link, told);
-        } else if (message instanceof PeerMessage.SessionsAck ack) {
-            sessions.acknowledged(ack.id());
         } else if (message instanceof PeerMessage.SessionsDigest digest) {
             reconcileSessions(link, digest);
         } else if (message instanceof PeerMessage.ReadIndexRequest request) {
@@ -458,7 +461,11 @@
 
         @Override
         public void received(PeerLink link, PeerMessage message) {
-            ControlService.this.received(link, message);
+            if (message instanceof PeerMessage.SessionsAck ack) {
+                sessions.acknowledged(ack.id(), ip);
+            } else {
+                ControlService.this.received(link, message);
+            }
         }
 
         @Override
--- a/src/main/java/routerfleet/control/SessionService.java
+++ b/src/main/java/routerfleet/control/SessionService.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -14,8 +16,8 @@
 
 /**
  * Takes heartbeats of model servers and replicates them to the other control nodes. That a server drains or is gone is
- * acknowledged only once so many control nodes hold it on disk that the loss of the tolerated number leaves one that does.
- * That it is ready is no promise, and is taken on each side of a partition, by nodes that can tell anyone of it. Tables are
+ * acknowledged only once so many control nodes hold it on disk, in so many zones, that the losses to be borne leave one that
+ * does. That it is ready is no promise, and is taken on each side of a partition, by nodes that can tell anyone of it. Tables are
  * reconciled by digests.
  */
 final class SessionService {
@@ -24,21 +26,26 @@
     private static final int UNAVAILABLE = 503;
     private static final int BAD_REQUEST = 400;
 
+    /** Where a promise has to be held. */
+    interface Copies {
+        /** Whether a promise that these control nodes hold outlives the losses to be borne. */
+        boolean suffice(Set<String> holders);
+    }
+
     /** A record that waits to be on the disks of enough nodes, this one among them. */
     private static final class Pending {
         private final Consumer<ControlHttp.Response> answer;
-        private int missing;
+        private final Set<String> holders = new TreeSet<>();
 
-        Pending(Consumer<ControlHttp.Response> answer, int missing) {
+        Pending(Consumer<ControlHttp.Response> answer) {
             this.answer = answer;
-            this.missing = missing;
         }
     }
 
     private final Scheduler scheduler;
     private final SessionTable table;
     private final ControlPeers peers;
-    private final int copiesElsewhere;
+    private final Copies copies;
     private final BooleanSupplier dataNodesPresent;
     private final Runnable changed;
     private final Consumer<Runnable> disk;
@@ -46,18 +53,18 @@
     private long lastId;
 
     /**
-     * @param copiesElsewhere how many other control nodes have to hold a promise
+     * @param copies how many control nodes have to hold a promise, and where
      * @param dataNodesPresent whether data nodes ask this node
      * @param changed run when data nodes have to hear of something
      * @param disk keeps the table on disk, and runs what it is given once it is there
      */
-    SessionService(Scheduler scheduler, SessionTable table, ControlPeers peers, int copiesElsewhere,
+    SessionService(Scheduler scheduler, SessionTable table, ControlPeers peers, Copies copies,
             BooleanSupplier dataNodesPresent, Runnable changed, Consumer<Runnable> disk) {
         this.disk = disk;
         this.scheduler = scheduler;
         this.table = table;
         this.peers = peers;
-        this.copiesElsewhere = copiesElsewhere;
+        this.copies = copies;
         this.dataNodesPresent = dataNodesPresent;
         this.changed = changed;
     }
@@ -84,7 +91,7 @@
     private void take(SessionRecord session, Consumer<ControlHttp.Response> answer) {
         merge(session);
         SessionRecord merged = table.find(session.uid());
-        boolean connected = peers.outgoingCount() >= copiesElsewhere;
+        boolean connected = copies.suffice(Set.copyOf(peers.connected()));
         if (merged == null) {
             answer.accept(ControlHttp.Response.error(UNAVAILABLE, "too many sessions"));
         } else if (merged.phase() == SessionRecord.Phase.READY) {
@@ -104,9 +111,9 @@
             return;
         }
         long id = ++lastId;
-        pending.put(id, new Pending(answer, copiesElsewhere + 1));
+        pending.put(id, new Pending(answer));
         peers.sendToAll(new PeerMessage.Sessions(id, List.of(session)));
-        disk.accept(() -> acknowledged(id));
+        disk.accept(() -> acknowledged(id, peers.selfIp()));
         scheduler.schedule(() -> {
             Pending late = pending.remove(id);
             if (late != null) {
@@ -129,9 +136,10 @@
         return known != null && known.phase().compareTo(session.phase()) >= 0;
     }
 
-    void acknowledged(long id) {
+    /** @param ip the control node that has it on disk, which may be this one */
+    void acknowledged(long id, String ip) {
         Pending waiting = pending.get(id);
-        if (waiting != null && --waiting.missing == 0) {
+        if (waiting != null && waiting.holders.add(ip) && copies.suffice(waiting.holders)) {
             pending.remove(id);
             waiting.answer.accept(ControlHttp.Response.ok());
         }
--- a/src/main/java/routerfleet/control/TallyReach.java
+++ b/src/main/java/routerfleet/control/TallyReach.java
@@ -95,25 +95,8 @@
     }
 
     private boolean isFull(Set<String> others) {
-        Set<String> known = new TreeSet<>(peers.known());
-        Set<String> spanned = new TreeSet<>(Set.of(selfZone));
-        boolean unknownZone = false;
-        for (String ip : known) {
-            String zone = ip.equals(selfIp) ? selfZone : peers.zone(ip);
-            if (zone == null) {
-                unknownZone = true;
-            } else {
-                spanned.add(zone);
-            }
-        }
-        Set<String> held = new TreeSet<>(Set.of(selfZone));
-        for (String ip : others) {
-            String zone = peers.zone(ip);
-            if (zone != null) {
-                held.add(zone);
-            }
-        }
-        int neededZones = Math.min(zones, spanned.size() + (unknownZone ? 1 : 0));
-        return others.size() + 1 >= Math.min(copies, known.size()) && held.size() >= neededZones;
+        Set<String> holders = new TreeSet<>(others);
+        holders.add(selfIp);
+        return holders.size() >= Math.min(copies, peers.known().size()) && peers.span(holders, selfZone, zones);
     }
 }
--- a/src/test/java/routerfleet/control/SessionServiceTest.java
+++ b/src/test/java/routerfleet/control/SessionServiceTest.java
@@ -10,13 +10,17 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import routerfleet.settings.HostPort;
 import routerfleet.simulation.VirtualProcess;
 import routerfleet.simulation.VirtualWorld;
 import routerfleet.wire.LinkTiming;
 import routerfleet.wire.PeerCodec;
+import routerfleet.wire.PeerDialer;
 import routerfleet.wire.PeerLink;
 import routerfleet.wire.PeerMessage;
+import routerfleet.wire.PeerNetwork;
 import routerfleet.wire.SessionRecord;
 
 /** What a control node tells another one that it holds. */
@@ -26,8 +30,9 @@
     private final SessionTable table = new SessionTable(1_000);
     private final Deque<Runnable> disk = new ArrayDeque<>();
     private boolean dataNodesAreThere = true;
-    private final SessionService service = new SessionService(process, table, new ControlPeers("10.0.0.1", 7_001), 1,
-            () -> dataNodesAreThere, () -> { }, disk::add);
+    private final ControlPeers peers = new ControlPeers("10.0.0.1", 7_001);
+    private final SessionService service = new SessionService(process, table, peers,
+            holders -> holders.size() > 1 && peers.span(holders, "a", 2), () -> dataNodesAreThere, () -> { }, disk::add);
     private final List<PeerMessage> sent = new ArrayList<>();
     private final PeerLink link = new PeerLink(codec, process, LinkTiming.CONTROL, new Unheard(), new Wire());
 
@@ -76,6 +81,19 @@
         }
     }
 
+    /** Connects to nobody. */
+    private static final class NoNetwork implements PeerNetwork {
+        @Override
+        public Connection connect(HostPort address, LinkTiming timing, PeerLink.Listener listener, Runnable ended) {
+            return () -> { };
+        }
+
+        @Override
+        public Listener listen(HostPort address, LinkTiming timing, Supplier<PeerLink.Listener> listeners) {
+            throw new UnsupportedOperationException("nobody listens");
+        }
+    }
+
     private static SessionRecord server(String uid, SessionRecord.Phase phase) {
         return new SessionRecord(uid, "llm", "10.0.0.9:80", "a", 12, phase, 9, 0);
     }
@@ -133,4 +151,38 @@
         assertThat(heartbeat("a", "ready"), is(503));
         assertThat(table.find("a").phase(), is(SessionRecord.Phase.READY));
     }
+
+    private void introduce(String ip, String zone) {
+        peers.introduced(new PeerLink(codec, process, LinkTiming.CONTROL, new Unheard(), new Wire()),
+                new PeerMessage.ControlHello("core", ip, zone, ip + "/0", List.of()), process.nanoTime());
+        peers.outgoingOpened(ip, link);
+    }
+
+    /** Guards DRAIN against the loss of a zone: copies in one zone are lost together. */
+    @Test
+    void anEndIsAcknowledgedOnlyOnceItIsHeldInMoreZonesThanMayBeLost() {
+        peers.start(new PeerDialer(process, new NoNetwork(), LinkTiming.CONTROL, address -> new Unheard()));
+        introduce("10.0.0.2", "a");
+        introduce("10.0.0.3", "b");
+        List<Integer> statuses = new ArrayList<>();
+        service.deregister("a", response -> statuses.add(response.status()));
+        disk.poll().run();
+        service.acknowledged(1, "10.0.0.2");
+        assertThat(statuses, empty());
+        service.acknowledged(1, "10.0.0.3");
+        assertThat(statuses, contains(200));
+    }
+
+    /** Guards acknowledgements where a disk hangs: those of enough others will do. */
+    @Test
+    void anEndThatEnoughOthersHoldIsAcknowledgedWithoutTheDiskHere() {
+        peers.start(new PeerDialer(process, new NoNetwork(), LinkTiming.CONTROL, address -> new Unheard()));
+        introduce("10.0.0.2", "a");
+        introduce("10.0.0.3", "b");
+        List<Integer> statuses = new ArrayList<>();
+        service.deregister("a", response -> statuses.add(response.status()));
+        service.acknowledged(1, "10.0.0.2");
+        service.acknowledged(1, "10.0.0.3");
+        assertThat(statuses, contains(200));
+    }
 }
