Spread the replicas so that no zone's loss takes the majority

Callers would see: after the loss of one zone, which fault_tolerance allows, no order is taken and no removed key confirmed. Cause: ReplicaPlanner chose members by machines only. A group of three among five control nodes may have two members in one zone, as the seeds may stand there. Now free places go to the zone with the fewest members, and where zones may be lost and one holds a majority, one of its members gives way to a newcomer of another zone that holds everything, in one step as all changes. Evidence: with the earlier choice noZoneKeepsAMajorityWhereAnotherZoneHasANewcomer and aPlaceGoesToTheZoneWithTheFewestMembers fail. Ruled out: groups that are thinner or lose their leader (noPresenceMakesTheGroupThinnerThanItHasToBe, 20,000 presences).

--- a/src/main/java/routerfleet/control/ControlParts.java
+++ b/src/main/java/routerfleet/control/ControlParts.java
@@ -11,16 +11,19 @@
 class ControlParts {
     /** How many control nodes may be lost at once, with their disks. */
     protected final int toleratedHosts;
+    /** How many zones may be. */
+    protected final int toleratedZones;
     private final Executor examiners;
 
     /** With orders examined on the replica's own thread, as simulations need it. */
     ControlParts(int toleratedHosts) {
-        this(toleratedHosts, Runnable::run);
+        this(toleratedHosts, 0, Runnable::run);
     }
 
     /** @param examiners where orders are examined, one at a time */
-    ControlParts(int toleratedHosts, Executor examiners) {
+    ControlParts(int toleratedHosts, int toleratedZones, Executor examiners) {
         this.toleratedHosts = toleratedHosts;
+        this.toleratedZones = toleratedZones;
         this.examiners = examiners;
     }
 
@@ -29,7 +32,7 @@
     }
 
     ReplicaPlanner planner(String self) {
-        return new ReplicaPlanner(self, toleratedHosts);
+        return new ReplicaPlanner(self, toleratedHosts, toleratedZones);
     }
 
     Freshness freshness(Scheduler scheduler, ReplicaGroup group, ControlPeers peers, long firstId) {
--- a/src/main/java/routerfleet/control/ControlPeers.java
+++ b/src/main/java/routerfleet/control/ControlPeers.java
@@ -162,8 +162,13 @@
         return incoming.get(link);
     }
 
-    /** Which control nodes have a connection to this one. @param holdsAll whether a replica holds all that is decided */
-    ReplicaPlanner.Presence presence(long nowNanos, Predicate<String> holdsAll) {
+    /**
+     * Which control nodes have a connection to this one.
+     *
+     * @param selfZone this node's own zone
+     * @param holdsAll whether a replica holds all that is decided
+     */
+    ReplicaPlanner.Presence presence(String selfZone, long nowNanos, Predicate<String> holdsAll) {
         return new ReplicaPlanner.Presence() {
             @Override
             public List<String> replicas() {
@@ -180,6 +185,11 @@
                 return incoming.values().stream().anyMatch(p -> p.leaving() && p.replica().equals(replica));
             }
 
+            @Override
+            public String zone(String ip) {
+                return ip.equals(selfIp) ? selfZone : zones.get(ip);
+            }
+
             @Override
             public long absentMs(String ip) {
                 return ControlPeers.this.absentMs(ip, nowNanos);
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -285,7 +285,7 @@
         peers.forget(kept, now);
         replicas.watchDisk();
         if (replicas.leads()) {
-            reconcileReplicas(peers.presence(now, replicas::holdsAll));
+            reconcileReplicas(peers.presence(settings.zone(), now, replicas::holdsAll));
         }
     }
 
--- a/src/main/java/routerfleet/control/ReplicaPlanner.java
+++ b/src/main/java/routerfleet/control/ReplicaPlanner.java
@@ -1,6 +1,7 @@
 package routerfleet.control;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -15,6 +16,8 @@
  * <li>A group grows until it bears the losses that it has to, and no further: a member more may be one that is gone for
  *     good without a successor, and would then count for the majority for ever. Control nodes beyond that hold everything
  *     without a vote and are there to take a place.
+ * <li>Places go to newcomers in the zones with the fewest members. Where zones may be lost and the loss of one would take the
+ *     majority, one of its members gives way to a newcomer of another zone.
  * </ul>
  *
  * <p>So the group never has fewer than 2 f + 1 members once it had them, and what is decided is on f + 1 disks at least.
@@ -35,20 +38,26 @@
         /** Whether a replica's node has said that it is about to stop. */
         boolean isLeaving(String replica);
 
+        /** The zone of the control node at an address; null where it is not known. */
+        String zone(String ip);
+
         /** For how long the control node at an address has not been connected, in milliseconds; 0 while it is. */
         long absentMs(String ip);
     }
 
     private final String self;
     private final int wantedReplicas;
+    private final boolean bearsZoneLoss;
 
     /**
      * @param self name of this node's replica
      * @param toleratedHosts how many control nodes may be lost at once
+     * @param toleratedZones how many zones may be
      */
-    ReplicaPlanner(String self, int toleratedHosts) {
+    ReplicaPlanner(String self, int toleratedHosts, int toleratedZones) {
         this.self = self;
         wantedReplicas = Math.max(LEAST_REPLICAS, 2 * toleratedHosts + 1);
+        bearsZoneLoss = toleratedZones > 0;
     }
 
     /** @return the replicas that the group should have next; the same list where nothing is to be changed */
@@ -62,14 +71,53 @@
         List<String> next = new ArrayList<>(replicas);
         for (String done : doneWith(replicas, presence)) {
             if (!newcomers.isEmpty()) {
-                next.set(next.indexOf(done), newcomers.remove(0));
+                next.set(next.indexOf(done), take(newcomers, next, done, presence));
             } else if (presence.isLeaving(done) && next.size() > wantedReplicas) {
                 next.remove(done);
             }
         }
-        int missing = Math.max(0, wantedReplicas - next.size());
-        next.addAll(newcomers.subList(0, Math.min(missing, newcomers.size())));
-        return next;
+        while (next.size() < wantedReplicas && !newcomers.isEmpty()) {
+            next.add(take(newcomers, next, null, presence));
+        }
+        return bearsZoneLoss && next.equals(replicas) ? spread(next, newcomers, presence) : next;
+    }
+
+    /** The newcomer in whose zone the fewest members are, without the one that gives way. */
+    private static String take(List<String> newcomers, List<String> members, String done, Presence presence) {
+        List<String> staying = new ArrayList<>(members);
+        staying.remove(done);
+        String best = newcomers.stream().min(Comparator.comparingLong(n -> inZone(zone(n, presence), staying, presence)))
+                .orElseThrow();
+        newcomers.remove(best);
+        return best;
+    }
+
+    /** Where a zone's loss would take the majority, one of its members gives way to a newcomer of another zone. */
+    private List<String> spread(List<String> replicas, List<String> newcomers, Presence presence) {
+        for (String member : replicas) {
+            String crowded = zone(member, presence);
+            boolean takesMajority = replicas.size() - inZone(crowded, replicas, presence) <= replicas.size() / 2;
+            if (crowded == null || member.equals(self) || !takesMajority) {
+                continue;
+            }
+            for (String newcomer : newcomers) {
+                String zone = zone(newcomer, presence);
+                if (zone != null && inZone(zone, replicas, presence) + 1 < inZone(crowded, replicas, presence)) {
+                    List<String> next = new ArrayList<>(replicas);
+                    next.set(next.indexOf(member), newcomer);
+                    return next;
+                }
+            }
+        }
+        return replicas;
+    }
+
+    private static String zone(String replica, Presence presence) {
+        return presence.zone(ReplicaNames.ip(replica));
+    }
+
+    private static long inZone(String zone, List<String> replicas, Presence presence) {
+        return zone == null ? 0 : replicas.stream().filter(r -> zone.equals(zone(r, presence))).count();
     }
 
     /** Control nodes that are connected and have no vote. */
--- a/src/test/java/routerfleet/control/FaultyParts.java
+++ b/src/test/java/routerfleet/control/FaultyParts.java
@@ -95,7 +95,7 @@
 
     @Override
     ReplicaPlanner planner(String self) {
-        return new ReplicaPlanner(self, toleratedHosts) {
+        return new ReplicaPlanner(self, toleratedHosts, toleratedZones) {
             @Override
             List<String> next(List<String> replicas, Presence presence) {
                 return switch (fault) {
--- a/src/test/java/routerfleet/control/GroupSimulation.java
+++ b/src/test/java/routerfleet/control/GroupSimulation.java
@@ -170,7 +170,7 @@
         if (leader == null || !decided) {
             return;
         }
-        List<String> wanted = new ReplicaPlanner(leader.replica, tolerated).next(voters, presence());
+        List<String> wanted = new ReplicaPlanner(leader.replica, tolerated, 0).next(voters, presence());
         if (!wanted.equals(voters)) {
             wanted.stream().filter(v -> !voters.contains(v)).forEach(holders::add); // else it would not be wanted
             voters = new ArrayList<>(wanted);
@@ -198,6 +198,11 @@
                 return false;
             }
 
+            @Override
+            public String zone(String ip) {
+                return null;
+            }
+
             @Override
             public long absentMs(String ip) {
                 for (Machine machine : machines) {
--- a/src/test/java/routerfleet/control/ReplicaPlannerTest.java
+++ b/src/test/java/routerfleet/control/ReplicaPlannerTest.java
@@ -29,6 +29,7 @@
         private final Map<String, Long> absent = new HashMap<>();
         private final Set<String> leaving = new HashSet<>();
         private final Set<String> behind = new HashSet<>();
+        private final Map<String, String> zones = new HashMap<>();
 
         Nodes(String... present) {
             this.present = List.of(present);
@@ -49,6 +50,18 @@
             return this;
         }
 
+        Nodes in(String zone, String... replicas) {
+            for (String replica : replicas) {
+                zones.put(ReplicaNames.ip(replica), zone);
+            }
+            return this;
+        }
+
+        @Override
+        public String zone(String ip) {
+            return zones.get(ip);
+        }
+
         @Override
         public List<String> replicas() {
             return present;
@@ -71,7 +84,7 @@
     }
 
     private static List<String> next(int tolerated, List<String> replicas, Nodes nodes) {
-        return new ReplicaPlanner(SELF, tolerated).next(replicas, nodes);
+        return new ReplicaPlanner(SELF, tolerated, 1).next(replicas, nodes);
     }
 
     private static List<String> replaced(List<String> replicas, String old, String successor) {
@@ -204,4 +217,32 @@
             next.stream().filter(r -> !replicas.contains(r)).forEach(r -> assertThat(nodes.holdsAll(r), is(true)));
         }
     }
+
+    /** Guards the majority against the loss of a zone: the seeds of a fleet may stand in one. */
+    @Test
+    void noZoneKeepsAMajorityWhereAnotherZoneHasANewcomer() {
+        Nodes nodes = new Nodes(SECOND, THIRD, FOURTH, FIFTH).in("a", SELF, SECOND, THIRD).in("b", FOURTH, FIFTH);
+        List<String> once = next(1, THREE, nodes);
+        assertThat(once, is(replaced(THREE, SECOND, FOURTH)));
+        assertThat("two zones can't do better", next(1, once, nodes), is(once));
+        Nodes three = new Nodes(SECOND, THIRD, FOURTH, FIFTH).in("a", SELF, SECOND, THIRD).in("b", FOURTH).in("c", FIFTH);
+        assertThat(next(1, once, three), is(List.of(SELF, FOURTH, FIFTH)));
+        assertThat(next(1, THREE, nodes.behind(FOURTH).behind(FIFTH)), is(THREE));
+    }
+
+    /** Guards the spread of a group: a place that is free goes to the zone with the fewest members. */
+    @Test
+    void aPlaceGoesToTheZoneWithTheFewestMembers() {
+        Nodes nodes = new Nodes(THIRD, FOURTH, FIFTH).gone(SECOND, 60_000).in("a", SELF, FOURTH).in("b", SECOND)
+                .in("c", THIRD, FIFTH).in("b", FIFTH);
+        assertThat(next(1, THREE, nodes), is(replaced(THREE, SECOND, FIFTH)));
+    }
+
+    /** Guards groups that are spread well enough against needless changes. */
+    @Test
+    void aGroupThatOutlivesEachZoneStaysAsItIs() {
+        Nodes nodes = new Nodes(SECOND, THIRD, FOURTH, FIFTH, "10.0.0.6/6").in("a", SELF, SECOND).in("b", THIRD, FOURTH)
+                .in("c", FIFTH).in("d", "10.0.0.6/6");
+        assertThat(next(2, FIVE, nodes), is(FIVE));
+    }
 }
