--- a/src/main/java/routerfleet/control/ReplicaPlanner.java
+++ b/src/main/java/routerfleet/control/ReplicaPlanner.java
@@ -16,8 +16,8 @@
  * <li>A group grows until it bears the losses that it has to, and no further: a member more may be one that is gone for
  *     good without a successor, and would then count for the majority for ever. Control nodes beyond that hold everything
  *     without a vote and are there to take a place.
- * <li>Places go to newcomers in the zones with the fewest members. Where zones may be lost and the loss of one would take the
- *     majority, one of its members gives way to a newcomer of another zone.
+ * <li>Places go to newcomers in the zones with the fewest members. Where zones may be lost and the loss of one would take
+ *     the majority, one of its members gives way to a newcomer of another zone.
  * </ul>
  *
  * <p>So the group never has fewer than 2 f + 1 members once it had them, and what is decided is on f + 1 disks at least.
--- a/src/main/java/routerfleet/control/SessionService.java
+++ b/src/main/java/routerfleet/control/SessionService.java
@@ -16,9 +16,9 @@
 
 /**
  * Takes heartbeats of model servers and replicates them to the other control nodes. That a server drains or is gone is
- * acknowledged only once so many control nodes hold it on disk, in so many zones, that the losses to be borne leave one that
- * does. That it is ready is no promise, and is taken on each side of a partition, by nodes that can tell anyone of it. Tables are
- * reconciled by digests.
+ * acknowledged only once so many control nodes hold it on disk, in so many zones, that the losses to be borne leave one
+ * that does. That it is ready is no promise, and is taken on each side of a partition, by nodes that can tell anyone of it.
+ * Tables are reconciled by digests.
  */
 final class SessionService {
     private static final long ACK_TIMEOUT_MS = 850;
--- a/src/main/java/routerfleet/data/ZoneReach.java
+++ b/src/main/java/routerfleet/data/ZoneReach.java
@@ -1,9 +1,9 @@
 package routerfleet.data;
 
 /**
- * Whether servers of a zone can be reached from this node. A partition takes all of a zone's servers at once; to find it out
- * for each server alone would cost a connect timeout each. Where connects there time out and nothing in the zone has answered
- * since they began, the zone is left alone, and one request tries it in each {@value #PAUSE_MS} ms.
+ * Whether servers of a zone can be reached from this node. A partition takes all of a zone's servers at once; to find it
+ * out for each server alone would cost a connect timeout each. Where connects there time out and nothing in the zone has
+ * answered since they began, the zone is left alone, and one request tries it in each {@value #PAUSE_MS} ms.
  */
 final class ZoneReach {
     /** One time-out may be a server that is gone. */
