Take a connection for healed only once it has held, and compare all machines in the end

Cuts that begin before merge_ms past a healing now go on with it, tested both ways. Calls that have no answer when the run ends are not owed one. New: once nothing has been added for merge_ms, all machines have to tell the same in the last reads (DIFFERS).

--- a/src/test/java/routerfleet/control/TallyClients.java
+++ b/src/test/java/routerfleet/control/TallyClients.java
@@ -145,6 +145,9 @@
     }
 
     private void send(TallyHistory.Add add, String request, String zone, List<SimulatedMachine> order, int tries) {
+        if (world.nowMs() > endMs) {
+            return;
+        }
         SimulatedMachine machine = order.get(tries % order.size());
         // it may have been counted from now on: what has no answer yet stands as unclear
         int at = add.tries.size();
--- a/src/test/java/routerfleet/control/TallyHistoryCheckerTest.java
+++ b/src/test/java/routerfleet/control/TallyHistoryCheckerTest.java
@@ -208,11 +208,20 @@
         add("u", 3, call("a", 1, 1_000, 200));
         add("v", 4, call("a", 1, 1_100, 504));
         trouble(89_000, 89_500);
-        readsInTheEnd("b", 3);
+        readsInTheEnd("b", 7);
         readsInTheEnd("a", 7);
         verdict(nullValue());
     }
 
+    @Test
+    void machinesThatDifferInTheEnd() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        add("v", 4, call("a", 1, 1_100, 504));
+        readsInTheEnd("b", 3);
+        readsInTheEnd("a", 7);
+        verdict(breaks("DIFFERS"));
+    }
+
     @Test
     void aTallyThatCannotBeReadInTheEnd() {
         history.finalReads.add(new TallyHistory.Read("t", call("a", 1, 90_000, 503), 0));
@@ -237,6 +246,27 @@
         verdict(breaks("LOST"));
     }
 
+    @Test
+    void cutOffAgainBeforeTheFirstCutWasMadeUpFor() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        cut("c", "a", 19_000, 30_000);
+        cut("a", "b", 32_900, 40_000);
+        losesItsDisk("a", 42_900);
+        readsInTheEnd("b", 0);
+        verdict(nullValue());
+    }
+
+    @Test
+    void cutOffAgainOnceTheFirstCutWasMadeUpFor() {
+        add("u", 3, call("a", 1, 1_000, 200));
+        cut("a", "b", 500, 20_000);
+        cut("a", "b", 23_100, 40_000);
+        losesItsDisk("a", 30_000);
+        readsInTheEnd("b", 0);
+        verdict(breaks("LOST"));
+    }
+
     @Test
     void acknowledgedWhileCutOffAndAnotherMachineLosesItsDisk() {
         add("u", 3, call("a", 1, 1_000, 200));
