Ask at once for tally entries behind which others wait

Entry 328 of its origin came to both other nodes where 326 and 327 were missing: made while the node's own connections were not up yet, and after the others had told their vectors on theirs. It was dropped, and so was all behind it, until a vector of the regular exchange; and that brought only what was older than a tick, so under a steady stream the newest were missing again.

A node that gets an entry behind a missing one asks on the same connection, at most each 20 ms; the regular exchange gives all up to the newest entry.

--- a/src/main/java/routerfleet/control/TallyService.java
+++ b/src/main/java/routerfleet/control/TallyService.java
@@ -29,6 +29,8 @@
     private static final long TICK_MS = 250;
     private static final int MOST_NAME_LENGTH = 128;
     private static final int MOST_PIECE = 512;
+    /** How often another node is asked for what is missing before the entries that it sends. */
+    private static final long ASK_AGAIN_MS = 20;
     /** A node without a disk's content that reaches no other for so long tells what it has. */
     private static final long ALONE_MS = 2_000;
     private static final int OK = 200;
@@ -51,6 +53,7 @@
     private boolean filled;
     private boolean ready;
     private boolean evenTick;
+    private long askedMs;
     /** How far the journal went at the last tick: what a node lacks of that is not just on its way. */
     private JournalVector settled = JournalVector.EMPTY;
     private final TreeMap<String, JournalVector> told = new TreeMap<>();
@@ -94,6 +97,7 @@
     /** Begins, with what was loaded. */
     void begin() {
         reach.begin(scheduler.nanoTime());
+        askedMs = scheduler.millis() - ASK_AGAIN_MS;
         commits = new TallyCommits(scheduler, storage, journal, bounds, self,
                 entries -> peers.sendToAll(new PeerMessage.TallyEntries(entries, false, false)));
         adds = new TallyAdds(scheduler, commits,
@@ -190,9 +194,9 @@
             link.send(new PeerMessage.TallyBases(journal.bases()));
             return;
         }
-        JournalVector given = vector.asks() ? journal.vector() : settled;
-        List<JournalEntry> lacking = journal.behind(vector.held(), given, self, MOST_PIECE);
-        if (!lacking.isEmpty() || vector.asks()) {
+        boolean lacks = !journal.behind(vector.held(), settled, self, 1).isEmpty();
+        if (lacks || vector.asks()) {
+            List<JournalEntry> lacking = journal.behind(vector.held(), journal.vector(), self, MOST_PIECE);
             link.send(new PeerMessage.TallyEntries(lacking, lacking.size() >= MOST_PIECE, vector.asks()));
         }
     }
@@ -203,7 +207,7 @@
             Set<Origin> origins = new TreeSet<>();
             told.entries().forEach(entry -> origins.add(entry.origin()));
             origins.forEach(origin -> link.send(new PeerMessage.TallyHeld(self, origin, journal.last(origin))));
-            if (told.more()) {
+            if (told.more() || isBehind(told.entries()) && mayAskNow()) {
                 link.send(ask());
             } else if (told.answers()) {
                 filled = true;
@@ -211,6 +215,20 @@
         });
     }
 
+    /** Whether some before these are missing: with each new one that comes, all would wait for the next tick. */
+    private boolean isBehind(List<JournalEntry> entries) {
+        return entries.stream().anyMatch(entry -> entry.number() > journal.last(entry.origin()));
+    }
+
+    private boolean mayAskNow() {
+        long now = scheduler.millis();
+        if (now - askedMs < ASK_AGAIN_MS) {
+            return false;
+        }
+        askedMs = now;
+        return true;
+    }
+
     /** Another node has entries on its disk. */
     void received(PeerMessage.TallyHeld held) {
         copies.learn(held.holder(), held.origin(), held.upTo());
