Decide every order about an evacuation, so that none under way undoes it later

An operator's start that found its zone evacuated was acknowledged without an entry in the log. An end that was still under way then, held up on its way to the leader by a cut, built on the same revision and was taken afterwards: the zone got requests again (EVAC) though its evacuation had been acknowledged.

Each call is now decided as an entry that raises the revision, also where the zone is as wanted already; what was under way then builds on a state that is no more. Data nodes get the higher revision; the same zones change nothing for them. Ruled out: to look for orders under way, which may be in any node's log or buffer.

Played in virtual time (EvacuationSimulation): five control nodes, two data nodes, one operator a zone; cuts both ways and one way, kills, stand-stills, one lost disk at a time, slow disks, power lost for all in the moment of an acknowledgement. Callers in simulations that give up now close their connection, as real ones do.

--- a/src/main/java/routerfleet/config/Evacuations.java
+++ b/src/main/java/routerfleet/config/Evacuations.java
@@ -7,7 +7,7 @@
 /**
  * The evacuated zones: nothing new is sent to servers there. Immutable.
  *
- * @param revision counts the changes since the first state, which is 0; of two states the one with the higher is newer
+ * @param revision counts the orders taken since the first state, which is 0; the state with the higher one is newer
  * @param zones in their natural order
  */
 public record Evacuations(long revision, List<String> zones) {
@@ -23,17 +23,15 @@
         return zones.contains(zone);
     }
 
-    /** Whether a zone is already as an order wants it. */
-    public boolean isAsWanted(EvacuationOrder order) {
-        return includes(order.zone()) == order.start();
-    }
-
-    /** Whether an order may be taken: it builds on this state, and changes it. */
+    /** Whether an order may be taken: it builds on this state. */
     public boolean takes(EvacuationOrder order) {
-        return order.baseRevision() == revision && !isAsWanted(order);
+        return order.baseRevision() == revision;
     }
 
-    /** The state that an order which is taken leads to. */
+    /**
+     * The state that an order which is taken leads to. The revision rises also where the zone is as it was before: an
+     * earlier order that is still under way must not be taken after this one is acknowledged.
+     */
     public Evacuations after(EvacuationOrder order) {
         Set<String> changed = new TreeSet<>(zones);
         if (order.start()) {
--- a/src/main/java/routerfleet/control/EvacuationService.java
+++ b/src/main/java/routerfleet/control/EvacuationService.java
@@ -17,9 +17,10 @@
 import routerfleet.wire.Scheduler;
 
 /**
- * Takes operators' calls about evacuations. The newest state is learnt first; where a zone is not as wanted, an order that
- * builds on that state goes to the leader, and where another one was before it, all is done again. This goes on for
- * {@value #CALL_MS} ms and only while the caller waits, so that a call that was held up can't undo a later one.
+ * Takes operators' calls about evacuations. The newest state is learnt first; an order that builds on that state goes to
+ * the leader, and where another one was before it, all is done again. This goes on for {@value #CALL_MS} ms and only
+ * while the caller waits, so that a call that was held up can't undo a later one. Where the zone is as wanted already an
+ * order is decided all the same: it fences off earlier ones that are still under way.
  *
  * <p>Bound: {@value #MOST_CALLS} calls at one time.
  */
@@ -149,8 +150,6 @@
         EvacuationOrder order = call.on(group.evacuations());
         if (group.isHalted() || !call.callerWaits()) {
             finish(id, unavailable());
-        } else if (group.evacuations().isAsWanted(order)) {
-            finish(id, ControlHttp.Response.ok());
         } else {
             call.orders++;
             send(id, order, call);
--- a/src/test/java/routerfleet/control/FaultyStore.java
+++ b/src/test/java/routerfleet/control/FaultyStore.java
@@ -5,6 +5,7 @@
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.config.EvacuationOrder;
 
 /** A configuration store with a planted fault. */
 final class FaultyStore extends ConfigStore {
@@ -34,4 +35,15 @@
         }
         return super.apply(change);
     }
+
+    @Override
+    public boolean apply(EvacuationOrder order) {
+        boolean blind = fault == PlantedFault.EVACUATION_BASE_NOT_COMPARED;
+        return super.apply(blind ? new EvacuationOrder(evacuations().revision(), order.zone(), order.start()) : order);
+    }
+
+    @Override
+    public Object snapshot() {
+        return fault == PlantedFault.EVACUATIONS_NOT_IN_SNAPSHOTS ? state() : super.snapshot();
+    }
 }
--- a/src/test/java/routerfleet/control/SimulatedHttp.java
+++ b/src/test/java/routerfleet/control/SimulatedHttp.java
@@ -104,6 +104,7 @@
             channel.pipeline().addLast(new Pipe(call, process, machine.ip));
             fault.install(channel.pipeline(), handler);
             channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+            call.whenGivenUp(() -> process.execute(channel::close));
         });
     }
 
@@ -113,6 +114,8 @@
         private final StringBuilder received = new StringBuilder();
         private String place = "";
         private boolean over;
+        private boolean givenUp;
+        private Runnable close = () -> { };
 
         Call(int expected, Consumer<List<Answer>> answers) {
             this.expected = expected;
@@ -126,6 +129,15 @@
             }
         }
 
+        /** Who gives up closes its connection; what comes later than that is followed by the end of its connection. */
+        void whenGivenUp(Runnable closing) {
+            if (givenUp) {
+                closing.run();
+            } else {
+                close = closing;
+            }
+        }
+
         private List<Answer> read() {
             List<Answer> read = new ArrayList<>();
             String rest = received.toString();
@@ -154,6 +166,10 @@
             if (!over) {
                 over = true;
                 List<Answer> all = new ArrayList<>(read());
+                if (all.size() < expected) {
+                    givenUp = true;
+                    close.run();
+                }
                 while (all.size() < expected) {
                     all.add(Answer.NONE);
                 }
