Keep what builds without warm-up have stored, and read it in a test

Need: a service has grown by its warm-up within stored format 0x82. Evidence: bytes of a change and of a state, written by the build before, are read to the same values and written to the same bytes. Measured: PeerCodecTest green.

--- a/src/test/java/routerfleet/wire/PeerCodecTest.java
+++ b/src/test/java/routerfleet/wire/PeerCodecTest.java
@@ -189,6 +189,26 @@
         }
     }
 
+    /** Guards disks that builds without warm-up have written in this format: a service has grown since. */
+    @Test
+    void whatBuildsWithoutWarmUpHaveStoredIsReadAndWrittenTheSame() throws Exception {
+        String document = Configurations.whole(3).replace("\"backend\":\"web\"",
+                "\"traffic_split\":[{\"backend\":\"web\",\"weight\":1.5}]").replaceFirst("\"max_connections\":90",
+                "\"max_connections\":90,\"runtime\":{\"capacity\":12,\"kv_capacity\":369876,\"stride\":10}");
+        ConfigStore store = new ConfigStore();
+        store.apply(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, document.getBytes(StandardCharsets.UTF_8)));
+        store.apply(store.examine(ORDER).get());
+        List<Object> wanted = List.of(new ConfigChange(ORDER, ORDER.digest(), store.lastDelta()), store.state());
+        try (InputStream file = getClass().getResourceAsStream("/routerfleet/stored-by-format-0x82.txt")) {
+            List<String> lines = new String(file.readAllBytes(), StandardCharsets.UTF_8).lines().toList();
+            for (int i = 0; i < wanted.size(); i++) {
+                byte[] stored = Base64.getDecoder().decode(lines.get(i).split(" ")[1]);
+                assertThat(text(codec.decodeStored(stored, Object.class)), is(text(wanted.get(i))));
+                assertThat(Arrays.equals(codec.encode(wanted.get(i)), stored), is(true));
+            }
+        }
+    }
+
     @Test
     void bytesThatAreNoMessageAreToldAsSuch() {
         byte[] bytes = codec.encode(new PeerMessage.Ping(7));
