--- a/src/main/java/routerfleet/control/EvacuationService.java
+++ b/src/main/java/routerfleet/control/EvacuationService.java
@@ -17,10 +17,10 @@
 import routerfleet.wire.Scheduler;
 
 /**
- * Takes operators' calls about evacuations. The newest state is learnt first; an order that builds on that state goes to
- * the leader, and where another one was before it, all is done again. This goes on for {@value #CALL_MS} ms and only
- * while the caller waits, so that a call that was held up can't undo a later one. Where the zone is as wanted already an
- * order is decided all the same: it fences off earlier ones that are still under way.
+ * Takes operators' calls about evacuations. The newest state is learnt first; an order that builds on that state goes
+ * to the leader, and where another one was before it, all is done again. This goes on for {@value #CALL_MS} ms and only
+ * while the caller waits, so that a call that was held up can't undo a later one. Where the zone is as wanted already
+ * an order is decided all the same: it fences off earlier ones that are still under way.
  *
  * <p>Bound: {@value #MOST_CALLS} calls at one time.
  */
@@ -108,8 +108,8 @@
     private ControlHttp.Response state() {
         Evacuations current = group.evacuations();
         String names = current.zones().stream().map(zone -> "\"" + zone + "\"").collect(Collectors.joining(","));
-        return group.answersReads() ? new ControlHttp.Response(OK, ("{\"revision\":" + current.revision() + ",\"zones\":["
-                + names + "]}").getBytes(StandardCharsets.UTF_8)) : unavailable();
+        String text = "{\"revision\":" + current.revision() + ",\"zones\":[" + names + "]}";
+        return group.answersReads() ? new ControlHttp.Response(OK, text.getBytes(StandardCharsets.UTF_8)) : unavailable();
     }
 
     private static ControlHttp.Response unavailable() {
--- a/src/test/java/routerfleet/control/EvacuationSimulation.java
+++ b/src/test/java/routerfleet/control/EvacuationSimulation.java
@@ -156,7 +156,8 @@
 
     private void acknowledged(SimulatedMachine machine, boolean start) {
         int[] status = {0};
-        http.call(machine, SimulatedHttp.request("POST", path("a", start), "", ""), answer -> status[0] = answer.status());
+        String request = SimulatedHttp.request("POST", path("a", start), "", "");
+        http.call(machine, request, answer -> status[0] = answer.status());
         world.runUntilMs(world.nowMs() + 100);
         if (status[0] != 200) {
             throw new IllegalStateException("not acknowledged: " + status[0]);
@@ -255,9 +256,11 @@
         boolean startedSince = node.startedMs > settledMs && node.client.mayServe();
         boolean used = node.client.lists("s-" + zone);
         if (order.start() && used && (calm || startedSince)) {
-            found(node.ip + " uses the server in " + zone + " " + (now - settledMs) + " ms after its evacuation, at " + now);
+            found(node.ip + " uses the server in " + zone + " " + (now - settledMs) + " ms after its evacuation, at "
+                    + now);
         } else if (!order.start() && !used && calm) {
-            found(node.ip + " does not use the server in " + zone + " " + (now - settledMs) + " ms after the end, at " + now);
+            found(node.ip + " does not use the server in " + zone + " " + (now - settledMs) + " ms after the end, at "
+                    + now);
         }
     }
 
