Let only a node that holds everything fill one whose disk was lost

What callers could have seen: after two control nodes had lost their disks at one time, one of them answered the other's question for what it lacks with nothing, and the asker then told totals of 0 or a part of them with 200. Cause: any answer counted as filling. Change: a node says whether it is filled itself, which founders of a fleet are from the start; one that is not asks with each regular exchange, so that a lost question is asked again, and takes what it has for everything after 5 s, when nobody was there to fill it. Ruled out: a mark on disk for a node that restarts half filled; it counts as filled until the next exchange, open. Measured: TallyServiceTest.theAnswerOfANodeThatLacksEntriesItselfFillsNobody.

--- a/src/main/java/routerfleet/control/TallyService.java
+++ b/src/main/java/routerfleet/control/TallyService.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import routerfleet.journal.Journal;
 import routerfleet.journal.JournalEntry;
@@ -33,6 +34,8 @@
     private static final long ASK_AGAIN_MS = 20;
     /** A node without a disk's content that reaches no other for so long tells what it has. */
     private static final long ALONE_MS = 2_000;
+    /** After so long without an answer of a node that holds everything, there is none to wait for. */
+    private static final long FILLING_MS = 5_000;
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -49,8 +52,9 @@
     private Origin self;
     private TallyCommits commits;
     private TallyAdds adds;
-    /** Whether the disk held a journal, or another node has since given what it holds. */
+    /** Whether the disk held a journal, or there was none anywhere, or another filled node has given what it holds. */
     private boolean filled;
+    private final boolean firstStart;
     private boolean ready;
     private boolean evenTick;
     private long askedMs;
@@ -61,6 +65,7 @@
     TallyService(LocalSettings settings, Scheduler scheduler, ControlPeers peers, TallyStorage storage,
             TallyBounds bounds, TallyReach reach) {
         this.bounds = bounds;
+        firstStart = settings.bootstrap();
         this.ip = settings.ip();
         this.scheduler = scheduler;
         this.peers = peers;
@@ -78,6 +83,7 @@
         TallyStorage.Opened opened = storage.open();
         if (opened == null) {
             self = new Origin(ip, life);
+            filled = firstStart;
             return;
         }
         try {
@@ -98,7 +104,7 @@
         reach.begin(scheduler.nanoTime());
         askedMs = scheduler.millis() - ASK_AGAIN_MS;
         commits = new TallyCommits(scheduler, storage, journal, bounds, self,
-                entries -> peers.sendToAll(new PeerMessage.TallyEntries(entries, false, false)));
+                entries -> peers.sendToAll(new PeerMessage.TallyEntries(entries, false, false, filled)));
         adds = new TallyAdds(scheduler, commits,
                 entry -> reach.suffices(copies.holding(entry.origin(), entry.number())));
         commits.begin(() -> {
@@ -106,6 +112,7 @@
             peers.sendToAll(ask());
         });
         scheduler.every(TICK_MS, this::tick);
+        scheduler.schedule(() -> filled = true, FILLING_MS, TimeUnit.MILLISECONDS);
     }
 
     private PeerMessage ask() {
@@ -196,7 +203,7 @@
         boolean lacks = !journal.behind(vector.held(), settled, self, 1).isEmpty();
         if (lacks || vector.asks()) {
             List<JournalEntry> lacking = journal.behind(vector.held(), journal.vector(), self, MOST_PIECE);
-            link.send(new PeerMessage.TallyEntries(lacking, lacking.size() >= MOST_PIECE, vector.asks()));
+            link.send(new PeerMessage.TallyEntries(lacking, lacking.size() >= MOST_PIECE, vector.asks(), filled));
         }
     }
 
@@ -208,7 +215,7 @@
             origins.forEach(origin -> link.send(new PeerMessage.TallyHeld(self, origin, journal.last(origin))));
             if (told.more() || isBehind(told.entries()) && mayAskNow()) {
                 link.send(ask());
-            } else if (told.answers()) {
+            } else if (told.answers() && told.filled()) {
                 filled = true;
             }
         });
@@ -250,8 +257,8 @@
         copies.keep(known);
         told.keySet().retainAll(known);
         for (String peer : known) {
-            boolean differs = !now.equals(copies.of(peer)) || !now.equals(told.get(peer));
-            if (differs && peers.send(peer, new PeerMessage.TallyVector(self, now, false))) {
+            boolean differs = !filled || !now.equals(copies.of(peer)) || !now.equals(told.get(peer));
+            if (differs && peers.send(peer, new PeerMessage.TallyVector(self, now, !filled))) {
                 told.put(peer, now);
             }
         }
--- a/src/main/java/routerfleet/wire/MessageForm.java
+++ b/src/main/java/routerfleet/wire/MessageForm.java
@@ -177,6 +177,7 @@
             JournalForm.writeEntries(out, tally.entries());
             out.writeBoolean(tally.more());
             out.writeBoolean(tally.answers());
+            out.writeBoolean(tally.filled());
         } else if (message instanceof PeerMessage.TallyHeld held) {
             out.writeByte(TALLY_HELD);
             JournalForm.write(out, held.holder());
@@ -254,7 +255,7 @@
             case TALLY_VECTOR -> new PeerMessage.TallyVector(JournalForm.readOrigin(in), JournalForm.readVector(in),
                     in.readBoolean());
             case TALLY_ENTRIES -> new PeerMessage.TallyEntries(JournalForm.readEntries(in), in.readBoolean(),
-                    in.readBoolean());
+                    in.readBoolean(), in.readBoolean());
             case TALLY_HELD -> new PeerMessage.TallyHeld(JournalForm.readOrigin(in), JournalForm.readOrigin(in),
                     in.readVarLong(true));
             case TALLY_BASES -> new PeerMessage.TallyBases(JournalForm.readStates(in));
--- a/src/main/java/routerfleet/wire/PeerMessage.java
+++ b/src/main/java/routerfleet/wire/PeerMessage.java
@@ -196,8 +196,10 @@
      *
      * @param more whether the sender has more that the receiver lacks, for which it is to ask
      * @param answers whether it answers a {@link TallyVector}
+     * @param filled whether the sender itself has been given all that others hold since its disk was empty
      */
-    record TallyEntries(List<JournalEntry> entries, boolean more, boolean answers) implements PeerMessage { }
+    record TallyEntries(List<JournalEntry> entries, boolean more, boolean answers, boolean filled)
+            implements PeerMessage { }
 
     /** The sender has all entries of an origin up to a number on its disk. */
     record TallyHeld(Origin holder, Origin origin, long upTo) implements PeerMessage { }
--- a/src/test/java/routerfleet/control/TallyServiceTest.java
+++ b/src/test/java/routerfleet/control/TallyServiceTest.java
@@ -85,7 +85,7 @@
         for (long number : numbers) {
             entries.add(entry(number));
         }
-        service.received(link, new PeerMessage.TallyEntries(entries, false, false));
+        service.received(link, new PeerMessage.TallyEntries(entries, false, false, true));
         world.runUntilMs(world.nowMs() + 10);
     }
 
@@ -114,7 +114,7 @@
         receive(3);
         sent.clear();
         service.received(link, new PeerMessage.TallyVector(OTHER, vector(OTHER, 1), false));
-        assertThat(sent, contains(new PeerMessage.TallyEntries(List.of(entry(2), entry(3)), false, false)));
+        assertThat(sent, contains(new PeerMessage.TallyEntries(List.of(entry(2), entry(3)), false, false, false)));
     }
 
     /** Guards the network: an entry that is just on its way is not sent twice. */
@@ -125,4 +125,32 @@
         service.received(link, new PeerMessage.TallyVector(OTHER, JournalVector.EMPTY, false));
         assertThat(sent.size(), is(0));
     }
+
+    private int read() {
+        List<Integer> statuses = new ArrayList<>();
+        service.handle(new String[] {"t", "get"}, new ControlHttp.Request("GET", "/rowanplank/tallies/t/get", null,
+                new byte[0]), response -> statuses.add(response.status()));
+        return statuses.get(0);
+    }
+
+    /** Guards LOST: two nodes whose disks were lost at one time must not take each other's empty answer for everything. */
+    @Test
+    void theAnswerOfANodeThatLacksEntriesItselfFillsNobody() {
+        service.received(link, new PeerMessage.TallyEntries(List.of(), false, true, false));
+        world.runUntilMs(world.nowMs() + 10);
+        assertThat(read(), is(503));
+        service.received(link, new PeerMessage.TallyEntries(List.of(entry(1)), false, true, true));
+        world.runUntilMs(world.nowMs() + 10);
+        assertThat(read(), is(200));
+    }
+
+    /** Guards reads: where the question of a node that lacks entries is lost, it is asked again. */
+    @Test
+    void aNodeThatLacksEntriesGoesOnAsking() {
+        service.received(link, new PeerMessage.TallyVector(OTHER, JournalVector.EMPTY, true));
+        sent.clear();
+        world.runUntilMs(world.nowMs() + 5_100);
+        service.received(link, new PeerMessage.TallyEntries(List.of(), false, true, false));
+        assertThat("there is nobody to wait for", read(), is(200));
+    }
 }
--- a/src/test/java/routerfleet/wire/PeerCodecTest.java
+++ b/src/test/java/routerfleet/wire/PeerCodecTest.java
@@ -73,7 +73,7 @@
             new PeerMessage.Leaving("10.0.0.1/7"),
             new PeerMessage.TallyVector(DISK, new JournalVector(new TreeMap<>(Map.of(DISK, 1L << 40))), true),
             new PeerMessage.TallyEntries(List.of(new JournalEntry(DISK, 1, "t", "u", 0),
-                    new JournalEntry(DISK, 2, "t", "v", 1L << 40)), false, true),
+                    new JournalEntry(DISK, 2, "t", "v", 1L << 40)), false, true, true),
             new PeerMessage.TallyHeld(DISK, new Origin("10.0.0.2", 0), 7),
             new PeerMessage.TallyBases(List.of(new OriginState(DISK, 5, Map.of("t", 9L), List.of(6L, 8L), List.of()))));
 
