Take back nothing of a control node's copies where its vector comes late

What callers could have seen: an add that waits for its copies for up to 500 ms more, or 504. Cause: vectors and single acknowledgements travel on two connections, and an older vector replaced what was known since. Change: of the same disk the higher number counts; folding still goes by whole vectors. Found by review. Measured: TallyCopiesTest.

--- a/src/main/java/routerfleet/control/TallyCopies.java
+++ b/src/main/java/routerfleet/control/TallyCopies.java
@@ -20,9 +20,14 @@
 
     private final Map<String, Holder> holders = new TreeMap<>();
 
-    /** A node tells all that its disk holds. */
+    /** A node tells all that its disk holds; what it told on another connection may go further. */
     void learn(Origin holder, JournalVector held) {
-        holders.put(holder.node(), new Holder(holder, held, new TreeMap<>(held.upTo())));
+        Holder known = holders.get(holder.node());
+        SortedMap<Origin, Long> upTo = new TreeMap<>(held.upTo());
+        if (known != null && known.disk().equals(holder)) {
+            known.upTo().forEach((origin, number) -> upTo.merge(origin, number, Math::max));
+        }
+        holders.put(holder.node(), new Holder(holder, held, upTo));
     }
 
     /** A node tells that its disk holds more of an origin; what an earlier disk of it tells late is passed over. */
--- /dev/null
+++ b/src/test/java/routerfleet/control/TallyCopiesTest.java
@@ -0,0 +1,40 @@
+package routerfleet.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import routerfleet.journal.JournalVector;
+import routerfleet.journal.Origin;
+
+/** What is known of other control nodes' disks. */
+class TallyCopiesTest {
+    private static final Origin DISK = new Origin("10.0.0.2", 5);
+    private static final Origin NEXT_DISK = new Origin("10.0.0.2", 6);
+    private static final Origin ADDS = new Origin("10.0.0.1", 7);
+
+    private final TallyCopies copies = new TallyCopies();
+
+    private static JournalVector upTo(long number) {
+        return new JournalVector(new TreeMap<>(Map.of(ADDS, number)));
+    }
+
+    /** Guards acknowledgements: a vector that comes later than what was told after it takes nothing back. */
+    @Test
+    void aVectorThatComesLateTakesNothingBack() {
+        copies.learn(DISK, upTo(1));
+        copies.learn(DISK, ADDS, 3);
+        copies.learn(DISK, upTo(2));
+        assertThat(copies.holding(ADDS, 3), contains("10.0.0.2"));
+    }
+
+    @Test
+    void aLostDiskHoldsNothingAnyMore() {
+        copies.learn(DISK, upTo(3));
+        copies.learn(NEXT_DISK, upTo(0));
+        assertThat(copies.holding(ADDS, 1), empty());
+    }
+}
