Bound the search for a cold server's rate, however large its bound is

What callers could have seen: data nodes that stand still for seconds, or for ever, after a valid configuration with a huge warmup_per_s. Cause: the search sums as many terms as the bound has requests, on the event loop, and an integer overflowed from 2^31 on. Change: bounds above 10,000 a second count as 10,000. Found by review. Measured: WarmupRateTest.aHugeBoundCountsAsTheLargestOne.

--- a/src/main/java/routerfleet/data/WarmupRate.java
+++ b/src/main/java/routerfleet/data/WarmupRate.java
@@ -19,6 +19,8 @@
      */
     static final double NODES_MARGIN = 1.25;
     private static final int SECOND_MS = 1_000;
+    /** A higher bound counts as this one, so that the search for the rate stays short. */
+    private static final int LARGEST_BOUND = 10_000;
     private static final int BISECTIONS = 60;
 
     private WarmupRate() { }
@@ -29,11 +31,12 @@
      * @param most how many requests a second may hold
      */
     static double of(double most) {
+        int bound = (int) Math.min(LARGEST_BOUND, Math.floor(most));
         double low = 0;
-        double high = Math.max(0, most);
+        double high = Math.max(0, bound);
         for (int i = 0; i < BISECTIONS; i++) {
             double middle = (low + high) / 2;
-            if (tail(middle, (int) Math.floor(most)) < MOST_TAIL) {
+            if (tail(middle, bound) < MOST_TAIL) {
                 low = middle;
             } else {
                 high = middle;
--- a/src/test/java/routerfleet/data/WarmupRateTest.java
+++ b/src/test/java/routerfleet/data/WarmupRateTest.java
@@ -93,4 +93,11 @@
         assertThat(WarmupRate.chance(14, 0), is(0.0));
         assertThat(WarmupRate.of(0), is(lessThan(1e-6)));
     }
+
+    /** Guards data nodes: a valid configuration with a huge bound must not keep the event loop busy, or for ever. */
+    @Test
+    void aHugeBoundCountsAsTheLargestOne() {
+        assertThat(WarmupRate.of(1e300), is(WarmupRate.of(10_000)));
+        assertThat(WarmupRate.of(4e9), is(WarmupRate.of(10_000)));
+    }
 }
