End the doubt after an evacuation by a heartbeat that has just come only

Change: only what is told of a live server as a change ends it. Ruled out: times in heartbeats, since clocks differ.

--- a/src/main/java/routerfleet/data/ServerRegistry.java
+++ b/src/main/java/routerfleet/data/ServerRegistry.java
@@ -124,7 +124,7 @@
             touched.add(session.uid());
             if (session.phase() == SessionRecord.Phase.READY) {
                 view.sessions.put(session.uid(), told);
-                enter(session);
+                enter(session, told.live() && !changes.whole());
             } else {
                 view.sessions.remove(session.uid());
                 end(session.uid());
@@ -145,7 +145,7 @@
         for (SessionRecord session : sessions) {
             if (session.phase() == SessionRecord.Phase.READY && earlier.size() < MOST_SERVERS) {
                 earlier.putIfAbsent(session.uid(), new SessionView(session, true));
-                enter(session);
+                enter(session, false);
                 touched.add(session.uid());
             }
         }
@@ -224,7 +224,8 @@
         pools.values().removeIf(pool -> pool.size() == 0);
     }
 
-    private void enter(SessionRecord session) {
+    /** @param fresh whether its heartbeat has just come to a control node */
+    private void enter(SessionRecord session, boolean fresh) {
         Server server = servers.get(session.uid());
         if (server != null) {
             server.capacity(session.capacity());
@@ -233,7 +234,7 @@
             servers.put(session.uid(), server);
         }
         if (server != null) {
-            if (server.warmth().told(session.sequence(), session.warmupLeftMs(), nowMs())) {
+            if (server.warmth().told(session.sequence(), session.warmupLeftMs(), fresh, nowMs())) {
                 LOG.log(System.Logger.Level.DEBUG, "server " + session.uid() + " of " + session.backend() + " is cold for "
                         + session.warmupLeftMs() + " ms");
             }
--- a/src/main/java/routerfleet/data/Warmth.java
+++ b/src/main/java/routerfleet/data/Warmth.java
@@ -21,16 +21,19 @@
      * A control node tells of a heartbeat.
      *
      * @param leftMs for how long the server said that it would be cold
+     * @param fresh whether it has just come to the control node: only such a one ends a doubt
      * @return whether the server counts as cold now and did not before
      */
-    boolean told(long heartbeat, long leftMs, long nowMs) {
+    boolean told(long heartbeat, long leftMs, boolean fresh, long nowMs) {
         boolean before = isCold(nowMs);
         if (heartbeat > sequence) {
             sequence = heartbeat;
             receivedMs = nowMs;
             toldUntilMs = 0;
-            answeredUntilMs = 0;
-            if (nowMs - doubtfulSinceMs > IN_FLIGHT_MS) {
+            if (fresh) {
+                answeredUntilMs = 0;
+            }
+            if (fresh && nowMs - doubtfulSinceMs > IN_FLIGHT_MS) {
                 doubtfulUntilMs = 0;
             }
         }
--- a/src/test/java/routerfleet/data/ColdAdmissionTest.java
+++ b/src/test/java/routerfleet/data/ColdAdmissionTest.java
@@ -22,7 +22,7 @@
         Server server = new Server(new SessionRecord("s", "llm", "127.0.0.1:1000", "a", 12, SessionRecord.Phase.READY,
                 1, DAY_MS));
         server.listed(true);
-        server.warmth().told(1, 1_000 * DAY_MS, nowMs);
+        server.warmth().told(1, 1_000 * DAY_MS, true, nowMs);
         return server;
     }
 
@@ -104,7 +104,7 @@
         Server server = cold(0);
         Server warm = new Server(new SessionRecord("t", "llm", "127.0.0.1:1001", "a", 12, SessionRecord.Phase.READY, 1, 0));
         long claimed = admission.claim(warm, 10);
-        warm.warmth().told(2, 3_000, 12);
+        warm.warmth().told(2, 3_000, true, 12);
         assertThat(admission.holds(warm, claimed, 15), is(false));
         admission.chance(1);
         assertThat(admission.holds(warm, claimed, 115), is(true));
--- a/src/test/java/routerfleet/data/ServerPoolTest.java
+++ b/src/test/java/routerfleet/data/ServerPoolTest.java
@@ -181,7 +181,7 @@
             ServerPool pool = new ServerPool(node, "a");
             pool.coldAdmission().chance(chance);
             known.add(fill(pool, 40));
-            known.get(node).get(0).warmth().told(2, 10_000, 0);
+            known.get(node).get(0).warmth().told(2, 10_000, true, 0);
             pools.add(pool);
         }
         SplittableRandom random = new SplittableRandom(3);
@@ -211,7 +211,7 @@
     @Test
     void whereAllServersAreColdOnlyPermissionsAreUsed() {
         ServerPool pool = new ServerPool(1, "a");
-        fill(pool, 3).forEach(server -> server.warmth().told(2, 10_000, 0));
+        fill(pool, 3).forEach(server -> server.warmth().told(2, 10_000, true, 0));
         pool.coldAdmission().chance(0);
         assertThat(pool.choose(profile("c", PromptPrefix.NONE), ROOM, List.of(), 10), is(nullValue()));
         assertThat(pool.choose(profile("c", new PromptPrefix(7, 9_000, 9_000)), ROOM, List.of(), 10), is(nullValue()));
