Ask for a permission with the current chance at the send, too

What callers could have seen: one request to a cold server without a permission, where its service's pool was dropped and made anew while a connection was opened. Cause: a new pool begins without a bound. Found by review. Measured: the tests of cold servers stay green; none brings this about.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -198,6 +198,7 @@
                 return;
             }
             sentMs = SteadyClock.millis();
+            pool().coldAdmission().chance(plane.coldChance(admitted.backend()));
             if (!pool().coldAdmission().holds(server, claimed, sentMs)) {
                 on.rest(sentMs);
                 end();
