Log what each step of a control node's start and of a slow update costs

A control node now logs the wall time and the processor time of its start, and the leader those of each step of an update that took over a second. No logic changes.

--- a/src/main/java/routerfleet/control/ConfigUpdateQueue.java
+++ b/src/main/java/routerfleet/control/ConfigUpdateQueue.java
@@ -11,6 +11,8 @@
 import routerfleet.config.ConfigFault;
 import routerfleet.config.ConfigOrder;
 import routerfleet.config.ConfigStore;
+import routerfleet.log.Loggers;
+import routerfleet.log.StepTimes;
 
 /**
  * The configuration updates that wait at a leader, handled one at a time: after an update has arrived, the leader has its
@@ -21,7 +23,10 @@
  * <p>Limit: {@value #MAX_WAITING} updates.
  */
 final class ConfigUpdateQueue {
+    private static final System.Logger LOG = Loggers.get("routerfleet.control.replica");
     private static final int MAX_WAITING = 64;
+    /** The steps of an update that took longer are logged. */
+    private static final long SLOW_UPDATE_MS = 1_000;
 
     /** The outcome of an update: acknowledged, rejected for one of three reasons, or not known. */
     enum Outcome { ACCEPTED, CONFLICT, INVALID, TOO_LARGE, UNKNOWN }
@@ -46,7 +51,7 @@
     }
 
     /** An update that is waiting or in progress. */
-    private record Pending(ConfigOrder update, Consumer<Result> onResult) { }
+    private record Pending(ConfigOrder update, StepTimes steps, Consumer<Result> onResult) { }
 
     private final Leader leader;
     private final ConfigStore store;
@@ -54,6 +59,7 @@
     private final Deque<Pending> waiting = new ArrayDeque<>();
     private Pending current;
     private long proposedIndex;
+    private boolean isStored;
 
     /** @param store the state that results from the applied updates */
     ConfigUpdateQueue(Leader leader, ConfigStore store, ConfigUpdateValidator validator) {
@@ -88,7 +94,7 @@
 
     /** Adds an update; its result follows later. */
     void add(ConfigOrder update, Consumer<Result> onResult) {
-        waiting.add(new Pending(update, onResult));
+        waiting.add(new Pending(update, StepTimes.fromNow(), onResult));
         startNext();
     }
 
@@ -109,6 +115,7 @@
         if (pending != current) {
             return;
         }
+        pending.steps().ended("leadership confirmed");
         Long knownGeneration = store.outcome(pending.update());
         if (knownGeneration != null) {
             finish(pending, toResult(Either.right(knownGeneration)));
@@ -127,6 +134,7 @@
         if (pending != current) {
             return;
         }
+        pending.steps().ended("validated");
         if (store.generation() != generation) {
             afterConfirmation(pending, () -> evaluate(pending));
         } else if (result.isLeft()) {
@@ -145,16 +153,26 @@
     }
 
     private void propose(Pending pending, ConfigChange change) {
+        isStored = false;
         proposedIndex = leader.propose(change);
         if (proposedIndex == 0) {
             finish(pending, Result.unknown("can't be proposed now"));
         }
     }
 
+    /** Notes that this replica's disk holds the proposed update. */
+    void stored() {
+        if (current != null && proposedIndex != 0 && !isStored) {
+            isStored = true;
+            current.steps().ended("on disk");
+        }
+    }
+
     /** Reports the result of a committed update. @param index its log index */
     void applied(long index, Either<ConfigFault, Long> result) {
         if (current != null && index == proposedIndex) {
             Pending pending = current;
+            pending.steps().ended("committed");
             leader.defer(() -> finish(pending, toResult(result)));
         }
     }
@@ -167,6 +185,15 @@
         proposedIndex = 0;
         leader.defer(this::startNext);
         pending.onResult().accept(result);
+        logIfSlow(pending, result);
+    }
+
+    private static void logIfSlow(Pending pending, Result result) {
+        pending.steps().ended("answered");
+        if (pending.steps().wallMs() > SLOW_UPDATE_MS) {
+            LOG.log(System.Logger.Level.INFO, "slow update, " + result.outcome() + "; ms since it was read, and of processor"
+                    + " time: " + pending.steps());
+        }
     }
 
     /** Completes all updates as unknown: what was proposed before leadership was lost may or may not be committed. */
@@ -178,7 +205,11 @@
             current = null;
             proposedIndex = 0;
         }
-        abandoned.forEach(pending -> pending.onResult().accept(Result.unknown("leadership lost")));
+        Result unknown = Result.unknown("leadership lost");
+        abandoned.forEach(pending -> {
+            pending.onResult().accept(unknown);
+            logIfSlow(pending, unknown);
+        });
     }
 
     private static Result toResult(Either<ConfigFault, Long> result) {
--- a/src/main/java/routerfleet/control/ControlNode.java
+++ b/src/main/java/routerfleet/control/ControlNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import routerfleet.log.Loggers;
+import routerfleet.log.StepTimes;
 import routerfleet.settings.LocalSettings;
 import routerfleet.wire.EventLoopScheduler;
 import routerfleet.wire.HashMix;
@@ -56,6 +57,7 @@
     private final HttpConnections httpConnections = new HttpConnections();
     /** Null until the node has started. */
     private volatile Channel http;
+    private final StepTimes startSteps = StepTimes.fromProcessStart();
 
     /** @param settings with an address for the control plane and a data directory */
     public ControlNode(LocalSettings settings) {
@@ -75,14 +77,17 @@
         peerListener.accept();
         dataListener = service.listenToDataNodes();
         http = ControlHttp.bind(group, settings.controlPlane(), service::handle, httpConnections);
-        loop.execute(() -> service.runOnceLeaderKnown(this::acceptClients));
         LOG.log(System.Logger.Level.INFO, "control node " + settings.nodeName() + " is up as replica "
                 + service.replica());
+        startSteps.ended("up");
+        loop.execute(() -> service.runOnceLeaderKnown(this::acceptClients));
     }
 
     private void acceptClients() {
         dataListener.accept();
         Listeners.accept(http);
+        startSteps.ended(service.group().leader() == null ? "accepting without a leader" : "accepting, leader known");
+        LOG.log(System.Logger.Level.INFO, "start, ms since the process began and of processor time: " + startSteps);
     }
 
     /**
--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -323,12 +323,11 @@
 
     /** Runs the actions that the Raft node has requested, and sets its timer. */
     private void runDeferred() {
-        if (!deferred.runAll()) {
-            return;
+        if (deferred.runAll()) {
+            compact();
+            timer.schedule(raft.due());
+            notifyLeaderKnown();
         }
-        compact();
-        timer.schedule(raft.due());
-        notifyLeaderKnown();
     }
 
     private void notifyLeaderKnown() {
@@ -462,6 +461,7 @@
         public void store(long number, Write write) {
             storage.store(write, () -> {
                 if (!halted) {
+                    orders.stored();
                     runStep("a write", () -> raft.onStored(scheduler.now(), number));
                 }
             });
