--- a/src/test/java/routerfleet/soak/FleetProcess.java
+++ b/src/test/java/routerfleet/soak/FleetProcess.java
@@ -19,18 +19,28 @@
     static final class Life {
         private final Process process;
         private volatile long termNanos = NEVER;
+        private volatile boolean ending;
 
         private Life(Process process) {
             this.process = process;
         }
 
+        /** Whether its end has been arranged. */
+        boolean isEnding() {
+            return ending;
+        }
+
+        void markEnding() {
+            ending = true;
+        }
+
         /** When it was first sent SIGTERM; {@link #NEVER} if it was not. */
         long termNanos() {
             return termNanos;
         }
     }
 
-    private final String role;
+    private final List<String> command;
     private final String name;
     private final HostPort address;
     private final Path settings;
@@ -38,12 +48,12 @@
     private final List<Life> lives = new ArrayList<>();
 
     /**
-     * @param role the command that starts it
+     * @param command starts it, word by word
      * @param address where clients, or servers and operators, reach it
      * @param settings its settings file, which exists
      */
-    FleetProcess(String role, String name, HostPort address, Path settings) {
-        this.role = role;
+    FleetProcess(List<String> command, String name, HostPort address, Path settings) {
+        this.command = command;
         this.name = name;
         this.address = address;
         this.settings = settings;
@@ -63,9 +73,6 @@
     }
 
     synchronized void start() throws IOException {
-        List<String> command = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m",
-                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-                "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"), "rowanplank.Main", role);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         builder.environment().put(LocalSettings.VARIABLE, settings.toString());
@@ -103,6 +110,18 @@
         start();
     }
 
+    /** Kills it without a warning, waits for its end, and starts it again after a pause. */
+    void restartAfterKill(long pauseMs) throws IOException, InterruptedException {
+        life().process.destroyForcibly().waitFor();
+        Thread.sleep(pauseMs);
+        start();
+    }
+
+    /** Processor time of the current life, in milliseconds; 0 where the system does not tell. */
+    long processorMs() {
+        return life().process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    }
+
     /** What all lives have written. */
     List<String> log() throws IOException {
         return log.exists() ? Files.readAllLines(log.toPath()) : List.of();
