Read plain updates without the libraries whose first use takes seconds of waiting

Cause: the first use of Jackson's mapping and of Bean Validation takes 0.45 s of the worker thread and 0.3 s of the compiler, on a leader that has 0.075 to 0.2 processors. Its heartbeats are late meanwhile, the next leader pays again, and 8 s after the start all voters pay for a warm-up at the same time. Evidence: the steps in the leader's log (leadership confirmed 0.24 s, validated 4.47 s), and the processor time of its threads. Plain documents are now read token by token, as heartbeats are, and all others as before; a fuzz test holds the two readers to the same result. The warm-up for the others waits for the first configuration and runs in four steps. Requests of the HTTP interface move to a class of their own.

--- a/src/main/java/routerfleet/config/ConfigExaminer.java
+++ b/src/main/java/routerfleet/config/ConfigExaminer.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * Reads and checks orders against the current configuration, before a leader proposes them. All JSON and all rules are
@@ -20,7 +21,7 @@
             "limits":{"max_body_bytes":1},"tenants":[{"name":"t","api_keys":["k"],"unit":"token_count"}]}"""
             .getBytes(StandardCharsets.UTF_8);
 
-    /** Made at the first order: it takes a good part of a second of a small machine's processor. */
+    /** Made at the first order that is not plain: it takes a good part of a second of a small machine's processor. */
     private ConfigRules rules;
     /** The last document that was found good, for the next order, which most often builds on it. */
     private ObjectNode lastTree;
@@ -33,13 +34,46 @@
      */
     public record Current(FleetConfiguration configuration, ConfigDocument document, String lastDigest) { }
 
-    /** Loads what the first order will need. */
-    public void warmUp() {
-        new ConfigExaminer().examine(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, SAMPLE), new ConfigStore().current());
+    /**
+     * Loads what orders need that are not plain, in steps that each take a fraction of the whole. The first order of that kind
+     * would have to wait for all of it.
+     */
+    public List<Runnable> warmUpSteps() {
+        ConfigOrder sample = new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, SAMPLE);
+        return List.of(
+                () -> ConfigJson.tree(SAMPLE),
+                () -> ConfigJson.read(SAMPLE),
+                this::rules,
+                () -> examineAny(sample, new ConfigStore().current()));
     }
 
     /** What the order changes, or why it can't be taken. That it builds on the current version is taken for granted. */
     public Either<ConfigFault, ConfigChange> examine(ConfigOrder order, Current current) {
+        FleetConfiguration plain = plain(order, current);
+        if (plain == null) {
+            return examineAny(order, current);
+        }
+        lastTree = null;
+        return Either.right(new ConfigChange(order, order.digest(), ConfigDelta.between(current.configuration(), plain)));
+    }
+
+    /** The configuration that a plain and valid order makes; null if the order is not plain, not valid or large. */
+    private static FleetConfiguration plain(ConfigOrder order, Current current) {
+        if (!isSurelySmall(order, current)) {
+            return null;
+        }
+        FleetConfiguration read = PlainConfigReader.read(order, current.configuration());
+        boolean isValid = read != null && read.generation() > current.configuration().generation()
+                && ItemRules.check(read) == null;
+        return isValid ? read : null;
+    }
+
+    private static boolean isSurelySmall(ConfigOrder order, Current current) {
+        return current.document().heldBytes() + order.body().length <= SURELY_SMALL_BYTES;
+    }
+
+    /** Examines an order with the mapping and validation libraries. */
+    Either<ConfigFault, ConfigChange> examineAny(ConfigOrder order, Current current) {
         return tree(order, current).flatMap(tree -> typed(order, current, tree)
                 .flatMap(configuration -> sized(order, current, tree)
                         .map(fitting -> accepted(order, current, tree, configuration))));
@@ -81,7 +115,7 @@
     /** Whether what comes of the order can be kept. */
     private static Either<ConfigFault, Boolean> sized(ConfigOrder order, Current current, ObjectNode tree) {
         long sent = order.body().length;
-        if (current.document().heldBytes() + sent <= SURELY_SMALL_BYTES) {
+        if (isSurelySmall(order, current)) {
             return Either.right(true);
         }
         long bytes = Math.max(sent, ConfigJson.bytes(tree).length);
--- a/src/main/java/routerfleet/control/ConfigUpdateQueue.java
+++ b/src/main/java/routerfleet/control/ConfigUpdateQueue.java
@@ -68,9 +68,9 @@
         this.validator = validator;
     }
 
-    /** Prepares for the first update, see {@link ConfigUpdateValidator#warmUp}. */
-    void warmUp() {
-        validator.warmUp();
+    /** See {@link ConfigUpdateValidator#warmUpSteps}. */
+    List<Runnable> warmUpSteps() {
+        return validator.warmUpSteps();
     }
 
     /**
--- a/src/main/java/routerfleet/control/ConfigUpdateValidator.java
+++ b/src/main/java/routerfleet/control/ConfigUpdateValidator.java
@@ -16,8 +16,9 @@
 import routerfleet.log.Loggers;
 
 /**
- * Validates configuration updates and merges configuration documents outside the event loop: the first JSON processing of
- * a process takes seconds on a small machine, and a leader that sends no heartbeats for that long would be replaced.
+ * Validates configuration updates and merges configuration documents outside the event loop: the first use of the mapping
+ * and validation libraries takes seconds on a small machine, and a leader that sends no heartbeats for that long would be
+ * replaced.
  */
 final class ConfigUpdateValidator {
     private static final System.Logger LOG = Loggers.get("routerfleet.control.replica");
@@ -51,9 +52,9 @@
         this.loop = loop;
     }
 
-    /** Loads in advance what the first update needs, which would delay it otherwise. */
-    void warmUp() {
-        run(examiner::warmUp);
+    /** The steps that load in advance what unusual updates need, which would delay the first of them; each to be run later. */
+    List<Runnable> warmUpSteps() {
+        return examiner.warmUpSteps().stream().<Runnable>map(step -> () -> run(step)).toList();
     }
 
     /**
--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -11,7 +12,6 @@
 import java.util.random.RandomGenerator;
 import rowanplank.agreement.Message;
 import rowanplank.agreement.PersistentState;
-import routerfleet.config.ConfigOrder;
 import routerfleet.config.Evacuations;
 import routerfleet.log.Loggers;
 import routerfleet.settings.HostPort;
@@ -40,15 +40,10 @@
     private static final long LEAVE_POLL_MS = 50;
     /** Data nodes, servers and operators are admitted once a leader is known, or after this time at the latest. */
     private static final long MAX_LEADER_WAIT_MS = 500;
-    /** What only configuration updates need is loaded this late, when the start, and a recovery beside it, are over. */
-    private static final long VALIDATOR_WARMUP_DELAY_MS = 8_000;
+    /** What only unusual updates need is loaded this late, and step by step, so that heartbeats go on between the steps. */
+    private static final long WARMUP_DELAY_MS = 8_000;
+    private static final long WARMUP_STEP_MS = 1_500;
     private static final double WARMUP_HEARTBEATS = 2.5;
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-    private static final String CONFIG_PATH = "/rowanplank/config/";
-    private static final String INSTANCES_PATH = "/rowanplank/instances/";
-    private static final String EVACUATIONS_PATH = "/rowanplank/evacuations/";
-    private static final String TALLIES_PATH = "/rowanplank/tallies/";
 
     private final LocalSettings settings;
     private final Scheduler scheduler;
@@ -71,6 +66,7 @@
     private DataNodeService dataNodeService;
     private ConfigUpdateRouter configUpdates;
     private EvacuationService evacuations;
+    private HttpResources resources;
     private SessionStorage sessionStorage;
     private List<SessionRecord> earlierSessions = List.of();
     private long sessionWarmupEndNanos;
@@ -147,6 +143,7 @@
         sessions = new SessionService(scheduler, sessionTable, peers, this::isHeldByEnoughNodes,
                 () -> dataNodes.countActive(scheduler.nanoTime()) > 0, dataNodeService::scheduleFlush,
                 sessionStorage::save);
+        resources = new HttpResources(replicas, freshness, configUpdates, evacuations, sessions, tallies);
         peers.start(new PeerDialer(scheduler, network, LinkTiming.CONTROL,
                 address -> new OutgoingListener(address.host())));
         tallies.start();
@@ -155,13 +152,16 @@
         scheduler.every(RECONCILE_INTERVAL_MS, this::reconcile);
         scheduler.every(SESSION_INTERVAL_MS, sessions::tick);
         scheduler.every(SESSION_INTERVAL_MS, this::saveSessions);
-        scheduler.schedule(this::warmUp, VALIDATOR_WARMUP_DELAY_MS, TimeUnit.MILLISECONDS);
+        scheduler.schedule(() -> warmUp(replicas.orders().warmUpSteps().iterator()), WARMUP_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Prepares a voter, so that as a new leader it handles its first update as fast as later ones. */
-    private void warmUp() {
-        if (replicas.isVoter()) {
-            replicas.orders().warmUp();
+    /** Prepares a voter for a leader's work. It waits for the first configuration, since until then the start is not over. */
+    private void warmUp(Iterator<Runnable> steps) {
+        if (replicas.isVoter() && replicas.generation() > 0 && steps.hasNext()) {
+            steps.next().run();
+        }
+        if (steps.hasNext()) {
+            scheduler.schedule(() -> warmUp(steps), WARMUP_STEP_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -316,42 +316,7 @@
 
     /** Handles a request of an operator or a model server. */
     void handle(ControlHttp.Request request, Consumer<ControlHttp.Response> onResponse) {
-        String path = request.path();
-        if (request.method().equals("GET") && path.equals(CONFIG_PATH + "get")) {
-            freshness.whenFresh(() -> respondWithDocument(onResponse),
-                    () -> onResponse.accept(ControlHttp.Response.error(UNAVAILABLE, "no majority of replicas answers")));
-        } else if (request.method().equals("POST") && path.equals(CONFIG_PATH + "replace")) {
-            configUpdates.submit(ConfigOrder.Kind.REPLACE, request, onResponse);
-        } else if (request.method().equals("POST") && path.equals(CONFIG_PATH + "patch")) {
-            configUpdates.submit(ConfigOrder.Kind.PATCH, request, onResponse);
-        } else if (path.startsWith(EVACUATIONS_PATH)) {
-            evacuations.handle(path.substring(EVACUATIONS_PATH.length()), request, onResponse);
-        } else if (request.method().equals("POST") && path.startsWith(INSTANCES_PATH)) {
-            handleInstance(path.substring(INSTANCES_PATH.length()).split("/"), request, onResponse);
-        } else if (path.startsWith(TALLIES_PATH)) {
-            tallies.handle(path.substring(TALLIES_PATH.length()).split("/"), request, onResponse);
-        } else {
-            onResponse.accept(ControlHttp.Response.error(404, "no such resource: " + path));
-        }
-    }
-
-    private void respondWithDocument(Consumer<ControlHttp.Response> callback) {
-        if (replicas.answersReads()) {
-            replicas.orders().mergedDocument(document -> callback.accept(new ControlHttp.Response(OK, document)),
-                    () -> callback.accept(ControlHttp.Response.error(UNAVAILABLE, "the configuration can't be told now")));
-        } else {
-            callback.accept(ControlHttp.Response.error(UNAVAILABLE, "no member of the replica group"));
-        }
-    }
-
-    private void handleInstance(String[] parts, ControlHttp.Request request, Consumer<ControlHttp.Response> onResponse) {
-        if (parts.length == 2 && parts[1].equals("heartbeat")) {
-            sessions.heartbeat(parts[0], request.body(), onResponse);
-        } else if (parts.length == 2 && parts[1].equals("deregister")) {
-            sessions.deregister(parts[0], onResponse);
-        } else {
-            onResponse.accept(ControlHttp.Response.error(404, "no such resource: " + request.path()));
-        }
+        resources.handle(request, onResponse);
     }
 
     // ---- messages
--- a/src/main/java/routerfleet/demo/Rehearsal.java
+++ b/src/main/java/routerfleet/demo/Rehearsal.java
@@ -29,6 +29,10 @@
             "tenants":[{"name":"one","api_keys":["key"],"priority":0,"unit":"token_count","uncached_tokens":10,
              "rate_per_s":100000,"burst":100000}]}""";
 
+    /** Numbers as texts are taken, but read by other parts of the program than plain orders. */
+    private static final String UNUSUAL_PATCH = """
+            {"generation":3,"upsert":{"backends":[{"name":"web","max_connections":"90"}]}}""";
+
     private Rehearsal() { }
 
     /** @return how many requests were served */
@@ -40,6 +44,7 @@
                 EmulatedServer llm = new EmulatedServer("llm-1", "llm", fleet.seeds(), EVENTS)) {
             fleet.order("replace", 0, CONFIGURATION);
             fleet.order("patch", 1, "{\"generation\":2,\"delete\":{\"routes\":[\"none\"]}}");
+            fleet.order("patch", 2, UNUSUAL_PATCH);
             int node = fleet.startDataByFile(folder.resolve("data.conf"));
             for (int i = 0; i < REQUESTS; i++) {
                 served += request(fleet, node, i) == OK ? 1 : 0;
--- a/src/test/java/routerfleet/config/ConfigFuzzTest.java
+++ b/src/test/java/routerfleet/config/ConfigFuzzTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -20,6 +21,11 @@
     private static final String[] ODD = {"null", "true", "-1", "0", "1.5", "1e400", "99999999999999999999", "\"\"",
         "\"x\"", "[]", "[null]", "[7]", "{}", "{\"name\":null}", "[{\"name\":\"x\"}]", "[[]]", "\"/\"", "\"\\u0000\""};
 
+    private static final String PATCH = """
+            {"generation":6,"upsert":{"routes":[{"name":"pages","host":"h","path_prefix":"/p/","timeout_ms":5,
+             "backend":"web"}],"tenants":[{"name":"two","api_keys":["z"]}],"limits":{"max_body_bytes":5}},
+             "delete":{"routes":["drafts"],"backends":["none"]}}""";
+
     private final ObjectMapper mapper = new ObjectMapper();
     private final Random random = new Random(1);
 
@@ -68,6 +74,54 @@
         assertThat("odd values at places that matter little are taken", taken > 0, is(true));
     }
 
+    /** What the reader of plain orders takes, the libraries take as well, and make the same of it. */
+    private static boolean readsPlainlyAsTheLibrariesDo(ConfigOrder order, ConfigStore store) {
+        ConfigExaminer.Current current = store.current();
+        FleetConfiguration plain = PlainConfigReader.read(order, current.configuration());
+        boolean isTaken = plain != null && plain.generation() > current.configuration().generation()
+                && ItemRules.check(plain) == null;
+        if (isTaken) {
+            ConfigChange examined = new ConfigExaminer().examineAny(order, current)
+                    .getOrElseThrow(fault -> new AssertionError(new String(order.body()) + ": " + fault));
+            assertThat(new String(order.body()), ConfigDelta.sameItems(plain,
+                    examined.delta().applyTo(current.configuration())), is(true));
+            assertThat(new ConfigExaminer().examine(order, current).get().digest(), is(examined.digest()));
+        }
+        return isTaken;
+    }
+
+    @Test
+    void plainOrdersAreReadAsTheLibrariesReadThem() throws Exception {
+        int plain = 0;
+        for (int i = 0; i < DOCUMENTS; i++) {
+            JsonNode document = mapper.readTree(Configurations.whole(5));
+            JsonNode patch = mapper.readTree(PATCH);
+            for (int k = 0; k < random.nextInt(3); k++) {
+                distort(document);
+                distort(patch);
+            }
+            ConfigStore store = new ConfigStore();
+            ConfigOrder whole = new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, mapper.writeValueAsBytes(document));
+            plain += readsPlainlyAsTheLibrariesDo(whole, store) ? 1 : 0;
+            store.apply(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, mapper.writeValueAsBytes(
+                    mapper.readTree(Configurations.whole(5)))));
+            ConfigOrder change = new ConfigOrder(ConfigOrder.Kind.PATCH, 5, mapper.writeValueAsBytes(patch));
+            plain += readsPlainlyAsTheLibrariesDo(change, store) ? 1 : 0;
+        }
+        assertThat("most orders are plain", plain > DOCUMENTS / 2, is(true));
+    }
+
+    @Test
+    void plainReadingLeavesTextsThatAreNoJsonToTheLibraries() {
+        ConfigStore store = new ConfigStore();
+        for (String text : new String[] {"", "7", "{", "{\"generation\":1}x", "{\"generation\":1}{}",
+            "{\"generation\":1,\"generation\":2}", "{\"generation\":1,\"x\":{\"a\":1,\"a\":2}}", "{\"generation\":1.0}",
+            "{\"generation\":\"1\"}", "{}", "{\"generation\":1,\"routes\":[}"}) {
+            ConfigOrder order = new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, text.getBytes(StandardCharsets.UTF_8));
+            assertThat(text, PlainConfigReader.read(order, store.configuration()) == null, is(true));
+        }
+    }
+
     /** What a leader sends as typed values makes the same of a replica as the JSON does, and its snapshot as well. */
     private void assertReplicasAgree(ConfigStore leader, ConfigStore.State before, ConfigOrder order) throws Exception {
         PeerCodec codec = new PeerCodec();
@@ -89,10 +143,7 @@
             ConfigStore store = new ConfigStore();
             store.apply(new ConfigOrder(ConfigOrder.Kind.REPLACE, 0, mapper.writeValueAsBytes(
                     mapper.readTree(Configurations.whole(5)))));
-            JsonNode patch = mapper.readTree("{\"generation\":6,\"upsert\":{\"routes\":[{\"name\":\"pages\","
-                    + "\"host\":\"h\",\"path_prefix\":\"/p/\",\"timeout_ms\":5,\"backend\":\"web\"}],"
-                    + "\"tenants\":[{\"name\":\"two\",\"api_keys\":[\"z\"]}],\"limits\":{\"max_body_bytes\":5}},"
-                    + "\"delete\":{\"routes\":[\"drafts\"],\"backends\":[\"none\"]}}");
+            JsonNode patch = mapper.readTree(PATCH);
             for (int k = 0; k <= random.nextInt(3); k++) {
                 distort(patch);
             }
