Keep a new leader through the silence of its first work, and excuse one's own lateness

Cause: the first 30 ms of processor time that a new leader needs for something take it 400 ms there, which is the election timeout; the next leader is new again. Besides, each of eight followers asked for a read index four times a second, and each time the leader sent a round of its own to all. Now a leader counts as lost after 1.5 s of silence in its first six seconds; a node whose own timer is late by a heartbeat interval handles what has arrived before it judges another's silence; read indexes of followers are confirmed by the next heartbeat. Elections say in the log which leader was silent, and for how long.

--- a/src/main/java/routerfleet/control/ReplicaGroup.java
+++ b/src/main/java/routerfleet/control/ReplicaGroup.java
@@ -47,12 +47,6 @@
     }
 
     private static final System.Logger LOG = Loggers.get("routerfleet.control.replica");
-    private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(400);
-    /** Shorter than later timeouts: all machines may start at once, and nothing is served until there is a leader. */
-    private static final Duration FIRST_ELECTION_TIMEOUT = Duration.ofMillis(100);
-    private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
-    private static final int MAX_MESSAGE_BYTES = 256 << 10;
-    private static final int MAX_UNCOMMITTED_ENTRIES = 512;
     /** A leader whose disk has not completed a write for this long transfers its leadership. */
     private static final long DISK_STALLED_MS = 1_000;
     private static final int COMPACT_AFTER_ENTRIES = 128;
@@ -96,9 +90,7 @@
         this.storage = storage;
         this.environment = environment;
         restore(saved.snapshot());
-        raft = factory.raftNode(new RaftNode.Settings(self, ELECTION_TIMEOUT, FIRST_ELECTION_TIMEOUT, HEARTBEAT_INTERVAL,
-                MAX_MESSAGE_BYTES, MAX_UNCOMMITTED_ENTRIES, RaftNode.Transport.CONNECTIONS, seed), saved, scheduler.now(),
-                new RaftActions());
+        raft = factory.raftNode(ReplicaTiming.settings(self, seed), saved, scheduler.now(), new RaftActions());
         timer.schedule(raft.due());
     }
 
@@ -148,7 +140,7 @@
     }
 
     /** Whether the group has enough voters for committed entries to survive the tolerated losses. */
-    private boolean hasEnoughVoters() {
+    boolean hasEnoughVoters() {
         VoterConfig membership = raft.voterConfig();
         return membership.voters().size() >= minVoters
                 && (!membership.isJoint() || membership.outgoing().size() >= minVoters);
@@ -243,24 +235,24 @@
 
     /** Runs one of the callbacks: once a majority has confirmed that this replica still leads, or if it does not lead. */
     void confirmLeadership(Runnable confirmed, Runnable lost) {
-        if (!isLeader()) {
-            lost.run();
-            return;
-        }
-        long round = raft.confirmLeadership(scheduler.now());
+        awaitRound(isLeader() ? raft.confirmLeadership(scheduler.now()) : 0, confirmed, lost);
+        runDeferred();
+    }
+
+    private void awaitRound(long round, Runnable confirmed, Runnable lost) {
         if (round == 0) {
             lost.run();
         } else {
             leadershipWaiters.awaitRound(round, confirmed, lost);
         }
-        runDeferred();
     }
 
     /** Passes on the read index: the entry that covers everything acknowledged before this call; negative if unknown. */
     void readIndex(LongConsumer answer) {
         boolean mayAnswer = !isElected() || isLeader() || halted;
         if (mayAnswer || !leadershipWaiters.defer(() -> readIndex(answer))) {
-            confirmLeadership(() -> answer.accept(raft.commitIndex()), () -> answer.accept(-1));
+            awaitRound(isLeader() ? raft.confirmLeadershipWithHeartbeat() : 0, () -> answer.accept(raft.commitIndex()),
+                    () -> answer.accept(-1));
         }
     }
 
@@ -492,6 +484,11 @@
             deferred.add(ReplicaGroup.this::leadershipLost);
         }
 
+        @Override
+        public void electionStarted(String silentLeader, Duration silence) {
+            LOG.log(System.Logger.Level.INFO, "asks for votes: " + silentLeader + " silent for " + silence.toMillis() + " ms");
+        }
+
         @Override
         public void roundConfirmed(long round) {
             deferred.add(() -> leadershipWaiters.confirmed(round));
--- a/src/main/java/rowanplank/agreement/RaftNode.java
+++ b/src/main/java/rowanplank/agreement/RaftNode.java
@@ -42,6 +42,8 @@
      * random part of this time.
      */
     private static final Duration FIRST_ELECTION_JITTER = Duration.ofMillis(40);
+    /** For how long a leader counts as new, from its election or from when this node first hears it. */
+    private static final Duration NEW_LEADER_PERIOD = Duration.ofSeconds(6);
     /** How long a voter holds back its own election in favor of another candidate that asked first. */
     private static final Duration YIELD_DURATION = Duration.ofMillis(250);
     /**
@@ -61,6 +63,8 @@
      *     leader that hears no majority for one steps down
      * @param firstElectionTimeout replaces {@code electionTimeout} until the voter first hears of a leader. It may be
      *     shorter, since it only makes pre-votes start earlier, which voters that hear a leader ignore
+     * @param newLeaderTimeout replaces {@code electionTimeout} for the first seconds of each leader, whose process does
+     *     much for the first time then, and so is slower than it will be
      * @param heartbeatInterval the longest time between two messages of a leader to a peer
      * @param maxMessageBytes limit of the entries, or of the snapshot chunk, in one message
      * @param maxUncommitted limit of proposed entries that are not committed yet
@@ -68,7 +72,15 @@
      * @param seed of the random election timeouts
      */
     public record Settings(String self, Duration electionTimeout, Duration firstElectionTimeout,
-            Duration heartbeatInterval, int maxMessageBytes, int maxUncommitted, Transport transport, long seed) {
+            Duration newLeaderTimeout, Duration heartbeatInterval, int maxMessageBytes, int maxUncommitted,
+            Transport transport, long seed) {
+        /** Settings with the same timeout for new leaders as for others. */
+        public Settings(String self, Duration electionTimeout, Duration firstElectionTimeout,
+                Duration heartbeatInterval, int maxMessageBytes, int maxUncommitted, Transport transport, long seed) {
+            this(self, electionTimeout, firstElectionTimeout, electionTimeout, heartbeatInterval, maxMessageBytes,
+                    maxUncommitted, transport, seed);
+        }
+
         /** Settings for a datagram transport, with the same timeout for the first election. */
         public Settings(String self, Duration electionTimeout, Duration heartbeatInterval, int maxMessageBytes,
                 int maxUncommitted, long seed) {
@@ -133,6 +145,9 @@
          */
         void lostLeadership();
 
+        /** This node asks for votes, having heard nothing of its leader for so long. */
+        default void electionStarted(String silentLeader, Duration silence) { }
+
         /** A majority has answered this round, which also confirms all earlier rounds. */
         void roundConfirmed(long round);
     }
@@ -155,6 +170,10 @@
     private Role role = Role.FOLLOWER;
     private String leader;
     private Instant leaderLastHeard;
+    /** When the current leader, possibly this node, was elected or first heard; null before the first one. */
+    private Instant leaderSince;
+    /** Whether this node has seen that it was late itself, and has not judged another node's silence since. */
+    private boolean excusedLateness;
     private Instant electionDue;
     /** Whether this voter has heard a leader, or has been one, since its start. */
     private boolean hasHeardLeader;
@@ -325,10 +344,30 @@
                 beginRound(now);
             }
         } else if (mayStartElection() && !now.isBefore(electionDue)) {
-            startPreVote(now);
+            if (excusesSilence(now, electionDue)) {
+                electionDue = now.plus(settings.heartbeatInterval());
+            } else {
+                startPreVote(now);
+            }
         }
     }
 
+    /**
+     * Whether silence of other nodes is not to be judged now, because this node itself was late by more than a heartbeat
+     * interval: their messages may have arrived but not been handled yet. Once only until the next message.
+     */
+    private boolean excusesSilence(Instant now, Instant due) {
+        boolean excuses = !excusedLateness && now.isAfter(due.plus(settings.heartbeatInterval()));
+        excusedLateness |= excuses;
+        return excuses;
+    }
+
+    /** The silence after which the current leader, or a majority as the leader sees it, counts as lost. */
+    private Duration silenceTimeout(Instant now) {
+        boolean isNew = leaderSince != null && now.isBefore(leaderSince.plus(NEW_LEADER_PERIOD));
+        return isNew ? settings.newLeaderTimeout() : settings.electionTimeout();
+    }
+
     private void awaitElection(Instant now) {
         awaitElection(now, settings.electionTimeout());
     }
@@ -365,10 +404,13 @@
     }
 
     private void onHeartbeatDue(Instant now) {
-        if (decidingConfig().quorumValue(name -> hasHeardRecently(name, now) ? 1 : 0, this::leaderQuorum) < 1) {
+        boolean hearsMajority =
+                decidingConfig().quorumValue(name -> hasHeardRecently(name, now) ? 1 : 0, this::leaderQuorum) >= 1;
+        if (!hearsMajority && !excusesSilence(now, heartbeatDue)) {
             becomeFollower(now, term, null);
             return;
         }
+        excusedLateness &= !hearsMajority;
         if (transferDeadline != null && !now.isBefore(transferDeadline)) {
             transferDeadline = null;
         }
@@ -383,7 +425,7 @@
             return true;
         }
         PeerProgress p = peers.get(name);
-        return p != null && !p.regressed && p.lastHeard.plus(settings.electionTimeout()).isAfter(now);
+        return p != null && !p.regressed && p.lastHeard.plus(silenceTimeout(now)).isAfter(now);
     }
 
     private void beginRound(Instant now) {
@@ -404,6 +446,9 @@
      * from returning with a high term and deposing the leader.
      */
     private void startPreVote(Instant now) {
+        if (leader != null) {
+            actions.electionStarted(leader, Duration.between(leaderLastHeard, now));
+        }
         awaitElection(now, leaderLastHeard == null ? settings.firstElectionTimeout() : settings.electionTimeout());
         role = Role.ASKING;
         leader = null;
@@ -441,7 +486,7 @@
 
     private void onVoteRequest(Instant now, String from, Message.VoteRequest m) {
         boolean hasLeader = role == Role.LEADER
-                || leader != null && leaderLastHeard.plus(settings.electionTimeout()).isAfter(now);
+                || leader != null && leaderLastHeard.plus(silenceTimeout(now)).isAfter(now);
         if (m.term() > term && hasLeader && !m.handover()) {
             return; // a voter that hears its leader does not support an election
         }
@@ -505,6 +550,8 @@
         role = Role.LEADER;
         hasHeardLeader = true;
         leader = settings.self();
+        leaderSince = now;
+        excusedLateness = false;
         peers.clear();
         learners.clear();
         for (String other : others()) {
@@ -578,9 +625,13 @@
         }
         role = Role.FOLLOWER;
         hasHeardLeader = true;
+        if (!from.equals(leader)) {
+            leaderSince = now;
+        }
         leader = from;
         leaderLastHeard = now;
-        awaitElection(now);
+        excusedLateness = false;
+        awaitElection(now, silenceTimeout(now));
     }
 
     // ---- log replication, follower
@@ -977,6 +1028,16 @@
         return round;
     }
 
+    /**
+     * Has leadership confirmed by the next round that begins for another reason, a heartbeat at the latest. For requests
+     * that come all the time and can wait that long: rounds of their own would multiply the messages of the group.
+     *
+     * @return the number of that round, see {@link #confirmLeadership}; 0 if this node is no leader
+     */
+    public long confirmLeadershipWithHeartbeat() {
+        return role == Role.LEADER ? round + 1 : 0;
+    }
+
     /** How many voters, including itself, a leader must hear from to stay leader and to confirm a round. */
     protected int leaderQuorum(int voters) {
         return majority(voters);
