Let the replica group grow to its size in one step, as soon as it can

Callers got 503 (fewer than 5 replicas so far) for 0.6 to 3.9 s after the first leader was elected: the group was looked at four times a second, and grew by one voter where the second had not caught up at that moment. Until it has its size nothing is acknowledged, so that a step with one voter only costs time. It is now looked at every 50 ms until then, and waits for connected learners.

--- a/src/main/java/routerfleet/control/ControlService.java
+++ b/src/main/java/routerfleet/control/ControlService.java
@@ -37,6 +37,8 @@
     private static final long FRESHNESS_INTERVAL_MS = 80;
     private static final long SESSION_INTERVAL_MS = 1_000;
     private static final long RECONCILE_INTERVAL_MS = 250;
+    /** While the group is too small to acknowledge anything. */
+    private static final long GROW_INTERVAL_MS = 50;
     private static final long LEAVE_POLL_MS = 50;
     /** Data nodes, servers and operators are admitted once a leader is known, or after this time at the latest. */
     private static final long MAX_LEADER_WAIT_MS = 500;
@@ -150,6 +152,7 @@
         learnSeeds();
         scheduler.every(FRESHNESS_INTERVAL_MS, freshness::tick);
         scheduler.every(RECONCILE_INTERVAL_MS, this::reconcile);
+        grow();
         scheduler.every(SESSION_INTERVAL_MS, sessions::tick);
         scheduler.every(SESSION_INTERVAL_MS, this::saveSessions);
         scheduler.schedule(() -> warmUp(replicas.orders().warmUpSteps().iterator()), WARMUP_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -288,11 +291,22 @@
         peers.removeStale(kept, now);
         replicas.handOverIfDiskStalled();
         if (replicas.isLeader()) {
-            reconcileReplicas(peers.clusterView(settings.zone(), now, replicas::isCaughtUp));
+            reconcileReplicas();
         }
     }
 
-    private void reconcileReplicas(ReplicaPlanner.ClusterView presence) {
+    private void grow() {
+        if (replicas.hasEnoughVoters()) {
+            return;
+        }
+        if (replicas.isLeader()) {
+            reconcileReplicas();
+        }
+        scheduler.schedule(this::grow, GROW_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void reconcileReplicas() {
+        ReplicaPlanner.ClusterView presence = peers.clusterView(settings.zone(), scheduler.nanoTime(), replicas::isCaughtUp);
         replicas.setLearners(ReplicaPlanner.learners(replicas.voters(), presence));
         if (replicas.areVotersCommitted()) {
             List<String> wanted = planner.planMembers(replicas.voters(), presence);
--- a/src/main/java/routerfleet/control/ReplicaPlanner.java
+++ b/src/main/java/routerfleet/control/ReplicaPlanner.java
@@ -13,7 +13,8 @@
  *     disconnected for {@value #REPLACE_AFTER_MS} ms.
  * <li>No member is removed without a successor; being disconnected is never enough. The only exception is a member that has
  *     announced its shutdown while the group is larger than the tolerated losses require.
- * <li>The group grows to the size that the tolerated losses require, and no further: an additional member that was lost for
+ * <li>The group grows to the size that the tolerated losses require, in one step if enough control nodes are connected, and
+ *     no further: an additional member that was lost for
  *     good without a successor would count towards the majority for ever. Further control nodes stay learners, ready to
  *     replace a member.
  * <li>A vacancy goes to a learner in the zone with the fewest members. If zone losses are to be tolerated and the loss of a
@@ -76,12 +77,21 @@
                 next.remove(departing);
             }
         }
-        while (next.size() < wantedReplicas && !learners.isEmpty()) {
+        while (next.size() < wantedReplicas && !learners.isEmpty() && !awaitsMoreLearners(next.size(), learners, view)) {
             next.add(removeBestLearner(learners, next, null, view));
         }
         return toleratesZoneLoss && next.equals(replicas) ? spreadOverZones(next, learners, view) : next;
     }
 
+    /**
+     * Whether the group can soon grow to the wanted size in one step, with learners that are connected but not yet caught up.
+     * Until it has that size, nothing is acknowledged, and each step costs all members a round of writes.
+     */
+    private boolean awaitsMoreLearners(int members, List<String> caughtUp, ClusterView view) {
+        long connected = view.connectedReplicas().stream().filter(r -> !view.isLeaving(r)).distinct().count();
+        return members + caughtUp.size() < wantedReplicas && connected + 1 >= wantedReplicas;
+    }
+
     /**
      * Removes and returns the learner whose zone has the fewest members.
      *
--- a/src/test/java/routerfleet/control/ReplicaPlannerTest.java
+++ b/src/test/java/routerfleet/control/ReplicaPlannerTest.java
@@ -190,6 +190,15 @@
     /**
      * Whichever nodes are connected, wiped, behind or leaving: a group of sufficient size keeps it, and keeps its leader.
      */
+    /** Guards the first acknowledgement: a group that grows one by one takes twice as long until it may give it. */
+    @Test
+    void theGroupGrowsInOneStepWhenTheOtherLearnersAreAboutToCatchUp() {
+        ReplicaPlanner planner = new ReplicaPlanner(SELF, 2, 0);
+        assertThat(planner.planMembers(THREE, new Nodes(SECOND, THIRD, FOURTH, FIFTH).behind(FIFTH)), is(THREE));
+        assertThat(planner.planMembers(THREE, new Nodes(SECOND, THIRD, FOURTH, FIFTH)), is(FIVE));
+        assertThat(planner.planMembers(THREE, new Nodes(SECOND, THIRD, FOURTH)), is(List.of(SELF, SECOND, THIRD, FOURTH)));
+    }
+
     @Test
     void noStateOfTheNodesMakesTheGroupSmallerThanRequired() {
         Random random = new Random(4711);
