--- a/src/main/java/routerfleet/config/BackendConfig.java
+++ b/src/main/java/routerfleet/config/BackendConfig.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import jakarta.validation.constraints.NotBlank;
 import jakarta.validation.constraints.PositiveOrZero;
+import java.util.Objects;
 
 /**
  * A service.
@@ -28,5 +29,31 @@
      */
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record Engine(@PositiveOrZero int capacity, @JsonProperty("kv_capacity") @PositiveOrZero long kvCapacity,
-            int stride) { }
+            int stride) {
+        // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+        @Override
+        public boolean equals(Object object) {
+            return object instanceof Engine other && capacity == other.capacity
+                    && kvCapacity == other.kvCapacity && stride == other.stride;
+        }
+
+        @Override
+        public int hashCode() {
+            return Long.hashCode(kvCapacity) + capacity;
+        }
+    }
+
+    // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof BackendConfig other && Objects.equals(name, other.name)
+                && Objects.equals(healthCheck, other.healthCheck)
+                && maxConnections == other.maxConnections && Objects.equals(runtime, other.runtime)
+                && Double.compare(warmupS, other.warmupS) == 0 && Double.compare(warmupPerS, other.warmupPerS) == 0;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hashCode(name);
+    }
 }
--- a/src/main/java/routerfleet/config/ClientLimits.java
+++ b/src/main/java/routerfleet/config/ClientLimits.java
@@ -27,4 +27,16 @@
     public static ClientLimits defaults() {
         return new ClientLimits(0, 0, 0, 0);
     }
+
+    // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof ClientLimits other && maxHeaderBytes == other.maxHeaderBytes && maxBodyBytes == other.maxBodyBytes
+                && headerTimeoutMs == other.headerTimeoutMs && idleTimeoutMs == other.idleTimeoutMs;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(idleTimeoutMs) + maxBodyBytes;
+    }
 }
--- a/src/main/java/routerfleet/config/RouteConfig.java
+++ b/src/main/java/routerfleet/config/RouteConfig.java
@@ -9,6 +9,7 @@
 import jakarta.validation.constraints.Positive;
 import jakarta.validation.constraints.PositiveOrZero;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A route: which requests it takes, and which service or services get them.
@@ -42,7 +43,19 @@
 
     /** One service of a split route. */
     @JsonIgnoreProperties(ignoreUnknown = true)
-    public record WeightedBackend(@NotBlank String backend, @PositiveOrZero double weight) { }
+    public record WeightedBackend(@NotBlank String backend, @PositiveOrZero double weight) {
+        // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+        @Override
+        public boolean equals(Object object) {
+            return object instanceof WeightedBackend other && Objects.equals(backend, other.backend)
+                    && Double.compare(weight, other.weight) == 0;
+        }
+
+        @Override
+        public int hashCode() {
+            return Objects.hashCode(backend);
+        }
+    }
 
     /** Whether its answers are series of events. */
     public boolean streaming() {
@@ -58,4 +71,21 @@
     public int attempts() {
         return Math.max(1, maxAttempts);
     }
+
+    // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof RouteConfig other && Objects.equals(name, other.name) && Objects.equals(host, other.host)
+                && Objects.equals(pathPrefix, other.pathPrefix) && Objects.equals(type, other.type)
+                && timeoutMs == other.timeoutMs && targetLatencyMs == other.targetLatencyMs
+                && priority == other.priority && Objects.equals(backend, other.backend)
+                && Objects.equals(trafficSplit, other.trafficSplit) && maxAttempts == other.maxAttempts
+                && isPublic == other.isPublic && sessionAffinity == other.sessionAffinity
+                && streamResume == other.streamResume && gapAimMs == other.gapAimMs;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hashCode(name);
+    }
 }
--- a/src/main/java/routerfleet/config/TenantConfig.java
+++ b/src/main/java/routerfleet/config/TenantConfig.java
@@ -6,6 +6,7 @@
 import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.PositiveOrZero;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A tenant, its keys and its limit.
@@ -29,4 +30,17 @@
     public boolean countsTokens() {
         return TOKENS.equals(unit);
     }
+
+    // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof TenantConfig other && Objects.equals(name, other.name) && Objects.equals(apiKeys, other.apiKeys) && priority == other.priority
+                && Objects.equals(unit, other.unit) && Double.compare(uncachedTokens, other.uncachedTokens) == 0
+                && Double.compare(ratePerS, other.ratePerS) == 0 && Double.compare(burst, other.burst) == 0;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hashCode(name);
+    }
 }
--- a/src/main/java/routerfleet/control/LeadershipWaiters.java
+++ b/src/main/java/routerfleet/control/LeadershipWaiters.java
@@ -27,7 +27,7 @@
     /** Runs the callbacks of the round that a majority has answered, and of all earlier rounds. */
     void confirmed(long round) {
         List<Waiter> ready = waiters.stream().filter(waiter -> waiter.round() <= round).toList();
-        waiters.removeAll(ready);
+        waiters.removeIf(waiter -> waiter.round() <= round);
         ready.forEach(waiter -> waiter.confirmed().run());
     }
 
--- a/src/main/java/routerfleet/control/SessionStorage.java
+++ b/src/main/java/routerfleet/control/SessionStorage.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import java.util.zip.CRC32;
 import routerfleet.log.Loggers;
 import routerfleet.wire.PeerCodec;
@@ -36,16 +36,11 @@
     private final PeerCodec codec;
     /** Number of the last write that succeeded. A failed one is repeated in the same slot; the other slot stays valid. */
     private long sequence;
-    private Set<SessionPhase> written = Set.of();
+    private Map<String, SessionRecord.Phase> written = Map.of();
     private boolean writing;
     private List<Runnable> callbacks = new ArrayList<>();
     private Supplier<List<SessionRecord>> currentSessions = List::of;
 
-    /**
-     * A session's uid and phase. Only a change of these is written: the rest of the record changes with each heartbeat.
-     */
-    private record SessionPhase(String uid, SessionRecord.Phase phase) { }
-
     /**
      * @param writer the thread that writes the disk
      * @param eventLoop the node's thread
@@ -128,7 +123,7 @@
         });
     }
 
-    private void writeFinished(boolean succeeded, Set<SessionPhase> current, List<Runnable> notified) {
+    private void writeFinished(boolean succeeded, Map<String, SessionRecord.Phase> current, List<Runnable> notified) {
         writing = false;
         if (succeeded) {
             sequence++;
@@ -155,8 +150,10 @@
         }
     }
 
-    private static Set<SessionPhase> phasesOf(List<SessionRecord> sessions) {
-        return sessions.stream().map(s -> new SessionPhase(s.uid(), s.phase())).collect(Collectors.toSet());
+    private static Map<String, SessionRecord.Phase> phasesOf(List<SessionRecord> sessions) {
+        Map<String, SessionRecord.Phase> phases = new HashMap<>();
+        sessions.forEach(session -> phases.put(session.uid(), session.phase()));
+        return phases;
     }
 
     private static int checksum(byte[] bytes) {
--- a/src/main/java/routerfleet/journal/JournalVector.java
+++ b/src/main/java/routerfleet/journal/JournalVector.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -32,4 +33,15 @@
         }
         return true;
     }
+
+    // Written out: generated ones are linked at their first use, which takes a small machine tens of milliseconds.
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof JournalVector other && Objects.equals(upTo, other.upTo);
+    }
+
+    @Override
+    public int hashCode() {
+        return upTo.hashCode();
+    }
 }
