Rehearse growth, evacuations and tallies, so that a start finds their classes in the archive

The build's archive holds what the rehearsal loads: three nodes that found a group and never grow, no evacuation, no tally, no control node by file. What is missing there is read from the jar, and lambdas are generated, while somebody waits. The rehearsal now has five nodes with two tolerated losses, one started by its file, and calls evacuations and tallies. The soak of starts also kills all nodes at once and starts them again, with an update meanwhile.

--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -48,10 +48,15 @@
 
     /** @param folder for the control nodes' disks; @param controls how many of them there are as the system starts */
     public LoopbackFleet(Path folder, int controls) throws IOException {
+        this(folder, controls, (controls - 1) / 2);
+    }
+
+    /** @param toleratedLosses how many control nodes may be lost at once; with fewer than it takes, others have to be started */
+    LoopbackFleet(Path folder, int controls, int toleratedLosses) throws IOException {
         this.folder = folder;
+        this.toleratedLosses = toleratedLosses;
         internalPort = freePorts(2);
         controlPort = freePorts(1);
-        toleratedLosses = (controls - 1) / 2;
         for (int i = 1; i <= Math.min(3, controls); i++) {
             seeds.add(controlAddress(i));
         }
@@ -110,6 +115,36 @@
         controlNodes.put(number, node);
     }
 
+    /**
+     * Starts a control node as a process of its own does, by a settings file, at the first start of the whole system.
+     *
+     * @param file where the settings are written
+     */
+    public void startControlByFile(int number, Path file) throws IOException {
+        Files.writeString(file, """
+                node_name=control-%d
+                ip=%s
+                zone=%s
+                listen.control_plane=%s
+                data_path=%s
+                port_range=%d,%d
+                seed_nodes=%s
+                bootstrap=true
+                heartbeat_ms=%d
+                fault_tolerance.hosts_lost=%d
+                """.formatted(number, controlIp(number), ZONE, controlAddress(number), disk(number), internalPort,
+                internalPort + 1, seedList(), HEARTBEAT_MS, toleratedLosses));
+        try {
+            controlNodes.put(number, NodeProcess.startControlNode(file.toString()));
+        } catch (SettingsException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private String seedList() {
+        return seeds.stream().map(HostPort::toString).collect(Collectors.joining(","));
+    }
+
     /** Ends a control node as a crash would: nothing is handed on. */
     public void crashControl(int number) {
         controlNodes.remove(number).crash();
@@ -161,8 +196,7 @@
                 bounds.revocation=true
                 bounds.retry_budget_ratio=0.2
                 """.formatted(nextDataName(), ip, frontend, readiness, internalPort, internalPort + 1,
-                seeds.stream().map(HostPort::toString).collect(Collectors.joining(",")), HEARTBEAT_MS,
-                toleratedLosses));
+                seedList(), HEARTBEAT_MS, toleratedLosses));
         try {
             int index = added(NodeProcess.startDataNode(file.toString()), frontend, true);
             LoopbackHttp.call(readiness, "GET", "/rowanplank/readyz", Map.of(), new byte[0]);
@@ -227,6 +261,12 @@
                 Map.of("Rowanplank-Base-Version", Long.toString(base)), json.getBytes(StandardCharsets.UTF_8)).status();
     }
 
+    /** Calls a control node as an operator or a server does. @param path behind {@code /rowanplank/} */
+    public LoopbackHttp.Answer call(int number, String method, String path, String body) throws IOException {
+        return LoopbackHttp.call(controlAddress(number), method, "/rowanplank/" + path, Map.of(),
+                body.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Reads the configuration back at a control node. */
     public LoopbackHttp.Answer configuration(int number) throws IOException {
         return LoopbackHttp.call(controlAddress(number), "GET", "/rowanplank/config/get", Map.of(), new byte[0]);
--- a/src/main/java/routerfleet/demo/Rehearsal.java
+++ b/src/main/java/routerfleet/demo/Rehearsal.java
@@ -5,16 +5,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 
 /**
- * Runs a small fleet through its usual work once: orders, heartbeats, pages, streams. Shows on any machine, in one
- * process, that an installation works.
+ * Runs a small fleet through its usual work once: a group that grows, orders, heartbeats, pages, streams, evacuations,
+ * tallies. Shows on any machine, in one process, that an installation works; the build records the classes that it loads.
  */
 public final class Rehearsal {
     private static final int REQUESTS = 40;
     private static final int EVENTS = 4;
-    private static final int CONTROL_NODES = 3;
+    /** As many as the loss of two requires. The first ones found the group, which then grows. */
+    private static final int CONTROL_NODES = 5;
+    private static final int TOLERATED_LOSSES = 2;
+    private static final int MOST_CALLS = 200;
+    private static final long CALL_PAUSE_NANOS = 20_000_000;
     private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
     private static final String CONFIGURATION = """
             {"generation":1,"routes":[
             {"name":"pages","host":"demo.example","path_prefix":"/pages/","type":"safe","timeout_ms":3000,
@@ -39,17 +45,25 @@
     public static int run() throws IOException {
         Path folder = Files.createTempDirectory("rehearsal");
         int served = 0;
-        try (LoopbackFleet fleet = new LoopbackFleet(folder, CONTROL_NODES);
+        try (LoopbackFleet fleet = new LoopbackFleet(folder, CONTROL_NODES - 1, TOLERATED_LOSSES);
                 EmulatedServer web = new EmulatedServer("web-1", "web", fleet.seeds(), 0);
                 EmulatedServer llm = new EmulatedServer("llm-1", "llm", fleet.seeds(), EVENTS)) {
+            fleet.startControlByFile(CONTROL_NODES, folder.resolve("control.conf"));
             fleet.order("replace", 0, CONFIGURATION);
             fleet.order("patch", 1, "{\"generation\":2,\"delete\":{\"routes\":[\"none\"]}}");
             fleet.order("patch", 2, UNUSUAL_PATCH);
             int node = fleet.startDataByFile(folder.resolve("data.conf"));
+            awaitServers(fleet, node);
             for (int i = 0; i < REQUESTS; i++) {
                 served += request(fleet, node, i) == OK ? 1 : 0;
             }
             fleet.configuration(1);
+            for (int i = 1; i <= CONTROL_NODES; i++) {
+                callUntilClear(fleet, i, "evacuations/b/start", "");
+                callUntilClear(fleet, i, "evacuations/b/stop", "");
+                callUntilClear(fleet, i, "tallies/rehearsal/patch", "{\"uid\":\"add-" + i + "\",\"owner\":1}");
+                fleet.call(i, "GET", "tallies/rehearsal/get", "");
+            }
             served += restarted(fleet, folder);
             web.drain();
             llm.drain();
@@ -57,6 +71,23 @@
         return served;
     }
 
+    /** Waits until requests of both kinds are served: the servers may be known later than the configuration. */
+    private static void awaitServers(LoopbackFleet fleet, int node) throws IOException {
+        int served = 0;
+        for (int i = 0; i < MOST_CALLS && served < 2; i++) {
+            served = request(fleet, node, i) == OK ? served + 1 : 0;
+            LockSupport.parkNanos(CALL_PAUSE_NANOS);
+        }
+    }
+
+    private static void callUntilClear(LoopbackFleet fleet, int number, String path, String body) throws IOException {
+        for (int i = 0; i < MOST_CALLS; i++) {
+            if (fleet.call(number, "POST", path, body).status() < SERVER_ERROR) {
+                return;
+            }
+        }
+    }
+
     /** All machines are lost and come back: a restart loads other parts of the program than a first start. */
     private static int restarted(LoopbackFleet fleet, Path folder) throws IOException {
         for (int i = 1; i <= CONTROL_NODES; i++) {
--- a/src/test/java/routerfleet/soak/FleetProcess.java
+++ b/src/test/java/routerfleet/soak/FleetProcess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -110,16 +111,21 @@
         start();
     }
 
+    /** Kills it without a warning, and waits for its end. */
+    void kill() throws InterruptedException {
+        life().process.destroyForcibly().waitFor();
+    }
+
     /** Kills it without a warning, waits for its end, and starts it again after a pause. */
     void restartAfterKill(long pauseMs) throws IOException, InterruptedException {
-        life().process.destroyForcibly().waitFor();
+        kill();
         Thread.sleep(pauseMs);
         start();
     }
 
     /** Processor time of the current life, in milliseconds; 0 where the system does not tell. */
     long processorMs() {
-        return life().process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+        return life().process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
     }
 
     /** What all lives have written. */
--- a/src/test/java/routerfleet/soak/StartSoak.java
+++ b/src/test/java/routerfleet/soak/StartSoak.java
@@ -41,17 +41,19 @@
      *
      * @param firstAckMs from the sending of the first update to its acknowledgement
      * @param readyMs from the start of all nodes until every data node was ready
+     * @param againAckMs as {@code firstAckMs}, after all nodes had been killed at once and started again
+     * @param againReadyMs as {@code readyMs}, then
      * @param processorMs what each control node had used by the first acknowledgement
      * @param notes lines of the control nodes' logs about leaders, voters, starts and slow updates
      */
-    record Report(long seed, Size size, int firstRoutes, long firstAckMs, long readyMs, List<Long> processorMs,
-            List<SoakUpdate> updates, int requests, List<String> violations, List<String> notes) {
+    record Report(long seed, Size size, int firstRoutes, long firstAckMs, long readyMs, long againAckMs,
+            long againReadyMs, List<Long> processorMs, List<SoakUpdate> updates, int requests, List<String> violations, List<String> notes) {
         @Override
         public String toString() {
             long slowest = updates.stream().mapToLong(u -> u.endNanos() - u.firstSentNanos()).max().orElse(0) / 1_000_000;
             return "seed " + seed + ", " + size + ": first update of " + firstRoutes + " routes acknowledged after "
                     + firstAckMs + " ms, data nodes ready " + readyMs + " ms after the start, processor time at control nodes "
-                    + processorMs + "; " + updates.size() + " updates, slowest " + slowest + " ms; " + requests
+                    + processorMs + "; after the loss of all " + againAckMs + " ms and " + againReadyMs + " ms; " + updates.size() + " updates, slowest " + slowest + " ms; " + requests
                     + " requests; " + violations.size() + " violations"
                     + violations.stream().map(line -> "\n  " + line).collect(Collectors.joining())
                     + (violations.isEmpty() ? "" : notes.stream().map(l -> "\n    log: " + l).collect(Collectors.joining()));
@@ -100,6 +102,7 @@
         return thread;
     });
     private final List<String> violations = new ArrayList<>();
+    private final List<Future<?>> dataRestarts = new ArrayList<>();
     private final List<Process> competitors = new ArrayList<>();
     private final String controlProcessors;
     private long startNanos;
@@ -137,13 +140,19 @@
         if (!first.isAcknowledged() || size.competitors() == 0 && firstMs > ACK_MS + MS_PER_ROUTE * firstRoutes) {
             violations.add("ACKS the start is calm, but for the start itself: " + first.describe(startNanos));
         }
-        long readyMs = awaitReady();
+        long readyMs = awaitReady(startNanos);
         violations.addAll(lostLeaders());
         disturb();
+        long againNanos = restartAll();
+        int againRoutes = drawRoutes();
+        SoakUpdate again = send(updateRandom, generation + 1, againRoutes,
+                SoakConfigurations.routes(generation + 1, idle(againRoutes)));
+        long againReadyMs = awaitReady(againNanos);
         UpdateJudge judge = new UpdateJudge(ACK_MS, CONNECTED_MS);
         violations.addAll(judge.violations(List.copyOf(updates), disturbances, startNanos));
         violations.addAll(new ShutdownJudge(GRACE_MS, fleet.servers()).violations(List.copyOf(requests)));
-        return new Report(seed, size, firstRoutes, first.isAcknowledged() ? firstMs : -1, readyMs, processorMs, List.copyOf(updates), requests.size(), List.copyOf(violations), notes());
+        return new Report(seed, size, firstRoutes, first.isAcknowledged() ? firstMs : -1, readyMs,
+                millis(again.endNanos() - again.firstSentNanos()), againReadyMs, processorMs, List.copyOf(updates), requests.size(), List.copyOf(violations), notes());
     }
 
     private int drawRoutes() {
@@ -180,13 +189,32 @@
         }
     }
 
+    /** Kills all nodes at once, as a loss of power does, and starts them again. @return when they were started */
+    private long restartAll() throws Exception {
+        List<FleetProcess> all = new ArrayList<>(fleet.controlNodes());
+        all.addAll(fleet.dataNodes());
+        disturbed();
+        for (FleetProcess node : all) {
+            Files.writeString(node.settings(), Files.readString(node.settings()).replace("bootstrap=true", "bootstrap=false"));
+            node.kill();
+        }
+        Thread.sleep(FIRST_UPDATE_MS);
+        long nanos = System.nanoTime();
+        for (FleetProcess node : all) {
+            node.start();
+        }
+        disturbed();
+        sleepUntil(nanos + TimeUnit.MILLISECONDS.toNanos(FIRST_UPDATE_MS));
+        return nanos;
+    }
+
     /** @return from the start until all data nodes were ready, in milliseconds */
-    private long awaitReady() throws InterruptedException {
+    private long awaitReady(long sinceNanos) throws InterruptedException {
         while (fleet.dataNodes().stream().anyMatch(node -> !fleet.isReady(node))
-                && millis(System.nanoTime() - startNanos) < GIVE_UP_MS) {
+                && millis(System.nanoTime() - sinceNanos) < GIVE_UP_MS) {
             Thread.sleep(CALL_PAUSE_MS);
         }
-        long readyMs = millis(System.nanoTime() - startNanos);
+        long readyMs = millis(System.nanoTime() - sinceNanos);
         if (readyMs > READY_MS) {
             violations.add("DUTY the data nodes were ready only " + readyMs + " ms after the start");
         }
@@ -317,6 +345,7 @@
                 default -> Thread.sleep(CONNECTED_MS + random.nextInt((int) ACK_MS)); // a stretch of calm
             }
         }
+        restarts.addAll(dataRestarts);
         for (Future<?> restart : restarts) {
             restart.get();
         }
@@ -346,10 +375,10 @@
     private void terminate(FleetProcess data) {
         if (data.life().termNanos() == FleetProcess.NEVER) {
             data.terminate();
-            threads.submit(() -> {
+            dataRestarts.add(threads.submit(() -> {
                 data.restartAfterEnd(GRACE_MS);
                 return null;
-            });
+            }));
         }
     }
 
