--- a/src/main/java/rowanplank/agreement/RaftNode.java
+++ b/src/main/java/rowanplank/agreement/RaftNode.java
@@ -99,23 +99,26 @@
     /** The transport, which determines when an unanswered message is sent again. */
     public enum Transport {
         /** Any message may be lost; unanswered ones are sent again with the next heartbeat. */
-        DATAGRAMS(Duration.ZERO, 0, false),
+        DATAGRAMS(Duration.ZERO, 0, false, false),
         /**
          * Messages are only lost along with their connection ({@link #onReconnected} reports a new one), but links may
          * be slow, and retransmitting too early would slow them down further.
          */
-        CONNECTIONS(Duration.ofSeconds(5), 1 << 20, true);
+        CONNECTIONS(Duration.ofSeconds(5), 1 << 20, true, true);
 
         private final Duration resendDelay;
         /** Bytes of entries covered by the snapshot that are kept for voters that lag a little. */
         private final int trailingBytes;
         /** Whether entries are sent only after the last matching index of the peer has been found. */
         private final boolean probesFirst;
+        /** Whether messages that arrive while a node is late wait for it, however many they are. */
+        private final boolean holdsArrived;
 
-        Transport(Duration resendDelay, int trailingBytes, boolean probesFirst) {
+        Transport(Duration resendDelay, int trailingBytes, boolean probesFirst, boolean holdsArrived) {
             this.resendDelay = resendDelay;
             this.trailingBytes = trailingBytes;
             this.probesFirst = probesFirst;
+            this.holdsArrived = holdsArrived;
         }
     }
 
@@ -357,7 +360,8 @@
      * interval: their messages may have arrived but not been handled yet. Once only until the next message.
      */
     private boolean excusesSilence(Instant now, Instant due) {
-        boolean excuses = !excusedLateness && now.isAfter(due.plus(settings.heartbeatInterval()));
+        boolean excuses = settings.transport().holdsArrived && !excusedLateness
+                && now.isAfter(due.plus(settings.heartbeatInterval()));
         excusedLateness |= excuses;
         return excuses;
     }
