Review: name each case's record, and check the excuses as the rule has them

run.sh hands the script the path of its record.txt. A process that is started again while a script ends is ended too.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# See claim.txt. Exit status: 1 rule broken, 0 held, 2 the case could not run. TROUBLE=0: no change of the configuration.
+# See claim.txt. Writes what was sent, answered and run to record.txt beside it. Exit status: 1 rule broken, 0 held, 2 the case could not run. TROUBLE=0: no change of the configuration.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review/StreamIds.class ] && [ -f target/rowanplank.jar ] || { echo "build first"; exit 2; }
-exec java -Xmx1g -cp target/review StreamIds review/3
+exec java -Xmx1g -cp target/review StreamIds review/3/record.txt
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -73,6 +73,9 @@
             starts++;
             expected = false;
             process = builder.start();
+            if (closing) {
+                process.destroyForcibly();
+            }
             record(name + " started, start " + starts);
             Process started = process;
             started.onExit().thenAccept(ended -> ended(ended));
@@ -151,7 +154,10 @@
         if (found == null) {
             throw new IOException("no free ports");
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            endProcesses();
+            removeFolder();
+        }));
         net = found;
         controlPort = base;
         frontPort = base + 1;
@@ -436,6 +442,9 @@
     }
 
     private void removeFolder() {
+        if (!Files.exists(folder)) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
         } catch (IOException e) {
--- a/review/standins/StrayAnswer.java
+++ b/review/standins/StrayAnswer.java
@@ -51,7 +51,7 @@
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status;
-        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), Path.of(args[0], "record.txt"),
+        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), Path.of(args[0]),
                 new String[] {"hall", "room", "annex"}, 3, 2)) {
             status = new StrayAnswer(fleet).run(trouble);
         }
--- a/review/standins/StreamIds.java
+++ b/review/standins/StreamIds.java
@@ -24,6 +24,9 @@
     private static final int TOKENS_PER_EVENT = Integer.getInteger("step", 5);
     private static final int CLIENTS = 24;
     private static final long PROPAGATION_MS = 2_000;
+    private static final int DEADLINE_MS = 8_000;
+    /** A request that has used so much of its time does not count. */
+    private static final double TIME_USED = 0.7;
     private static final int MOVES = 2;
 
     private StreamIds() { }
@@ -75,8 +78,8 @@
         return true;
     }
 
-    private static int run(Path folder, boolean trouble) throws Exception {
-        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), folder.resolve("record.txt"),
+    private static int run(Path record, boolean trouble) throws Exception {
+        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), record,
                 new String[] {"hall", "room", "annex"}, 3, 2)) {
             fleet.startAll();
             List<ModelServer> servers = new ArrayList<>();
@@ -170,14 +173,15 @@
                 double waitS = 0.05;
                 String outcome;
                 try {
-                    Fleet.Answer answer = client.request("/brief/x", id, Map.of("Host", "desk.example"), new byte[300], 8_000);
+                    Fleet.Answer answer = client.request("/brief/x", id, Map.of("Host", "desk.example"), new byte[300], DEADLINE_MS);
                     waitS = Math.max(waitS, Double.parseDouble(answer.headers().getOrDefault("Retry-After", "0")));
                     outcome = "status " + answer.status()
                             + (answer.status() == 200 ? ", " + answer.text().split("\n\n").length + " events" : "");
                 } catch (java.net.SocketTimeoutException e) {
                     outcome = "no answer in time";
                 } catch (IOException e) {
-                    cut = servers.stream().anyMatch(server -> server.ran.contains(id));
+                    boolean early = System.nanoTime() - sent < (long) (TIME_USED * DEADLINE_MS * 1_000_000);
+                    cut = early && servers.stream().anyMatch(server -> server.ran.contains(id));
                     outcome = "closed without a whole answer" + (cut ? ", run by a sound server" : "");
                 }
                 ended.add(new Ended(front.name, sent, cut));
--- a/review/standins/UploadBurst.java
+++ b/review/standins/UploadBurst.java
@@ -40,8 +40,8 @@
         System.exit(run(Path.of(args[0]), trouble));
     }
 
-    private static int run(Path folder, boolean trouble) throws Exception {
-        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), folder.resolve("record.txt"),
+    private static int run(Path record, boolean trouble) throws Exception {
+        try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), record,
                 new String[] {"hall", "room", "annex"}, 3, 2)) {
             fleet.startAll();
             List<ModelServer> servers = new ArrayList<>();
