Log each attempt of a response that is broken off, and requests that are not answered

No logic is changed. The line of a response that was broken off named its last attempt only; it names all of them now, in their order, from which event each was to go on and what it came to. A request that is read on a connection after its last response is named, with the time since then: whether a connection that ends "at no server" held a request that the node had read could not be told.

--- a/src/main/java/routerfleet/data/Attempt.java
+++ b/src/main/java/routerfleet/data/Attempt.java
@@ -39,6 +39,8 @@
     private ByteArrayOutputStream responseBody;
     private double firstEventMs;
     private int events;
+    /** The id of the event behind which the request asked the stream to go on; null if it asked for a new one. */
+    private String resumeAfter;
     private boolean silenceReported;
     private boolean readingPaused;
     private boolean ended;
@@ -85,6 +87,7 @@
     /** Sends the request on an established connection. @param id its attempt id */
     void send(UpstreamConnection established, FullHttpRequest request, String id) {
         connection = established;
+        resumeAfter = request.headers().get(ProxyHeaders.LAST_EVENT_ID);
         sentMs = SteadyClock.millis();
         established.send(request, id, this);
     }
@@ -181,7 +184,8 @@
     /** Describes the state of the attempt for the log. */
     String describe(long nowMs) {
         String state = connection == null ? "connecting"
-                : "sent " + (nowMs - sentMs) + " ms ago, " + (head == null ? "no head" : events + " events");
+                : "sent " + (nowMs - sentMs) + " ms ago" + (resumeAfter == null ? "" : " to go on after " + resumeAfter)
+                + ", " + (head == null ? "no head" : events + " events");
         return "server " + server.uid() + " (" + state + ", silent for " + server.silentMs(nowMs) + " ms)";
     }
 
--- a/src/main/java/routerfleet/data/ClientConnection.java
+++ b/src/main/java/routerfleet/data/ClientConnection.java
@@ -37,6 +37,7 @@
  * until the queue is processed.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientResponseWriter {
+    private static final System.Logger LOG = Loggers.get("routerfleet.data");
     /** How long input is read after the last response: closing earlier might reset the connection before it is received. */
     private static final long LINGER_TIMEOUT_MS = 200;
 
@@ -59,6 +60,7 @@
     private boolean keepAlive;
     private boolean headRequest;
     private boolean closing;
+    private long closingSinceMs;
     private long requestStartedMs;
     private long lastActiveMs = SteadyClock.millis();
     private boolean readingRequest;
@@ -93,6 +95,7 @@
     @Override
     public void channelRead(ChannelHandlerContext from, Object message) {
         if (closing) {
+            logUnanswered(message);
             ReferenceCountUtil.release(message);
         } else if (exchange != null) {
             enqueue(message);
@@ -101,6 +104,14 @@
         }
     }
 
+    /** Logs a request that arrives behind the last response of the connection. */
+    private void logUnanswered(Object message) {
+        if (message instanceof HttpRequest unanswered) {
+            LOG.log(System.Logger.Level.INFO, "request not answered: " + unanswered.headers().get(ProxyHeaders.ATTEMPT_ID)
+                    + ", read " + (SteadyClock.millis() - closingSinceMs) + " ms after its connection was to be closed");
+        }
+    }
+
     /**
      * Queues a message of a pipelined request. Reading continues up to a limit, since a disconnect is detected only while
      * the connection is read.
@@ -218,7 +229,15 @@
                 closeAfterLinger();
             }
         });
-        closing |= close;
+        if (close) {
+            markClosing();
+        }
+    }
+
+    /** From now on nothing that is read is handled. */
+    private void markClosing() {
+        closing = true;
+        closingSinceMs = SteadyClock.millis();
     }
 
     /** Shuts down the output, and closes the connection once the client has had time to read the response. */
@@ -251,7 +270,7 @@
 
     @Override
     public void abort() {
-        closing = true;
+        markClosing();
         exchange = null;
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
@@ -302,7 +321,7 @@
     void closeIfIdle() {
         boolean idle = exchange == null && !readingRequest && !closing;
         if (idle && idleBefore) {
-            closing = true;
+            markClosing();
             context.close();
         }
         idleBefore = idle;
@@ -318,7 +337,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         openConnections.remove(this);
-        closing = true;
+        markClosing();
         pendingMessages.forEach(pending -> ReferenceCountUtil.release(pending.message()));
         pendingMessages.clear();
         if (exchange != null) {
@@ -331,7 +350,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
         if (!(cause instanceof java.io.IOException)) {
-            Loggers.get("routerfleet.data").log(System.Logger.Level.WARNING, "client connection closed", cause);
+            LOG.log(System.Logger.Level.WARNING, "client connection closed", cause);
         }
         caught.close();
     }
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import routerfleet.wire.SteadyClock;
 
 /**
@@ -47,8 +48,8 @@
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int sentCount;
     private int connectFailures;
-    /** State and failure of the last attempt that failed, for the log. */
-    private String lastFailure = "none";
+    /** What the attempts that have ended came to, for the log. */
+    private final List<String> endedAttempts = new ArrayList<>(2);
     private boolean mayHaveExecuted;
     private boolean done;
 
@@ -169,6 +170,7 @@
 
     private void onConnectFailed(Attempt failed) {
         end(failed);
+        endedAttempts.add(failed.describe(SteadyClock.millis()) + " failed: no connection");
         failed.server().backOff(SteadyClock.millis());
         recordOutcome(failed, failureLatencyMs(), false);
         connectFailures++;
@@ -227,8 +229,9 @@
     @Override
     public void eventReceived(Attempt from, byte[] event, long id) {
         abandonOthers(from);
+        long lastId = relay.lastEventId();
         if (!relay.forward(from.head(), event, id, from.sentBefore() > 0)) {
-            from.fail("events are missing from a resumed stream");
+            from.fail("events are missing from a resumed stream between " + lastId + " and " + id);
         } else if (!responseWriter.isWritable()) {
             from.pauseReading();
         }
@@ -241,6 +244,7 @@
         }
         for (Attempt other : List.copyOf(attempts)) {
             if (other != responding) {
+                endedAttempts.add(other.describe(SteadyClock.millis()) + " abandoned");
                 other.abandon();
                 attempts.remove(other);
                 if (other.isSilenceReported()) {
@@ -283,6 +287,7 @@
     }
 
     private void handleNotExecuted(Attempt refused) {
+        endedAttempts.add(refused.describe(SteadyClock.millis()) + " refused: " + refused.head().status().code());
         if (refused.head().status().code() == 421) {
             plane.registry().markEnded(refused.server().uid());
         } else {
@@ -318,7 +323,7 @@
     public void responseFailed(Attempt from, String state) {
         end(from);
         mayHaveExecuted = true;
-        lastFailure = state;
+        endedAttempts.add(state);
         recordLostConnection(from);
         recordError(from);
         if (attempts.isEmpty()) {
@@ -377,10 +382,10 @@
 
     private void abortResponse(ResponseEnd end, String reason) {
         long now = SteadyClock.millis();
-        String states = attempts.isEmpty() ? lastFailure
-                : attempts.stream().map(attempt -> attempt.describe(now)).collect(Collectors.joining(" and "));
+        String states = Stream.concat(endedAttempts.stream(), attempts.stream().map(open -> open.describe(now)))
+                .collect(Collectors.joining(", then "));
         finish();
-        plane.responseLog().brokenOff(end, () -> admitted.id() + ", " + reason + ", " + sentCount + " attempts, last: "
+        plane.responseLog().brokenOff(end, () -> admitted.id() + ", " + reason + ", " + sentCount + " sent: "
                 + states + "; read " + (now - receivedMs) + " ms ago" + plane.operatorEvents().describe(now));
         responseWriter.abort();
     }
