Let the soak's servers refuse, break off and number events in all ways that are allowed

The soak of signals had servers whose events are numbered one by one, and none that refuses. Its servers number events in seven ways now, refuse a tenth of the requests and break some streams off inside an event; each data node also gets SIGTERM in turn, beside whatever else is planned. The judge excuses a request only if all servers that executed it broke off.

--- a/src/main/java/routerfleet/data/Attempt.java
+++ b/src/main/java/routerfleet/data/Attempt.java
@@ -18,8 +18,8 @@
         /** Called when the response is complete; the attempt has ended. */
         void responseComplete(Attempt attempt);
 
-        /** Called when the response failed after the request was sent; the attempt has ended. @param state for the log */
-        void responseFailed(Attempt attempt, String state);
+        /** Called when the response failed after the request was sent; the attempt has ended. @param reason for the log */
+        void responseFailed(Attempt attempt, String reason);
     }
 
     private final Listener listener;
@@ -249,10 +249,8 @@
 
     @Override
     public void failed(String reason) {
-        if (!ended) {
-            String state = describe(SteadyClock.millis()) + " failed: " + reason;
-            end();
-            listener.responseFailed(this, state);
+        if (end()) {
+            listener.responseFailed(this, reason);
         }
     }
 }
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -10,8 +10,6 @@
 import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import routerfleet.wire.SteadyClock;
 
 /**
@@ -48,8 +46,7 @@
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int sentCount;
     private int connectFailures;
-    /** What the attempts that have ended came to, for the log. */
-    private final List<String> endedAttempts = new ArrayList<>(2);
+    private final AttemptLog attemptLog = new AttemptLog();
     private boolean mayHaveExecuted;
     private boolean done;
 
@@ -170,7 +167,7 @@
 
     private void onConnectFailed(Attempt failed) {
         end(failed);
-        endedAttempts.add(failed.describe(SteadyClock.millis()) + " failed: no connection");
+        attemptLog.ended(failed, "failed: no connection");
         failed.server().backOff(SteadyClock.millis());
         recordOutcome(failed, failureLatencyMs(), false);
         connectFailures++;
@@ -244,7 +241,7 @@
         }
         for (Attempt other : List.copyOf(attempts)) {
             if (other != responding) {
-                endedAttempts.add(other.describe(SteadyClock.millis()) + " abandoned");
+                attemptLog.ended(other, "abandoned");
                 other.abandon();
                 attempts.remove(other);
                 if (other.isSilenceReported()) {
@@ -287,7 +284,7 @@
     }
 
     private void handleNotExecuted(Attempt refused) {
-        endedAttempts.add(refused.describe(SteadyClock.millis()) + " refused: " + refused.head().status().code());
+        attemptLog.ended(refused, "refused: " + refused.head().status().code());
         if (refused.head().status().code() == 421) {
             plane.registry().markEnded(refused.server().uid());
         } else {
@@ -320,10 +317,10 @@
     }
 
     @Override
-    public void responseFailed(Attempt from, String state) {
+    public void responseFailed(Attempt from, String reason) {
         end(from);
         mayHaveExecuted = true;
-        endedAttempts.add(state);
+        attemptLog.ended(from, "failed: " + reason);
         recordLostConnection(from);
         recordError(from);
         if (attempts.isEmpty()) {
@@ -382,8 +379,7 @@
 
     private void abortResponse(ResponseEnd end, String reason) {
         long now = SteadyClock.millis();
-        String states = Stream.concat(endedAttempts.stream(), attempts.stream().map(open -> open.describe(now)))
-                .collect(Collectors.joining(", then "));
+        String states = attemptLog.describe(attempts, now);
         finish();
         plane.responseLog().brokenOff(end, () -> admitted.id() + ", " + reason + ", " + sentCount + " sent: "
                 + states + "; read " + (now - receivedMs) + " ms ago" + plane.operatorEvents().describe(now));
--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -28,6 +28,8 @@
 public final class EmulatedServer implements AutoCloseable {
     private static final int CAPACITY = 16;
     private static final long HEARTBEAT_MS = 100;
+    /** Index of the event inside which {@link Behaviour#CUT} ends a stream. */
+    private static final int CUT_EVENT = 2;
     /** How often every control node is told that it leaves, before it gives up. */
     private static final int DRAIN_ROUNDS = 3;
 
@@ -52,16 +54,36 @@
      * @param events of a stream; 0 for a response that is no stream
      * @param gapMs between two events, in milliseconds
      * @param stallMs for how long the arrival keeps the whole server from sending, as a long prompt does, in milliseconds
+     * @param numbering of a stream's events
+     * @param cutAt index of the event inside which a stream is broken off; negative for none
+     * @param refused whether the request is rejected as if the server were full
      */
-    public record Pace(long silenceMs, int events, long gapMs, long stallMs) { }
+    public record Pace(long silenceMs, int events, long gapMs, long stallMs, EventNumbering numbering, int cutAt,
+            boolean refused) {
+        /** A pace of a stream that is sent to its end, with events numbered one by one. */
+        public Pace(long silenceMs, int events, long gapMs, long stallMs) {
+            this(silenceMs, events, gapMs, stallMs, EventNumbering.BY_ONE, -1, false);
+        }
+    }
+
+    /** How the run of a request ended. */
+    public enum RunEnd {
+        /** The whole response was sent. */
+        WHOLE,
+        /** The request was rejected and not executed. */
+        REFUSED,
+        /** The server broke the response off. */
+        BROKEN_OFF,
+        /** The server noticed that its caller was gone. */
+        CALLER_GONE
+    }
 
     /**
      * One run of a request.
      *
      * @param endNanos when the server had sent its last byte, or had noticed that its caller was gone
-     * @param whole whether the whole response was sent
      */
-    public record Run(String id, String uid, long startNanos, long endNanos, boolean whole) { }
+    public record Run(String id, String uid, long startNanos, long endNanos, RunEnd end) { }
 
     /** A request as it arrived. */
     public record Arrival(String path, Map<String, String> headers, String body) { }
@@ -210,38 +232,45 @@
         Arrival arrival = new Arrival(requestLine.split(" ")[1], headers, new String(body, StandardCharsets.UTF_8));
         arrivals.add(arrival);
         long startNanos = System.nanoTime();
-        boolean whole = false;
+        RunEnd end = RunEnd.CALLER_GONE;
         try {
-            whole = act(out, headers, pacing.apply(arrival));
-            return whole;
+            end = act(out, headers, pacing.apply(arrival));
+            return end != RunEnd.BROKEN_OFF;
         } finally {
-            runs.add(new Run(headers.get("rowanplank-attempt-id"), uid, startNanos, System.nanoTime(), whole));
+            runs.add(new Run(headers.get("rowanplank-attempt-id"), uid, startNanos, System.nanoTime(), end));
         }
     }
 
-    private boolean act(OutputStream out, Map<String, String> headers, Pace pace) throws IOException {
+    private RunEnd act(OutputStream out, Map<String, String> headers, Pace pace) throws IOException {
         String stamp = "Rowanplank-Attempt-Id: " + headers.get("rowanplank-attempt-id")
                 + "\r\nRowanplank-Server-Signature: " + uid + ".1\r\n";
         switch (behaviour) {
             case HANG_UP:
-                return false;
+                return RunEnd.BROKEN_OFF;
             case HOLD:
                 awaitOtherBehaviour();
                 return act(out, headers, pace);
             case SHED:
-                write(out, "503 Service Unavailable", "Rowanplank-Not-Executed: 1\r\n", "");
-                return true;
+                return refuse(out);
             default:
+                if (pace.refused()) {
+                    return refuse(out);
+                }
                 stall(pace.stallMs());
                 pause(pace.silenceMs());
                 if (pace.events() == 0) {
                     write(out, "200 OK", stamp, "served by " + uid);
-                    return true;
+                    return RunEnd.WHOLE;
                 }
-                return stream(out, stamp, headers, pace);
+                return stream(out, stamp, headers.get("last-event-id"), pace);
         }
     }
 
+    private static RunEnd refuse(OutputStream out) throws IOException {
+        write(out, "503 Service Unavailable", "Rowanplank-Not-Executed: 1\r\n", "");
+        return RunEnd.REFUSED;
+    }
+
     private void stall(long ms) {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
         stalledUntilNanos.accumulateAndGet(untilNanos, (a, b) -> a - b > 0 ? a : b);
@@ -261,22 +290,22 @@
         }
     }
 
-    private boolean stream(OutputStream out, String stamp, Map<String, String> headers, Pace pace) throws IOException {
-        boolean cuts = behaviour == Behaviour.CUT;
+    private RunEnd stream(OutputStream out, String stamp, String lastEventId, Pace pace) throws IOException {
+        int cutAt = behaviour == Behaviour.CUT ? CUT_EVENT : pace.cutAt();
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + stamp
                 + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-        int from = Integer.parseInt(headers.getOrDefault("last-event-id", "-1")) + 1;
+        int from = pace.numbering().indexOf(lastEventId, pace.events()) + 1;
         for (int i = from; i < pace.events(); i++) {
             pause(i == from ? 0 : pace.gapMs());
-            String event = "id: " + i + "\ndata: piece " + i + "\n\n";
-            if (cuts && i == 2) {
+            String event = pace.numbering().event(i);
+            if (i == cutAt) {
                 chunk(out, event.substring(0, event.length() / 2));
-                return false;
+                return RunEnd.BROKEN_OFF;
             }
             chunk(out, event);
         }
         chunk(out, "");
-        return true;
+        return RunEnd.WHOLE;
     }
 
     private static void chunk(OutputStream out, String text) throws IOException {
--- a/src/test/java/routerfleet/GracefulShutdownTest.java
+++ b/src/test/java/routerfleet/GracefulShutdownTest.java
@@ -152,6 +152,6 @@
         stopNode();
         assertThat(in.read(), is(-1));
         stopped.get(MOST_WAIT_S, TimeUnit.SECONDS);
-        assertThat(llm.runs().stream().filter(run -> !run.whole()).toList(), is(empty()));
+        assertThat(llm.runs().stream().filter(run -> run.end() != EmulatedServer.RunEnd.WHOLE).toList(), is(empty()));
     }
 }
--- a/src/test/java/routerfleet/soak/DeployCommands.java
+++ b/src/test/java/routerfleet/soak/DeployCommands.java
@@ -26,8 +26,13 @@
 
     /** Java with the classes of this process, and with no archive of loaded classes. */
     static DeployCommands ofClassPath() {
+        return ofClassPath(System.getProperty("java.class.path"));
+    }
+
+    /** The same with the classes of another build. @param classPath its jar */
+    static DeployCommands ofClassPath(String classPath) {
         List<String> java = List.of(java(), "-Xmx96m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                "-Xshare:auto", "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
+                "-Xshare:auto", "-Djava.net.preferIPv4Stack=true", "-cp", classPath,
                 "rowanplank.Main");
         return new DeployCommands(Map.of(ROLES.get(0), append(java, ROLES.get(0)), ROLES.get(1),
                 append(java, ROLES.get(1))));
--- a/src/test/java/routerfleet/soak/ProcessFleet.java
+++ b/src/test/java/routerfleet/soak/ProcessFleet.java
@@ -9,11 +9,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import routerfleet.demo.EmulatedServer;
+import routerfleet.demo.EventNumbering;
 import routerfleet.demo.LoopbackHttp;
 import routerfleet.settings.HostPort;
 
@@ -46,6 +49,8 @@
     private final List<FleetProcess> dataNodes = new ArrayList<>();
     private final List<EmulatedServer> servers = new ArrayList<>();
     private volatile List<FleetProcess> ingress = List.of();
+    /** Ids of requests that have arrived at a server. */
+    private final Set<String> seenIds = ConcurrentHashMap.newKeySet();
 
     /** @param folder for settings, disks and logs */
     ProcessFleet(Options options, Path folder) throws IOException {
@@ -117,18 +122,21 @@
     /** Starts servers of the three backends that the configurations of {@link SoakConfigurations} name. */
     void startServers(int llmServers) throws IOException {
         List<HostPort> control = controlNodes.stream().map(FleetProcess::address).toList();
-        servers.add(new EmulatedServer("web-1", "web", control, ProcessFleet::pace));
-        servers.add(new EmulatedServer("web-2", "web", control, ProcessFleet::pace));
-        servers.add(new EmulatedServer("solo-1", "solo", control, ProcessFleet::pace));
+        servers.add(new EmulatedServer("web-1", "web", control, this::pace));
+        servers.add(new EmulatedServer("web-2", "web", control, this::pace));
+        servers.add(new EmulatedServer("solo-1", "solo", control, this::pace));
         for (int i = 1; i <= llmServers; i++) {
-            servers.add(new EmulatedServer("llm-" + i, "llm", control, ProcessFleet::pace));
+            servers.add(new EmulatedServer("llm-" + i, "llm", control, this::pace));
         }
     }
 
-    /** Paces a response as the request's path says. */
-    private static EmulatedServer.Pace pace(EmulatedServer.Arrival arrival) {
-        return new EmulatedServer.Pace(parameter(arrival, "silence"), (int) parameter(arrival, "events"),
-                parameter(arrival, "gap"), parameter(arrival, "stall"));
+    /** Paces a response as the request's path says; only the first server that is asked refuses or breaks off. */
+    private EmulatedServer.Pace pace(EmulatedServer.Arrival arrival) {
+        boolean first = seenIds.add(arrival.headers().get("rowanplank-attempt-id"));
+        int events = (int) parameter(arrival, "events");
+        return new EmulatedServer.Pace(parameter(arrival, "silence"), events, parameter(arrival, "gap"),
+                parameter(arrival, "stall"), EventNumbering.values()[(int) parameter(arrival, "numbering")],
+                first ? (int) parameter(arrival, "cut") : -1, first && parameter(arrival, "refuse") > 0);
     }
 
     private static long parameter(EmulatedServer.Arrival arrival, String name) {
--- a/src/test/java/routerfleet/soak/RequestRecord.java
+++ b/src/test/java/routerfleet/soak/RequestRecord.java
@@ -11,11 +11,11 @@
  * @param kept whether the connection had carried a request before
  * @param status of the response; 0 if no head was received
  * @param behind the request whose response preceded on the connection when this one was sent; null if there was none
- * @param events number of events that the stream has; 0 if it is none
+ * @param stream all events that the stream has; null if it is none
  */
 record RequestRecord(String id, String node, FleetProcess.Life life, String route, boolean executedOnce, boolean kept,
         long firstByteSentNanos, long lastByteSentNanos, long endNanos, long deadlineMs, Outcome outcome, int status,
-        int events, String body, RequestRecord behind) {
+        String stream, String body, RequestRecord behind) {
     /** How the request ended. */
     enum Outcome {
         /** A complete response was received. */
--- a/src/test/java/routerfleet/soak/ShutdownJudge.java
+++ b/src/test/java/routerfleet/soak/ShutdownJudge.java
@@ -11,10 +11,10 @@
 
 /**
  * Judges what clients and servers saw by rule LOST: a request that a process has read ends with a complete response. In a
- * soak all work is planned and no server breaks off, so that a request may be cut off for two reasons only: its deadline,
- * or the end of a process that it was sent to at most 3 s after SIGTERM while its server still worked on it in the last
- * sixth of the grace period. A request that no server received counts as not read if the connection was reset, or ended
- * within the slack after its last byte was sent. A request that was sent ahead shares the lot of a response before it
+ * soak all work is planned, so that a request may be cut off for three reasons only: its deadline, servers that all broke
+ * off, or the end of a process that it was sent to at most 3 s after SIGTERM while its server still worked on it in the
+ * last sixth of the grace period. A request that no server received counts as not read if the connection was reset, or
+ * ended within the slack after its last byte was sent. A request that was sent ahead shares the lot of a response before it
  * on the connection that was broken off. Also checks that streams are complete and that requests which may be
  * executed once are neither executed twice nor refused after an execution.
  */
@@ -48,10 +48,10 @@
                     && !isWholeStream(request)) {
                 found.add("ORDER " + request.describe());
             }
-            if (request.executedOnce() && runsOf(request).size() > 1) {
+            if (request.executedOnce() && executions(request) > 1) {
                 found.add("TWICE " + request.describe());
             }
-            if (request.executedOnce() && isRefusal(request) && !runsOf(request).isEmpty()) {
+            if (request.executedOnce() && isRefusal(request) && executions(request) > 0) {
                 found.add("REFUSED " + request.describe());
             }
         }
@@ -63,6 +63,10 @@
         return runs.getOrDefault(request.id(), List.of());
     }
 
+    private long executions(RequestRecord request) {
+        return runsOf(request).stream().filter(run -> run.end() != EmulatedServer.RunEnd.REFUSED).count();
+    }
+
     private boolean isExcused(RequestRecord request) {
         if (request.behind() != null && request.behind().isCutOff()) {
             return isExcused(request.behind()); // HTTP/1.1 can't go on behind a response that was broken off
@@ -70,6 +74,9 @@
         if (request.durationMs() >= request.deadlineMs() - DEADLINE_TOLERANCE_MS) {
             return true;
         }
+        if (onlyServersBrokeOff(request)) {
+            return true;
+        }
         if (runsOf(request).isEmpty()) {
             long sinceSentMs = TimeUnit.NANOSECONDS.toMillis(request.endNanos() - request.lastByteSentNanos());
             return request.outcome() == RequestRecord.Outcome.RESET || sinceSentMs <= SLACK_MS;
@@ -88,26 +95,25 @@
         return sentMs <= EXCUSED_AFTER_TERM_MS && atWork && request.endNanos() - lateNanos >= 0;
     }
 
+    /** Whether each server that executed the request broke its response off. */
+    private boolean onlyServersBrokeOff(RequestRecord request) {
+        return executions(request) > 0 && runsOf(request).stream().allMatch(run ->
+                run.end() == EmulatedServer.RunEnd.REFUSED || run.end() == EmulatedServer.RunEnd.BROKEN_OFF);
+    }
+
     private static boolean isRefusal(RequestRecord request) {
         return request.outcome() == RequestRecord.Outcome.COMPLETE
                 && (request.status() == 503 || request.status() == 429);
     }
 
     private static boolean isWholeStream(RequestRecord request) {
-        if (request.events() == 0) {
-            return true;
-        }
-        StringBuilder expected = new StringBuilder();
-        for (int i = 0; i < request.events(); i++) {
-            expected.append("id: ").append(i).append("\ndata: piece ").append(i).append("\n\n");
-        }
-        return request.body().contentEquals(expected);
+        return request.stream() == null || request.body().equals(request.stream());
     }
 
     private String servers(RequestRecord request) {
         StringBuilder text = new StringBuilder();
         for (EmulatedServer.Run run : runsOf(request)) {
-            text.append(run.uid()).append(run.whole() ? " answered whole " : " broken off ")
+            text.append(run.uid()).append(' ').append(run.end()).append(' ')
                     .append(TimeUnit.NANOSECONDS.toMillis(run.startNanos() - request.firstByteSentNanos())).append("..")
                     .append(TimeUnit.NANOSECONDS.toMillis(run.endNanos() - request.firstByteSentNanos())).append(" ms; ");
         }
--- a/src/test/java/routerfleet/soak/ShutdownSoak.java
+++ b/src/test/java/routerfleet/soak/ShutdownSoak.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
+import routerfleet.demo.EventNumbering;
 import routerfleet.demo.LoopbackHttp;
 
 /**
@@ -28,6 +29,15 @@
     /** How many processes and clients there are, and for how long they run. */
     record Size(int controlNodes, int dataNodes, int servers, int clients, int seconds) {
         static final Size SMALL = new Size(3, 3, 3, 40, 25);
+
+        /** @param arguments the components in their order; the small size if there are none */
+        static Size of(List<String> arguments) {
+            if (arguments.isEmpty()) {
+                return SMALL;
+            }
+            List<Integer> numbers = arguments.stream().map(Integer::valueOf).toList();
+            return new Size(numbers.get(0), numbers.get(1), numbers.get(2), numbers.get(3), numbers.get(4));
+        }
     }
 
     /**
@@ -57,10 +67,12 @@
     private static final int READY_WAIT_S = 60;
     private static final int MAX_RUN_S = 20;
     private static final int MAX_EVENT_GAP_MS = 1_500;
+    private static final int SERIES_GAP_MS = 700;
     private static final int OK = 200;
 
     private final long seed;
     private final Size size;
+    private final ServerTrouble trouble;
     private final SplittableRandom random;
     private final ProcessFleet fleet;
     private final List<FleetProcess> controlNodes;
@@ -74,13 +86,17 @@
     });
     private long generation;
 
-    /** @param folder for settings, disks and logs */
-    ShutdownSoak(long seed, Size size, Path folder) throws IOException {
+    /**
+     * @param commands start the nodes
+     * @param folder for settings, disks and logs
+     */
+    ShutdownSoak(long seed, Size size, ServerTrouble trouble, DeployCommands commands, Path folder) throws IOException {
         this.seed = seed;
         this.size = size;
+        this.trouble = trouble;
         random = new SplittableRandom(seed);
         fleet = new ProcessFleet(new ProcessFleet.Options(size.controlNodes(), size.dataNodes(), 1, 1, HEARTBEAT_MS,
-                GRACE_MS, "", DeployCommands.ofClassPath()), folder);
+                GRACE_MS, "", commands), folder);
         controlNodes = fleet.controlNodes();
         dataNodes = fleet.dataNodes();
     }
@@ -91,7 +107,8 @@
         threads.submit(() -> fleet.watchReadiness(stopped));
         List<Future<?>> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
-            clients.add(threads.submit(new SoakClient("c" + i, random.split(), fleet::chooseNode, records, stopped)));
+            clients.add(threads.submit(
+                    new SoakClient("c" + i, trouble, random.split(), fleet::chooseNode, records, stopped)));
         }
         operate(System.nanoTime() + TimeUnit.SECONDS.toNanos(size.seconds()));
         stopped.set(true);
@@ -138,12 +155,12 @@
     // ---- the operator
 
     private void operate(long endNanos) throws Exception {
-        List<Future<?>> restarts = new ArrayList<>();
+        Queue<Future<?>> restarts = new ConcurrentLinkedQueue<>();
         while (System.nanoTime() - endNanos < 0) {
             Thread.sleep(random.nextInt(MAX_EVENT_GAP_MS));
             FleetProcess data = dataNodes.get(random.nextInt(dataNodes.size()));
             FleetProcess control = controlNodes.get(random.nextInt(controlNodes.size()));
-            switch (random.nextInt(9)) {
+            switch (random.nextInt(10)) {
                 case 0, 1, 2 -> terminate(data, restarts);
                 case 3 -> terminateAll(restarts);
                 case 4 -> terminate(control, restarts);
@@ -152,17 +169,27 @@
                     control.hangUp();
                 }
                 case 6 -> changeSeeds(data);
-                case 7 -> configure("patch", SoakConfigurations.idleRoute(generation + 1));
+                case 7 -> restarts.add(threads.submit(() -> terminateInTurn(restarts)));
+                case 8 -> configure("patch", SoakConfigurations.idleRoute(generation + 1));
                 default -> configure("replace", SoakConfigurations.routes(generation + 1, 0));
             }
         }
-        for (Future<?> restart : restarts) {
+        for (Future<?> restart = restarts.poll(); restart != null; restart = restarts.poll()) {
             restart.get();
         }
     }
 
+    /** SIGTERM for each data node in turn, beside whatever else is planned; the ones before may not have ended. */
+    private Void terminateInTurn(Queue<Future<?>> restarts) throws Exception {
+        for (FleetProcess node : dataNodes) {
+            terminate(node, restarts);
+            Thread.sleep(SERIES_GAP_MS);
+        }
+        return null;
+    }
+
     /** SIGTERM for up to half of the data nodes, shortly one behind the other. */
-    private void terminateAll(List<Future<?>> restarts) throws Exception {
+    private void terminateAll(Queue<Future<?>> restarts) throws Exception {
         for (int i = 0; i < Math.max(1, dataNodes.size() / 2); i++) {
             terminate(dataNodes.get(random.nextInt(dataNodes.size())), restarts);
             Thread.sleep(random.nextInt(200));
@@ -170,7 +197,7 @@
     }
 
     /** Sends SIGTERM, again if it was sent before, and starts the process again once it has ended. */
-    private void terminate(FleetProcess node, List<Future<?>> restarts) throws Exception {
+    private synchronized void terminate(FleetProcess node, Queue<Future<?>> restarts) throws Exception {
         boolean first = node.life().termNanos() == FleetProcess.NEVER;
         boolean controlStopping = controlNodes.stream().anyMatch(c -> c.life().termNanos() != FleetProcess.NEVER);
         if (first && controlNodes.contains(node) && controlStopping) {
@@ -221,14 +248,23 @@
         fleet.close();
     }
 
-    /** Runs soaks by hand. @param args FOLDER FIRST_SEED SEEDS [CONTROL DATA SERVERS CLIENTS SECONDS] */
+    /**
+     * Runs soaks by hand.
+     *
+     * @param args FOLDER FIRST_SEED SEEDS [CONTROL DATA SERVERS CLIENTS SECONDS [NUMBERING|ALL [JAR]]]; the jar is that of
+     *     another build, whose nodes are run
+     */
     public static void main(String[] args) throws Exception {
-        Size size = args.length < 8 ? Size.SMALL : new Size(Integer.parseInt(args[3]), Integer.parseInt(args[4]),
-                Integer.parseInt(args[5]), Integer.parseInt(args[6]), Integer.parseInt(args[7]));
-        long first = Long.parseLong(args[1]);
-        for (long seed = first; seed < first + Long.parseLong(args[2]); seed++) {
-            Path folder = Files.createDirectories(Path.of(args[0], "seed-" + seed));
-            try (ShutdownSoak soak = new ShutdownSoak(seed, size, folder)) {
+        List<String> arguments = List.of(args);
+        Size size = Size.of(arguments.subList(3, Math.min(arguments.size(), 8)));
+        ServerTrouble trouble = arguments.size() < 9 || arguments.get(8).equals("ALL") ? ServerTrouble.ALL
+                : ServerTrouble.ALL.numbered(EventNumbering.valueOf(arguments.get(8)));
+        DeployCommands commands = arguments.size() < 10 ? DeployCommands.ofClassPath()
+                : DeployCommands.ofClassPath(arguments.get(9));
+        long first = Long.parseLong(arguments.get(1));
+        for (long seed = first; seed < first + Long.parseLong(arguments.get(2)); seed++) {
+            Path folder = Files.createDirectories(Path.of(arguments.get(0), "seed-" + seed));
+            try (ShutdownSoak soak = new ShutdownSoak(seed, size, trouble, commands, folder)) {
                 System.out.println(soak.run());
             } catch (ExecutionException e) {
                 System.out.println("seed " + seed + " failed: " + e.getCause());
--- a/src/test/java/routerfleet/soak/ShutdownSoakTest.java
+++ b/src/test/java/routerfleet/soak/ShutdownSoakTest.java
@@ -22,7 +22,8 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void noResponseIsCutOffAroundSigtermSighupAndConfigurations(long seed) throws Exception {
-        try (ShutdownSoak soak = new ShutdownSoak(seed, ShutdownSoak.Size.SMALL, folder)) {
+        try (ShutdownSoak soak = new ShutdownSoak(seed, ShutdownSoak.Size.SMALL, ServerTrouble.ALL,
+                DeployCommands.ofClassPath(), folder)) {
             ShutdownSoak.Report report = soak.run();
             assertThat(report.toString(), report.requests().size(), is(greaterThan(MIN_REQUESTS)));
             assertThat(report.toString(), report.violations(), is(empty()));
--- a/src/test/java/routerfleet/soak/SoakClient.java
+++ b/src/test/java/routerfleet/soak/SoakClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import routerfleet.demo.EventNumbering;
 import routerfleet.demo.LoopbackHttp;
 
 /**
@@ -45,9 +46,9 @@
     private static final double PIECES_PROBABILITY = 0.15;
     private static final double AHEAD_PROBABILITY = 0.15;
     private static final double SLOW_PROBABILITY = 0.1;
-    private static final double STALL_PROBABILITY = 0.04;
 
     private final String name;
+    private final ServerTrouble trouble;
     private final SplittableRandom random;
     private final Function<SplittableRandom, FleetProcess> ingress;
     private final Queue<RequestRecord> records;
@@ -60,13 +61,15 @@
     private int lastId;
 
     /**
+     * @param trouble what the requests ask of the servers
      * @param ingress chooses a data node for a new connection; null if there is none
      * @param records where each request is added once it has ended
      * @param stopped ends the client after its current request
      */
-    SoakClient(String name, SplittableRandom random, Function<SplittableRandom, FleetProcess> ingress,
-            Queue<RequestRecord> records, AtomicBoolean stopped) {
+    SoakClient(String name, ServerTrouble trouble, SplittableRandom random,
+            Function<SplittableRandom, FleetProcess> ingress, Queue<RequestRecord> records, AtomicBoolean stopped) {
         this.name = name;
+        this.trouble = trouble;
         this.random = random;
         this.ingress = ingress;
         this.records = records;
@@ -74,7 +77,7 @@
     }
 
     /** A request that has been sent. */
-    private record Sent(String id, Route route, int events, boolean kept, long firstByteNanos, long lastByteNanos) { }
+    private record Sent(String id, Route route, String stream, boolean kept, long firstByteNanos, long lastByteNanos) { }
 
     @Override
     public void run() {
@@ -191,9 +194,14 @@
         int gapMs = 20 + random.nextInt(180);
         int events = route.events() ? 1 + (100 + random.nextInt(MAX_STREAM_MS)) / gapMs : 0;
         long silenceMs = random.nextInt(route.events() ? 300 : 100);
-        long stallMs = random.nextDouble() < STALL_PROBABILITY ? 1_000 + random.nextInt(1_500) : 0;
+        long stallMs = random.nextDouble() < trouble.stallProbability() ? 1_000 + random.nextInt(1_500) : 0;
+        EventNumbering numbering = trouble.numberings().get(random.nextInt(trouble.numberings().size()));
+        int refuse = random.nextDouble() < trouble.refusalProbability() ? 1 : 0;
+        int cutAt = events > 0 && random.nextDouble() < trouble.cutProbability() ? random.nextInt(events) : -1;
+        String stream = events == 0 ? null : numbering.stream(events);
         String head = "POST /" + route.name() + "/?silence=" + silenceMs + "&events=" + events + "&gap=" + gapMs
-                + "&stall=" + stallMs + " HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\nRowanplank-Attempt-Id: " + id
+                + "&stall=" + stallMs + "&numbering=" + numbering.ordinal() + "&refuse=" + refuse + "&cut=" + cutAt
+                + " HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\nRowanplank-Attempt-Id: " + id
                 + "\r\nRowanplank-Deadline-Ms: " + route.deadlineMs() + "\r\nRowanplank-Prompt-Prefix: "
                 + Integer.toHexString(1 + random.nextInt(40)) + ":8000\r\nContent-Length: 8\r\n\r\nquestion";
         byte[] bytes = head.getBytes(StandardCharsets.US_ASCII);
@@ -209,9 +217,9 @@
             }
             boolean wasKept = kept;
             kept = true;
-            return new Sent(id, route, events, wasKept, firstByteNanos, System.nanoTime());
+            return new Sent(id, route, stream, wasKept, firstByteNanos, System.nanoTime());
         } catch (IOException e) {
-            add(new Sent(id, route, events, kept, firstByteNanos, System.nanoTime()), null,
+            add(new Sent(id, route, stream, kept, firstByteNanos, System.nanoTime()), null,
                     RequestRecord.Outcome.NOT_SENT, 0, "");
             return null;
         }
@@ -253,7 +261,7 @@
         RequestRecord record = new RequestRecord(sent.id(), node.name(), life, sent.route().name(),
                 sent.route().executedOnce(),
                 sent.kept(), sent.firstByteNanos(), sent.lastByteNanos(), System.nanoTime(), sent.route().deadlineMs(),
-                outcome, status, sent.events(), body, before);
+                outcome, status, sent.stream(), body, before);
         records.add(record);
         return record;
     }
--- a/src/test/java/routerfleet/soak/StartSoak.java
+++ b/src/test/java/routerfleet/soak/StartSoak.java
@@ -254,7 +254,8 @@
         List<Future<?>> running = new ArrayList<>();
         running.add(threads.submit(() -> fleet.watchReadiness(stopped)));
         for (int i = 0; i < size.clients(); i++) {
-            running.add(threads.submit(new SoakClient("c" + i, random.split(), fleet::chooseNode, requests, stopped)));
+            running.add(threads.submit(new SoakClient("c" + i, ServerTrouble.STALLS, random.split(), fleet::chooseNode,
+                    requests, stopped)));
         }
         Future<?> updating = threads.submit(() -> {
             updateOnAndOn();
