Reproduce streams cut or thinned out after a first attempt, where ids do not rise by one

A stream that a second server answers after a refusal, after a cut or beside a silent server is cut behind its first event where ids rise by more than one. Where ids share their leading digits (-0, -1), events are missing from a stream that ends as complete, with one attempt already; where ids are letters, a resumed stream repeats events.

--- /dev/null
+++ b/src/test/java/routerfleet/ResumedStreamTest.java
@@ -0,0 +1,111 @@
+package routerfleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import routerfleet.demo.Configurations;
+import routerfleet.demo.EmulatedServer;
+import routerfleet.demo.EventNumbering;
+import routerfleet.demo.LoopbackFleet;
+import routerfleet.demo.LoopbackHttp;
+
+/** Streams that a second server answers, whose events are numbered in each way that the protocol allows. */
+class ResumedStreamTest {
+    private static final int EVENTS = 12;
+    private static final int CUT_EVENT = 5;
+    /** Longer than a data node waits before it asks a second server: a third of the route's timeout of 4 s. */
+    private static final int SILENCE_MS = 2_500;
+    private static final int MAX_TRIES = 400;
+
+    @TempDir
+    private Path folder;
+    private final Set<String> seenIds = ConcurrentHashMap.newKeySet();
+    private LoopbackFleet fleet;
+    private List<EmulatedServer> servers;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new LoopbackFleet(folder, 3);
+        servers = List.of(new EmulatedServer("llm-1", "llm", fleet.seeds(), this::pace),
+                new EmulatedServer("llm-2", "llm", fleet.seeds(), this::pace));
+        assertThat(fleet.order("replace", 0, Configurations.whole(1)), is(200));
+        fleet.startData(true);
+        for (int i = 0, served = 0; served < 10; i++) { // each adds to the retry budget
+            served += request("warm-" + i, "/briefs/BY_ONE/serve", null).status() == 200 ? 1 : 0;
+            assertThat("requests are served", i < MAX_TRIES);
+        }
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        for (EmulatedServer server : servers) {
+            server.close();
+        }
+        fleet.close();
+    }
+
+    /** The first server that is asked does what the path says; a second one serves. */
+    private EmulatedServer.Pace pace(EmulatedServer.Arrival arrival) {
+        String[] path = arrival.path().split("/");
+        String trouble = seenIds.add(arrival.headers().get("rowanplank-attempt-id")) ? path[3] : "serve";
+        return new EmulatedServer.Pace(0, EVENTS, 10, trouble.equals("silent") ? SILENCE_MS : 0,
+                EventNumbering.valueOf(path[2]), trouble.equals("cut") ? CUT_EVENT : -1, trouble.equals("refuse"));
+    }
+
+    private LoopbackHttp.Answer request(String id, String path, String lastEventId) throws IOException {
+        Map<String, String> headers = new HashMap<>(Map.of("Host", "fleet.example", "Api-Key", "k1",
+                "Rowanplank-Attempt-Id", id, "Rowanplank-Deadline-Ms", "4000"));
+        if (lastEventId != null) {
+            headers.put("Last-Event-Id", lastEventId);
+        }
+        return LoopbackHttp.call(fleet.frontend(0), "POST", path, headers, "x".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void assertWhole(LoopbackHttp.Answer answer, String events) {
+        assertThat(answer.status(), is(200));
+        assertThat(answer.body(), is(events));
+        assertThat(answer.whole(), is(true));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aStreamIsWholeWhenASecondServerAnswersAfterARefusal(EventNumbering numbering) throws IOException {
+        assertWhole(request("refused", "/briefs/" + numbering + "/refuse", null), numbering.stream(EVENTS));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aStreamIsWholeWhenItIsResumedAfterACutInsideAnEvent(EventNumbering numbering) throws IOException {
+        assertWhole(request("cut", "/briefs/" + numbering + "/cut", null), numbering.stream(EVENTS));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aStreamIsWholeWhenASecondServerAnswersBesideASilentOne(EventNumbering numbering) throws IOException {
+        assertWhole(request("silent", "/briefs/" + numbering + "/silent", null), numbering.stream(EVENTS));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aStreamThatItsClientResumesIsWholeAfterARefusalAndAfterACut(EventNumbering numbering) throws IOException {
+        String rest = numbering.stream(EVENTS).substring(numbering.stream(2).length());
+        assertWhole(request("resumed", "/briefs/" + numbering + "/refuse", numbering.id(1)), rest);
+        for (int i = 0; i < 10; i++) {
+            request("more-" + i, "/briefs/BY_ONE/serve", null);
+        }
+        assertWhole(request("resumed-cut", "/briefs/" + numbering + "/cut", numbering.id(1)), rest);
+    }
+}
