Forward a later attempt's stream by its own ids, whatever their form and step

What callers saw: a resumable stream, its head delivered, was closed behind an event while a sound server was at work on it; or it ended as complete with events missing, or with events twice. Cause: the relay took any attempt behind the first for one that resumes the stream, and ids for consecutive numbers of at most 18 digits. The protocol says only that ids rise. After a refusal or a silence nothing is resumed; ids by five have no gap; ids that share their leading digits are not the same; ids without digits were sent back as none, so that the next server began anew. The class of fault: an answer is given up, or thinned out, by an assumption about what the server sends that the protocol does not make. Now the events of one run are forwarded as they come. A stream is resumed by the id as it was received, of any form. Of a server that was asked to continue behind an id, only events up to that id are taken for repeated: the same id, or one that differs in decimal numbers alone and is smaller. A gap can't be told, and is not looked for. Behind data without an id a stream is not resumed. Further empty lines at the end are no partial event, and CR ends a line.

--- a/src/main/java/routerfleet/data/Attempt.java
+++ b/src/main/java/routerfleet/data/Attempt.java
@@ -12,8 +12,8 @@
 
     /** Receives the response of an attempt. */
     interface Listener {
-        /** Called with each complete event of a streamed response. @param id its number; negative if it has none */
-        void eventReceived(Attempt attempt, byte[] event, long id);
+        /** Called with each complete event of a streamed response that has not been forwarded from another server. */
+        void eventReceived(Attempt attempt, StreamEvent event);
 
         /** Called when the response is complete; the attempt has ended. */
         void responseComplete(Attempt attempt);
@@ -30,7 +30,6 @@
     private UpstreamConnection connection;
     /** For how long its connection had been idle, in milliseconds; 0 for a new connection. */
     private long connectionIdleMs;
-    private int sentBefore;
     private long sentMs;
     private HttpResponse head;
     private boolean notExecuted;
@@ -39,8 +38,9 @@
     private ByteArrayOutputStream responseBody;
     private double firstEventMs;
     private int events;
-    /** The id of the event behind which the request asked the stream to go on; null if it asked for a new one. */
-    private String resumeAfter;
+    private ResumePoint resumePoint = ResumePoint.START;
+    /** The id in the request's {@code Last-Event-Id} header; null if there is none. */
+    private String lastEventId;
     private boolean silenceReported;
     private boolean readingPaused;
     private boolean ended;
@@ -63,15 +63,6 @@
         return server;
     }
 
-    /** How many servers the request had been sent to when this attempt was sent. */
-    int sentBefore() {
-        return sentBefore;
-    }
-
-    void sentBefore(int servers) {
-        sentBefore = servers;
-    }
-
     long coldPermitSlice() {
         return coldPermitSlice;
     }
@@ -84,10 +75,16 @@
         connectionIdleMs = idleMs;
     }
 
-    /** Sends the request on an established connection. @param id its attempt id */
-    void send(UpstreamConnection established, FullHttpRequest request, String id) {
+    /**
+     * Sends the request on an established connection.
+     *
+     * @param id its attempt id
+     * @param from where the response has to continue one that has been forwarded in part
+     */
+    void send(UpstreamConnection established, FullHttpRequest request, String id, ResumePoint from) {
         connection = established;
-        resumeAfter = request.headers().get(ProxyHeaders.LAST_EVENT_ID);
+        resumePoint = from;
+        lastEventId = request.headers().get(ProxyHeaders.LAST_EVENT_ID);
         sentMs = SteadyClock.millis();
         established.send(request, id, this);
     }
@@ -184,7 +181,7 @@
     /** Describes the state of the attempt for the log. */
     String describe(long nowMs) {
         String state = connection == null ? "connecting"
-                : "sent " + (nowMs - sentMs) + " ms ago" + (resumeAfter == null ? "" : " to go on after " + resumeAfter)
+                : "sent " + (nowMs - sentMs) + " ms ago" + (lastEventId == null ? "" : " to continue after " + lastEventId)
                 + ", " + (head == null ? "no head" : events + " events");
         return "server " + server.uid() + " (" + state + ", silent for " + server.silentMs(nowMs) + " ms)";
     }
@@ -227,7 +224,7 @@
         responseBody.writeBytes(bytes);
     }
 
-    private void onEvent(byte[] bytes, long eventId) {
+    private void onEvent(StreamEvent event) {
         if (ended) {
             return;
         }
@@ -235,18 +232,32 @@
             firstEventMs = Math.max(1, SteadyClock.millis() - sentMs);
         }
         events++;
-        listener.eventReceived(this, bytes, eventId);
+        if (!resumePoint.isRepeated(event)) {
+            listener.eventReceived(this, event);
+        }
     }
 
     @Override
     public void complete() {
         if (streaming && parser.hasPartialEvent()) {
             failed("stream ended inside an event");
-        } else if (end()) {
+        } else if (resumePoint.isAhead()) {
+            failed("resumed stream ended before the event after which it was to continue");
+        } else if (!ended) {
+            forwardRemainder();
+            end();
             listener.responseComplete(this);
         }
     }
 
+    /** Forwards empty lines behind the last event. */
+    private void forwardRemainder() {
+        byte[] emptyLines = streaming ? parser.remainder() : new byte[0];
+        if (emptyLines.length > 0) {
+            listener.eventReceived(this, new StreamEvent(emptyLines, null, false));
+        }
+    }
+
     @Override
     public void failed(String reason) {
         if (end()) {
--- a/src/main/java/routerfleet/data/EventStreamParser.java
+++ b/src/main/java/routerfleet/data/EventStreamParser.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Splits a {@code text/event-stream} (WHATWG HTML, section 9.2) into complete events, regardless of how it is divided into
@@ -11,29 +13,37 @@
 final class EventStreamParser {
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final int INITIAL_BUFFER_BYTES = 512;
-
-    /** Receives the parsed events. */
-    interface EventConsumer {
-        /**
-         * Called for each complete event.
-         *
-         * @param bytes the event as received, including the empty line that ends it
-         * @param id its number; negative if it has none
-         */
-        void event(byte[] bytes, long id);
-    }
+    /** A longer id is ignored: it would not fit into the header of a request that resumes the stream. */
+    private static final int MAX_ID_CHARACTERS = 1 << 10;
+    private static final Pattern LINE_END = Pattern.compile("\r\n|\n|\r");
+    private static final String ID_FIELD = "id:";
+    private static final String DATA_FIELD = "data";
 
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int length;
     private int scanned;
 
-    /** Whether the beginning of an incomplete event is buffered. */
+    /** What has been received behind the last complete event: the beginning of another one, or further empty lines. */
+    byte[] remainder() {
+        return Arrays.copyOf(buffer, length);
+    }
+
+    /** Whether the beginning of an incomplete event has been received. */
     boolean hasPartialEvent() {
-        return length > 0;
+        for (int i = 0; i < length; i++) {
+            if (!isLineEnd(buffer[i])) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isLineEnd(byte character) {
+        return character == '\n' || character == '\r';
     }
 
     /** Parses a chunk of the stream. @return false if an event is too long */
-    boolean feed(ByteBuf chunk, EventConsumer consumer) {
+    boolean feed(ByteBuf chunk, Consumer<StreamEvent> consumer) {
         int added = chunk.readableBytes();
         if (length + added > MAX_EVENT_BYTES) {
             return false;
@@ -45,10 +55,10 @@
         length += added;
         int start = 0;
         for (int i = scanned; i < length; i++) {
-            if (buffer[i] == '\n' && endsEvent(start, i)) {
+            if (isLineEnd(buffer[i]) && endsEvent(start, i)) {
                 byte[] event = Arrays.copyOfRange(buffer, start, i + 1);
                 start = i + 1;
-                consumer.event(event, parseId(event));
+                consumer.accept(parse(event));
             }
         }
         System.arraycopy(buffer, start, buffer, 0, length - start);
@@ -57,39 +67,26 @@
         return true;
     }
 
-    private boolean endsEvent(int start, int newline) {
-        int before = newline - 1;
-        if (before >= start && buffer[before] == '\r') {
+    /** Whether a line end is the second one in a row; a line ends with LF, CR LF or CR. */
+    private boolean endsEvent(int start, int lineEnd) {
+        int before = lineEnd - 1;
+        if (buffer[lineEnd] == '\n' && before >= start && buffer[before] == '\r') {
             before--;
         }
-        return before >= start && buffer[before] == '\n';
+        return before >= start && buffer[before] == buffer[lineEnd];
     }
 
-    private static long parseId(byte[] event) {
-        String text = new String(event, StandardCharsets.ISO_8859_1);
-        for (int at = 0; at >= 0 && at < text.length(); at = text.indexOf('\n', at) + 1) {
-            if (text.startsWith("id:", at)) {
-                return parseNumber(text, at + 3);
-            }
-            if (text.indexOf('\n', at) < 0) {
-                break;
+    private static StreamEvent parse(byte[] event) {
+        String id = null;
+        boolean hasData = false;
+        for (String line : LINE_END.split(new String(event, StandardCharsets.ISO_8859_1))) {
+            if (line.startsWith(ID_FIELD)) {
+                id = line.substring(ID_FIELD.length()).strip();
+            } else {
+                hasData |= line.startsWith(DATA_FIELD);
             }
         }
-        return -1;
-    }
-
-    private static long parseNumber(String text, int from) {
-        int at = from;
-        while (at < text.length() && text.charAt(at) == ' ') {
-            at++;
-        }
-        long value = 0;
-        int digits = 0;
-        while (at < text.length() && Character.isDigit(text.charAt(at)) && digits < 18) {
-            value = value * 10 + text.charAt(at) - '0';
-            at++;
-            digits++;
-        }
-        return digits == 0 ? -1 : value;
+        boolean usable = id != null && !id.isEmpty() && id.length() <= MAX_ID_CHARACTERS;
+        return new StreamEvent(event, usable ? id : null, hasData);
     }
 }
--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -23,14 +23,6 @@
     private static final long MIN_REMAINING_MS = 12;
     /** A failure counts as a response after so many times the target latency. */
     private static final double FAILURE_LATENCY_FACTOR = 3;
-    /**
-     * If a server with at least two requests in flight has sent nothing for so long, it may have failed, and an idempotent
-     * request is sent to another one as well. With a single request in flight, silence mostly means that the server is
-     * processing a long prompt; a retry would only make another server process it as well.
-     */
-    private static final long SILENCE_TIMEOUT_MS = 900;
-    /** Silence timeout of a single request, as a fraction of the route's timeout: leaves time for another server. */
-    private static final double SILENCE_TIMEOUT_FRACTION = 1.0 / 3;
 
     private final DataPlane plane;
     private final ClientResponseWriter responseWriter;
@@ -204,9 +196,9 @@
             chooseAgain(connected);
             return;
         }
-        connected.sentBefore(sentCount++);
+        sentCount++;
         connected.send(connection, UpstreamRequest.build(request, body, admitted, server, relay.lastEventId(),
-                remainingMs()), admitted.id());
+                remainingMs()), admitted.id(), relay.resumePoint());
     }
 
     private void chooseAgain(Attempt unsent) {
@@ -224,12 +216,10 @@
     // ---- the response
 
     @Override
-    public void eventReceived(Attempt from, byte[] event, long id) {
+    public void eventReceived(Attempt from, StreamEvent event) {
         abandonOthers(from);
-        long lastId = relay.lastEventId();
-        if (!relay.forward(from.head(), event, id, from.sentBefore() > 0)) {
-            from.fail("events are missing from a resumed stream between " + lastId + " and " + id);
-        } else if (!responseWriter.isWritable()) {
+        relay.forward(from.head(), event);
+        if (!responseWriter.isWritable()) {
             from.pauseReading();
         }
     }
@@ -335,7 +325,7 @@
     }
 
     private void retryOrFail() {
-        if (!admitted.route().idempotent() || sentCount >= admitted.route().attempts()) {
+        if (!isRepeatable() || sentCount >= admitted.route().attempts()) {
             giveUp("no further attempt is allowed");
         } else if (remainingMs() <= MIN_REMAINING_MS) {
             giveUp("no time is left");
@@ -346,6 +336,11 @@
         }
     }
 
+    /** Whether the request may be sent to another server after one may have executed it. */
+    private boolean isRepeatable() {
+        return admitted.route().idempotent() && relay.isResumable();
+    }
+
     private double failureLatencyMs() {
         return FAILURE_LATENCY_FACTOR * admitted.targetLatencyMs();
     }
@@ -410,9 +405,7 @@
     }
 
     private boolean isSilent(Server server, long nowMs) {
-        return server.silentWithTwoRequestsMs(nowMs) > SILENCE_TIMEOUT_MS
-                || server.silentMs(nowMs) > Math.max(SILENCE_TIMEOUT_MS,
-                        SILENCE_TIMEOUT_FRACTION * admitted.route().timeoutMs());
+        return SilenceTimeout.isReached(server, admitted.route().timeoutMs(), nowMs);
     }
 
     /**
@@ -420,12 +413,12 @@
      * until the second responds: a server that is silent may still work, and the second attempt may fail.
      */
     void checkServerSilence(long nowMs) {
-        if (done || attempts.size() != 1 || !admitted.route().idempotent()) {
+        if (done || attempts.size() != 1 || !isRepeatable()) {
             return;
         }
         Attempt waiting = attempts.get(0);
-        boolean silent = waiting.isSent() && !waiting.isReadingPaused() && nowMs - waiting.sentMs() > SILENCE_TIMEOUT_MS
-                && isSilent(waiting.server(), nowMs);
+        boolean silent = waiting.isSent() && !waiting.isReadingPaused()
+                && nowMs - waiting.sentMs() > SilenceTimeout.SEVERAL_REQUESTS_MS && isSilent(waiting.server(), nowMs);
         if (!silent) {
             return;
         }
--- a/src/main/java/routerfleet/data/StreamRelay.java
+++ b/src/main/java/routerfleet/data/StreamRelay.java
@@ -13,7 +13,8 @@
 final class StreamRelay {
     private final ClientResponseWriter writer;
     private boolean started;
-    private long lastEventId = -1;
+    private String lastEventId;
+    private boolean resumable = true;
 
     StreamRelay(ClientResponseWriter writer) {
         this.writer = writer;
@@ -24,11 +25,21 @@
         return started;
     }
 
-    /** Number of the last event that was forwarded; negative before the first. */
-    long lastEventId() {
+    /** Id of the last event that was forwarded; null if none had one. */
+    String lastEventId() {
         return lastEventId;
     }
 
+    /** Where another server has to continue. */
+    ResumePoint resumePoint() {
+        return lastEventId == null ? ResumePoint.START : ResumePoint.after(lastEventId);
+    }
+
+    /** Whether another server can continue: not behind data without an id, which it would send once more. */
+    boolean isResumable() {
+        return resumable;
+    }
+
     /** Writes the head of the response unless it has been written. */
     void writeHead(HttpResponse head) {
         if (started) {
@@ -42,26 +53,15 @@
         writer.startStream(new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers));
     }
 
-    /**
-     * Forwards an event unless it has already been received from an earlier server.
-     *
-     * @param head written to the client before the first event
-     * @param resumed whether this is not the first attempt of the request
-     * @return false if events before this one are missing
-     */
-    boolean forward(HttpResponse head, byte[] bytes, long eventId, boolean resumed) {
-        boolean numbered = eventId >= 0 && lastEventId >= 0;
-        if (numbered && eventId <= lastEventId) {
-            return true;
-        }
-        if (numbered && resumed && started && eventId > lastEventId + 1) {
-            return false;
-        }
+    /** Forwards an event. @param head written to the client before the first event */
+    void forward(HttpResponse head, StreamEvent event) {
         writeHead(head);
-        if (eventId >= 0) {
-            lastEventId = eventId;
+        if (event.id() != null) {
+            lastEventId = event.id();
+            resumable = true;
+        } else if (event.hasData()) {
+            resumable = false;
         }
-        writer.writeChunk(bytes);
-        return true;
+        writer.writeChunk(event.bytes());
     }
 }
--- a/src/main/java/routerfleet/data/UpstreamRequest.java
+++ b/src/main/java/routerfleet/data/UpstreamRequest.java
@@ -20,11 +20,11 @@
      * Copies method, target, body and headers of the client's request, except for hop-by-hop headers and headers that only
      * the fleet may set.
      *
-     * @param lastEventId id of the last event received of a stream that is resumed; negative if the stream begins
+     * @param lastEventId id of the last event that was forwarded of a stream that is resumed; null if none was
      * @param remainingMs time until the request's deadline
      */
     static FullHttpRequest build(HttpRequest request, byte[] body, AdmittedRequest admitted, Server server,
-            long lastEventId, long remainingMs) {
+            String lastEventId, long remainingMs) {
         FullHttpRequest out = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
                 Unpooled.wrappedBuffer(body), DefaultHttpHeadersFactory.headersFactory().withValidation(false),
                 DefaultHttpHeadersFactory.trailersFactory());
@@ -39,8 +39,8 @@
             headers.set(ProxyHeaders.TENANT, admitted.tenant().name());
         }
         headers.set(ProxyHeaders.PRIORITY, Integer.toString(priority(admitted)));
-        if (lastEventId >= 0) {
-            headers.set(ProxyHeaders.LAST_EVENT_ID, Long.toString(lastEventId));
+        if (lastEventId != null) {
+            headers.set(ProxyHeaders.LAST_EVENT_ID, lastEventId);
         }
         if (body.length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
--- a/src/test/java/routerfleet/data/EventStreamParserTest.java
+++ b/src/test/java/routerfleet/data/EventStreamParserTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -20,24 +21,47 @@
         for (int size = 1; size <= bytes.length; size++) {
             EventStreamParser parser = new EventStreamParser();
             List<String> events = new ArrayList<>();
-            List<Long> ids = new ArrayList<>();
+            List<String> ids = new ArrayList<>();
             for (int at = 0; at < bytes.length; at += size) {
-                parser.feed(Unpooled.wrappedBuffer(bytes, at, Math.min(size, bytes.length - at)), (event, id) -> {
-                    events.add(new String(event, StandardCharsets.US_ASCII));
-                    ids.add(id);
+                parser.feed(Unpooled.wrappedBuffer(bytes, at, Math.min(size, bytes.length - at)), event -> {
+                    events.add(new String(event.bytes(), StandardCharsets.US_ASCII));
+                    ids.add(event.id());
                 });
             }
-            assertThat(ids, is(List.of(4L, 5L, 6L, -1L)));
+            assertThat(ids, is(Arrays.asList("4", "5", "6", null)));
             assertThat(String.join("", events) + "id: 9", is(TEXT));
             assertThat(parser.hasPartialEvent(), is(true));
         }
     }
 
+    private static List<StreamEvent> parse(String text, EventStreamParser parser) {
+        List<StreamEvent> events = new ArrayList<>();
+        parser.feed(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII), events::add);
+        return events;
+    }
+
+    @Test
+    void keepsIdsAsTheyAre() {
+        List<StreamEvent> events = parse("id: 1764860000123-1\ndata\n\nid:9876543210987654321098\n\nid:\ndata: x\n\n"
+                + ": ping\n\nid: a\rid: b\rdata: x\r\r", new EventStreamParser());
+        assertThat(events.stream().map(StreamEvent::id).toList(),
+                is(Arrays.asList("1764860000123-1", "9876543210987654321098", null, null, "b")));
+        assertThat(events.stream().map(StreamEvent::hasData).toList(), is(List.of(true, false, true, false, true)));
+    }
+
+    @Test
+    void emptyLinesBehindTheLastEventAreNoPartOfAnother() {
+        EventStreamParser parser = new EventStreamParser();
+        assertThat(parse("data: a\n\n\n", parser).size(), is(1));
+        assertThat(parser.hasPartialEvent(), is(false));
+        assertThat(parser.remainder(), is(new byte[] {'\n'}));
+    }
+
     @Test
     void rejectsAnEventThatIsTooLong() {
         EventStreamParser parser = new EventStreamParser();
         byte[] chunk = new byte[600_000];
-        assertThat(parser.feed(Unpooled.wrappedBuffer(chunk), (event, id) -> { }), is(true));
-        assertThat(parser.feed(Unpooled.wrappedBuffer(chunk), (event, id) -> { }), is(false));
+        assertThat(parser.feed(Unpooled.wrappedBuffer(chunk), event -> { }), is(true));
+        assertThat(parser.feed(Unpooled.wrappedBuffer(chunk), event -> { }), is(false));
     }
 }
