Forward only an answer that names the request it answers

Cause: a response without Rowanplank-Attempt-Id was taken for the answer to whatever request was pending on the connection; bytes behind an answer were noticed only if they made a whole message; a 1xx response was taken for the final one. PROTOCOL.md: servers give the id back in their answers, and more bytes behind a whole answer belong to no request. Now a response counts only if it names the request; others are skipped, and the connection is closed behind the answer. Bytes in the same read as the end of an answer, or on an idle connection, close it, even a part of a message. A failure without an id ends the attempt as one that may have executed: its Not-Executed is not trusted, so that nothing is executed twice. Emulated servers give the id back in refusals. Not looked at: the older single node's connections to its servers.

--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -11,10 +11,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -22,7 +26,8 @@
 
 /**
  * A connection to a model server. It carries one request at a time and passes the response to a receiver as it arrives. A
- * response to another request is skipped; bytes that arrive while no request is pending close the connection.
+ * response that does not name the request is skipped; bytes behind a response, or while no request is pending, close the
+ * connection.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** Well below the usual target latencies, so that another server can still respond in time after a timeout. */
@@ -50,7 +55,31 @@
         void failed(String reason);
     }
 
+    /** Decodes responses, and tells whether bytes follow the message that is being handled. */
+    private static final class ResponseDecoder extends HttpResponseDecoder {
+        private boolean headRequest;
+
+        ResponseDecoder() {
+            super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        }
+
+        /** Sets whether the next responses are those to a HEAD request. */
+        void headRequest(boolean isHeadRequest) {
+            headRequest = isHeadRequest;
+        }
+
+        boolean hasMoreInput() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return headRequest || super.isContentAlwaysEmpty(message);
+        }
+    }
+
     private final Server server;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private ResponseReceiver receiver;
     private String expectedId;
@@ -58,6 +87,8 @@
     private boolean skipping;
     private int skippedResponses;
     private boolean reusable;
+    /** Whether something that belongs to no request, or to another one, has been received. */
+    private boolean strayInput;
     private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
 
     private UpstreamConnection(Server server) {
@@ -75,14 +106,29 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         connection.channel = channel;
-                        channel.pipeline().addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES,
-                                MAX_CHUNK_BYTES, false), connection);
+                        channel.pipeline().addLast(connection.idleGuard(), connection.decoder, new HttpRequestEncoder(),
+                                connection);
                     }
                 }).connect(server.address().socketAddress());
         connected.channel().closeFuture().addListener(closed -> server.connectionClosed(connection));
         return connected;
     }
 
+    /** Closes the connection when bytes arrive while no request is pending, even if they are only a part of a message. */
+    private ChannelInboundHandlerAdapter idleGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (receiver == null) {
+                    ReferenceCountUtil.release(bytes);
+                    context.close();
+                } else {
+                    context.fireChannelRead(bytes);
+                }
+            }
+        };
+    }
+
     /** The connection of a channel that {@link #open} has opened. */
     static UpstreamConnection of(Channel channel) {
         return channel.pipeline().get(UpstreamConnection.class);
@@ -92,7 +138,7 @@
         return channel;
     }
 
-    /** Sends a request. @param id the attempt id; responses with another one are skipped, those without one accepted */
+    /** Sends a request. @param id the attempt id, which its response has to name */
     void send(FullHttpRequest request, String id, ResponseReceiver responseReceiver) {
         receiver = responseReceiver;
         expectedId = id;
@@ -100,6 +146,8 @@
         skipping = false;
         skippedResponses = 0;
         reusable = true;
+        strayInput = false;
+        decoder.headRequest(request.method().equals(HttpMethod.HEAD));
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
                 fail("write failed: " + written.cause());
@@ -138,12 +186,10 @@
             return;
         }
         inResponse = true;
-        String id = response.headers().get(ProxyHeaders.ATTEMPT_ID);
-        skipping = id != null && !id.equals(expectedId);
+        skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                || !expectedId.equals(response.headers().get(ProxyHeaders.ATTEMPT_ID));
         if (skipping) {
-            if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
-                fail("responses to other requests");
-            }
+            skip(response);
             return;
         }
         boolean bounded = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
@@ -157,6 +203,23 @@
         receiver.head(response);
     }
 
+    /**
+     * Skips a response that does not name the request: servers may send more bytes behind a response, which belong to no
+     * request. A failure without an id ends the wait, and is trusted in nothing that it says.
+     */
+    private void skip(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        strayInput = true;
+        boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (!success && !response.headers().contains(ProxyHeaders.ATTEMPT_ID)) {
+            fail("status " + response.status().code() + " that names no request");
+        } else if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail("responses to other requests");
+        }
+    }
+
     private static long keepAliveMs(HttpResponse response) {
         String keepAlive = response.headers().get("Keep-Alive");
         int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
@@ -190,7 +253,7 @@
         }
         ResponseReceiver done = receiver;
         receiver = null;
-        if (reusable) {
+        if (reusable && !strayInput && !decoder.hasMoreInput()) {
             release(SteadyClock.millis());
         } else {
             channel.close();
--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -226,7 +226,7 @@
         }
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         if (!uid.equals(headers.get("rowanplank-expect-instance"))) {
-            write(out, "421 Misdirected Request", "Rowanplank-Instance-Id: " + uid + "\r\n", "");
+            write(out, "421 Misdirected Request", attemptId(headers) + "Rowanplank-Instance-Id: " + uid + "\r\n", "");
             return true;
         }
         Arrival arrival = new Arrival(requestLine.split(" ")[1], headers, new String(body, StandardCharsets.UTF_8));
@@ -242,8 +242,7 @@
     }
 
     private RunEnd act(OutputStream out, Map<String, String> headers, Pace pace) throws IOException {
-        String stamp = "Rowanplank-Attempt-Id: " + headers.get("rowanplank-attempt-id")
-                + "\r\nRowanplank-Server-Signature: " + uid + ".1\r\n";
+        String stamp = attemptId(headers) + "Rowanplank-Server-Signature: " + uid + ".1\r\n";
         switch (behaviour) {
             case HANG_UP:
                 return RunEnd.BROKEN_OFF;
@@ -251,10 +250,10 @@
                 awaitOtherBehaviour();
                 return act(out, headers, pace);
             case SHED:
-                return refuse(out);
+                return refuse(out, headers);
             default:
                 if (pace.refused()) {
-                    return refuse(out);
+                    return refuse(out, headers);
                 }
                 stall(pace.stallMs());
                 pause(pace.silenceMs());
@@ -266,8 +265,12 @@
         }
     }
 
-    private static RunEnd refuse(OutputStream out) throws IOException {
-        write(out, "503 Service Unavailable", "Rowanplank-Not-Executed: 1\r\n", "");
+    private static String attemptId(Map<String, String> headers) {
+        return "Rowanplank-Attempt-Id: " + headers.get("rowanplank-attempt-id") + "\r\n";
+    }
+
+    private static RunEnd refuse(OutputStream out, Map<String, String> headers) throws IOException {
+        write(out, "503 Service Unavailable", attemptId(headers) + "Rowanplank-Not-Executed: 1\r\n", "");
         return RunEnd.REFUSED;
     }
 
