Read an idle connection to a server again after a stream whose client was slow

What callers saw: a request got no answer before its deadline although its server had answered, on a connection that had carried a stream to a slow client before. Evidence: UpstreamConnectionTest#aConnectionIsReadAgainAfterAStreamThatEndedWhileItsClientWasSlow failed before (no answer within 5 s).

--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -263,6 +263,7 @@
 
     /** Returns the connection to the server's idle connections for reuse. */
     void release(long nowMs) {
+        channel.config().setAutoRead(true); // it is off if the client was slow at the end of a stream
         if (server.listed()) {
             server.addIdleConnection(this, nowMs, nowMs + idleTimeoutMs);
         } else {
--- a/src/test/java/routerfleet/data/UpstreamConnectionTest.java
+++ b/src/test/java/routerfleet/data/UpstreamConnectionTest.java
@@ -35,10 +35,13 @@
 class UpstreamConnectionTest {
     private static final long MAX_WAIT_S = 5;
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\nRowanplank-Server-Signature: s.1\r\n";
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nRowanplank-Server-Signature: s.1\r\n"
+            + "Content-Type: text/event-stream\r\n";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+    private boolean clientIsSlow;
     private ServerSocket listener;
     private Server server;
     private UpstreamConnection connection;
@@ -48,7 +51,9 @@
     private final class Outcomes implements Attempt.Listener {
         @Override
         public void eventReceived(Attempt attempt, StreamEvent event) {
-            // not of interest
+            if (clientIsSlow) {
+                attempt.pauseReading();
+            }
         }
 
         @Override
@@ -178,4 +183,15 @@
         assertThat(outcome(), is("200 first"));
         assertThat(idleConnection(), is(notNullValue()));
     }
+
+    @Test
+    void aConnectionIsReadAgainAfterAStreamThatEndedWhileItsClientWasSlow() throws Exception {
+        clientIsSlow = true;
+        request("one");
+        write(answer(STREAM, "one", "id: 1\ndata: x\n\n"));
+        assertThat(outcome(), is("stream"));
+        request("two");
+        write(answer(SUCCESS, "two", "second"));
+        assertThat(outcome(), is("200 second"));
+    }
 }
