Scan the lines of an event instead of splitting it by a pattern

Each event of each stream was split by a regular expression since the relay reads ids of any form. The scan takes what the splitting took; the same tests pass.

--- a/src/main/java/routerfleet/data/EventStreamParser.java
+++ b/src/main/java/routerfleet/data/EventStreamParser.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
-import java.util.regex.Pattern;
 
 /**
  * Splits a {@code text/event-stream} (WHATWG HTML, section 9.2) into complete events, regardless of how it is divided into
@@ -15,7 +14,6 @@
     private static final int INITIAL_BUFFER_BYTES = 512;
     /** A longer id is ignored: it would not fit into the header of a request that resumes the stream. */
     private static final int MAX_ID_CHARACTERS = 1 << 10;
-    private static final Pattern LINE_END = Pattern.compile("\r\n|\n|\r");
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data";
 
@@ -77,14 +75,19 @@
     }
 
     private static StreamEvent parse(byte[] event) {
+        String text = new String(event, StandardCharsets.ISO_8859_1);
         String id = null;
         boolean hasData = false;
-        for (String line : LINE_END.split(new String(event, StandardCharsets.ISO_8859_1))) {
-            if (line.startsWith(ID_FIELD)) {
-                id = line.substring(ID_FIELD.length()).strip();
-            } else {
-                hasData |= line.startsWith(DATA_FIELD);
+        int lineStart = 0;
+        for (int i = 0; i < event.length; i++) {
+            if (!isLineEnd(event[i])) {
+                continue;
             }
+            if (text.startsWith(ID_FIELD, lineStart)) {
+                id = text.substring(lineStart + ID_FIELD.length(), i).strip();
+            }
+            hasData |= text.startsWith(DATA_FIELD, lineStart);
+            lineStart = i + 1;
         }
         boolean usable = id != null && !id.isEmpty() && id.length() <= MAX_ID_CHARACTERS;
         return new StreamEvent(event, usable ? id : null, hasData);
