Do not resume a stream after an id that no header can carry

Need: since ids are sent back as received, an id with a control character, such as NUL, went into the header of the request that resumes the stream, which a server may reject or misread. Change: such an id counts as none; the stream is not resumed behind it. Measured: EventStreamParserTest#ignoresIdsThatNoHeaderCanCarry failed before; found by reading.

--- a/src/main/java/routerfleet/data/EventStreamParser.java
+++ b/src/main/java/routerfleet/data/EventStreamParser.java
@@ -12,7 +12,7 @@
 final class EventStreamParser {
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final int INITIAL_BUFFER_BYTES = 512;
-    /** A longer id is ignored: it would not fit into the header of a request that resumes the stream. */
+    /** A longer id is ignored: servers limit the headers of a request. */
     private static final int MAX_ID_CHARACTERS = 1 << 10;
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data";
@@ -89,7 +89,11 @@
             hasData |= text.startsWith(DATA_FIELD, lineStart);
             lineStart = i + 1;
         }
-        boolean usable = id != null && !id.isEmpty() && id.length() <= MAX_ID_CHARACTERS;
-        return new StreamEvent(event, usable ? id : null, hasData);
+        return new StreamEvent(event, id != null && isHeaderValue(id) ? id : null, hasData);
+    }
+
+    /** Whether the id can be sent in the header of a request that resumes the stream. */
+    private static boolean isHeaderValue(String id) {
+        return !id.isEmpty() && id.length() <= MAX_ID_CHARACTERS && id.chars().noneMatch(Character::isISOControl);
     }
 }
--- a/src/test/java/routerfleet/data/EventStreamParserTest.java
+++ b/src/test/java/routerfleet/data/EventStreamParserTest.java
@@ -49,6 +49,13 @@
         assertThat(events.stream().map(StreamEvent::hasData).toList(), is(List.of(true, false, true, false, true)));
     }
 
+    @Test
+    void ignoresIdsThatNoHeaderCanCarry() {
+        List<StreamEvent> events = parse("id: 5\0 6\ndata: x\n\nid: 7\t8\ndata: x\n\nid: " + "9".repeat(2_000)
+                + "\ndata: x\n\n", new EventStreamParser());
+        assertThat(events.stream().map(StreamEvent::id).toList(), is(Arrays.asList(null, null, null)));
+    }
+
     @Test
     void emptyLinesBehindTheLastEventAreNoPartOfAnother() {
         EventStreamParser parser = new EventStreamParser();
