Leave out requests that never came whole from the line of requests not answered

Cause: when a connection is closed, the decoder hands on what it holds of an incomplete head as a malformed request, without an id. Change: only requests whose head was read whole are named.

--- a/src/main/java/routerfleet/data/ClientConnection.java
+++ b/src/main/java/routerfleet/data/ClientConnection.java
@@ -111,9 +111,9 @@
         }
     }
 
-    /** Logs a request that arrives behind the last response of the connection. */
+    /** Logs a request that arrives behind the last response of the connection, unless its head never came whole. */
     private void logUnanswered(Object message) {
-        if (message instanceof HttpRequest unanswered) {
+        if (message instanceof HttpRequest unanswered && unanswered.decoderResult().isSuccess()) {
             LOG.log(System.Logger.Level.INFO, "request not answered: " + unanswered.headers().get(ProxyHeaders.ATTEMPT_ID)
                     + ", read " + (SteadyClock.millis() - closingSinceMs) + " ms after its connection was to be closed");
         }
