--- a/src/test/java/routerfleet/soak/FleetProcess.java
+++ b/src/test/java/routerfleet/soak/FleetProcess.java
@@ -19,11 +19,12 @@
     /** One life of the process, from its start to its end. */
     static final class Life {
         private final Process process;
-        private volatile long termNanos = NEVER;
+        private volatile long termNanos;
         private volatile boolean ending;
 
-        private Life(Process process) {
+        Life(Process process, long termNanos) {
             this.process = process;
+            this.termNanos = termNanos;
         }
 
         /** Whether its end has been arranged. */
@@ -77,7 +78,7 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         builder.environment().put(LocalSettings.VARIABLE, settings.toString());
-        lives.add(new Life(builder.start()));
+        lives.add(new Life(builder.start(), NEVER));
     }
 
     /** The current life. */
--- a/src/test/java/routerfleet/soak/ProcessFleet.java
+++ b/src/test/java/routerfleet/soak/ProcessFleet.java
@@ -122,6 +122,11 @@
         return servers;
     }
 
+    /** The runs of requests at all servers. */
+    List<EmulatedServer.Run> runs() {
+        return servers.stream().flatMap(server -> server.runs().stream()).toList();
+    }
+
     /** Starts everything, and waits until all data nodes are ready with the first configuration. */
     void start(int llmServers) throws IOException, InterruptedException {
         for (FleetProcess node : controlNodes) {
--- a/src/test/java/routerfleet/soak/ShutdownJudge.java
+++ b/src/test/java/routerfleet/soak/ShutdownJudge.java
@@ -1,6 +1,7 @@
 package routerfleet.soak;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,11 +29,10 @@
     private final long graceMs;
     private final Map<String, List<EmulatedServer.Run>> runs = new HashMap<>();
 
-    ShutdownJudge(long graceMs, List<EmulatedServer> servers) {
+    /** @param ended the runs of all servers */
+    ShutdownJudge(long graceMs, Collection<EmulatedServer.Run> ended) {
         this.graceMs = graceMs;
-        for (EmulatedServer server : servers) {
-            server.runs().forEach(run -> runs.computeIfAbsent(run.id(), id -> new ArrayList<>()).add(run));
-        }
+        ended.forEach(run -> runs.computeIfAbsent(run.id(), id -> new ArrayList<>()).add(run));
     }
 
     /** The violations, one line each; empty if there are none. */
--- a/src/test/java/routerfleet/soak/ShutdownSoak.java
+++ b/src/test/java/routerfleet/soak/ShutdownSoak.java
@@ -119,7 +119,7 @@
             node.log().stream().filter(line -> line.contains("broken off, ")
                     && !line.contains("timed out")).forEach(brokenOff::add);
         }
-        return new Report(seed, requests, new ShutdownJudge(GRACE_MS, fleet.servers()).violations(requests), brokenOff);
+        return new Report(seed, requests, new ShutdownJudge(GRACE_MS, fleet.runs()).violations(requests), brokenOff);
     }
 
     /** Waits until servers have ended the runs of requests whose clients and nodes have gone. */
--- a/src/test/java/routerfleet/soak/StartSoak.java
+++ b/src/test/java/routerfleet/soak/StartSoak.java
@@ -154,7 +154,7 @@
         long againReadyMs = awaitReady(againNanos);
         UpdateJudge judge = new UpdateJudge(ACK_MS, CONNECTED_MS);
         violations.addAll(judge.violations(List.copyOf(updates), disturbances, startNanos));
-        violations.addAll(new ShutdownJudge(GRACE_MS, fleet.servers()).violations(List.copyOf(requests)));
+        violations.addAll(new ShutdownJudge(GRACE_MS, fleet.runs()).violations(List.copyOf(requests)));
         return new Report(seed, size, firstRoutes, first.isAcknowledged() ? firstMs : -1, readyMs,
                 millis(again.endNanos() - again.firstSentNanos()), againReadyMs, processorMs, List.copyOf(updates),
                 requests.size(), List.copyOf(violations), notes());
