End a killed soak's nodes with it, and tell what is wrong with its arguments

Change: arguments are read in one place, with one line and status 2; a shutdown hook closes the running soak.

--- a/src/test/java/routerfleet/soak/ShutdownSoak.java
+++ b/src/test/java/routerfleet/soak/ShutdownSoak.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
-import routerfleet.demo.EventNumbering;
 
 /**
  * Runs a fleet of real processes on loopback under planned work: series of SIGTERM, SIGHUP, restarts and configurations
@@ -28,11 +28,8 @@
     record Size(int controlNodes, int dataNodes, int servers, int clients, int seconds) {
         static final Size SMALL = new Size(3, 3, 3, 40, 25);
 
-        /** @param arguments the components in their order; the small size if there are none */
+        /** @param arguments the components in their order */
         static Size of(List<String> arguments) {
-            if (arguments.isEmpty()) {
-                return SMALL;
-            }
             List<Integer> numbers = arguments.stream().map(Integer::valueOf).toList();
             return new Size(numbers.get(0), numbers.get(1), numbers.get(2), numbers.get(3), numbers.get(4));
         }
@@ -215,28 +212,42 @@
         fleet.close();
     }
 
-    /**
-     * Runs soaks by hand.
-     *
-     * @param args FOLDER FIRST_SEED SEEDS [CONTROL DATA SERVERS CLIENTS SECONDS [NUMBERING|ALL [JAR]]]; the jar is that of
-     *     another build, whose nodes are run
-     */
+    /** Runs soaks by hand; see {@link SoakArguments}. If it is told to end, its nodes end with it. */
     public static void main(String[] args) throws Exception {
-        List<String> arguments = List.of(args);
-        Size size = Size.of(arguments.subList(3, Math.min(arguments.size(), 8)));
-        ServerTrouble trouble = arguments.size() < 9 || arguments.get(8).equals("ALL") ? ServerTrouble.ALL
-                : ServerTrouble.ALL.numbered(EventNumbering.valueOf(arguments.get(8)));
-        DeployCommands commands = arguments.size() < 10 ? DeployCommands.ofClassPath()
-                : DeployCommands.ofClassPath(arguments.get(9));
-        long first = Long.parseLong(arguments.get(1));
-        for (long seed = first; seed < first + Long.parseLong(arguments.get(2)); seed++) {
-            Path folder = Files.createDirectories(Path.of(arguments.get(0), "seed-" + seed));
-            try (ShutdownSoak soak = new ShutdownSoak(seed, size, trouble, commands, folder)) {
-                System.out.println(soak.run());
-            } catch (ExecutionException e) {
-                System.out.println("seed " + seed + " failed: " + e.getCause());
-            }
+        SoakArguments arguments;
+        try {
+            arguments = SoakArguments.parse(List.of(args));
+        } catch (IllegalArgumentException e) {
+            System.err.println("shutdown-soak: " + e.getMessage() + "; " + SoakArguments.USAGE);
+            System.exit(2);
+            return;
+        }
+        AtomicReference<ShutdownSoak> running = new AtomicReference<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> endNodes(running.get())));
+        for (long i = 0; i < arguments.seeds(); i++) {
+            run(arguments, arguments.firstSeed() + i, running);
         }
         System.exit(0);
     }
+
+    private static void run(SoakArguments arguments, long seed, AtomicReference<ShutdownSoak> running) throws Exception {
+        Path folder = Files.createDirectories(arguments.folder().resolve("seed-" + seed));
+        try (ShutdownSoak soak = new ShutdownSoak(seed, arguments.size(), arguments.trouble(), arguments.commands(),
+                folder)) {
+            running.set(soak);
+            System.out.println(soak.run());
+        } catch (ExecutionException e) {
+            System.out.println("seed " + seed + " failed: " + e.getCause());
+        }
+    }
+
+    private static void endNodes(ShutdownSoak soak) {
+        try {
+            if (soak != null) {
+                soak.close();
+            }
+        } catch (IOException e) {
+            System.err.println("shutdown-soak: " + e.getMessage());
+        }
+    }
 }
