--- a/src/test/java/routerfleet/ResumedStreamTest.java
+++ b/src/test/java/routerfleet/ResumedStreamTest.java
@@ -80,24 +80,28 @@
         assertThat(answer.whole(), is(true));
     }
 
+    // LOST, review/3: a stream that a second server answered after a refusal was closed behind its first event.
     @ParameterizedTest
     @EnumSource
     void aStreamIsWholeWhenASecondServerAnswersAfterARefusal(EventNumbering numbering) throws IOException {
         assertWhole(request("refused", "/briefs/" + numbering + "/refuse", null), numbering.stream(EVENTS));
     }
 
+    // LOST and ORDER, as review/3: a stream that a second server continued was closed, or ended with events missing.
     @ParameterizedTest
     @EnumSource
     void aStreamIsWholeWhenItIsResumedAfterACutInsideAnEvent(EventNumbering numbering) throws IOException {
         assertWhole(request("cut", "/briefs/" + numbering + "/cut", null), numbering.stream(EVENTS));
     }
 
+    // LOST, as review/3: a stream that a second server answered beside a silent one was closed behind its first event.
     @ParameterizedTest
     @EnumSource
     void aStreamIsWholeWhenASecondServerAnswersBesideASilentOne(EventNumbering numbering) throws IOException {
         assertWhole(request("silent", "/briefs/" + numbering + "/silent", null), numbering.stream(EVENTS));
     }
 
+    // LOST and ORDER, as review/3: a stream that its client resumed was closed, or had events missing or twice.
     @ParameterizedTest
     @EnumSource
     void aStreamThatItsClientResumesIsWholeAfterARefusalAndAfterACut(EventNumbering numbering) throws IOException {
