Ask a further server when the one that was to continue a stream fails instead

What callers saw: a stream that a server had broken off was closed although its route allowed another attempt, when the second server answered the request to continue it with a failure (500) or with anything but a stream. Cause: Exchange broke the response off as soon as a later attempt answered with another status, whatever attempts, time and retry budget were left. The protocol promises only that such a stream may be taken up at another server; a failure of one says nothing of the next. Now that answer counts as a failed attempt, and the same rule as after a cut decides: a further attempt if the route, the time and the retry budget allow one, else the response is broken off. Evidence: ResumedStreamTest.aStreamIsContinuedByAThirdServerWhenTheSecondFails failed before ("status 500 instead of a resumed stream, 2 sent"), and passes. Beside it, green before and after: a stream whose silent server speaks again, which ends the second attempt, and then breaks off is continued by a third server where the route allows it.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -261,7 +261,8 @@
             responseWriter.endStream();
         } else if (relay.hasStarted()) {
             recordError(from);
-            abortResponse(ResponseEnd.FAILED, "status " + status + " instead of a resumed stream");
+            attemptLog.ended(from, "failed: status " + status + " instead of a resumed stream");
+            retryOrFail();
         } else {
             abandonOthers(from);
             forwardResponse(from);
--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -47,6 +47,16 @@
         HOLD
     }
 
+    /** What a request is answered with. */
+    public enum AnswerKind {
+        /** The response. */
+        SERVED,
+        /** A rejection, as if the server were full. */
+        REFUSED,
+        /** A failure of the server's own, which counts as executed. */
+        FAILED
+    }
+
     /**
      * How a response is paced.
      *
@@ -56,13 +66,13 @@
      * @param stallMs for how long the arrival keeps the whole server from sending, as a long prompt does, in milliseconds
      * @param numbering of a stream's events
      * @param cutAt index of the event inside which a stream is broken off; negative for none
-     * @param refused whether the request is rejected as if the server were full
+     * @param answer what it answers with
      */
     public record Pace(long silenceMs, int events, long gapMs, long stallMs, EventNumbering numbering, int cutAt,
-            boolean refused) {
+            AnswerKind answer) {
         /** A pace of a stream that is sent to its end, with events numbered one by one. */
         public Pace(long silenceMs, int events, long gapMs, long stallMs) {
-            this(silenceMs, events, gapMs, stallMs, EventNumbering.BY_ONE, -1, false);
+            this(silenceMs, events, gapMs, stallMs, EventNumbering.BY_ONE, -1, AnswerKind.SERVED);
         }
     }
 
@@ -252,9 +262,13 @@
             case SHED:
                 return refuse(out, headers);
             default:
-                if (pace.refused()) {
+                if (pace.answer() == AnswerKind.REFUSED) {
                     return refuse(out, headers);
                 }
+                if (pace.answer() == AnswerKind.FAILED) {
+                    write(out, "500 Internal Server Error", stamp, "");
+                    return RunEnd.WHOLE;
+                }
                 stall(pace.stallMs());
                 pause(pace.silenceMs());
                 if (pace.events() == 0) {
--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -161,11 +161,16 @@
 
     /** Starts a data node, and waits until it is ready if a configuration is there. @return its place in the list */
     public int startData(boolean waitUntilReady) throws IOException {
+        return startData(waitUntilReady, Bounds.defaults());
+    }
+
+    /** Starts a data node with these bounds, and waits as {@link #startData(boolean)} does. @return its place in the list */
+    public int startData(boolean waitUntilReady, Bounds bounds) throws IOException {
         String ip = nextDataIp();
         HostPort frontend = new HostPort(ip, freePorts(1));
         LocalSettings settings = new LocalSettings(nextDataName(), ip, ZONE, frontend,
                 new HostPort(ip, freePorts(1)), null, internalPort, seeds, true, null, HEARTBEAT_MS, toleratedLosses, 0,
-                Set.of(ZONE), Bounds.defaults());
+                Set.of(ZONE), bounds);
         DataNode node = new DataNode(settings);
         node.start();
         return added(node, frontend, waitUntilReady);
--- a/src/test/java/routerfleet/ResumedStreamTest.java
+++ b/src/test/java/routerfleet/ResumedStreamTest.java
@@ -9,30 +9,36 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import routerfleet.demo.Configurations;
 import routerfleet.demo.EmulatedServer;
+import routerfleet.demo.EmulatedServer.AnswerKind;
 import routerfleet.demo.EventNumbering;
 import routerfleet.demo.LoopbackFleet;
 import routerfleet.demo.LoopbackHttp;
+import routerfleet.settings.Bounds;
 
-/** Streams that a second server answers, whose events are numbered in each way that the protocol allows. */
+/** Streams that a further server answers or continues, whose events are numbered in each way that the protocol allows. */
 class ResumedStreamTest {
     private static final int EVENTS = 12;
     private static final int CUT_EVENT = 5;
     /** Longer than a data node waits before it asks a second server: a third of the route's timeout of 4 s. */
     private static final int SILENCE_MS = 2_500;
+    /** Longer than a silent server needs to speak again. */
+    private static final int LATE_MS = 3_500;
     private static final int MAX_TRIES = 400;
+    private static final double RETRY_RATIO = 1;
+    private static final double RETRY_SLACK = 20;
 
     @TempDir
     private Path folder;
-    private final Set<String> seenIds = ConcurrentHashMap.newKeySet();
+    private final Map<String, Integer> arrivalCounts = new ConcurrentHashMap<>();
     private LoopbackFleet fleet;
     private List<EmulatedServer> servers;
 
@@ -40,9 +46,12 @@
     void start() throws IOException {
         fleet = new LoopbackFleet(folder, 3);
         servers = List.of(new EmulatedServer("llm-1", "llm", fleet.seeds(), this::pace),
-                new EmulatedServer("llm-2", "llm", fleet.seeds(), this::pace));
-        assertThat(fleet.order("replace", 0, Configurations.whole(1)), is(200));
-        fleet.startData(true);
+                new EmulatedServer("llm-2", "llm", fleet.seeds(), this::pace),
+                new EmulatedServer("llm-3", "llm", fleet.seeds(), this::pace));
+        assertThat(fleet.order("replace", 0, Configurations.whole(1).replace("\"max_attempts\":2", "\"max_attempts\":3")),
+                is(200));
+        fleet.startData(true, new Bounds(null, null, null, null, null, null, null, null, null, RETRY_RATIO, null, RETRY_SLACK,
+                null, null, null, null, null, null, null));
         for (int i = 0, served = 0; served < 10; i++) { // each adds to the retry budget
             served += request("warm-" + i, "/briefs/BY_ONE/serve", null).status() == 200 ? 1 : 0;
             assertThat("requests are served", i < MAX_TRIES);
@@ -57,12 +66,20 @@
         fleet.close();
     }
 
-    /** The first server that is asked does what the path says; a second one serves. */
+    /** The servers that are asked do in turn what the words of the path say; each further one serves. */
     private EmulatedServer.Pace pace(EmulatedServer.Arrival arrival) {
         String[] path = arrival.path().split("/");
-        String trouble = seenIds.add(arrival.headers().get("rowanplank-attempt-id")) ? path[3] : "serve";
-        return new EmulatedServer.Pace(0, EVENTS, 10, trouble.equals("silent") ? SILENCE_MS : 0,
-                EventNumbering.valueOf(path[2]), trouble.equals("cut") ? CUT_EVENT : -1, trouble.equals("refuse"));
+        String[] troubles = path[3].split("-");
+        int count = arrivalCounts.merge(arrival.headers().get("rowanplank-attempt-id"), 1, Integer::sum);
+        String trouble = count <= troubles.length ? troubles[count - 1] : "serve";
+        AnswerKind answer = switch (trouble) {
+            case "refuse" -> AnswerKind.REFUSED;
+            case "fail" -> AnswerKind.FAILED;
+            default -> AnswerKind.SERVED;
+        };
+        return new EmulatedServer.Pace(trouble.equals("late") ? LATE_MS : 0, EVENTS, 10,
+                trouble.startsWith("silent") ? SILENCE_MS : 0, EventNumbering.valueOf(path[2]),
+                trouble.endsWith("cut") ? CUT_EVENT : -1, answer);
     }
 
     private LoopbackHttp.Answer request(String id, String path, String lastEventId) throws IOException {
@@ -112,4 +129,16 @@
         }
         assertWhole(request("resumed-cut", "/briefs/" + numbering + "/cut", numbering.id(1)), rest);
     }
+
+    // LOST: a stream that was to be continued was closed behind a failure of the second server, with an attempt left.
+    @Test
+    void aStreamIsContinuedByAThirdServerWhenTheSecondFails() throws IOException {
+        assertWhole(request("failed", "/briefs/BY_FIVE/cut-fail", null), EventNumbering.BY_FIVE.stream(EVENTS));
+    }
+
+    // LOST: a stream was closed when a silent server spoke again, which ends the second attempt, and then broke off.
+    @Test
+    void aStreamIsContinuedByAThirdServerWhenTheSilentOneSpeaksAgainAndBreaksOff() throws IOException {
+        assertWhole(request("spoke", "/briefs/BY_FIVE/silent+cut-late", null), EventNumbering.BY_FIVE.stream(EVENTS));
+    }
 }
--- a/src/test/java/routerfleet/soak/ProcessFleet.java
+++ b/src/test/java/routerfleet/soak/ProcessFleet.java
@@ -18,6 +18,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import routerfleet.demo.EmulatedServer;
+import routerfleet.demo.EmulatedServer.AnswerKind;
 import routerfleet.demo.EventNumbering;
 import routerfleet.demo.LoopbackHttp;
 import routerfleet.settings.HostPort;
@@ -180,7 +181,8 @@
         int events = (int) parameter(arrival, "events");
         return new EmulatedServer.Pace(parameter(arrival, "silence"), events, parameter(arrival, "gap"),
                 parameter(arrival, "stall"), EventNumbering.values()[(int) parameter(arrival, "numbering")],
-                first ? (int) parameter(arrival, "cut") : -1, first && parameter(arrival, "refuse") > 0);
+                first ? (int) parameter(arrival, "cut") : -1,
+                first && parameter(arrival, "refuse") > 0 ? AnswerKind.REFUSED : AnswerKind.SERVED);
     }
 
     private static long parameter(EmulatedServer.Arrival arrival, String name) {
