Take an answer without a length as whole when its connection ends in order

What callers saw: 502, or a stream closed before its first event, where a sound server had answered with a success that names no length and ends with its connection; the request had run. Cause: UpstreamConnection failed every response without a length or chunked encoding at its head. Now Netty's decoder ends such a response when the connection is closed in order (RFC 9112, section 6.3). A reset reaches the connection as a failure first, and a stream that ends inside an event is not whole, as before. A connection that has ended is not kept. Evidence: UpstreamConnectionTest.anAnswerWithoutLengthIsWholeWhenItsConnectionEndsInOrder failed before in both cases.

--- a/src/main/java/routerfleet/data/UpstreamConnection.java
+++ b/src/main/java/routerfleet/data/UpstreamConnection.java
@@ -27,7 +27,8 @@
 /**
  * A connection to a model server. It carries one request at a time and passes the response to a receiver as it arrives. A
  * response that does not name the request is skipped; bytes behind a response, or while no request is pending, close the
- * connection.
+ * connection. A response without length or chunked encoding is complete when its connection is closed in order, but not
+ * when it is reset (RFC 9112, section 6.3).
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** Well below the usual target latencies, so that another server can still respond in time after a timeout. */
@@ -192,12 +193,6 @@
             skip(response);
             return;
         }
-        boolean bounded = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-                || response.status().code() == 204 || response.status().code() == 304;
-        if (!bounded) {
-            fail("response without length or chunked encoding");
-            return;
-        }
         reusable = HttpUtil.isKeepAlive(response);
         idleTimeoutMs = keepAliveMs(response);
         receiver.head(response);
@@ -253,7 +248,7 @@
         }
         ResponseReceiver done = receiver;
         receiver = null;
-        if (reusable && !strayInput && !decoder.hasMoreInput()) {
+        if (reusable && channel.isActive() && !strayInput && !decoder.hasMoreInput()) {
             release(SteadyClock.millis());
         } else {
             channel.close();
--- a/src/test/java/routerfleet/data/UpstreamConnectionTest.java
+++ b/src/test/java/routerfleet/data/UpstreamConnectionTest.java
@@ -217,4 +217,35 @@
         write(answer(STREAM, "one", "id: 5\ndata: x\n\n"));
         assertThat(outcome(), containsString("failed"));
     }
+
+    // MIXED: a whole answer that has no length was replaced by 502.
+    @ParameterizedTest
+    @ValueSource(strings = {SUCCESS, STREAM})
+    void anAnswerWithoutLengthIsWholeWhenItsConnectionEndsInOrder(String head) throws Exception {
+        request("one");
+        write(head + "Rowanplank-Attempt-Id: one\r\n\r\nid: 1\ndata: x\n\n");
+        socket.close();
+        assertThat(outcome(), is(head.equals(STREAM) ? "stream" : "200 id: 1\ndata: x\n\n"));
+        assertClosed();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {SUCCESS, STREAM})
+    void anAnswerWithoutLengthIsNotWholeWhenItsConnectionIsReset(String head) throws Exception {
+        request("one");
+        write(head + "Rowanplank-Attempt-Id: one\r\n\r\nid: 1\ndata: x\n\n");
+        socket.setSoLinger(true, 0);
+        socket.close();
+        assertThat(outcome(), containsString("failed"));
+        assertClosed();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: 1\ndata: x\n\nid: 2\nda"})
+    void aStreamWithoutLengthThatEndsBeforeItsHeadOrInsideAnEventIsNotWhole(String events) throws Exception {
+        request("one");
+        write(events.isEmpty() ? STREAM : STREAM + "Rowanplank-Attempt-Id: one\r\n\r\n" + events);
+        socket.close();
+        assertThat(outcome(), containsString("failed"));
+    }
 }
