Leave open requests their retries when a configuration removes their service

What callers saw: a resumable stream that its server broke off was closed ("the retry budget is used up") when a configuration had removed its route's service meanwhile, although a sound server and an attempt were left. Cause: a new routing table drops the retry budgets of services that it no longer has; the next retry of an open request made a new, empty one. Now a request keeps the budget of its service at admission. Evidence: ConfigurationBesideStreamTest failed before in 1 of 6 cases (SERVICE_REMOVED, the stream that is cut), and passes. The other cases were green: a route that is removed, moved, shortened in time and attempts, or that loses stream_resume, and a tenant that is removed, leave streams under way whole. A stream of a removed tenant that its server breaks off is not continued: no request may be sent with a key that was taken away.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -33,6 +33,8 @@
     private final List<Server> triedServers = new ArrayList<>(2);
     private final StreamRelay relay;
     private AdmittedRequest admitted;
+    /** Of the service at admission: a configuration that removes the service leaves its open requests their retries. */
+    private RetryBudget retryBudget;
     private ScheduledFuture<?> timer;
     /** The open attempts: one, or a second one beside one whose server is silent. The first to respond is forwarded. */
     private final List<Attempt> attempts = new ArrayList<>(2);
@@ -67,7 +69,8 @@
             respond(ErrorResponse.stopping(), ResponseEnd.REFUSED);
             return;
         }
-        plane.retryBudget(admitted.backend()).requestReceived(plane.fleetSize().divisor());
+        retryBudget = plane.retryBudget(admitted.backend());
+        retryBudget.requestReceived(plane.fleetSize().divisor());
         timer = plane.loop().schedule(this::onDeadline, Math.max(1, remainingMs()), TimeUnit.MILLISECONDS);
         if (admitted.tenant() == null) {
             send();
@@ -284,7 +287,7 @@
         if (!attempts.isEmpty()) {
             return;
         }
-        if (sentCount < admitted.route().attempts() && plane.retryBudget(admitted.backend()).tryAcquire()) {
+        if (sentCount < admitted.route().attempts() && retryBudget.tryAcquire()) {
             send();
         } else {
             giveUp("refused, and no retry is left");
@@ -330,7 +333,7 @@
             giveUp("no further attempt is allowed");
         } else if (remainingMs() <= MIN_REMAINING_MS) {
             giveUp("no time is left");
-        } else if (!plane.retryBudget(admitted.backend()).tryAcquire()) {
+        } else if (!retryBudget.tryAcquire()) {
             giveUp("the retry budget is used up");
         } else {
             send();
@@ -433,13 +436,12 @@
     }
 
     private void beginSecondAttempt(long nowMs) {
-        RetryBudget budget = plane.retryBudget(admitted.backend());
-        if (!budget.tryAcquire()) {
+        if (!retryBudget.tryAcquire()) {
             return;
         }
         Server server = choose(nowMs);
         if (server == null) {
-            budget.release();
+            retryBudget.release();
         } else {
             begin(server, nowMs);
         }
