Play answers without a length in the soak of signals, and find those that are replaced

The soak's servers framed all their answers, so that no soak could find that whole ones without a length were replaced by 502, and its judge did not look for answers that are replaced. Now one request in twenty is answered without a length, and the judge reports a 502 of the node's own whose server had sent a whole response before (REPLACED). ShutdownJudgeTest has the new check, with what it leaves out.

--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -51,6 +51,8 @@
     public enum AnswerKind {
         /** The response. */
         SERVED,
+        /** The response without a length, which ends with its connection. */
+        WITHOUT_LENGTH,
         /** A rejection, as if the server were full. */
         REFUSED,
         /** A failure of the server's own, which counts as executed. */
@@ -244,8 +246,9 @@
         long startNanos = System.nanoTime();
         RunEnd end = RunEnd.CALLER_GONE;
         try {
-            end = act(out, headers, pacing.apply(arrival));
-            return end != RunEnd.BROKEN_OFF;
+            Pace pace = pacing.apply(arrival);
+            end = act(out, headers, pace);
+            return end != RunEnd.BROKEN_OFF && pace.answer() != AnswerKind.WITHOUT_LENGTH;
         } finally {
             runs.add(new Run(headers.get("rowanplank-attempt-id"), uid, startNanos, System.nanoTime(), end));
         }
@@ -272,13 +275,23 @@
                 stall(pace.stallMs());
                 pause(pace.silenceMs());
                 if (pace.events() == 0) {
-                    write(out, "200 OK", stamp, "served by " + uid);
+                    servePage(out, stamp, pace);
                     return RunEnd.WHOLE;
                 }
                 return stream(out, stamp, headers.get("last-event-id"), pace);
         }
     }
 
+    private void servePage(OutputStream out, String stamp, Pace pace) throws IOException {
+        String body = "served by " + uid;
+        if (pace.answer() == AnswerKind.WITHOUT_LENGTH) {
+            out.write(("HTTP/1.1 200 OK\r\n" + stamp + "\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+        } else {
+            write(out, "200 OK", stamp, body);
+        }
+    }
+
     private static String attemptId(Map<String, String> headers) {
         return "Rowanplank-Attempt-Id: " + headers.get("rowanplank-attempt-id") + "\r\n";
     }
@@ -309,22 +322,34 @@
 
     private RunEnd stream(OutputStream out, String stamp, String lastEventId, Pace pace) throws IOException {
         int cutAt = behaviour == Behaviour.CUT ? CUT_EVENT : pace.cutAt();
+        boolean chunked = pace.answer() != AnswerKind.WITHOUT_LENGTH;
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + stamp
-                + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                + (chunked ? "Transfer-Encoding: chunked\r\n" : "") + "\r\n").getBytes(StandardCharsets.US_ASCII));
         int from = pace.numbering().indexOf(lastEventId, pace.events()) + 1;
         for (int i = from; i < pace.events(); i++) {
             pause(i == from ? 0 : pace.gapMs());
             String event = pace.numbering().event(i);
             if (i == cutAt) {
-                chunk(out, event.substring(0, event.length() / 2));
+                send(out, event.substring(0, event.length() / 2), chunked);
                 return RunEnd.BROKEN_OFF;
             }
-            chunk(out, event);
+            send(out, event, chunked);
+        }
+        if (chunked) {
+            chunk(out, "");
         }
-        chunk(out, "");
         return RunEnd.WHOLE;
     }
 
+    private static void send(OutputStream out, String text, boolean chunked) throws IOException {
+        if (chunked) {
+            chunk(out, text);
+        } else {
+            out.write(text.getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+        }
+    }
+
     private static void chunk(OutputStream out, String text) throws IOException {
         out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
         out.flush();
--- a/src/test/java/routerfleet/soak/ProcessFleet.java
+++ b/src/test/java/routerfleet/soak/ProcessFleet.java
@@ -182,7 +182,8 @@
         return new EmulatedServer.Pace(parameter(arrival, "silence"), events, parameter(arrival, "gap"),
                 parameter(arrival, "stall"), EventNumbering.values()[(int) parameter(arrival, "numbering")],
                 first ? (int) parameter(arrival, "cut") : -1,
-                first && parameter(arrival, "refuse") > 0 ? AnswerKind.REFUSED : AnswerKind.SERVED);
+                first && parameter(arrival, "refuse") > 0 ? AnswerKind.REFUSED
+                        : parameter(arrival, "unframed") > 0 ? AnswerKind.WITHOUT_LENGTH : AnswerKind.SERVED);
     }
 
     private static long parameter(EmulatedServer.Arrival arrival, String name) {
--- a/src/test/java/routerfleet/soak/ServerTrouble.java
+++ b/src/test/java/routerfleet/soak/ServerTrouble.java
@@ -11,17 +11,19 @@
  * @param refusalProbability that the first server that is asked rejects a request
  * @param stallProbability that a request keeps its server from sending anything for 1 to 2.5 s
  * @param cutProbability that the first server that is asked breaks a stream off inside an event
+ * @param withoutLengthProbability that responses to a request have no length and end with their connections
  */
 record ServerTrouble(List<EventNumbering> numberings, double refusalProbability, double stallProbability,
-        double cutProbability) {
-    /** Servers that refuse a tenth of the requests and number their events in all ways that the protocol allows. */
-    static final ServerTrouble ALL = new ServerTrouble(Arrays.asList(EventNumbering.values()), 0.1, 0.04, 0.03);
+        double cutProbability, double withoutLengthProbability) {
+    /** Servers that refuse a tenth of the requests, and number and end their responses in all ways that the protocol allows. */
+    static final ServerTrouble ALL = new ServerTrouble(Arrays.asList(EventNumbering.values()), 0.1, 0.04, 0.03, 0.05);
 
     /** Servers that are silent at times, and number events one by one. */
-    static final ServerTrouble STALLS = new ServerTrouble(List.of(EventNumbering.BY_ONE), 0, 0.04, 0);
+    static final ServerTrouble STALLS = new ServerTrouble(List.of(EventNumbering.BY_ONE), 0, 0.04, 0, 0);
 
     /** The same trouble with one way to number events. */
     ServerTrouble numbered(EventNumbering numbering) {
-        return new ServerTrouble(List.of(numbering), refusalProbability, stallProbability, cutProbability);
+        return new ServerTrouble(List.of(numbering), refusalProbability, stallProbability, cutProbability,
+                withoutLengthProbability);
     }
 }
--- a/src/test/java/routerfleet/soak/ShutdownJudge.java
+++ b/src/test/java/routerfleet/soak/ShutdownJudge.java
@@ -16,8 +16,9 @@
  * with none to continue, or the end of a process that it was sent to at most 3 s after SIGTERM while its server still
  * worked on it in the last sixth of the grace period. A request that no server received counts as not read if the
  * connection was reset, or ended within the slack after its last byte was sent. A request that was sent ahead shares the
- * lot of a response before it on the connection that was broken off. Also checks that streams are complete and that
- * requests which may be executed once are neither executed twice nor refused after an execution.
+ * lot of a response before it on the connection that was broken off. Also checks that streams are complete, that whole
+ * responses of servers are not replaced by failures, and that requests which may be executed once are neither executed twice
+ * nor refused after an execution.
  */
 final class ShutdownJudge {
     private static final long SLACK_MS = 200;
@@ -48,6 +49,9 @@
                     && !isWholeStream(request)) {
                 found.add("ORDER " + request.describe());
             }
+            if (isReplaced(request)) {
+                found.add("REPLACED " + request.describe() + ", " + servers(request));
+            }
             if (request.executedOnce() && executions(request) > 1) {
                 found.add("TWICE " + request.describe());
             }
@@ -106,6 +110,13 @@
                 && (request.status() == 503 || request.status() == 429);
     }
 
+    /** Whether a response of its own told the client that there was no whole one, although a server had sent one. */
+    private boolean isReplaced(RequestRecord request) {
+        return request.outcome() == RequestRecord.Outcome.COMPLETE && request.status() == 502
+                && runsOf(request).stream().anyMatch(run -> run.end() == EmulatedServer.RunEnd.WHOLE
+                        && run.endNanos() - request.endNanos() < 0);
+    }
+
     private static boolean isWholeStream(RequestRecord request) {
         return request.stream() == null || request.body().equals(request.stream());
     }
--- a/src/test/java/routerfleet/soak/ShutdownJudgeTest.java
+++ b/src/test/java/routerfleet/soak/ShutdownJudgeTest.java
@@ -92,4 +92,12 @@
         assertFound("REFUSED", violations(request(9_000, 9_500, Outcome.COMPLETE, 503, "", true),
                 run("a", 9_000, 9_010, RunEnd.BROKEN_OFF)));
     }
+
+    @Test
+    void findsAWholeResponseThatWasReplacedByAFailure() {
+        RequestRecord replaced = request(9_000, 9_500, Outcome.COMPLETE, 502, "", true);
+        assertFound("REPLACED", violations(replaced, run("a", 9_000, 9_490, RunEnd.WHOLE)));
+        assertThat(violations(replaced, run("a", 9_000, 9_490, RunEnd.BROKEN_OFF)), is(empty()));
+        assertThat(violations(replaced, run("a", 9_000, 9_510, RunEnd.WHOLE)), is(empty()));
+    }
 }
--- a/src/test/java/routerfleet/soak/UnreadRequestTest.java
+++ b/src/test/java/routerfleet/soak/UnreadRequestTest.java
@@ -56,7 +56,7 @@
 
     private void send(String id, String path, long silenceMs, int events) throws IOException {
         socket.getOutputStream().write(("POST " + path + "?silence=" + silenceMs + "&events=" + events
-                + "&gap=0&stall=0&numbering=0&refuse=0&cut=-1 HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\n"
+                + "&gap=0&stall=0&numbering=0&refuse=0&cut=-1&unframed=0 HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\n"
                 + "Rowanplank-Attempt-Id: " + id + "\r\nRowanplank-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
     }
