--- a/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
+++ b/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
@@ -36,22 +36,22 @@
     private static final long MAX_WAIT_S = 20;
     private static final String BRIEFS = "{\"name\":\"briefs\",\"host\":\"fleet.example\",\"path_prefix\":\"/briefs/\","
             + "\"type\":\"streaming\",\"target_latency_ms\":400,\"priority\":0,\"public\":false,\"gap_aim_ms\":300,";
-    private static final String NO_OTHERS = "";
 
     /** What the configuration does to the route {@code briefs}, its service or its tenant. */
     private enum Change {
-        ROUTE_REMOVED(NO_OTHERS, ",\"delete\":{\"routes\":[\"briefs\"]}"),
-        SERVICE_REMOVED(NO_OTHERS, ",\"delete\":{\"routes\":[\"briefs\",\"drafts\"],\"backends\":[\"llm\"]}"),
+        ROUTE_REMOVED("", ",\"delete\":{\"routes\":[\"briefs\"]}"),
+        SERVICE_REMOVED("", ",\"delete\":{\"routes\":[\"briefs\",\"drafts\"],\"backends\":[\"llm\"]}"),
         ROUTE_MOVED("," + BRIEFS + "\"backend\":\"web\",\"timeout_ms\":20000,\"max_attempts\":2,\"stream_resume\":true}", ""),
         TIME_AND_ATTEMPTS_SHORTENED(
                 "," + BRIEFS + "\"backend\":\"llm\",\"timeout_ms\":200,\"max_attempts\":1,\"stream_resume\":true}", ""),
         RESUMPTION_TAKEN_AWAY(
                 "," + BRIEFS + "\"backend\":\"llm\",\"timeout_ms\":20000,\"max_attempts\":2,\"stream_resume\":false}", ""),
-        TENANT_REMOVED(NO_OTHERS, ",\"delete\":{\"tenants\":[\"one\"]}");
+        TENANT_REMOVED("", ",\"delete\":{\"tenants\":[\"one\"]}");
 
         private final String routes;
         private final String deletions;
 
+        /** @param routes further routes, each behind a comma @param deletions further fields of the patch, behind a comma */
         Change(String routes, String deletions) {
             this.routes = routes;
             this.deletions = deletions;
