Take a 421 for another version of the weights for no end of the server

What callers saw: after one request whose client had set Expect-Version to a version that no server has, its service's servers got no request of any client again from that data node: 503 until they or the node were restarted. Cause: Exchange took any 421 for the answer of another instance at the server's address, and struck the server off for good. The protocol has a second reason for 421: a server whose weights have another version, where Expect-Version is present, and that header goes along. Now a 421 to a request that asks for a version is a rejection like any other, from which nothing is learned about the server. An address that has passed to another instance is still found by the next request without that header, and by the heartbeats.

--- a/src/main/java/routerfleet/data/Exchange.java
+++ b/src/main/java/routerfleet/data/Exchange.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
@@ -279,10 +280,10 @@
 
     private void handleNotExecuted(Attempt refused) {
         attemptLog.ended(refused, "refused: " + refused.head().status().code());
-        if (refused.head().status().code() == 421) {
-            plane.registry().markEnded(refused.server().uid());
-        } else {
+        if (refused.head().status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             recordOutcome(refused, failureLatencyMs(), false);
+        } else if (!request.headers().contains(ProxyHeaders.EXPECT_VERSION)) {
+            plane.registry().markEnded(refused.server().uid()); // its address belongs to another instance
         }
         if (!attempts.isEmpty()) {
             return;
--- a/src/main/java/routerfleet/data/ProxyHeaders.java
+++ b/src/main/java/routerfleet/data/ProxyHeaders.java
@@ -14,6 +14,7 @@
     static final AsciiString API_KEY = AsciiString.cached("Api-Key");
     static final AsciiString TENANT = AsciiString.cached("Rowanplank-Tenant");
     static final AsciiString EXPECT_INSTANCE = AsciiString.cached("Rowanplank-Expect-Instance");
+    static final AsciiString EXPECT_VERSION = AsciiString.cached("Expect-Version");
     static final AsciiString SIGNATURE = AsciiString.cached("Rowanplank-Server-Signature");
     static final AsciiString NOT_EXECUTED = AsciiString.cached("Rowanplank-Not-Executed");
     static final AsciiString TOKEN_USAGE = AsciiString.cached("Rowanplank-Token-Usage");
--- a/src/main/java/routerfleet/demo/EmulatedServer.java
+++ b/src/main/java/routerfleet/demo/EmulatedServer.java
@@ -28,6 +28,7 @@
 public final class EmulatedServer implements AutoCloseable {
     private static final int CAPACITY = 16;
     private static final long HEARTBEAT_MS = 100;
+    private static final String WEIGHTS_VERSION = "1";
     /** Index of the event inside which {@link Behaviour#CUT} ends a stream. */
     private static final int CUT_EVENT = 2;
     /** How often every control node is told that it leaves, before it gives up. */
@@ -237,7 +238,8 @@
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
         }
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-        if (!uid.equals(headers.get("rowanplank-expect-instance"))) {
+        if (!uid.equals(headers.get("rowanplank-expect-instance"))
+                || !WEIGHTS_VERSION.equals(headers.getOrDefault("expect-version", WEIGHTS_VERSION))) {
             write(out, "421 Misdirected Request", attemptId(headers) + "Rowanplank-Instance-Id: " + uid + "\r\n", "");
             return true;
         }
--- a/src/test/java/routerfleet/FleetTest.java
+++ b/src/test/java/routerfleet/FleetTest.java
@@ -137,6 +137,15 @@
         assertThat(answer.header("Rowanplank-Server-Signature"), is(nullValue()));
     }
 
+    // A 421 for a version of the weights was taken for the end of the server, which got no request of any client again.
+    @Test
+    void aRequestForAVersionThatNoServerHasTakesNoServerOutOfService() throws IOException {
+        assertThat(served(0, "/pages/a").status(), is(200));
+        assertThat(get(0, "/pages/a", "k1", "Expect-Version", "7").status(), is(503));
+        assertThat(get(0, "/pages/a", "k1").status(), is(200));
+        assertThat(get(0, "/pages/a", "k1", "Expect-Version", "1").status(), is(200));
+    }
+
     @Test
     void anUnsafeRequestThatMayHaveRunIsNeitherRepeatedNorRefused() throws IOException {
         served(0, "/pages/");
