--- a/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
+++ b/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
@@ -4,10 +4,8 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -32,7 +30,6 @@
     private static final int GAP_MS = 400;
     /** Late enough that the configuration is in force before. */
     private static final int CUT_EVENT = 6;
-    private static final int MAX_TRIES = 400;
     private static final long MAX_WAIT_S = 20;
     private static final String BRIEFS = "{\"name\":\"briefs\",\"host\":\"fleet.example\",\"path_prefix\":\"/briefs/\","
             + "\"type\":\"streaming\",\"target_latency_ms\":400,\"priority\":0,\"public\":false,\"gap_aim_ms\":300,";
@@ -71,6 +68,7 @@
     private final ExecutorService clients = Executors.newCachedThreadPool();
     private final Set<String> seenIds = ConcurrentHashMap.newKeySet();
     private LoopbackFleet fleet;
+    private FleetClient client;
     private List<EmulatedServer> servers;
 
     @BeforeEach
@@ -81,10 +79,8 @@
         String configuration = Configurations.whole(1).replace("\"timeout_ms\":4000", "\"timeout_ms\":20000");
         assertThat(fleet.order("replace", 0, configuration), is(200));
         fleet.startData(true);
-        for (int i = 0, served = 0; served < 10; i++) { // each adds to the retry budget
-            served += request("warm-" + i, "/briefs/short").status() == 200 ? 1 : 0;
-            assertThat("requests are served", i < MAX_TRIES);
-        }
+        client = new FleetClient(fleet, 20_000);
+        client.warmUp("/briefs/short");
     }
 
     @AfterEach
@@ -103,11 +99,6 @@
                 cut ? CUT_EVENT : -1, AnswerKind.SERVED);
     }
 
-    private LoopbackHttp.Answer request(String id, String path) throws IOException {
-        return LoopbackHttp.call(fleet.frontend(0), "POST", path, Map.of("Host", "fleet.example", "Api-Key", "k1",
-                "Rowanplank-Attempt-Id", id, "Rowanplank-Deadline-Ms", "20000"), "x".getBytes(StandardCharsets.US_ASCII));
-    }
-
     private void awaitArrivals(int count) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_WAIT_S);
         while (servers.stream().mapToInt(server -> server.arrivals().size()).sum() < count) {
@@ -116,22 +107,16 @@
         }
     }
 
-    private void awaitInForce() throws IOException {
-        for (int i = 0; request("marker-" + i, "/marker/x").status() == 404; i++) {
-            assertThat("the configuration comes into force", i < MAX_TRIES);
-        }
-    }
-
     // LOST, beside review/3: a configuration must not cut a stream whose route, service or tenant it changes or removes.
     @ParameterizedTest
     @EnumSource
     void aStreamUnderWayIsWholeWhenAConfigurationTakesAwayWhatItWasAdmittedWith(Change change) throws Exception {
         int before = servers.stream().mapToInt(server -> server.arrivals().size()).sum();
-        Future<LoopbackHttp.Answer> sound = clients.submit(() -> request("sound", "/briefs/long"));
-        Future<LoopbackHttp.Answer> cut = clients.submit(() -> request("cut", "/briefs/cut"));
+        Future<LoopbackHttp.Answer> sound = clients.submit(() -> client.request("sound", "/briefs/long"));
+        Future<LoopbackHttp.Answer> cut = clients.submit(() -> client.request("cut", "/briefs/cut"));
         awaitArrivals(before + 2);
         assertThat(fleet.order("patch", 1, change.patch()), is(200));
-        awaitInForce();
+        client.awaitOtherThan(404, "/marker/x");
         assertThat("the streams are under way", sound.isDone() || cut.isDone(), is(false));
         assertThat(sound.get().body(), is(EventNumbering.BY_FIVE.stream(EVENTS)));
         assertThat(sound.get().whole(), is(true));
--- a/src/test/java/routerfleet/ResumedStreamTest.java
+++ b/src/test/java/routerfleet/ResumedStreamTest.java
@@ -4,9 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,7 +30,6 @@
     private static final int SILENCE_MS = 2_500;
     /** Longer than a silent server needs to speak again. */
     private static final int LATE_MS = 3_500;
-    private static final int MAX_TRIES = 400;
     private static final double RETRY_RATIO = 1;
     private static final double RETRY_SLACK = 20;
 
@@ -40,6 +37,7 @@
     private Path folder;
     private final Map<String, Integer> arrivalCounts = new ConcurrentHashMap<>();
     private LoopbackFleet fleet;
+    private FleetClient client;
     private List<EmulatedServer> servers;
 
     @BeforeEach
@@ -52,10 +50,8 @@
                 is(200));
         fleet.startData(true, new Bounds(null, null, null, null, null, null, null, null, null, RETRY_RATIO, null, RETRY_SLACK,
                 null, null, null, null, null, null, null));
-        for (int i = 0, served = 0; served < 10; i++) { // each adds to the retry budget
-            served += request("warm-" + i, "/briefs/BY_ONE/serve", null).status() == 200 ? 1 : 0;
-            assertThat("requests are served", i < MAX_TRIES);
-        }
+        client = new FleetClient(fleet, 4_000);
+        client.warmUp("/briefs/BY_ONE/serve");
     }
 
     @AfterEach
@@ -83,12 +79,7 @@
     }
 
     private LoopbackHttp.Answer request(String id, String path, String lastEventId) throws IOException {
-        Map<String, String> headers = new HashMap<>(Map.of("Host", "fleet.example", "Api-Key", "k1",
-                "Rowanplank-Attempt-Id", id, "Rowanplank-Deadline-Ms", "4000"));
-        if (lastEventId != null) {
-            headers.put("Last-Event-Id", lastEventId);
-        }
-        return LoopbackHttp.call(fleet.frontend(0), "POST", path, headers, "x".getBytes(StandardCharsets.US_ASCII));
+        return client.request(id, path, lastEventId == null ? Map.of() : Map.of("Last-Event-Id", lastEventId));
     }
 
     private static void assertWhole(LoopbackHttp.Answer answer, String events) {
--- a/src/test/java/routerfleet/SilentServerTest.java
+++ b/src/test/java/routerfleet/SilentServerTest.java
@@ -6,11 +6,9 @@
 import static org.hamcrest.Matchers.not;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,13 +30,13 @@
     private static final int GAP_MS = 1_400;
     /** Longer than a single request may wait before another server is tried: a third of the route's timeout of 4 s. */
     private static final int LATE_MS = 2_000;
-    private static final int MOST_TRIES = 400;
     private static final int MOST_WAIT_S = 20;
 
     @TempDir
     private Path folder;
     private final ExecutorService clients = Executors.newCachedThreadPool();
     private LoopbackFleet fleet;
+    private FleetClient client;
     private EmulatedServer silent;
 
     @BeforeEach
@@ -47,10 +45,8 @@
         silent = server("llm-1");
         assertThat(fleet.order("replace", 0, Configurations.whole(1)), is(200));
         fleet.startData(true);
-        for (int i = 0, served = 0; served < 10; i++) { // each adds to the retry budget
-            served += request("warm-" + i, "/briefs/fast").status() == 200 ? 1 : 0;
-            assertThat("requests are served", i < MOST_TRIES);
-        }
+        client = new FleetClient(fleet, 4_000);
+        client.warmUp("/briefs/fast");
     }
 
     @AfterEach
@@ -65,17 +61,12 @@
                 arrival.path().endsWith("late") ? LATE_MS : 0, arrival.path().endsWith("slow") ? EVENTS : 1, GAP_MS, 0));
     }
 
-    private LoopbackHttp.Answer request(String id, String path) throws IOException {
-        return LoopbackHttp.call(fleet.frontend(0), "POST", path, Map.of("Host", "fleet.example", "Api-Key", "k1",
-                "Rowanplank-Attempt-Id", id, "Rowanplank-Deadline-Ms", "4000"), "x".getBytes(StandardCharsets.US_ASCII));
-    }
-
     /** Two streams at a time: a server counts as silent sooner if it owes more than one response. */
     private List<Future<LoopbackHttp.Answer>> beginTwoStreams() throws InterruptedException {
         int before = silent.arrivals().size();
         List<Future<LoopbackHttp.Answer>> answers = new ArrayList<>();
         for (String id : List.of("one", "two")) {
-            Callable<LoopbackHttp.Answer> call = () -> request(id, "/briefs/slow");
+            Callable<LoopbackHttp.Answer> call = () -> client.request(id, "/briefs/slow");
             answers.add(clients.submit(call));
         }
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_WAIT_S);
@@ -103,7 +94,7 @@
 
     @Test
     void aRequestIsNotAnsweredWithAnErrorWhileItsOnlyServerIsLateToRespond() throws Exception {
-        assertThat(request("late", "/briefs/late").status(), is(200));
+        assertThat(client.request("late", "/briefs/late").status(), is(200));
     }
 
     @Test
@@ -129,7 +120,7 @@
     @Test
     void aSecondServerTakesOverFromOneThatStaysSilent() throws Exception {
         silent.behave(Behaviour.HOLD);
-        Future<LoopbackHttp.Answer> answer = clients.submit(() -> request("held", "/briefs/fast"));
+        Future<LoopbackHttp.Answer> answer = clients.submit(() -> client.request("held", "/briefs/fast"));
         try (EmulatedServer other = server("llm-2")) {
             assertThat(answer.get().status(), is(200));
             assertThat(other.arrivals().size(), is(1));
