--- a/src/main/java/routerfleet/demo/LoopbackFleet.java
+++ b/src/main/java/routerfleet/demo/LoopbackFleet.java
@@ -164,7 +164,7 @@
         return startData(waitUntilReady, Bounds.defaults());
     }
 
-    /** Starts a data node with these bounds, and waits as {@link #startData(boolean)} does. @return its place in the list */
+    /** Starts a data node with these bounds, and waits as the other method does. @return its place in the list */
     public int startData(boolean waitUntilReady, Bounds bounds) throws IOException {
         String ip = nextDataIp();
         HostPort frontend = new HostPort(ip, freePorts(1));
--- a/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
+++ b/src/test/java/routerfleet/ConfigurationBesideStreamTest.java
@@ -38,7 +38,8 @@
     private enum Change {
         ROUTE_REMOVED("", ",\"delete\":{\"routes\":[\"briefs\"]}"),
         SERVICE_REMOVED("", ",\"delete\":{\"routes\":[\"briefs\",\"drafts\"],\"backends\":[\"llm\"]}"),
-        ROUTE_MOVED("," + BRIEFS + "\"backend\":\"web\",\"timeout_ms\":20000,\"max_attempts\":2,\"stream_resume\":true}", ""),
+        ROUTE_MOVED(
+                "," + BRIEFS + "\"backend\":\"web\",\"timeout_ms\":20000,\"max_attempts\":2,\"stream_resume\":true}", ""),
         TIME_AND_ATTEMPTS_SHORTENED(
                 "," + BRIEFS + "\"backend\":\"llm\",\"timeout_ms\":200,\"max_attempts\":1,\"stream_resume\":true}", ""),
         RESUMPTION_TAKEN_AWAY(
@@ -48,7 +49,7 @@
         private final String routes;
         private final String deletions;
 
-        /** @param routes further routes, each behind a comma @param deletions further fields of the patch, behind a comma */
+        /** @param routes further routes, each behind a comma @param deletions further fields, behind a comma */
         Change(String routes, String deletions) {
             this.routes = routes;
             this.deletions = deletions;
--- a/src/test/java/routerfleet/ResumedStreamTest.java
+++ b/src/test/java/routerfleet/ResumedStreamTest.java
@@ -46,10 +46,10 @@
         servers = List.of(new EmulatedServer("llm-1", "llm", fleet.seeds(), this::pace),
                 new EmulatedServer("llm-2", "llm", fleet.seeds(), this::pace),
                 new EmulatedServer("llm-3", "llm", fleet.seeds(), this::pace));
-        assertThat(fleet.order("replace", 0, Configurations.whole(1).replace("\"max_attempts\":2", "\"max_attempts\":3")),
-                is(200));
-        fleet.startData(true, new Bounds(null, null, null, null, null, null, null, null, null, RETRY_RATIO, null, RETRY_SLACK,
-                null, null, null, null, null, null, null));
+        String configuration = Configurations.whole(1).replace("\"max_attempts\":2", "\"max_attempts\":3");
+        assertThat(fleet.order("replace", 0, configuration), is(200));
+        fleet.startData(true, new Bounds(null, null, null, null, null, null, null, null, null, RETRY_RATIO, null,
+                RETRY_SLACK, null, null, null, null, null, null, null));
         client = new FleetClient(fleet, 4_000);
         client.warmUp("/briefs/BY_ONE/serve");
     }
--- a/src/test/java/routerfleet/soak/ServerTrouble.java
+++ b/src/test/java/routerfleet/soak/ServerTrouble.java
@@ -15,7 +15,7 @@
  */
 record ServerTrouble(List<EventNumbering> numberings, double refusalProbability, double stallProbability,
         double cutProbability, double withoutLengthProbability) {
-    /** Servers that refuse a tenth of the requests, and number and end their responses in all ways that the protocol allows. */
+    /** Servers that refuse a tenth of the requests, and number events and end responses in all ways of the protocol. */
     static final ServerTrouble ALL = new ServerTrouble(Arrays.asList(EventNumbering.values()), 0.1, 0.04, 0.03, 0.05);
 
     /** Servers that are silent at times, and number events one by one. */
--- a/src/test/java/routerfleet/soak/ShutdownJudge.java
+++ b/src/test/java/routerfleet/soak/ShutdownJudge.java
@@ -17,8 +17,8 @@
  * worked on it in the last sixth of the grace period. A request that no server received counts as not read if the
  * connection was reset, or ended within the slack after its last byte was sent. A request that was sent ahead shares the
  * lot of a response before it on the connection that was broken off. Also checks that streams are complete, that whole
- * responses of servers are not replaced by failures, and that requests which may be executed once are neither executed twice
- * nor refused after an execution.
+ * responses of servers are not replaced by failures, and that requests which may be executed once are neither executed
+ * twice nor refused after an execution.
  */
 final class ShutdownJudge {
     private static final long SLACK_MS = 200;
--- a/src/test/java/routerfleet/soak/SoakClient.java
+++ b/src/test/java/routerfleet/soak/SoakClient.java
@@ -202,7 +202,8 @@
         String stream = events == 0 ? null : numbering.stream(events);
         String head = "POST /" + route.name() + "/?silence=" + silenceMs + "&events=" + events + "&gap=" + gapMs
                 + "&stall=" + stallMs + "&numbering=" + numbering.ordinal() + "&refuse=" + refuse + "&cut=" + cutAt
-                + "&unframed=" + withoutLength + " HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\nRowanplank-Attempt-Id: " + id
+                + "&unframed=" + withoutLength
+                + " HTTP/1.1\r\nHost: fleet.example\r\nApi-Key: k1\r\nRowanplank-Attempt-Id: " + id
                 + "\r\nRowanplank-Deadline-Ms: " + route.deadlineMs() + "\r\nRowanplank-Prompt-Prefix: "
                 + Integer.toHexString(1 + random.nextInt(40)) + ":8000\r\nContent-Length: 8\r\n\r\nquestion";
         byte[] bytes = head.getBytes(StandardCharsets.US_ASCII);
