--- a/review/standins-2/review2/LongPaths.java
+++ b/review/standins-2/review2/LongPaths.java
@@ -16,8 +16,8 @@
     private static final int MANY_SEGMENTS = 40;
     private static final int FEW_SEGMENTS = 4;
 
-    private LongPaths(Path folder) {
-        super(folder);
+    private LongPaths(Path recordFile) {
+        super(recordFile);
     }
 
     public static void main(String[] args) {
--- a/review/standins-2/review2/RemovedTenants.java
+++ b/review/standins-2/review2/RemovedTenants.java
@@ -17,8 +17,8 @@
     private static final int REVOKE_MS = 5_000;
     private static final int REQUESTS = 12;
 
-    private RemovedTenants(Path folder) {
-        super(folder);
+    private RemovedTenants(Path recordFile) {
+        super(recordFile);
     }
 
     public static void main(String[] args) {
